--- /dev/null
+++ b/client/cmd/cicadapulley/main.go
@@ -0,0 +1,4 @@
+// Command cicadapulley is the command line for operators and callers.
+package main
+
+func main() {}
--- /dev/null
+++ b/core/invariant/invariant.go
@@ -0,0 +1,47 @@
+// Package invariant asserts the system's invariants in all builds. A violated
+// invariant panics with a *Violation; the supervisor turns the panic into a
+// numbered event and stops the part before it can answer.
+package invariant
+
+import "fmt"
+
+// Name identifies an invariant of the design page.
+type Name string
+
+// The invariants of docs/design.md, section 1.1.
+const (
+	SingleStart      Name = "I1 no task starts twice"
+	WholeAnswer      Name = "I2 an answer is complete or failed"
+	OwnAnswer        Name = "I3 an answer reaches its own request"
+	TrueRefusal      Name = "I4 not_run is true"
+	AtMostOnce       Name = "I5 a non-repeatable request runs at most once"
+	NoWorkOnLeave    Name = "I6 a leaving endpoint gets no new work"
+	GracefulStop     Name = "I7 a planned stop cuts no request"
+	ConfigMonotonic  Name = "I8 configuration never reverts"
+	LogMatching      Name = "L1 replicas apply the same log"
+	ElectionSafety   Name = "L2 one leader a term"
+	DurableAck       Name = "L3 an acknowledged record is never lost"
+	MonotonicRead    Name = "L4 a read never goes back in time"
+	SlotBound        Name = "C1 running tasks never exceed the slots"
+	InternalCounting Name = "C2 counters agree with tables"
+)
+
+// Violation is the value of the panic that a broken invariant raises.
+type Violation struct {
+	Name   Name
+	Detail string
+}
+
+// Error implements error.
+func (v *Violation) Error() string {
+	return fmt.Sprintf("invariant violated: %s: %s", v.Name, v.Detail)
+}
+
+// Check panics with a *Violation unless ok. The message is formatted only on
+// failure, so a check costs one branch.
+func Check(ok bool, name Name, format string, args ...any) {
+	if ok {
+		return
+	}
+	panic(&Violation{Name: name, Detail: fmt.Sprintf(format, args...)})
+}
--- /dev/null
+++ b/core/state/config.go
@@ -0,0 +1,135 @@
+package state
+
+import "maps"
+
+// Kind is one kind of request that a service accepts.
+type Kind struct {
+	Name string
+	// Repeatable allows a second start after a lost answer.
+	Repeatable bool
+	// ExpectedMS is the operators' guess of the run time in milliseconds; it
+	// only seeds the estimates that entries learn. Zero means unknown.
+	ExpectedMS int64
+	// Needs is what one task declares to need.
+	Needs Resources
+}
+
+// Service is a set of kinds under one name.
+type Service struct {
+	Name  string
+	Kinds []Kind
+	// Removed marks a service that no longer accepts requests.
+	Removed bool
+	// Ticket is the number of the last ticket that touched the service.
+	Ticket uint64
+	// Revision is the log index of the last change.
+	Revision uint64
+}
+
+// Kind returns the kind with a name.
+func (s Service) Kind(name string) (Kind, bool) {
+	for _, k := range s.Kinds {
+		if k.Name == name {
+			return k, true
+		}
+	}
+	return Kind{}, false
+}
+
+// Quota bounds what one caller may have in progress at each entry.
+type Quota struct {
+	Caller string
+	// MaxTasks is the number of unfinished tasks; zero means no bound.
+	MaxTasks int64
+	// Weight is the caller's share of a contended queue; zero means 1.
+	Weight   int64
+	Ticket   uint64
+	Revision uint64
+}
+
+// Limits bounds each entry's queue.
+type Limits struct {
+	// MaxQueued is the number of tasks waiting at one entry; zero means the default.
+	MaxQueued int64
+	Ticket    uint64
+	Revision  uint64
+}
+
+// DrainMark tells entries to send no new work to an endpoint.
+type DrainMark struct {
+	// Endpoint is the member id of the endpoint's agent.
+	Endpoint string
+	Drain    bool
+	Ticket   uint64
+	Revision uint64
+}
+
+// Config is the configuration in force.
+type Config struct {
+	Services map[string]Service
+	Quotas   map[string]Quota
+	Drains   map[string]DrainMark
+	Limits   Limits
+}
+
+// NewConfig returns an empty configuration.
+func NewConfig() Config {
+	return Config{
+		Services: map[string]Service{},
+		Quotas:   map[string]Quota{},
+		Drains:   map[string]DrainMark{},
+	}
+}
+
+// Clone returns a copy that shares no map with c.
+func (c Config) Clone() Config {
+	c.Services = maps.Clone(c.Services)
+	c.Quotas = maps.Clone(c.Quotas)
+	c.Drains = maps.Clone(c.Drains)
+	return c
+}
+
+// Ticket is a numbered change that carries the whole new state of everything
+// it touches.
+type Ticket struct {
+	Number   uint64
+	Author   string
+	Services []Service
+	Quotas   []Quota
+	Drains   []DrainMark
+	Limits   *Limits
+}
+
+// TicketStatus is the result of applying a ticket.
+type TicketStatus uint8
+
+// Ticket results.
+const (
+	TicketApplied TicketStatus = iota
+	// TicketRepeated means that the same ticket was applied before.
+	TicketRepeated
+	// TicketConflict means that another ticket holds the number.
+	TicketConflict
+	// TicketStale means that a touched object has a newer ticket.
+	TicketStale
+)
+
+// TicketResult is the answer to a ticket.
+type TicketResult struct {
+	Status TicketStatus
+	// Revision is the log index at which the ticket came into force.
+	Revision uint64
+	// Winner is the ticket that holds the number or the newer number.
+	Winner uint64
+	// WinnerAuthor is the author of the winning ticket.
+	WinnerAuthor string
+	// Object names the object with the newer ticket.
+	Object string
+}
+
+// AppliedTicket is a ticket in the history.
+type AppliedTicket struct {
+	Ticket   Ticket
+	Digest   [32]byte
+	Revision uint64
+}
--- /dev/null
+++ b/core/state/jobs.go
@@ -0,0 +1,182 @@
+package state
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/core/invariant"
+	"github.com/cicadapulley/cicadapulley/core/job"
+)
+
+// recordOverhead is the assumed size in bytes of a record without its outputs.
+const recordOverhead = 512
+
+func (m *Machine) acceptJob(index uint64, now time.Time, c *AcceptJob) Result {
+	if old, ok := m.jobs[c.Record.Key]; ok {
+		if old.Digest != c.Record.Digest {
+			return Result{Accept: Conflicting, Record: copyRecord(old)}
+		}
+		return Result{Accept: Existing, Record: copyRecord(old)}
+	}
+	if !m.ownerActive(&c.Record) {
+		return Result{Accept: UnknownOwner}
+	}
+	r := c.Record
+	r.Accepted = now
+	r.AcceptedIndex = index
+	r.Epoch = 1
+	r.State = job.Running
+	r.Revision = index
+	m.jobs[r.Key] = &r
+	return Result{Accept: Accepted, Record: copyRecord(&r)}
+}
+
+func (m *Machine) finishJob(index uint64, now time.Time, c *FinishJob) Result {
+	r, ok := m.jobs[c.Key]
+	if !ok || r.Epoch != c.Epoch {
+		return Result{}
+	}
+	if r.State.Final() {
+		return Result{Finished: true, Record: copyRecord(r)}
+	}
+	invariant.Check(c.Outcome.State.Final(), invariant.WholeAnswer,
+		"job %s finished in state %s", c.Key, c.Outcome.State)
+	out := c.Outcome
+	r.State = out.State
+	r.Outcome = &out
+	r.Finished = now
+	r.Revision = index
+	// The payloads are only needed to run the tasks again.
+	r.Tasks = dropPayloads(r.Tasks)
+	m.finished = append(m.finished, c.Key)
+	m.finishedBytes += recordBytes(r)
+	return Result{Finished: true, Record: copyRecord(r)}
+}
+
+func dropPayloads(tasks []job.Task) []job.Task {
+	kept := make([]job.Task, len(tasks))
+	for i, t := range tasks {
+		kept[i] = job.Task{Kind: t.Kind}
+	}
+	return kept
+}
+
+func (m *Machine) takeOverJob(index uint64, c *TakeOverJob) Result {
+	r, ok := m.jobs[c.Key]
+	if !ok || r.State.Final() || r.Epoch != c.FromEpoch {
+		return Result{}
+	}
+	owner, ok := m.members[c.Owner]
+	if !ok || owner.State != MemberLive || owner.Role != RoleEntry {
+		return Result{}
+	}
+	r.Owner = owner.ID
+	r.OwnerIncarnation = owner.Incarnation
+	r.Epoch++
+	r.Revision = index
+	m.touch(index)
+	return Result{TookOver: true, Record: copyRecord(r)}
+}
+
+// Job returns a copy of a job's record.
+func (m *Machine) Job(k job.Key) (job.Record, bool) {
+	r, ok := m.jobs[k]
+	if !ok {
+		return job.Record{}, false
+	}
+	return *copyRecord(r), true
+}
+
+// Orphans lists running jobs whose owner is no longer active, oldest first.
+// The leader takes them over.
+func (m *Machine) Orphans() []job.Record {
+	var orphans []job.Record
+	for _, r := range m.jobs {
+		if r.State.Final() || m.ownerActive(r) {
+			continue
+		}
+		orphans = append(orphans, *r)
+	}
+	slices.SortFunc(orphans, byRevision)
+	return orphans
+}
+
+func (m *Machine) ownerActive(r *job.Record) bool {
+	owner, ok := m.members[r.Owner]
+	return ok && owner.Active() && owner.Incarnation == r.OwnerIncarnation
+}
+
+// TakenOver lists the running jobs that the current incarnation of an entry
+// got by takeover after a revision, oldest first.
+func (m *Machine) TakenOver(owner string, after uint64) []job.Record {
+	if m.members[owner].Role != RoleEntry {
+		return nil
+	}
+	var jobs []job.Record
+	for _, r := range m.jobs {
+		mine := r.Owner == owner && r.OwnerIncarnation == m.members[owner].Incarnation
+		if !mine || r.Epoch == 1 || r.State.Final() || r.Revision <= after {
+			continue
+		}
+		jobs = append(jobs, *r)
+	}
+	slices.SortFunc(jobs, byRevision)
+	return jobs
+}
+
+func byRevision(a, b job.Record) int {
+	switch {
+	case a.Revision < b.Revision:
+		return -1
+	case a.Revision > b.Revision:
+		return 1
+	}
+	return 0
+}
+
+// Jobs lists copies of all records without payloads and outputs, for operators.
+func (m *Machine) Jobs() []job.Record {
+	list := make([]job.Record, 0, len(m.jobs))
+	for _, r := range m.jobs {
+		c := *r
+		c.Tasks = dropPayloads(r.Tasks)
+		list = append(list, c)
+	}
+	slices.SortFunc(list, byRevision)
+	return list
+}
+
+func (m *Machine) pruneJobs(now time.Time) {
+	if now.IsZero() {
+		return
+	}
+	for len(m.finished) > 0 {
+		r := m.jobs[m.finished[0]]
+		fresh := now.Sub(r.Finished) < m.retention.FinishedJobs
+		// A caller may resubmit until its deadline, so the answer stays until then.
+		resubmittable := now.Before(r.Deadline)
+		if resubmittable || (fresh && m.finishedBytes <= m.retention.FinishedBytes) {
+			return
+		}
+		m.finishedBytes -= recordBytes(r)
+		delete(m.jobs, m.finished[0])
+		m.finished = m.finished[1:]
+	}
+}
+
+func recordBytes(r *job.Record) int64 {
+	size := int64(recordOverhead)
+	if r.Outcome == nil {
+		return size
+	}
+	for _, t := range r.Outcome.Results {
+		size += int64(len(t.Output)) + recordOverhead/8
+	}
+	return size
+}
+
+// copyRecord returns a copy that shares the immutable tasks and outcome.
+func copyRecord(r *job.Record) *job.Record {
+	c := *r
+	return &c
+}
--- /dev/null
+++ b/core/state/machine.go
@@ -0,0 +1,114 @@
+// Package state is the replicated state machine: configuration, members and
+// job records. Apply is deterministic: the same commands at the same indexes
+// give the same state on every replica. The caller serialises all methods.
+package state
+
+import (
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/core/invariant"
+	"github.com/cicadapulley/cicadapulley/core/job"
+)
+
+// Retention bounds what the machine keeps of the past.
+type Retention struct {
+	// FinishedJobs is how long a finished job's answer is kept.
+	FinishedJobs time.Duration
+	// FinishedBytes bounds the kept answers' size in bytes.
+	FinishedBytes int64
+	// EndedMembers is how long a left or expired member is kept.
+	EndedMembers time.Duration
+	// Tickets is the number of tickets kept in the history.
+	Tickets int
+}
+
+// DefaultRetention is used where the settings give nothing else.
+var DefaultRetention = Retention{
+	FinishedJobs:  10 * time.Minute,
+	FinishedBytes: 64 << 20,
+	EndedMembers:  30 * time.Minute,
+	Tickets:       1000,
+}
+
+// Machine is the replicated state.
+type Machine struct {
+	retention Retention
+	applied   uint64
+	config    Config
+	// configRevision is the index of the last change of configuration or members.
+	configRevision uint64
+	// prunedRevision is the newest change that pruning has forgotten; a reader
+	// older than it needs a full view.
+	prunedRevision uint64
+	tickets        map[uint64]AppliedTicket
+	ticketOrder    []uint64
+	// forgottenTicket is the highest number dropped from the history; a resend
+	// of it or of a lower number is stale.
+	forgottenTicket uint64
+	members         map[string]Member
+	jobs            map[job.Key]*job.Record
+	// finished lists finished jobs in order of their end.
+	finished      []job.Key
+	finishedBytes int64
+}
+
+// New returns an empty machine.
+func New(r Retention) *Machine {
+	return &Machine{
+		retention: r,
+		config:    NewConfig(),
+		tickets:   map[uint64]AppliedTicket{},
+		members:   map[string]Member{},
+		jobs:      map[job.Key]*job.Record{},
+	}
+}
+
+// Applied returns the index of the last applied command.
+func (m *Machine) Applied() uint64 { return m.applied }
+
+// ConfigRevision returns the index of the last change of configuration or members.
+func (m *Machine) ConfigRevision() uint64 { return m.configRevision }
+
+// Apply executes the command at index, which must follow the last one.
+func (m *Machine) Apply(index uint64, c Command) Result {
+	invariant.Check(index == m.applied+1, invariant.LogMatching,
+		"applying index %d after %d", index, m.applied)
+	m.applied = index
+	res := m.dispatch(index, c)
+	res.Index = index
+	m.pruneJobs(c.Now)
+	return res
+}
+
+func (m *Machine) dispatch(index uint64, c Command) Result {
+	switch {
+	case c.AcceptJob != nil:
+		return m.acceptJob(index, c.Now, c.AcceptJob)
+	case c.FinishJob != nil:
+		return m.finishJob(index, c.Now, c.FinishJob)
+	case c.TakeOverJob != nil:
+		return m.takeOverJob(index, c.TakeOverJob)
+	case c.ApplyTicket != nil:
+		return m.applyTicket(index, c.ApplyTicket)
+	case c.Register != nil:
+		return m.register(index, c.Now, c.Register.Member)
+	case c.EndMember != nil:
+		return m.endMember(index, c.Now, c.EndMember)
+	case c.DrainMember != nil:
+		return m.drainMember(index, c.DrainMember)
+	}
+	return Result{}
+}
+
+// touch records a change that watchers must see.
+func (m *Machine) touch(index uint64) { m.configRevision = index }
+
+func (m *Machine) pruneMembers(now time.Time) {
+	for id, member := range m.members {
+		if member.Active() || now.Sub(member.Ended) < m.retention.EndedMembers {
+			continue
+		}
+		delete(m.members, id)
+		m.prunedRevision = max(m.prunedRevision, member.Revision)
+	}
+}
--- /dev/null
+++ b/core/state/snapshot.go
@@ -0,0 +1,66 @@
+package state
+
+import "github.com/cicadapulley/cicadapulley/core/job"
+
+// Snapshot is the whole state of a machine as typed values. It shares
+// immutable parts with the machine; the caller encodes it before the next Apply.
+type Snapshot struct {
+	Applied         uint64
+	ConfigRevision  uint64
+	PrunedRevision  uint64
+	ForgottenTicket uint64
+	Config          Config
+	Tickets         []AppliedTicket
+	Members         []Member
+	// Running and Finished list the jobs; Finished is in order of their end.
+	Running  []job.Record
+	Finished []job.Record
+}
+
+// Snapshot returns the machine's whole state.
+func (m *Machine) Snapshot() Snapshot {
+	s := Snapshot{
+		Applied:         m.applied,
+		ConfigRevision:  m.configRevision,
+		PrunedRevision:  m.prunedRevision,
+		ForgottenTicket: m.forgottenTicket,
+		Config:          m.config.Clone(),
+		Tickets:         m.Tickets(),
+		Members:         m.Members(),
+	}
+	for _, r := range m.jobs {
+		if !r.State.Final() {
+			s.Running = append(s.Running, *r)
+		}
+	}
+	for _, k := range m.finished {
+		s.Finished = append(s.Finished, *m.jobs[k])
+	}
+	return s
+}
+
+// Restore returns a machine with the state of a snapshot.
+func Restore(r Retention, s Snapshot) *Machine {
+	m := New(r)
+	m.applied = s.Applied
+	m.configRevision = s.ConfigRevision
+	m.prunedRevision = s.PrunedRevision
+	m.forgottenTicket = s.ForgottenTicket
+	m.config = s.Config.Clone()
+	for _, t := range s.Tickets {
+		m.tickets[t.Ticket.Number] = t
+		m.ticketOrder = append(m.ticketOrder, t.Ticket.Number)
+	}
+	for _, member := range s.Members {
+		m.members[member.ID] = member
+	}
+	for _, r := range s.Running {
+		m.jobs[r.Key] = &r
+	}
+	for _, r := range s.Finished {
+		m.jobs[r.Key] = &r
+		m.finished = append(m.finished, r.Key)
+		m.finishedBytes += recordBytes(&r)
+	}
+	return m
+}
--- /dev/null
+++ b/core/state/tickets.go
@@ -0,0 +1,130 @@
+package state
+
+import (
+	"fmt"
+	"slices"
+)
+
+// ticketObject names one touched object and its last ticket.
+type ticketObject struct {
+	name string
+	last uint64
+}
+
+func (m *Machine) applyTicket(index uint64, c *ApplyTicket) Result {
+	t := c.Ticket
+	if old, ok := m.tickets[t.Number]; ok {
+		return Result{Ticket: repeatOrConflict(old, c.Digest)}
+	}
+	if t.Number <= m.forgottenTicket {
+		return Result{Ticket: &TicketResult{Status: TicketStale, Winner: m.forgottenTicket, Object: "ticket history"}}
+	}
+	for _, o := range m.touchedBy(t) {
+		if t.Number > o.last {
+			continue
+		}
+		return Result{Ticket: m.stale(o)}
+	}
+	m.storeObjects(index, t)
+	m.storeTicket(index, c)
+	m.touch(index)
+	return Result{Ticket: &TicketResult{Status: TicketApplied, Revision: index, Winner: t.Number, WinnerAuthor: t.Author}}
+}
+
+func repeatOrConflict(old AppliedTicket, digest [32]byte) *TicketResult {
+	res := &TicketResult{
+		Status:       TicketConflict,
+		Winner:       old.Ticket.Number,
+		WinnerAuthor: old.Ticket.Author,
+	}
+	if old.Digest == digest {
+		res.Status = TicketRepeated
+		res.Revision = old.Revision
+	}
+	return res
+}
+
+func (m *Machine) stale(o ticketObject) *TicketResult {
+	return &TicketResult{
+		Status:       TicketStale,
+		Winner:       o.last,
+		WinnerAuthor: m.tickets[o.last].Ticket.Author,
+		Object:       o.name,
+	}
+}
+
+func (m *Machine) touchedBy(t Ticket) []ticketObject {
+	var objects []ticketObject
+	for _, s := range t.Services {
+		objects = append(objects, ticketObject{fmt.Sprintf("service %q", s.Name), m.config.Services[s.Name].Ticket})
+	}
+	for _, q := range t.Quotas {
+		objects = append(objects, ticketObject{fmt.Sprintf("quota of caller %q", q.Caller), m.config.Quotas[q.Caller].Ticket})
+	}
+	for _, d := range t.Drains {
+		objects = append(objects, ticketObject{fmt.Sprintf("drain mark of endpoint %q", d.Endpoint), m.config.Drains[d.Endpoint].Ticket})
+	}
+	if t.Limits != nil {
+		objects = append(objects, ticketObject{"limits", m.config.Limits.Ticket})
+	}
+	return objects
+}
+
+func (m *Machine) storeObjects(index uint64, t Ticket) {
+	for _, s := range t.Services {
+		s.Ticket = t.Number
+		s.Revision = index
+		m.config.Services[s.Name] = s
+	}
+	for _, q := range t.Quotas {
+		q.Ticket = t.Number
+		q.Revision = index
+		m.config.Quotas[q.Caller] = q
+	}
+	for _, d := range t.Drains {
+		d.Ticket = t.Number
+		d.Revision = index
+		m.config.Drains[d.Endpoint] = d
+	}
+	if t.Limits != nil {
+		limits := *t.Limits
+		limits.Ticket = t.Number
+		limits.Revision = index
+		m.config.Limits = limits
+	}
+}
+
+func (m *Machine) storeTicket(index uint64, c *ApplyTicket) {
+	m.tickets[c.Ticket.Number] = AppliedTicket{Ticket: c.Ticket, Digest: c.Digest, Revision: index}
+	m.ticketOrder = append(m.ticketOrder, c.Ticket.Number)
+	if len(m.ticketOrder) <= m.retention.Tickets {
+		return
+	}
+	oldest := m.ticketOrder[0]
+	m.ticketOrder = m.ticketOrder[1:]
+	delete(m.tickets, oldest)
+	m.forgottenTicket = max(m.forgottenTicket, oldest)
+}
+
+// Tickets lists the kept tickets in the order in which they were applied.
+func (m *Machine) Tickets() []AppliedTicket {
+	list := make([]AppliedTicket, 0, len(m.ticketOrder))
+	for _, n := range m.ticketOrder {
+		list = append(list, m.tickets[n])
+	}
+	return list
+}
+
+// Ticket returns a kept ticket.
+func (m *Machine) Ticket(number uint64) (AppliedTicket, bool) {
+	t, ok := m.tickets[number]
+	return t, ok
+}
+
+// HighestTicket returns the highest number in force, zero before the first.
+func (m *Machine) HighestTicket() uint64 {
+	if len(m.ticketOrder) == 0 {
+		return m.forgottenTicket
+	}
+	return max(m.forgottenTicket, slices.Max(m.ticketOrder))
+}
--- /dev/null
+++ b/core/state/view.go
@@ -0,0 +1,118 @@
+package state
+
+import (
+	"maps"
+
+	"github.com/cicadapulley/cicadapulley/core/invariant"
+	"github.com/cicadapulley/cicadapulley/core/job"
+)
+
+// View is what a watcher lacks: either everything (Full) or the objects that
+// changed after the watcher's revision.
+type View struct {
+	Revision uint64
+	Full     bool
+	Services []Service
+	Quotas   []Quota
+	Drains   []DrainMark
+	Limits   Limits
+	Members  []Member
+	// TakenOver lists jobs that the watching entry now owns.
+	TakenOver []job.Record
+}
+
+// View returns what changed after a revision, for the watcher with a member
+// id. A watcher older than the pruned history gets a full view.
+func (m *Machine) View(after uint64, watcher string) View {
+	full := after == 0 || after < m.prunedRevision || after > m.configRevision
+	if full {
+		after = 0
+	}
+	v := View{Revision: m.configRevision, Full: full, Limits: m.config.Limits}
+	for _, s := range m.config.Services {
+		if s.Revision > after {
+			v.Services = append(v.Services, s)
+		}
+	}
+	for _, q := range m.config.Quotas {
+		if q.Revision > after {
+			v.Quotas = append(v.Quotas, q)
+		}
+	}
+	for _, d := range m.config.Drains {
+		if d.Revision > after {
+			v.Drains = append(v.Drains, d)
+		}
+	}
+	for _, member := range m.members {
+		if member.Revision > after {
+			v.Members = append(v.Members, member)
+		}
+	}
+	v.TakenOver = m.TakenOver(watcher, after)
+	return v
+}
+
+// Replica is a watcher's copy of configuration and members. It is immutable:
+// Merge returns a new one, so readers need no lock.
+type Replica struct {
+	Revision uint64
+	Config   Config
+	Members  map[string]Member
+}
+
+// NewReplica returns an empty copy at revision zero.
+func NewReplica() *Replica {
+	return &Replica{Config: NewConfig(), Members: map[string]Member{}}
+}
+
+// Merge returns the replica after a view, and whether it differs. A view that
+// is not newer than the replica, as from a deposed leader, is ignored.
+func (r *Replica) Merge(v View) (*Replica, bool) {
+	if v.Revision <= r.Revision {
+		return r, false
+	}
+	next := r.base(v.Full)
+	for _, s := range v.Services {
+		next.Config.Services[s.Name] = s
+	}
+	for _, q := range v.Quotas {
+		next.Config.Quotas[q.Caller] = q
+	}
+	for _, d := range v.Drains {
+		next.Config.Drains[d.Endpoint] = d
+	}
+	for _, member := range v.Members {
+		next.Members[member.ID] = member
+	}
+	next.Config.Limits = v.Limits
+	next.Revision = v.Revision
+	r.checkMonotonic(next)
+	return next, true
+}
+
+func (r *Replica) base(full bool) *Replica {
+	if full {
+		return NewReplica()
+	}
+	return &Replica{Config: r.Config.Clone(), Members: maps.Clone(r.Members)}
+}
+
+// checkMonotonic asserts that no object of the configuration went back to an
+// older ticket or vanished.
+func (r *Replica) checkMonotonic(next *Replica) {
+	for name, s := range r.Config.Services {
+		checkTicket("service "+name, s.Ticket, next.Config.Services[name].Ticket)
+	}
+	for caller, q := range r.Config.Quotas {
+		checkTicket("quota "+caller, q.Ticket, next.Config.Quotas[caller].Ticket)
+	}
+	for id, d := range r.Config.Drains {
+		checkTicket("drain mark "+id, d.Ticket, next.Config.Drains[id].Ticket)
+	}
+	checkTicket("limits", r.Config.Limits.Ticket, next.Config.Limits.Ticket)
+}
+
+func checkTicket(object string, old, next uint64) {
+	invariant.Check(next >= old, invariant.ConfigMonotonic, "%s went from ticket %d to %d", object, old, next)
+}
--- /dev/null
+++ b/core/verdict/verdict_test.go
@@ -0,0 +1,38 @@
+package verdict
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a whole that claims not_run or ran although a part differs.
+func TestCombine(t *testing.T) {
+	all := []Verdict{MayHaveRun, NotRun, Ran}
+	for _, a := range all {
+		for _, b := range all {
+			want := MayHaveRun
+			if a == b {
+				want = a
+			}
+			assert.Equal(t, Combine(a, b), want)
+		}
+	}
+}
+
+// Guards against a forgotten verdict that promises not_run.
+func TestZeroValueIsMayHaveRun(t *testing.T) {
+	var e Error
+	assert.Equal(t, e.Verdict, MayHaveRun)
+}
+
+// Guards against a name on the wire that does not come back as the same verdict.
+func TestParse(t *testing.T) {
+	for _, v := range []Verdict{MayHaveRun, NotRun, Ran} {
+		got, err := Parse(v.String())
+		assert.NilError(t, err)
+		assert.Equal(t, got, v)
+	}
+	_, err := Parse("maybe")
+	assert.ErrorContains(t, err, "maybe")
+}
--- /dev/null
+++ b/daemon/cmd/cicadapulleyd/main.go
@@ -0,0 +1,4 @@
+// Command cicadapulleyd is the daemon.
+package main
+
+func main() {}
