--- /dev/null
+++ b/api/controlclient/client.go
@@ -0,0 +1,155 @@
+// Package controlclient calls the control VMs. It finds the leader, follows
+// redirects and repeats calls, all of which are idempotent, until the context
+// ends.
+package controlclient
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/api/rpc"
+)
+
+// Bounds of the search for the leader.
+const (
+	// retryPause is the wait before control VMs are asked again after all
+	// refused. An election takes several hundred milliseconds.
+	retryPause = 50 * time.Millisecond
+	// callTimeout bounds one call to one control VM that does not wait.
+	callTimeout = 2 * time.Second
+)
+
+// ErrNoLeader is returned when the context ended before a leader answered. If
+// MaybeApplied is set, a control VM may have taken the request.
+type ErrNoLeader struct {
+	Last         error
+	MaybeApplied bool
+}
+
+// Error implements error.
+func (e *ErrNoLeader) Error() string { return fmt.Sprintf("no control leader answered: %v", e.Last) }
+
+// Unwrap returns the last failure.
+func (e *ErrNoLeader) Unwrap() error { return e.Last }
+
+// server is one control VM's clients.
+type server struct {
+	address  string
+	control  rpc.Control
+	operator rpc.Operator
+}
+
+// Client calls the leader of the control VMs. It is safe for concurrent use.
+type Client struct {
+	http   *http.Client
+	scheme string
+
+	mu      sync.Mutex
+	servers map[string]*server
+	order   []string
+	leader  string
+}
+
+// New returns a client. scheme is "http" or "https".
+func New(h *http.Client, scheme string, addresses []string) *Client {
+	c := &Client{http: h, scheme: scheme, servers: map[string]*server{}, order: addresses}
+	for _, a := range addresses {
+		c.server(a)
+	}
+	return c
+}
+
+// server returns the clients of an address; the caller need not hold mu.
+func (c *Client) server(address string) *server {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s, ok := c.servers[address]; ok {
+		return s
+	}
+	url := c.scheme + "://" + address
+	s := &server{
+		address:  address,
+		control:  rpc.NewControlProtobufClient(url, c.http),
+		operator: rpc.NewOperatorProtobufClient(url, c.http),
+	}
+	c.servers[address] = s
+	return s
+}
+
+// candidate returns the address to try: the known leader, else the next one.
+func (c *Client) candidate(attempt int) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader != "" {
+		return c.leader
+	}
+	return c.order[attempt%len(c.order)]
+}
+
+func (c *Client) setLeader(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leader = address
+}
+
+// redirectable is a response that may name the leader instead of an answer.
+type redirectable interface {
+	GetNotLeader() *rpc.NotLeader
+}
+
+// do calls the leader until it answers or ctx ends. wait is how long the
+// server may hold the call.
+func do[Req any, Resp redirectable](ctx context.Context, c *Client, wait time.Duration, req Req,
+	call func(*server, context.Context, Req) (Resp, error)) (Resp, error) {
+	var none Resp
+	failure := &ErrNoLeader{Last: errors.New("no control VM was asked")}
+	for attempt := 0; ; attempt++ {
+		s := c.server(c.candidate(attempt))
+		resp, err := once(ctx, wait, s, req, call)
+		if err == nil && resp.GetNotLeader() == nil {
+			c.setLeader(s.address)
+			return resp, nil
+		}
+		if err == nil {
+			failure.Last = fmt.Errorf("%s is not the leader", s.address)
+			c.setLeader(resp.GetNotLeader().Address)
+		} else {
+			failure.Last = err
+			failure.MaybeApplied = true
+			c.setLeader("")
+		}
+		if !pause(ctx, attempt, len(c.order)) {
+			return none, failure
+		}
+	}
+}
+
+func once[Req any, Resp redirectable](ctx context.Context, wait time.Duration, s *server, req Req,
+	call func(*server, context.Context, Req) (Resp, error)) (Resp, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
+	defer cancel()
+	return call(s, ctx, req)
+}
+
+// pause waits after each full round over the servers; it reports whether ctx
+// still runs.
+func pause(ctx context.Context, attempt, servers int) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	if (attempt+1)%servers != 0 {
+		return true
+	}
+	timer := time.NewTimer(retryPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/core/state/view.go
+++ b/core/state/view.go
@@ -116,3 +116,18 @@
 func checkTicket(object string, old, next uint64) {
 	invariant.Check(next >= old, invariant.ConfigMonotonic, "%s went from ticket %d to %d", object, old, next)
 }
+
+// HighestTicket returns the highest ticket number in force, zero before the first.
+func (r *Replica) HighestTicket() uint64 {
+	highest := r.Config.Limits.Ticket
+	for _, s := range r.Config.Services {
+		highest = max(highest, s.Ticket)
+	}
+	for _, q := range r.Config.Quotas {
+		highest = max(highest, q.Ticket)
+	}
+	for _, d := range r.Config.Drains {
+		highest = max(highest, d.Ticket)
+	}
+	return highest
+}
--- /dev/null
+++ b/daemon/agent/agent.go
@@ -0,0 +1,132 @@
+// Package agent runs tasks on the endpoint beside it. Parent: the root of role
+// agent. Children: membership and api, rest-for-one. State: the task table in
+// memory; it is lost on restart, and the new incarnation says so to everyone.
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/api/controlclient"
+	"github.com/cicadapulley/cicadapulley/api/rpc"
+	"github.com/cicadapulley/cicadapulley/core/state"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
+	"github.com/cicadapulley/cicadapulley/daemon/membership"
+	"github.com/cicadapulley/cicadapulley/daemon/settings"
+	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
+	"github.com/cicadapulley/cicadapulley/daemon/transport"
+)
+
+// leaveTimeout bounds the farewell to control at a planned stop.
+const leaveTimeout = 2 * time.Second
+
+// Options are what an agent needs from its daemon.
+type Options struct {
+	Settings settings.Agent
+	Network  transport.Network
+	// EndpointNetwork reaches the endpoint; it is local, so links are not modelled on it.
+	EndpointNetwork transport.Network
+	Control         *controlclient.Client
+	Log             *events.Log
+	Listener        net.Listener
+	Security        transport.Security
+}
+
+// Service is an agent.
+type Service struct {
+	opts     Options
+	members  *membership.Service
+	executor *executor
+}
+
+// New returns an agent; Run starts it.
+func New(o Options) *Service {
+	s := &Service{opts: o}
+	s.members = membership.New(o.Control, o.Log, member(o), nil)
+	client := transport.NewEndpointClient(o.EndpointNetwork, o.Settings.Connections)
+	s.executor = newExecutor(o.Settings, s.members, o.Log, &endpoint{url: o.Settings.Endpoint, client: client})
+	return s
+}
+
+func member(o Options) state.Member {
+	serves := make([]state.ServedKind, len(o.Settings.Serves))
+	for i, k := range o.Settings.Serves {
+		serves[i] = state.ServedKind(k)
+	}
+	address := o.Settings.Advertise
+	if address == "" {
+		address = o.Listener.Addr().String()
+	}
+	return state.Member{
+		ID:          o.Settings.ID,
+		Role:        state.RoleAgent,
+		Address:     address,
+		DataCentre:  o.Settings.DataCentre,
+		Rack:        o.Settings.Rack,
+		Slots:       o.Settings.Slots,
+		Connections: o.Settings.Connections,
+		Resources: state.Resources{
+			MilliCPU:     o.Settings.MilliCPU,
+			MemoryMB:     o.Settings.MemoryMB,
+			Accelerators: o.Settings.Accelerators,
+		},
+		Serves: serves,
+	}
+}
+
+// WaitReady blocks until the agent may start tasks.
+func (s *Service) WaitReady(ctx context.Context) error { return s.members.WaitReady(ctx) }
+
+// Members returns the agent's membership, for its operations page.
+func (s *Service) Members() *membership.Service { return s.members }
+
+// Run serves until ctx ends, then drains: no new starts, running tasks end,
+// and the lease is given back last.
+func (s *Service) Run(ctx context.Context) error {
+	tree := supervisor.New("agent", supervisor.Options{
+		Strategy:    supervisor.RestForOne,
+		Observer:    s.opts.Log,
+		StopTimeout: s.opts.Settings.Drain() + leaveTimeout,
+	})
+	tree.Add(supervisor.Child{Name: "membership", Run: s.members.Run})
+	tree.Add(supervisor.Child{Name: "api", Run: s.serve})
+	return tree.Run(ctx)
+}
+
+func (s *Service) serve(ctx context.Context) error {
+	mux := http.NewServeMux()
+	server := rpc.NewAgentServer(&api{executor: s.executor})
+	mux.Handle(server.PathPrefix(), s.opts.Security.Require(transport.RoleEntry, server))
+	h := transport.Recover(s.opts.Log, mux)
+	srv := transport.NewServer(h, s.opts.Security.ServerConfig())
+	stop, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	go func() {
+		<-ctx.Done()
+		s.drain(stop)
+		cancel()
+	}()
+	return transport.Serve(stop, srv, s.opts.Listener, s.opts.Settings.Drain())
+}
+
+// drain refuses new tasks and waits for the running ones. The server keeps
+// answering, so that entries learn late results.
+func (s *Service) drain(ctx context.Context) {
+	s.opts.Log.Emit(events.Event{ID: events.ProcessDraining})
+	s.executor.drain()
+	bounded, cancel := context.WithTimeout(ctx, s.opts.Settings.Drain())
+	defer cancel()
+	s.tellControl(bounded, s.members.Drain)
+	s.executor.waitIdle(bounded)
+	s.tellControl(bounded, s.members.Leave)
+}
+
+func (s *Service) tellControl(ctx context.Context, call func(context.Context) error) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := call(ctx); err != nil {
+		s.opts.Log.Emit(events.Event{ID: events.LeaseRenewFailed, Text: "planned stop", Err: err})
+	}
+}
--- /dev/null
+++ b/daemon/agent/endpoint.go
@@ -0,0 +1,104 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+
+	"github.com/cicadapulley/cicadapulley/api/callers"
+	"github.com/cicadapulley/cicadapulley/core/job"
+	"github.com/cicadapulley/cicadapulley/core/verdict"
+)
+
+// maxOutput bounds an endpoint's answer, in bytes.
+const maxOutput = 4 << 20
+
+// endpoint is the HTTP server beside the agent.
+type endpoint struct {
+	url    string
+	client *http.Client
+}
+
+// request is one task as the endpoint gets it.
+type request struct {
+	key     job.TaskKey
+	service string
+	kind    string
+	payload []byte
+}
+
+// do posts a task and returns its result. The verdict is NotRun only if
+// nothing of the request was written to a connection.
+func (e *endpoint) do(ctx context.Context, r request) job.TaskResult {
+	written := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { written = true }}
+	req, err := e.newRequest(httptrace.WithClientTrace(ctx, trace), r)
+	if err != nil {
+		return failed(verdict.NotRun, verdict.CodeBadRequest, err)
+	}
+	resp, err := e.client.Do(req)
+	if err != nil && !written {
+		return failed(verdict.NotRun, verdict.CodeEndpointLost, err)
+	}
+	if err != nil {
+		return failed(verdict.MayHaveRun, verdict.CodeEndpointLost, err)
+	}
+	defer resp.Body.Close()
+	return readAnswer(resp)
+}
+
+func (e *endpoint) newRequest(ctx context.Context, r request) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, e.url, bytes.NewReader(r.payload))
+	if err != nil {
+		return nil, err
+	}
+	// Without GetBody the HTTP client never sends a request a second time.
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(callers.HeaderCaller, r.key.Job.Caller)
+	req.Header.Set(callers.HeaderJob, r.key.Job.ID)
+	req.Header.Set(callers.HeaderTask, strconv.Itoa(r.key.Task))
+	req.Header.Set(callers.HeaderService, r.service)
+	req.Header.Set(callers.HeaderKind, r.kind)
+	return req, nil
+}
+
+func readAnswer(resp *http.Response) job.TaskResult {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxOutput+1))
+	if err != nil {
+		return failed(verdict.MayHaveRun, verdict.CodeEndpointLost, err)
+	}
+	if len(body) > maxOutput {
+		return failed(verdict.Ran, verdict.CodeTooLarge, fmt.Errorf("the endpoint's answer exceeds %d bytes", maxOutput))
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return failed(verdict.Ran, verdict.CodeEndpointFailed, fmt.Errorf("the endpoint answered %s", resp.Status))
+	}
+	return job.TaskResult{State: job.TaskDone, Verdict: verdict.Ran, Output: asJSON(body)}
+}
+
+// asJSON passes JSON on and wraps anything else in a JSON string, since
+// callers get outputs inside a JSON answer.
+func asJSON(body []byte) []byte {
+	if json.Valid(body) {
+		return body
+	}
+	if len(body) == 0 {
+		return []byte("null")
+	}
+	quoted, _ := json.Marshal(string(body)) // a string always encodes
+	return quoted
+}
+
+func failed(v verdict.Verdict, c verdict.Code, err error) job.TaskResult {
+	state := job.TaskFailed
+	if v == verdict.MayHaveRun {
+		state = job.TaskUnknown
+	}
+	return job.TaskResult{State: state, Verdict: v, Code: c, Message: err.Error()}
+}
--- /dev/null
+++ b/daemon/events/catalogue.go
@@ -0,0 +1,166 @@
+// Package events is the record of what a process does: numbered events, each
+// with a place in the catalogue. Events go to the log and, in bounded memory,
+// to the buffer from which the time line over all processes is merged.
+package events
+
+import "go.uber.org/zap/zapcore"
+
+// ID is the number of an event. Numbers are stable: alerts refer to them.
+type ID uint16
+
+// Events of the supervisor tree and of any role.
+const (
+	ProcessStarted     ID = 100
+	ProcessReady       ID = 101
+	ProcessDraining    ID = 102
+	ProcessStopped     ID = 103
+	ChildFailed        ID = 110
+	ChildPanicked      ID = 111
+	ChildStuck         ID = 112
+	InvariantViolated  ID = 113
+	HandlerPanicked    ID = 114
+	ClockRefused       ID = 120
+	CertificateReread  ID = 130
+	CertificateRefused ID = 131
+	PeerForbidden      ID = 132
+)
+
+// Events of membership.
+const (
+	MemberRegistered  ID = 200
+	LeaseRenewFailed  ID = 201
+	LeaseLapsed       ID = 202
+	LeaseLost         ID = 203
+	ConfigApplied     ID = 210
+	WatchFailed       ID = 211
+	MemberExpired     ID = 220
+	MemberLeft        ID = 221
+	MemberDrainMarked ID = 222
+)
+
+// Events of control.
+const (
+	StorageOpened     ID = 300
+	StorageTornTail   ID = 301
+	StorageFailed     ID = 302
+	SnapshotSaved     ID = 303
+	SnapshotInstalled ID = 304
+	LeaderElected     ID = 310
+	LeaderLost        ID = 311
+	PeerUnreachable   ID = 312
+	GroupChanged      ID = 313
+	TicketApplied     ID = 320
+	TicketRefused     ID = 321
+	JobTakenOver      ID = 330
+)
+
+// Events of entries.
+const (
+	JobAccepted     ID = 400
+	JobJoined       ID = 401
+	JobRefused      ID = 402
+	JobFinished     ID = 403
+	JobCancelled    ID = 404
+	JobRecovered    ID = 405
+	FinishFailed    ID = 406
+	CallFinished    ID = 410
+	TaskSent        ID = 420
+	TaskAnswered    ID = 421
+	TaskRetried     ID = 422
+	TaskFateAsked   ID = 423
+	TaskFateLearned ID = 424
+	PeerConnected   ID = 430
+	PeerLost        ID = 431
+)
+
+// Events of agents.
+const (
+	TaskStarted    ID = 500
+	TaskEnded      ID = 501
+	TaskRefused    ID = 502
+	JobFenced      ID = 503
+	JobCancelSeen  ID = 504
+	EndpointFailed ID = 510
+)
+
+// Definition describes an event for operators.
+type Definition struct {
+	ID    ID
+	Name  string
+	Level zapcore.Level
+	// Help says what happened and what to do.
+	Help string
+}
+
+// Catalogue lists all events in the order of their numbers. docs/events.md is
+// made from it.
+var Catalogue = []Definition{
+	{ProcessStarted, "process_started", zapcore.InfoLevel, "the process has read its settings and starts its parts"},
+	{ProcessReady, "process_ready", zapcore.InfoLevel, "the process serves requests"},
+	{ProcessDraining, "process_draining", zapcore.InfoLevel, "a planned stop began; open work ends first"},
+	{ProcessStopped, "process_stopped", zapcore.InfoLevel, "the process ends"},
+	{ChildFailed, "child_failed", zapcore.WarnLevel, "a part of the process failed and is restarted; look at the error if it repeats"},
+	{ChildPanicked, "child_panicked", zapcore.ErrorLevel, "a part of the process panicked and is restarted; report it with the stack"},
+	{ChildStuck, "child_stuck", zapcore.ErrorLevel, "a part did not stop within its bound; its work may have been cut"},
+	{InvariantViolated, "invariant_violated", zapcore.ErrorLevel, "the program found itself in a state that must not be; the part was stopped before it answered; report it"},
+	{HandlerPanicked, "handler_panicked", zapcore.ErrorLevel, "a request's handler panicked; the request got no answer; report it with the stack"},
+	{ClockRefused, "clock_refused", zapcore.WarnLevel, "a message carried a clock too far ahead; check the time of the sender"},
+	{CertificateReread, "certificate_reread", zapcore.InfoLevel, "a changed certificate file is in use"},
+	{CertificateRefused, "certificate_refused", zapcore.WarnLevel, "a changed certificate file can't be used; the earlier one stays"},
+	{PeerForbidden, "peer_forbidden", zapcore.WarnLevel, "a peer's certificate does not allow the request"},
+	{MemberRegistered, "member_registered", zapcore.InfoLevel, "the process has a lease under a new incarnation"},
+	{LeaseRenewFailed, "lease_renew_failed", zapcore.WarnLevel, "the lease was not renewed; it is tried again"},
+	{LeaseLapsed, "lease_lapsed", zapcore.ErrorLevel, "the lease ended on this process's clock; nothing new starts until it registers again"},
+	{LeaseLost, "lease_lost", zapcore.WarnLevel, "control no longer knows this incarnation; the process registers anew"},
+	{ConfigApplied, "config_applied", zapcore.InfoLevel, "a newer configuration is in force in this process"},
+	{WatchFailed, "watch_failed", zapcore.WarnLevel, "the watch of the configuration broke; the present one stays in force"},
+	{MemberExpired, "member_expired", zapcore.WarnLevel, "a member's lease lapsed: it crashed or was cut off"},
+	{MemberLeft, "member_left", zapcore.InfoLevel, "a member ended its planned stop"},
+	{MemberDrainMarked, "member_draining", zapcore.InfoLevel, "a member began its planned stop"},
+	{StorageOpened, "storage_opened", zapcore.InfoLevel, "the data folder is open and its log is replayed"},
+	{StorageTornTail, "storage_torn_tail", zapcore.WarnLevel, "the log ended in a partial record, as after a crash; it was cut"},
+	{StorageFailed, "storage_failed", zapcore.ErrorLevel, "a write or sync failed; the daemon stops; check the disk"},
+	{SnapshotSaved, "snapshot_saved", zapcore.InfoLevel, "a snapshot is saved and older log is removed"},
+	{SnapshotInstalled, "snapshot_installed", zapcore.InfoLevel, "this control VM caught up from the leader's snapshot"},
+	{LeaderElected, "leader_elected", zapcore.InfoLevel, "this control VM leads"},
+	{LeaderLost, "leader_lost", zapcore.WarnLevel, "this control VM no longer leads"},
+	{PeerUnreachable, "peer_unreachable", zapcore.WarnLevel, "messages to another control VM fail"},
+	{GroupChanged, "group_changed", zapcore.InfoLevel, "the group of control VMs changed"},
+	{TicketApplied, "ticket_applied", zapcore.InfoLevel, "a ticket is committed"},
+	{TicketRefused, "ticket_refused", zapcore.InfoLevel, "a ticket lost to another"},
+	{JobTakenOver, "job_taken_over", zapcore.WarnLevel, "a job got another owner after its entry ended"},
+	{JobAccepted, "job_accepted", zapcore.DebugLevel, "a job is recorded; its tasks may start"},
+	{JobJoined, "job_joined", zapcore.DebugLevel, "a resubmission joined its job"},
+	{JobRefused, "job_refused", zapcore.DebugLevel, "a job was refused whole; none of its tasks ran"},
+	{JobFinished, "job_finished", zapcore.DebugLevel, "a job has its outcome"},
+	{JobCancelled, "job_cancelled", zapcore.DebugLevel, "a caller cancelled a job"},
+	{JobRecovered, "job_recovered", zapcore.InfoLevel, "a job of an ended entry continues here"},
+	{FinishFailed, "finish_failed", zapcore.WarnLevel, "a job's outcome could not be recorded yet; it is tried again"},
+	{CallFinished, "call_finished", zapcore.DebugLevel, "a repeatable call has its answer"},
+	{TaskSent, "task_sent", zapcore.DebugLevel, "a task was sent to an agent"},
+	{TaskAnswered, "task_answered", zapcore.DebugLevel, "an agent answered a task"},
+	{TaskRetried, "task_retried", zapcore.DebugLevel, "a task that did not run is sent again"},
+	{TaskFateAsked, "task_fate_asked", zapcore.DebugLevel, "a connection broke under a task; its fate is asked on another"},
+	{TaskFateLearned, "task_fate_learned", zapcore.DebugLevel, "the fate of a task is known"},
+	{PeerConnected, "peer_connected", zapcore.InfoLevel, "an agent can be reached"},
+	{PeerLost, "peer_lost", zapcore.WarnLevel, "an agent ended or its connection broke"},
+	{TaskStarted, "task_started", zapcore.DebugLevel, "a task started at the endpoint"},
+	{TaskEnded, "task_ended", zapcore.DebugLevel, "a task ended at the endpoint"},
+	{TaskRefused, "task_refused", zapcore.DebugLevel, "a task was refused; it did not run here"},
+	{JobFenced, "job_fenced", zapcore.InfoLevel, "an older owner of a job is refused from here on"},
+	{JobCancelSeen, "job_cancel_seen", zapcore.DebugLevel, "a job's cancel reached the agent"},
+	{EndpointFailed, "endpoint_failed", zapcore.WarnLevel, "the endpoint can't be reached"},
+}
+
+var byID = index(Catalogue)
+
+func index(list []Definition) map[ID]Definition {
+	m := make(map[ID]Definition, len(list))
+	for _, d := range list {
+		m[d.ID] = d
+	}
+	return m
+}
+
+// Name returns an event's name in the catalogue.
+func (id ID) Name() string { return byID[id].Name }
--- /dev/null
+++ b/daemon/events/log.go
@@ -0,0 +1,148 @@
+package events
+
+import (
+	"sync"
+
+	"go.uber.org/zap"
+
+	"github.com/cicadapulley/cicadapulley/core/job"
+)
+
+// BufferSize is the number of events that a process keeps for the time line.
+// An event takes about 200 bytes, so the buffer stays under 4 MB.
+const BufferSize = 16384
+
+// Event is one occurrence. Zero fields do not apply.
+type Event struct {
+	// Clock is the hybrid logical time, set by Emit.
+	Clock uint64
+	ID    ID
+	Job   job.Key
+	// Task is the task's index plus one.
+	Task   int
+	Ticket uint64
+	// Peer names the other process.
+	Peer string
+	// Text has details for people.
+	Text string
+	Err  error
+}
+
+// Clock gives hybrid logical timestamps.
+type Clock interface {
+	// Now returns a timestamp above all that were returned or observed.
+	Now() uint64
+	// Observe takes note of a peer's timestamp; zero is ignored.
+	Observe(remote uint64)
+}
+
+// Log writes events of one process. It is safe for concurrent use.
+type Log struct {
+	process string
+	zap     *zap.Logger
+	clock   Clock
+
+	mu     sync.Mutex
+	buffer []Event
+	next   int
+	full   bool
+}
+
+// NewLog returns a log; process names it in the time line.
+func NewLog(process string, z *zap.Logger, clock Clock) *Log {
+	return &Log{process: process, zap: z, clock: clock, buffer: make([]Event, BufferSize)}
+}
+
+// Clock returns the process's clock, for stamping messages.
+func (l *Log) Clock() Clock { return l.clock }
+
+// Process returns the name of the process.
+func (l *Log) Process() string { return l.process }
+
+// Emit stamps an event, keeps it for the time line and writes it to the log.
+func (l *Log) Emit(e Event) {
+	e.Clock = l.clock.Now()
+	l.keep(e)
+	entry := l.zap.Check(byID[e.ID].Level, e.ID.Name())
+	if entry == nil {
+		return
+	}
+	entry.Write(fields(e)...)
+}
+
+func (l *Log) keep(e Event) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.buffer[l.next] = e
+	l.next++
+	if l.next == len(l.buffer) {
+		l.next = 0
+		l.full = true
+	}
+}
+
+func fields(e Event) []zap.Field {
+	list := []zap.Field{zap.Uint16("event", uint16(e.ID))}
+	if e.Job.ID != "" {
+		list = append(list, zap.String("caller", e.Job.Caller), zap.String("job", e.Job.ID))
+	}
+	if e.Task > 0 {
+		list = append(list, zap.Int("task", e.Task-1))
+	}
+	if e.Ticket > 0 {
+		list = append(list, zap.Uint64("ticket", e.Ticket))
+	}
+	if e.Peer != "" {
+		list = append(list, zap.String("peer", e.Peer))
+	}
+	if e.Text != "" {
+		list = append(list, zap.String("detail", e.Text))
+	}
+	if e.Err != nil {
+		list = append(list, zap.String("error", e.Err.Error()))
+	}
+	return list
+}
+
+// Filter selects events for the time line. Zero fields select everything.
+type Filter struct {
+	Job    job.Key
+	Ticket uint64
+	// Since is the lowest clock.
+	Since uint64
+}
+
+func (f Filter) matches(e Event) bool {
+	if e.Clock < f.Since {
+		return false
+	}
+	if f.Job.ID != "" && !f.matchesJob(e.Job) {
+		return false
+	}
+	return f.Ticket == 0 || e.Ticket == f.Ticket
+}
+
+// matchesJob treats an empty caller of the filter as any caller.
+func (f Filter) matchesJob(k job.Key) bool {
+	return k.ID == f.Job.ID && (f.Job.Caller == "" || f.Job.Caller == k.Caller)
+}
+
+// Select returns the kept events that match, oldest first.
+func (l *Log) Select(f Filter) []Event {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []Event
+	if l.full {
+		out = appendMatching(out, l.buffer[l.next:], f)
+	}
+	return appendMatching(out, l.buffer[:l.next], f)
+}
+
+func appendMatching(out, list []Event, f Filter) []Event {
+	for _, e := range list {
+		if f.matches(e) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/daemon/membership/membership.go
@@ -0,0 +1,277 @@
+// Package membership keeps a process's lease and its copy of configuration and
+// members. Parent: entry or agent. Children: renew and watch, one-for-one.
+// State: the lease, the replica; both are lost on restart, and a restart
+// registers under a new incarnation.
+package membership
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/api/codec"
+	"github.com/cicadapulley/cicadapulley/api/controlclient"
+	"github.com/cicadapulley/cicadapulley/api/rpc"
+	"github.com/cicadapulley/cicadapulley/core/job"
+	"github.com/cicadapulley/cicadapulley/core/state"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
+	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
+)
+
+const (
+	// renewalsPerTTL is how often a lease is renewed within its length, so
+	// that two lost renewals in a row don't end it.
+	renewalsPerTTL = 4
+	// watchHold is how long control may hold a watch without news.
+	watchHold = 20 * time.Second
+	// watchPause is the wait after a failed watch.
+	watchPause = 100 * time.Millisecond
+	// registerPause is the wait after a failed registration.
+	registerPause = 200 * time.Millisecond
+)
+
+// lease is the state of the registration.
+type lease struct {
+	incarnation uint64
+	// lapses is when the lease ends on this process's clock.
+	lapses time.Time
+}
+
+// Service keeps the lease and the replica of one process. Run it under a
+// supervisor; its other methods are safe for concurrent use.
+type Service struct {
+	control *controlclient.Client
+	log     *events.Log
+	replica atomic.Pointer[state.Replica]
+
+	mu     sync.Mutex
+	member state.Member
+	lease  lease
+	ttl    time.Duration
+	// changed is closed and replaced when the replica or the lease changes.
+	changed chan struct{}
+
+	// takenOver delivers jobs that this process owns after a takeover.
+	takenOver func([]job.Record)
+}
+
+// New returns a service for a member. takenOver may be nil.
+func New(c *controlclient.Client, log *events.Log, m state.Member, takenOver func([]job.Record)) *Service {
+	s := &Service{control: c, log: log, member: m, changed: make(chan struct{}), takenOver: takenOver}
+	s.replica.Store(state.NewReplica())
+	return s
+}
+
+// Run registers, then renews and watches until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	if err := s.register(ctx); err != nil {
+		return nil // ctx ended before control answered
+	}
+	tree := supervisor.New("membership", supervisor.Options{Observer: s.log})
+	tree.Add(supervisor.Child{Name: "renew", Run: s.renewLoop})
+	tree.Add(supervisor.Child{Name: "watch", Run: s.watchLoop})
+	return tree.Run(ctx)
+}
+
+// Replica returns the configuration and members in force in this process.
+func (s *Service) Replica() *state.Replica { return s.replica.Load() }
+
+// Changed returns a channel that closes at the next change of replica or lease.
+func (s *Service) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// notify wakes those who wait for a change. The caller holds mu.
+func (s *Service) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ID returns the member id.
+func (s *Service) ID() string { return s.member.ID }
+
+// Incarnation returns the registered incarnation, zero before the first.
+func (s *Service) Incarnation() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lease.incarnation
+}
+
+// LeaseValid reports whether the lease holds on this process's clock.
+func (s *Service) LeaseValid() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Now().Before(s.lease.lapses)
+}
+
+// WaitReady blocks until the process has a lease and a replica.
+func (s *Service) WaitReady(ctx context.Context) error {
+	for {
+		changed := s.Changed()
+		if s.LeaseValid() && s.Replica().Revision > 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+// register announces the process under a new incarnation until control agrees.
+func (s *Service) register(ctx context.Context) error {
+	for {
+		sent := time.Now()
+		m := s.nextIncarnation(sent)
+		resp, err := s.control.Register(ctx, &rpc.RegisterRequest{Member: codec.MemberToRPC(m), Clock: s.log.Clock().Now()})
+		if err == nil && resp.Registered {
+			s.log.Clock().Observe(resp.Clock)
+			s.extend(m.Incarnation, sent, resp.TtlMs)
+			s.log.Emit(events.Event{ID: events.MemberRegistered, Peer: m.ID})
+			return nil
+		}
+		if !sleep(ctx, registerPause) {
+			return ctx.Err()
+		}
+	}
+}
+
+// nextIncarnation uses the wall clock, so that a restarted process comes after
+// its earlier self without a disk.
+func (s *Service) nextIncarnation(now time.Time) state.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.member.Incarnation = max(s.member.Incarnation+1, uint64(now.UnixMicro()))
+	return s.member
+}
+
+// extend sets the lease's end from the time of the request, which is earlier
+// than control's own start of the lease.
+func (s *Service) extend(incarnation uint64, sent time.Time, ttlMS int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ttl = time.Duration(ttlMS) * time.Millisecond
+	s.lease = lease{incarnation: incarnation, lapses: sent.Add(s.ttl)}
+	s.notify()
+}
+
+func (s *Service) renewLoop(ctx context.Context) error {
+	for sleep(ctx, s.renewInterval()) {
+		s.renew(ctx)
+	}
+	return nil
+}
+
+func (s *Service) renewInterval() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ttl / renewalsPerTTL
+}
+
+func (s *Service) renew(ctx context.Context) {
+	sent := time.Now()
+	incarnation := s.Incarnation()
+	bounded, cancel := context.WithTimeout(ctx, s.renewInterval())
+	defer cancel()
+	resp, err := s.control.Renew(bounded, &rpc.RenewRequest{
+		Id:          s.member.ID,
+		Incarnation: incarnation,
+		Revision:    s.Replica().Revision,
+		Clock:       s.log.Clock().Now(),
+	})
+	switch {
+	case err != nil:
+		s.renewFailed(ctx, err)
+	case !resp.Known:
+		s.log.Emit(events.Event{ID: events.LeaseLost, Peer: s.member.ID})
+		_ = s.register(ctx)
+	default:
+		s.log.Clock().Observe(resp.Clock)
+		s.extend(incarnation, sent, resp.TtlMs)
+	}
+}
+
+func (s *Service) renewFailed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	s.log.Emit(events.Event{ID: events.LeaseRenewFailed, Err: err})
+	if !s.LeaseValid() {
+		s.log.Emit(events.Event{ID: events.LeaseLapsed})
+	}
+}
+
+func (s *Service) watchLoop(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := s.watchOnce(ctx); err != nil && ctx.Err() == nil {
+			s.log.Emit(events.Event{ID: events.WatchFailed, Err: err})
+			sleep(ctx, watchPause)
+		}
+	}
+	return nil
+}
+
+func (s *Service) watchOnce(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, 2*watchHold)
+	defer cancel()
+	resp, err := s.control.Watch(bounded, &rpc.WatchRequest{
+		Id:          s.member.ID,
+		Incarnation: s.Incarnation(),
+		After:       s.Replica().Revision,
+		MaxWaitMs:   watchHold.Milliseconds(),
+		Clock:       s.log.Clock().Now(),
+	})
+	if err != nil {
+		return err
+	}
+	s.log.Clock().Observe(resp.Clock)
+	s.apply(codec.ViewFromRPC(resp))
+	return nil
+}
+
+func (s *Service) apply(v state.View) {
+	next, changed := s.Replica().Merge(v)
+	if !changed {
+		return
+	}
+	s.mu.Lock()
+	s.replica.Store(next)
+	s.notify()
+	s.mu.Unlock()
+	s.log.Emit(events.Event{ID: events.ConfigApplied, Ticket: next.HighestTicket()})
+	if s.takenOver != nil && len(v.TakenOver) > 0 {
+		s.takenOver(v.TakenOver)
+	}
+}
+
+// Drain tells control that a planned stop began.
+func (s *Service) Drain(ctx context.Context) error {
+	_, err := s.control.Drain(ctx, s.request())
+	return err
+}
+
+// Leave ends the lease at the end of a planned stop.
+func (s *Service) Leave(ctx context.Context) error {
+	_, err := s.control.Leave(ctx, s.request())
+	return err
+}
+
+func (s *Service) request() *rpc.MemberRequest {
+	return &rpc.MemberRequest{Id: s.member.ID, Incarnation: s.Incarnation(), Clock: s.log.Clock().Now()}
+}
+
+// sleep waits for d and reports whether ctx still runs.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/daemon/settings/settings.go
@@ -0,0 +1,256 @@
+package settings
+
+import (
+	"fmt"
+	"net"
+	"time"
+)
+
+// Defaults of fields that a file leaves out.
+const (
+	DefaultLeaseTTL        = 4 * time.Second
+	DefaultDrain           = 30 * time.Second
+	DefaultBalancerWait    = 2 * time.Second
+	DefaultElectionTimeout = 500 * time.Millisecond
+	DefaultMaxBodyBytes    = 8 << 20
+	DefaultMaxConnections  = 4096
+	DefaultMaxDeadline     = 5 * time.Minute
+)
+
+// Process is common to all roles.
+type Process struct {
+	// ID names the process; it stays the same over restarts.
+	ID         string `json:"id"`
+	DataCentre string `json:"data_centre"`
+	Rack       string `json:"rack"`
+	// Listen is the IP address and port for other processes.
+	Listen string `json:"listen"`
+	// Advertise is the address that others use; empty means Listen.
+	Advertise string `json:"advertise"`
+	// Ops is the address of /metrics, /healthz, /readyz and /v1/events.
+	Ops      string `json:"ops"`
+	LogLevel string `json:"log_level"`
+	TLS      *TLS   `json:"tls"`
+	// DrainMS bounds a planned stop, in milliseconds.
+	DrainMS int64 `json:"drain_ms"`
+}
+
+// TLS names the files of mutual TLS.
+type TLS struct {
+	CertFile string `json:"cert_file"`
+	KeyFile  string `json:"key_file"`
+	CAFile   string `json:"ca_file"`
+}
+
+// Drain returns the bound of a planned stop.
+func (p Process) Drain() time.Duration { return milliseconds(p.DrainMS, DefaultDrain) }
+
+// Address returns the address that other processes use.
+func (p Process) Address() string {
+	if p.Advertise != "" {
+		return p.Advertise
+	}
+	return p.Listen
+}
+
+func milliseconds(ms int64, fallback time.Duration) time.Duration {
+	if ms == 0 {
+		return fallback
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+func (p Process) validate(report func(path, message string)) {
+	required(report, "id", p.ID)
+	required(report, "data_centre", p.DataCentre)
+	address(report, "listen", p.Listen)
+	if p.Advertise != "" {
+		address(report, "advertise", p.Advertise)
+	}
+	if p.Ops != "" {
+		address(report, "ops", p.Ops)
+	}
+	switch p.LogLevel {
+	case "", "debug", "info", "warn", "error":
+	default:
+		report("log_level", fmt.Sprintf("%q is none of debug, info, warn, error", p.LogLevel))
+	}
+	notNegative(report, "drain_ms", p.DrainMS)
+	if p.TLS != nil {
+		required(report, "tls.cert_file", p.TLS.CertFile)
+		required(report, "tls.key_file", p.TLS.KeyFile)
+		required(report, "tls.ca_file", p.TLS.CAFile)
+	}
+}
+
+func required(report func(path, message string), path, value string) {
+	if value == "" {
+		report(path, "is required")
+	}
+}
+
+func address(report func(path, message string), path, value string) {
+	host, _, err := net.SplitHostPort(value)
+	if err != nil {
+		report(path, fmt.Sprintf("%q is not an IP address and port", value))
+		return
+	}
+	if net.ParseIP(host) == nil {
+		report(path, fmt.Sprintf("%q is not an IP address", host))
+	}
+}
+
+func notNegative(report func(path, message string), path string, value int64) {
+	if value < 0 {
+		report(path, "is negative")
+	}
+}
+
+// Control is the settings of a control VM.
+type Control struct {
+	Process
+	// DataDir is the folder of the durable state.
+	DataDir string `json:"data_dir"`
+	// Bootstrap starts a new group of this VM alone if the folder is empty.
+	// Further VMs join with `cicadapulley group add`.
+	Bootstrap bool `json:"bootstrap"`
+	// LeaseTTLMS is the length of members' leases in milliseconds.
+	LeaseTTLMS int64 `json:"lease_ttl_ms"`
+	// ElectionTimeoutMS is the shortest time without a leader before an election.
+	ElectionTimeoutMS int64 `json:"election_timeout_ms"`
+	// SnapshotEntries is the number of log entries between snapshots.
+	SnapshotEntries uint64 `json:"snapshot_entries"`
+	// SyncDelayMS adds to each sync, to model slower disks in experiments.
+	SyncDelayMS int64 `json:"sync_delay_ms"`
+}
+
+// Validate implements Validator.
+func (c *Control) Validate(report func(path, message string)) {
+	c.validate(report)
+	required(report, "data_dir", c.DataDir)
+	notNegative(report, "lease_ttl_ms", c.LeaseTTLMS)
+	notNegative(report, "election_timeout_ms", c.ElectionTimeoutMS)
+	notNegative(report, "sync_delay_ms", c.SyncDelayMS)
+	if c.LeaseTTLMS > 0 && c.LeaseTTL() < 2*c.ElectionTimeout() {
+		report("lease_ttl_ms", "must be at least twice election_timeout_ms, or leases lapse during elections")
+	}
+}
+
+// LeaseTTL returns the length of members' leases.
+func (c Control) LeaseTTL() time.Duration { return milliseconds(c.LeaseTTLMS, DefaultLeaseTTL) }
+
+// ElectionTimeout returns the shortest time without a leader before an election.
+func (c Control) ElectionTimeout() time.Duration {
+	return milliseconds(c.ElectionTimeoutMS, DefaultElectionTimeout)
+}
+
+// Entry is the settings of an entry VM.
+type Entry struct {
+	Process
+	// Control lists the addresses of the control VMs.
+	Control []string `json:"control"`
+	// Callers is the address of the callers' HTTP interface.
+	Callers string `json:"callers"`
+	// BalancerWaitMS is how long the balancer takes to see that readiness is gone.
+	BalancerWaitMS int64 `json:"balancer_wait_ms"`
+	MaxBodyBytes   int64 `json:"max_body_bytes"`
+	MaxConnections int   `json:"max_connections"`
+	// MaxDeadlineMS is the longest deadline that a caller may ask for.
+	MaxDeadlineMS int64 `json:"max_deadline_ms"`
+	// Dispatch is the strategy of the choice of endpoints; experiments change it.
+	Dispatch string `json:"dispatch"`
+}
+
+// Validate implements Validator.
+func (e *Entry) Validate(report func(path, message string)) {
+	e.validate(report)
+	addresses(report, "control", e.Control)
+	address(report, "callers", e.Callers)
+	notNegative(report, "balancer_wait_ms", e.BalancerWaitMS)
+	notNegative(report, "max_body_bytes", e.MaxBodyBytes)
+	notNegative(report, "max_connections", int64(e.MaxConnections))
+	notNegative(report, "max_deadline_ms", e.MaxDeadlineMS)
+	switch e.Dispatch {
+	case "", "grants", "two_choices", "random":
+	default:
+		report("dispatch", fmt.Sprintf("%q is none of grants, two_choices, random", e.Dispatch))
+	}
+}
+
+func addresses(report func(path, message string), path string, list []string) {
+	if len(list) == 0 {
+		report(path, "is required")
+	}
+	for i, a := range list {
+		address(report, fmt.Sprintf("%s[%d]", path, i), a)
+	}
+}
+
+// BalancerWait returns how long the balancer takes to see a lost readiness.
+func (e Entry) BalancerWait() time.Duration {
+	return milliseconds(e.BalancerWaitMS, DefaultBalancerWait)
+}
+
+// BodyLimit returns the largest request body in bytes.
+func (e Entry) BodyLimit() int64 {
+	if e.MaxBodyBytes == 0 {
+		return DefaultMaxBodyBytes
+	}
+	return e.MaxBodyBytes
+}
+
+// ConnectionLimit returns the largest number of callers' connections.
+func (e Entry) ConnectionLimit() int {
+	if e.MaxConnections == 0 {
+		return DefaultMaxConnections
+	}
+	return e.MaxConnections
+}
+
+// DeadlineLimit returns the longest deadline of a caller.
+func (e Entry) DeadlineLimit() time.Duration {
+	return milliseconds(e.MaxDeadlineMS, DefaultMaxDeadline)
+}
+
+// ServedKind names a kind that the endpoint answers.
+type ServedKind struct {
+	Service string `json:"service"`
+	Kind    string `json:"kind"`
+}
+
+// Agent is the settings of an agent.
+type Agent struct {
+	Process
+	Control []string `json:"control"`
+	// Endpoint is the URL to which payloads are posted.
+	Endpoint     string       `json:"endpoint"`
+	Serves       []ServedKind `json:"serves"`
+	Slots        int          `json:"slots"`
+	Connections  int          `json:"connections"`
+	MilliCPU     int64        `json:"milli_cpu"`
+	MemoryMB     int64        `json:"memory_mb"`
+	Accelerators int64        `json:"accelerators"`
+}
+
+// Validate implements Validator.
+func (a *Agent) Validate(report func(path, message string)) {
+	a.validate(report)
+	addresses(report, "control", a.Control)
+	required(report, "endpoint", a.Endpoint)
+	if len(a.Serves) == 0 {
+		report("serves", "is required")
+	}
+	for i, k := range a.Serves {
+		required(report, fmt.Sprintf("serves[%d].service", i), k.Service)
+		required(report, fmt.Sprintf("serves[%d].kind", i), k.Kind)
+	}
+	if a.Slots < 1 {
+		report("slots", "must be at least 1")
+	}
+	if a.Connections < a.Slots {
+		report("connections", "must be at least slots")
+	}
+	notNegative(report, "milli_cpu", a.MilliCPU)
+	notNegative(report, "memory_mb", a.MemoryMB)
+	notNegative(report, "accelerators", a.Accelerators)
+}
--- /dev/null
+++ b/daemon/supervisor/supervisor.go
@@ -0,0 +1,280 @@
+// Package supervisor runs the parts of a daemon as a tree. A supervisor is
+// itself a child of another, so folders, supervisors and failures have the
+// same shape. It starts children in order, restarts those that fail, gives up
+// past a limit so that its parent decides, and stops children in reverse order.
+package supervisor
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
+)
+
+// Strategy says which children restart when one fails.
+type Strategy uint8
+
+// Restart strategies.
+const (
+	// OneForOne restarts only the child that failed.
+	OneForOne Strategy = iota
+	// RestForOne restarts the child that failed and those started after it,
+	// which may depend on it.
+	RestForOne
+)
+
+// Defaults for Options.
+const (
+	DefaultMaxRestarts   = 5
+	DefaultRestartWindow = 30 * time.Second
+	DefaultRestartDelay  = 100 * time.Millisecond
+	DefaultStopTimeout   = 10 * time.Second
+)
+
+// Child is one part under a supervisor.
+type Child struct {
+	Name string
+	// Run works until ctx ends, then drains and returns nil. Returning before
+	// ctx ends is a failure unless Once is set and the error is nil.
+	Run func(ctx context.Context) error
+	// Once marks a child that may end without an error before ctx ends.
+	Once bool
+	// StopTimeout bounds the drain; zero means the supervisor's default.
+	StopTimeout time.Duration
+}
+
+// Observer is told what happens in the tree.
+type Observer interface {
+	// ChildFailed is called before a failed child restarts or the failure escalates.
+	ChildFailed(path string, err error)
+	// ChildPanicked is called in addition when the failure was a panic.
+	ChildPanicked(path string, value any, stack string)
+	// ChildStuck is called when a child's drain took longer than its bound.
+	ChildStuck(path string)
+}
+
+// Options configure a supervisor.
+type Options struct {
+	Strategy      Strategy
+	MaxRestarts   int
+	RestartWindow time.Duration
+	RestartDelay  time.Duration
+	StopTimeout   time.Duration
+	Observer      Observer
+}
+
+// ErrRestartLimit is returned by Run when children failed too often.
+var ErrRestartLimit = errors.New("restart limit exceeded")
+
+// errEarlyExit is the failure of a child that returned nil before its stop.
+var errEarlyExit = errors.New("returned before it was stopped")
+
+type fatalError struct{ error }
+
+func (f fatalError) Unwrap() error { return f.error }
+
+// Fatal marks an error that a restart can't repair, such as a failed disk. It
+// escalates through every supervisor to the root.
+func Fatal(err error) error { return fatalError{err} }
+
+// IsFatal reports whether an error was marked by Fatal.
+func IsFatal(err error) bool {
+	var f fatalError
+	return errors.As(err, &f)
+}
+
+// Supervisor runs children. Build it with New, then Add, then Run once.
+type Supervisor struct {
+	path     string
+	opts     Options
+	children []*running
+	exits    chan exit
+	// closed ends the reports of exits once nobody receives them.
+	closed   chan struct{}
+	restarts []time.Time
+	tasks    conc.WaitGroup
+	stuck    bool
+}
+
+type running struct {
+	Child
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// exit reports the end of one run of a child.
+type exit struct {
+	child *running
+	done  chan struct{}
+	err   error
+}
+
+// New returns a supervisor; path names it in events, as in "root/entry".
+func New(path string, opts Options) *Supervisor {
+	if opts.MaxRestarts == 0 {
+		opts.MaxRestarts = DefaultMaxRestarts
+	}
+	if opts.RestartWindow == 0 {
+		opts.RestartWindow = DefaultRestartWindow
+	}
+	if opts.RestartDelay == 0 {
+		opts.RestartDelay = DefaultRestartDelay
+	}
+	if opts.StopTimeout == 0 {
+		opts.StopTimeout = DefaultStopTimeout
+	}
+	return &Supervisor{path: path, opts: opts}
+}
+
+// Add appends a child; children start in the order of their addition.
+func (s *Supervisor) Add(c Child) {
+	if c.StopTimeout == 0 {
+		c.StopTimeout = s.opts.StopTimeout
+	}
+	s.children = append(s.children, &running{Child: c})
+}
+
+// Run starts the children and supervises them until ctx ends or a failure
+// escalates. It returns nil after a stop through ctx.
+func (s *Supervisor) Run(ctx context.Context) error {
+	s.exits = make(chan exit)
+	s.closed = make(chan struct{})
+	base := context.WithoutCancel(ctx)
+	for _, c := range s.children {
+		s.start(base, c)
+	}
+	err := s.supervise(ctx, base)
+	close(s.closed)
+	s.stopFrom(0)
+	if !s.stuck {
+		s.tasks.Wait()
+	}
+	return err
+}
+
+func (s *Supervisor) supervise(ctx, base context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case e := <-s.exits:
+			if e.done != e.child.done {
+				continue // an earlier run that was stopped on purpose
+			}
+			if err := s.handle(ctx, base, e); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// handle restarts after a failure, or returns the error that escalates.
+func (s *Supervisor) handle(ctx, base context.Context, e exit) error {
+	if e.err == nil && e.child.Once {
+		return nil
+	}
+	err := e.err
+	if err == nil {
+		err = errEarlyExit
+	}
+	path := s.path + "/" + e.child.Name
+	s.observeFailure(path, err)
+	if IsFatal(err) {
+		return errors.Wrapf(err, "%s", path)
+	}
+	if s.limitReached(time.Now()) {
+		return errors.Wrapf(errors.CombineErrors(ErrRestartLimit, err), "%s", path)
+	}
+	return s.restart(ctx, base, e.child)
+}
+
+func (s *Supervisor) observeFailure(path string, err error) {
+	if s.opts.Observer == nil {
+		return
+	}
+	s.opts.Observer.ChildFailed(path, err)
+}
+
+// limitReached records a restart and reports whether there were too many.
+func (s *Supervisor) limitReached(now time.Time) bool {
+	s.restarts = append(s.restarts, now)
+	cutoff := now.Add(-s.opts.RestartWindow)
+	s.restarts = slices.DeleteFunc(s.restarts, func(t time.Time) bool { return t.Before(cutoff) })
+	return len(s.restarts) > s.opts.MaxRestarts
+}
+
+func (s *Supervisor) restart(ctx, base context.Context, failed *running) error {
+	first := slices.Index(s.children, failed)
+	last := first
+	if s.opts.Strategy == RestForOne {
+		last = len(s.children) - 1
+		s.stopFrom(first + 1)
+	}
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-time.After(s.opts.RestartDelay):
+	}
+	for _, c := range s.children[first : last+1] {
+		s.start(base, c)
+	}
+	return nil
+}
+
+func (s *Supervisor) start(base context.Context, c *running) {
+	ctx, cancel := context.WithCancel(base)
+	done := make(chan struct{})
+	c.cancel = cancel
+	c.done = done
+	s.tasks.Go(func() {
+		defer cancel()
+		err := s.runChild(ctx, c)
+		close(done)
+		select {
+		case s.exits <- exit{child: c, done: done, err: err}:
+		case <-s.closed:
+		}
+	})
+}
+
+// runChild turns a panic into an error.
+func (s *Supervisor) runChild(ctx context.Context, c *running) error {
+	var err error
+	caught := panics.Try(func() { err = c.Run(ctx) })
+	if caught == nil {
+		return err
+	}
+	path := s.path + "/" + c.Name
+	if s.opts.Observer != nil {
+		s.opts.Observer.ChildPanicked(path, caught.Value, string(caught.Stack))
+	}
+	return errors.Wrap(caught.AsError(), "panic")
+}
+
+// stopFrom stops the children from an index on, last first, each within its
+// bound.
+func (s *Supervisor) stopFrom(index int) {
+	for i := len(s.children) - 1; i >= index; i-- {
+		s.stop(s.children[i])
+	}
+}
+
+func (s *Supervisor) stop(c *running) {
+	if c.done == nil {
+		return
+	}
+	c.cancel()
+	timer := time.NewTimer(c.StopTimeout)
+	defer timer.Stop()
+	select {
+	case <-c.done:
+	case <-timer.C:
+		s.stuck = true
+		if s.opts.Observer != nil {
+			s.opts.Observer.ChildStuck(s.path + "/" + c.Name)
+		}
+	}
+}
--- /dev/null
+++ b/daemon/supervisor/supervisor_test.go
@@ -0,0 +1,154 @@
+package supervisor
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+)
+
+// recorder notes the starts and stops of children and what the observer saw.
+type recorder struct {
+	mu    sync.Mutex
+	notes []string
+}
+
+func (r *recorder) note(s string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.notes = append(r.notes, s)
+}
+
+func (r *recorder) list() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]string(nil), r.notes...)
+}
+
+func (r *recorder) ChildFailed(path string, _ error)           { r.note("failed " + path) }
+func (r *recorder) ChildPanicked(path string, _ any, _ string) { r.note("panic " + path) }
+func (r *recorder) ChildStuck(path string)                     { r.note("stuck " + path) }
+func (r *recorder) steady(name string) Child {
+	return Child{Name: name, Run: func(ctx context.Context) error {
+		r.note("start " + name)
+		<-ctx.Done()
+		r.note("stop " + name)
+		return nil
+	}}
+}
+
+// failing returns a child whose first runs fail, by panic if asked.
+func (r *recorder) failing(name string, times int, withPanic bool) Child {
+	runs := 0
+	return Child{Name: name, Run: func(ctx context.Context) error {
+		runs++
+		r.note("start " + name)
+		if runs > times {
+			<-ctx.Done()
+			return nil
+		}
+		time.Sleep(time.Second)
+		if withPanic {
+			panic("broken")
+		}
+		return errors.New("broken")
+	}}
+}
+
+func runFor(s *Supervisor, d time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	return s.Run(ctx)
+}
+
+// Guards against a failed child that stays down, and against a restart that
+// takes healthy siblings with it.
+func TestOneForOneRestartsOnlyTheFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &recorder{}
+		s := New("root", Options{Observer: r})
+		s.Add(r.steady("a"))
+		s.Add(r.failing("b", 1, true))
+		assert.NilError(t, runFor(s, 10*time.Second))
+		assert.DeepEqual(t, count(r.list()), map[string]int{
+			"start a": 1, "stop a": 1, "start b": 2, "panic root/b": 1, "failed root/b": 1,
+		})
+	})
+}
+
+// Guards against a later child that keeps running on the state of a dead one.
+func TestRestForOneRestartsLaterChildren(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &recorder{}
+		s := New("root", Options{Observer: r, Strategy: RestForOne})
+		s.Add(r.steady("a"))
+		s.Add(r.failing("b", 1, false))
+		s.Add(r.steady("c"))
+		assert.NilError(t, runFor(s, 10*time.Second))
+		assert.DeepEqual(t, count(r.list()), map[string]int{
+			"start a": 1, "stop a": 1, "start b": 2, "failed root/b": 1, "start c": 2, "stop c": 2,
+		})
+	})
+}
+
+func count(notes []string) map[string]int {
+	m := map[string]int{}
+	for _, n := range notes {
+		m[n]++
+	}
+	return m
+}
+
+// Guards against an endless restart loop, and against a fatal error that is retried.
+func TestEscalation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &recorder{}
+		s := New("root", Options{Observer: r, MaxRestarts: 3, RestartWindow: time.Minute})
+		s.Add(r.failing("b", 100, false))
+		err := runFor(s, time.Hour)
+		assert.Assert(t, errors.Is(err, ErrRestartLimit))
+		assert.Equal(t, count(r.list())["start b"], 4)
+
+		s = New("root", Options{Observer: r})
+		s.Add(Child{Name: "disk", Run: func(context.Context) error { return Fatal(errors.New("sync failed")) }})
+		err = runFor(s, time.Hour)
+		assert.Assert(t, IsFatal(err))
+		assert.ErrorContains(t, err, "root/disk")
+	})
+}
+
+// Guards against a stop in the wrong order and against one stuck child that
+// blocks the stop of the others for ever.
+func TestStopOrderAndBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &recorder{}
+		release := make(chan struct{})
+		s := New("root", Options{Observer: r, StopTimeout: time.Second})
+		s.Add(r.steady("a"))
+		s.Add(Child{Name: "stuck", Run: func(ctx context.Context) error { <-release; return nil }})
+		s.Add(r.steady("c"))
+		assert.NilError(t, runFor(s, time.Second))
+		close(release)
+		synctest.Wait()
+		assert.DeepEqual(t, r.list()[2:], []string{"stop c", "stuck root/stuck", "stop a"})
+	})
+}
+
+// Guards against lost failures of two children that fail at the same time.
+func TestSimultaneousFailures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &recorder{}
+		s := New("root", Options{Observer: r, Strategy: RestForOne})
+		for _, name := range []string{"a", "b", "c", "d"} {
+			s.Add(r.failing(name, 1, false))
+		}
+		assert.NilError(t, runFor(s, time.Minute))
+		// "a" restarts all; the others' second runs are steady.
+		assert.Equal(t, count(r.list())["start d"], 2)
+		assert.Equal(t, count(r.list())["start a"], 2)
+	})
+}
--- /dev/null
+++ b/daemon/transport/http.go
@@ -0,0 +1,119 @@
+package transport
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Bounds of connections between processes.
+const (
+	// DialTimeout bounds the set-up of a connection.
+	DialTimeout = 2 * time.Second
+	// PingAfter is how long a connection may stay silent before it is probed.
+	PingAfter = 500 * time.Millisecond
+	// PingTimeout is how long a probe may stay unanswered. A silent
+	// connection is closed after PingAfter plus PingTimeout, about a second.
+	PingTimeout = 500 * time.Millisecond
+	// IdleTimeout closes connections that carry no calls.
+	IdleTimeout = 90 * time.Second
+	// MaxStreams bounds the calls in progress on one connection of a server.
+	MaxStreams = 4096
+	// HeaderTimeout bounds the time to read a request's headers.
+	HeaderTimeout = 5 * time.Second
+)
+
+// Client options.
+type ClientOptions struct {
+	Network Network
+	// TLS is nil for unencrypted HTTP/2.
+	TLS *tls.Config
+}
+
+// NewClient returns a client for calls between processes: HTTP/2, one
+// connection for each address, probed while it is silent.
+func NewClient(o ClientOptions) *http.Client {
+	t := &http.Transport{
+		DialContext:     dialer(o.Network),
+		TLSClientConfig: o.TLS,
+		IdleConnTimeout: IdleTimeout,
+		Protocols:       new(http.Protocols),
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout: PingAfter,
+			PingTimeout:     PingTimeout,
+		},
+	}
+	if o.TLS == nil {
+		t.Protocols.SetUnencryptedHTTP2(true)
+	} else {
+		t.Protocols.SetHTTP2(true)
+	}
+	return &http.Client{Transport: t}
+}
+
+// NewEndpointClient returns an agent's client towards its endpoint: HTTP/1.1
+// with a bounded number of connections.
+func NewEndpointClient(n Network, connections int) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer(n),
+		MaxConnsPerHost:     connections,
+		MaxIdleConnsPerHost: connections,
+		IdleConnTimeout:     IdleTimeout,
+	}}
+}
+
+func dialer(n Network) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, DialTimeout)
+		defer cancel()
+		return n.Dial(ctx, address)
+	}
+}
+
+// NewServer returns a server that takes HTTP/1.1 and HTTP/2, unencrypted or
+// over TLS.
+func NewServer(h http.Handler, cfg *tls.Config) *http.Server {
+	s := &http.Server{
+		Handler:           h,
+		TLSConfig:         cfg,
+		ReadHeaderTimeout: HeaderTimeout,
+		IdleTimeout:       IdleTimeout,
+		Protocols:         new(http.Protocols),
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: MaxStreams},
+	}
+	s.Protocols.SetHTTP1(true)
+	if cfg == nil {
+		s.Protocols.SetUnencryptedHTTP2(true)
+	} else {
+		s.Protocols.SetHTTP2(true)
+	}
+	return s
+}
+
+// Serve runs a server on a listener until ctx ends, then stops it without
+// cutting requests in progress, within a bound.
+func Serve(ctx context.Context, s *http.Server, l net.Listener, drain time.Duration) error {
+	failed := make(chan error, 1)
+	go func() { failed <- serveOn(s, l) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), drain)
+	defer cancel()
+	err := s.Shutdown(stop)
+	if err != nil {
+		return s.Close()
+	}
+	return nil
+}
+
+func serveOn(s *http.Server, l net.Listener) error {
+	if s.TLSConfig != nil {
+		return s.ServeTLS(l, "", "")
+	}
+	return s.Serve(l)
+}
