core/dispatch, core/slots: scheduler of an entry and division of slots

Cause: entries need a decision on which task starts next and where, without a shared queue and without probes. Change: Scheduler with a start-time fair queue on estimated work, learned run times and speeds, endpoint choice by granted slots, health with quarantine and trials, retry budget, admission; slots.Divider for agents. The exported API is stable; the decisions behind it are still being tuned.

--- /dev/null
+++ b/core/dispatch/capacity.go
@@ -0,0 +1,67 @@
+package dispatch
+
+import (
+	"math"
+
+	"github.com/cicadapulley/cicadapulley/core/state"
+)
+
+func (s *Scheduler) lookup(service, name string) *kind {
+	return s.kinds[state.ServedKind{Service: service, Kind: name}]
+}
+
+// flowWait returns the time in seconds until a flow has finished what it has
+// queued and an additional amount of work, at its fair share of the slots.
+func (s *Scheduler) flowWait(name, service string, extra float64) float64 {
+	own := extra
+	weight := max(1, s.weights[name])
+	f := s.fair.flows[flowKey{service, name}]
+	if f != nil {
+		own += f.work()
+	}
+	all := extra
+	shares := float64(weight)
+	for _, other := range s.fair.heap {
+		all += other.work()
+		if other != f {
+			shares += float64(other.caller.weight)
+		}
+	}
+	capacity := s.capacity()
+	byShare := own * shares / float64(weight) / capacity
+	return min(byShare, all/capacity)
+}
+
+// work returns the estimated work in seconds that is queued in a flow.
+func (f *flow) work() float64 {
+	if f == nil {
+		return 0
+	}
+	total := 0.0
+	for _, c := range f.classes {
+		total += c.kind.work * float64(c.size)
+	}
+	return total
+}
+
+// capacity returns the work per second that the entry can expect: the granted
+// or used slots at the endpoints' speeds.
+func (s *Scheduler) capacity() float64 {
+	total := 0.0
+	for _, e := range s.endpoints {
+		if e.Drain || e.health.quarantined {
+			continue
+		}
+		total += float64(max(e.granted, e.inFlight())) * math.Exp(e.logSpeed)
+	}
+	return max(total, 1)
+}
+
+// bestSpeed returns the speed of the fastest endpoint, at least the mean.
+func (s *Scheduler) bestSpeed() float64 {
+	best := 0.0
+	for _, e := range s.endpoints {
+		best = max(best, e.logSpeed)
+	}
+	return math.Exp(best)
+}
--- /dev/null
+++ b/core/dispatch/choose.go
@@ -0,0 +1,222 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// maxCandidates bounds the endpoints that one choice looks at.
+const maxCandidates = 16
+
+// place updates the set of an endpoint after its state changed.
+func (s *Scheduler) place(e *endpoint) {
+	if e.removed() {
+		return
+	}
+	e.pool.place(e, s.setOf(e))
+}
+
+// setOf returns the set in which an endpoint belongs now, nil if it takes no task.
+func (s *Scheduler) setOf(e *endpoint) *bucketSet {
+	busy := e.inFlight()
+	if e.Drain || busy >= e.Slots {
+		return nil
+	}
+	if e.health.quarantined {
+		if busy > 0 || s.now.Before(e.health.nextTrial) {
+			return nil
+		}
+		return &e.pool.ready
+	}
+	if e.health.streak >= suspectStreak && busy > 0 {
+		return nil
+	}
+	if s.opts.Strategy != Grants {
+		if s.now.Before(e.busyUntil) {
+			return nil
+		}
+		return &e.pool.ready
+	}
+	e.expireGrant(s.now)
+	if busy < e.granted {
+		return &e.pool.ready
+	}
+	if busy+e.others < e.Slots && !s.now.Before(e.busyUntil) {
+		return &e.pool.spare
+	}
+	return nil
+}
+
+// choose returns an endpoint on which an item should start now, and whether
+// that start is beyond the grant. It returns nil if the item should wait.
+func (s *Scheduler) choose(now time.Time, k *kind, item *Item) (*endpoint, bool) {
+	if s.opts.Strategy == Random || s.opts.Strategy == TwoChoices {
+		return s.chooseSampled(k, item), false
+	}
+	if e := s.chooseFrom(k, item, false); e != nil && !s.worthWaiting(k, e) {
+		return e, false
+	}
+	if !s.speculation.available() {
+		return nil, false
+	}
+	if e := s.chooseFrom(k, item, true); e != nil && !s.worthWaiting(k, e) {
+		return e, true
+	}
+	return nil, false
+}
+
+// chooseFrom returns the endpoint with the least expected finish. A free slot
+// is assumed to start the task at once, so this is the fastest one.
+func (s *Scheduler) chooseFrom(k *kind, item *Item, spare bool) *endpoint {
+	var fallback *endpoint
+	limit := bucketCount
+	for range maxCandidates {
+		set, bucket := k.bestSet(item, limit, spare)
+		if set == nil {
+			break
+		}
+		e, moved := s.pickInBucket(set, bucket, item)
+		if moved {
+			continue
+		}
+		if e != nil && !slices.Contains(item.Avoid, e.ID) {
+			return e
+		}
+		if fallback == nil {
+			fallback = e
+		}
+		limit = bucket
+	}
+	return fallback
+}
+
+// bestSet returns the set with the fastest bucket below a limit.
+func (k *kind) bestSet(item *Item, limit int, spare bool) (*bucketSet, int) {
+	var best *bucketSet
+	bucket := -1
+	for _, p := range k.pools {
+		set := &p.ready
+		if spare {
+			set = &p.spare
+		}
+		if b := set.best(limit); b > bucket && item.Needs.Fits(p.capacity) {
+			best = set
+			bucket = b
+		}
+	}
+	return best, bucket
+}
+
+// bucketSample is the number of equally fast endpoints that are compared.
+const bucketSample = 4
+
+// pickInBucket compares a few endpoints of a bucket by data centre and free
+// slots. It reports moved when an endpoint turned out to belong elsewhere.
+func (s *Scheduler) pickInBucket(set *bucketSet, bucket int, item *Item) (best *endpoint, moved bool) {
+	list := set.buckets[bucket]
+	offset := s.random.IntN(len(list))
+	bestScore := math.MinInt
+	for i := range min(bucketSample, len(list)) {
+		e := list[(offset+i)%len(list)]
+		if s.refresh(e, set, bucket) {
+			return nil, true
+		}
+		score := min(e.granted, e.Slots) - e.inFlight()
+		if e.DataCentre == s.opts.DataCentre {
+			score += 1 << 20
+		}
+		if slices.Contains(item.Avoid, e.ID) {
+			score -= 1 << 30
+		}
+		if score > bestScore {
+			best = e
+			bestScore = score
+		}
+	}
+	return best, false
+}
+
+// refresh applies what time has changed at an endpoint: an old grant or an
+// overdue task. It reports whether the endpoint moved.
+func (s *Scheduler) refresh(e *endpoint, set *bucketSet, bucket int) bool {
+	e.updatePenalty(s.now)
+	s.place(e)
+	return e.set != set || e.bucket != bucket
+}
+
+// slowRatio is the part of the mean speed below which a task waits for a
+// faster endpoint if the queue is short.
+const slowRatio = 0.5
+
+// worthWaiting reports whether a faster endpoint is expected to finish a task
+// of the kind earlier than e, although the task has to wait for it.
+func (s *Scheduler) worthWaiting(k *kind, e *endpoint) bool {
+	speed := math.Exp(e.effectiveSpeed())
+	if speed >= slowRatio || e.health.quarantined {
+		return false
+	}
+	if len(s.flights) <= e.inFlight() {
+		return false
+	}
+	slower := k.work/speed - k.work
+	return slower > s.expectedWait()
+}
+
+// expectedWait returns the time in seconds in which the queue is worked off by
+// as many slots as are in use now.
+func (s *Scheduler) expectedWait() float64 {
+	work := 0.0
+	for _, k := range s.kinds {
+		work += float64(k.queued) * k.work
+	}
+	return work / float64(max(1, len(s.flights)))
+}
+
+// chooseSampled picks one or the less loaded of two endpoints at random.
+func (s *Scheduler) chooseSampled(k *kind, item *Item) *endpoint {
+	best := s.sample(k, item)
+	if best == nil || s.opts.Strategy == Random {
+		return best
+	}
+	other := s.sample(k, item)
+	if other.inFlight()*best.Slots < best.inFlight()*other.Slots {
+		return other
+	}
+	return best
+}
+
+// sample returns a random endpoint that is not locally known to be full.
+func (s *Scheduler) sample(k *kind, item *Item) *endpoint {
+	total := 0
+	for _, p := range k.pools {
+		if item.Needs.Fits(p.capacity) {
+			total += p.ready.size
+		}
+	}
+	if total == 0 {
+		return nil
+	}
+	at := s.random.IntN(total)
+	for _, p := range k.pools {
+		if !item.Needs.Fits(p.capacity) {
+			continue
+		}
+		if at < p.ready.size {
+			return p.ready.at(at)
+		}
+		at -= p.ready.size
+	}
+	return nil
+}
+
+// at returns the endpoint with an index over all buckets.
+func (s *bucketSet) at(index int) *endpoint {
+	for _, list := range s.buckets {
+		if index < len(list) {
+			return list[index]
+		}
+		index -= len(list)
+	}
+	return nil
+}
--- /dev/null
+++ b/core/dispatch/endpoint.go
@@ -0,0 +1,113 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// grantLife is how long a grant is used without a new report. Agents
+	// reclaim the slots of an entry after slots.EntryLife, which is longer.
+	grantLife = 800 * time.Millisecond
+	// busyPause is how long an endpoint that refused a task gets no other
+	// start beyond its grant.
+	busyPause = 20 * time.Millisecond
+)
+
+// flight is one start without an end.
+type flight struct {
+	item     uint64
+	endpoint *endpoint
+	kind     *kind
+	caller   *caller
+	flow     *flow
+	started  time.Time
+	// work is what the flow was charged, in seconds.
+	work float64
+	// spare marks a start beyond the grant, which took a token.
+	spare bool
+	trial bool
+}
+
+// endpoint is what an entry knows of one endpoint.
+type endpoint struct {
+	Endpoint
+	pool     *pool
+	set      *bucketSet
+	bucket   int
+	position int
+
+	flights []*flight
+	granted int
+	// others is the last known number of tasks of other entries there.
+	others    int
+	reported  time.Time
+	busyUntil time.Time
+
+	logSpeed float64
+	samples  int
+	// penalty lowers the logarithm of the speed while a task is overdue.
+	penalty float64
+
+	health health
+}
+
+func (e *endpoint) effectiveSpeed() float64 { return e.logSpeed - e.penalty }
+
+func (e *endpoint) inFlight() int { return len(e.flights) }
+
+// initialGrant is used before the first report.
+func initialGrant(slots int) int { return max(1, slots/4) }
+
+// apply takes over an agent's report.
+func (e *endpoint) apply(now time.Time, l Load) {
+	e.Slots = max(l.Slots, 0)
+	e.granted = min(max(l.Granted, 0), e.Slots)
+	e.others = max(l.Running-e.inFlight(), 0)
+	e.reported = now
+}
+
+// expireGrant falls back to one slot after a time without a report, when the
+// agent may have granted the slots to other entries.
+func (e *endpoint) expireGrant(now time.Time) {
+	if e.granted > 1 && !e.reported.IsZero() && now.Sub(e.reported) >= grantLife {
+		e.granted = 1
+	}
+}
+
+// dropFlight removes a flight from the endpoint's list.
+func (e *endpoint) dropFlight(f *flight) {
+	for i, other := range e.flights {
+		if other == f {
+			last := len(e.flights) - 1
+			e.flights[i] = e.flights[last]
+			e.flights[last] = nil
+			e.flights = e.flights[:last]
+			return
+		}
+	}
+}
+
+const (
+	// overdueFactor is how many times its expected run time a task runs before
+	// its endpoint counts as slower than its estimate.
+	overdueFactor = 3.0
+	// overdueGrace is added to the limit, so that jitter of short tasks is ignored.
+	overdueGrace = 20 * time.Millisecond
+)
+
+// updatePenalty lowers the endpoint's speed while one of its tasks is overdue.
+// This finds a slow or silent endpoint before its tasks end.
+func (e *endpoint) updatePenalty(now time.Time) {
+	e.penalty = 0
+	for _, f := range e.flights {
+		if !f.kind.learned() {
+			continue
+		}
+		limit := overdueFactor * expected(f.kind, e)
+		elapsed := (now.Sub(f.started) - overdueGrace).Seconds()
+		if elapsed > limit {
+			e.penalty = max(e.penalty, math.Log(elapsed/limit*overdueFactor))
+		}
+	}
+}
--- /dev/null
+++ b/core/dispatch/estimate.go
@@ -0,0 +1,67 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// kindGain is the lowest weight of one observation of a kind's work.
+	kindGain = 1.0 / 32
+	// speedGain is the lowest weight of one observation of an endpoint's speed.
+	speedGain = 1.0 / 16
+	// maxLogRatio bounds one observation to a factor of 20 from the estimate.
+	maxLogRatio = 3.0
+	// failGain is the weight of one outcome in a kind's share of failures.
+	failGain = 1.0 / 16
+	// minWork is the least work in seconds that fairness charges for a task.
+	minWork = 0.0005
+)
+
+// kind is what an entry knows of one kind of task over all endpoints.
+type kind struct {
+	service string
+	name    string
+	pools   []*pool
+	// work is the expected run time in seconds at the fleet's mean speed.
+	work    float64
+	samples int
+	// failures is the moving share of starts that failed.
+	failures  float64
+	successes int
+	queued    int
+	inFlight  int
+}
+
+func (k *kind) learned() bool { return k.samples > 0 }
+
+// observe learns from a successful run on an endpoint with a known speed. The
+// first observation replaces the declared value, which may be 10 times wrong.
+func (k *kind) observe(run time.Duration, e *endpoint) {
+	seconds := max(run.Seconds(), minWork)
+	normal := seconds * math.Exp(e.logSpeed)
+	if k.samples == 0 {
+		k.work = normal
+	}
+	k.samples++
+	gain := max(1/float64(k.samples), kindGain)
+	low := k.work * math.Exp(-maxLogRatio)
+	high := k.work * math.Exp(maxLogRatio)
+	k.work += gain * (min(max(normal, low), high) - k.work)
+	k.work = max(k.work, minWork)
+	e.observeSpeed(math.Log(k.work / seconds))
+}
+
+// observeSpeed moves the endpoint's speed towards an observed logarithm of the
+// ratio of the expected to the actual run time.
+func (e *endpoint) observeSpeed(ratio float64) {
+	ratio = min(max(ratio, -maxLogRatio), maxLogRatio)
+	e.samples++
+	gain := max(1/float64(e.samples+1), speedGain)
+	e.logSpeed += gain * (ratio - e.logSpeed)
+}
+
+// expected returns the run time in seconds of a kind on an endpoint.
+func expected(k *kind, e *endpoint) float64 {
+	return k.work * math.Exp(-e.logSpeed)
+}
--- /dev/null
+++ b/core/dispatch/flow.go
@@ -0,0 +1,190 @@
+package dispatch
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/core/state"
+)
+
+// ageingFactor is how many times its expected run time a task waits before it
+// goes ahead of any task that arrives later at the same caller.
+const ageingFactor = 2
+
+// flowKey identifies a flow of the fair queue.
+type flowKey struct {
+	service string
+	caller  string
+}
+
+// classKey identifies the items of a flow that are interchangeable for the
+// choice of an endpoint.
+type classKey struct {
+	kind  string
+	needs state.Resources
+}
+
+// class is a first-in first-out list of a flow's items.
+type class struct {
+	key   classKey
+	kind  *kind
+	first *node
+	last  *node
+	size  int
+}
+
+func (c *class) append(n *node) {
+	c.size++
+	n.prev = c.last
+	if c.last != nil {
+		c.last.next = n
+	} else {
+		c.first = n
+	}
+	c.last = n
+}
+
+func (c *class) prepend(n *node) {
+	c.size++
+	n.next = c.first
+	if c.first != nil {
+		c.first.prev = n
+	} else {
+		c.last = n
+	}
+	c.first = n
+}
+
+func (c *class) unlink(n *node) {
+	c.size--
+	if n.prev != nil {
+		n.prev.next = n.next
+	} else {
+		c.first = n.next
+	}
+	if n.next != nil {
+		n.next.prev = n.prev
+	} else {
+		c.last = n.prev
+	}
+	n.prev = nil
+	n.next = nil
+}
+
+// rank orders the heads of a flow's classes: shortest expected first, with
+// ageing, because the time of enqueueing is part of it.
+func (c *class) rank() time.Time {
+	return c.first.item.Enqueued.Add(time.Duration(ageingFactor * c.kind.work * float64(time.Second)))
+}
+
+// flow is the queue of one caller at one service. Flows share the endpoints by
+// start-time fair queueing on estimated work.
+type flow struct {
+	key     flowKey
+	caller  *caller
+	classes []*class
+	queued  int
+	// tag is the virtual time, in seconds of work per weight, at which the
+	// flow's next task starts.
+	tag float64
+	// heapIndex is the position in the flow heap, -1 when nothing is queued.
+	heapIndex int
+}
+
+func (f *flow) class(key classKey, k *kind) *class {
+	for _, c := range f.classes {
+		if c.key == key {
+			return c
+		}
+	}
+	c := &class{key: key, kind: k}
+	f.classes = append(f.classes, c)
+	return c
+}
+
+// dropClass removes an empty class, so that a flow keeps only what is queued.
+func (f *flow) dropClass(c *class) {
+	for i, other := range f.classes {
+		if other == c {
+			last := len(f.classes) - 1
+			f.classes[i] = f.classes[last]
+			f.classes[last] = nil
+			f.classes = f.classes[:last]
+			return
+		}
+	}
+}
+
+// flowHeap orders the flows that have queued items by tag.
+type flowHeap []*flow
+
+func (h flowHeap) Len() int { return len(h) }
+
+func (h flowHeap) Less(i, j int) bool { return h[i].tag < h[j].tag }
+
+func (h flowHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].heapIndex = i
+	h[j].heapIndex = j
+}
+
+// Push implements heap.Interface.
+func (h *flowHeap) Push(x any) {
+	f := x.(*flow)
+	f.heapIndex = len(*h)
+	*h = append(*h, f)
+}
+
+// Pop implements heap.Interface.
+func (h *flowHeap) Pop() any {
+	old := *h
+	last := len(old) - 1
+	f := old[last]
+	old[last] = nil
+	*h = old[:last]
+	f.heapIndex = -1
+	return f
+}
+
+// fairQueue is the start-time fair queue over all flows.
+type fairQueue struct {
+	flows map[flowKey]*flow
+	heap  flowHeap
+	// virtual is the tag of the flow that started last.
+	virtual float64
+}
+
+// minFlowsKept is the number of flows below which idle ones are not collected.
+const minFlowsKept = 64
+
+func (q *fairQueue) flow(key flowKey, c *caller) *flow {
+	f := q.flows[key]
+	if f != nil {
+		return f
+	}
+	f = &flow{key: key, caller: c, heapIndex: -1}
+	q.flows[key] = f
+	c.flows++
+	return f
+}
+
+// crowded reports whether most of the flows are idle.
+func (q *fairQueue) crowded() bool { return len(q.flows) > 2*len(q.heap)+minFlowsKept }
+
+// activate puts a flow with queued items into the heap.
+func (q *fairQueue) activate(f *flow) {
+	if f.heapIndex >= 0 {
+		return
+	}
+	f.tag = max(f.tag, q.virtual)
+	heap.Push(&q.heap, f)
+}
+
+// charge advances a flow by an amount of work in seconds, which may be
+// negative when an estimate is corrected.
+func (q *fairQueue) charge(f *flow, work float64) {
+	f.tag += work / float64(f.caller.weight)
+	if f.heapIndex >= 0 {
+		heap.Fix(&q.heap, f.heapIndex)
+	}
+}
--- /dev/null
+++ b/core/dispatch/membership.go
@@ -0,0 +1,118 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/core/state"
+)
+
+// SetEndpoints takes the full list of endpoints from the membership. In-flight
+// counts, estimates and health of kept ones survive.
+func (s *Scheduler) SetEndpoints(now time.Time, list []Endpoint) {
+	s.advance(now)
+	listed := make(map[string]bool, len(list))
+	for _, d := range list {
+		listed[d.ID] = true
+		s.setEndpoint(d)
+	}
+	for id, e := range s.endpoints {
+		if !listed[id] {
+			s.dropEndpoint(e)
+		}
+	}
+	s.releaseExcess()
+	s.dropKinds()
+	s.idle = false
+}
+
+func (s *Scheduler) setEndpoint(d Endpoint) {
+	e := s.endpoints[d.ID]
+	if e == nil {
+		e = &endpoint{granted: initialGrant(d.Slots)}
+		s.endpoints[d.ID] = e
+	}
+	if e.pool == nil || e.pool.signature != signature(d) {
+		s.leavePool(e)
+		s.joinPool(e, d)
+	}
+	e.Endpoint = d
+	e.granted = min(e.granted, d.Slots)
+	s.place(e)
+}
+
+func (s *Scheduler) dropEndpoint(e *endpoint) {
+	if e.health.quarantined {
+		s.quarantined--
+	}
+	delete(s.endpoints, e.ID)
+	s.leavePool(e)
+}
+
+// removed reports whether the endpoint left the membership.
+func (e *endpoint) removed() bool { return e.pool == nil }
+
+// signature identifies the pool of an endpoint.
+func signature(d Endpoint) string {
+	names := make([]string, 0, len(d.Serves))
+	for _, k := range d.Serves {
+		names = append(names, k.Service+"\x00"+k.Kind)
+	}
+	slices.Sort(names)
+	return fmt.Sprint(d.Capacity, strings.Join(slices.Compact(names), "\x01"))
+}
+
+func (s *Scheduler) joinPool(e *endpoint, d Endpoint) {
+	sig := signature(d)
+	p := s.pools[sig]
+	if p == nil {
+		p = &pool{signature: sig, capacity: d.Capacity, members: map[string]*endpoint{}}
+		s.pools[sig] = p
+		for _, served := range d.Serves {
+			k := s.kind(served.Service, served.Kind)
+			if !slices.Contains(k.pools, p) {
+				k.pools = append(k.pools, p)
+			}
+		}
+	}
+	p.members[d.ID] = e
+	e.pool = p
+}
+
+func (s *Scheduler) leavePool(e *endpoint) {
+	p := e.pool
+	if p == nil {
+		return
+	}
+	p.place(e, nil)
+	delete(p.members, e.ID)
+	e.pool = nil
+	if len(p.members) > 0 {
+		return
+	}
+	delete(s.pools, p.signature)
+	for _, k := range s.kinds {
+		k.pools = slices.DeleteFunc(k.pools, func(other *pool) bool { return other == p })
+	}
+}
+
+// dropKinds forgets kinds that nobody serves and nobody waits for.
+func (s *Scheduler) dropKinds() {
+	for key, k := range s.kinds {
+		if len(k.pools) == 0 && k.queued == 0 && k.inFlight == 0 {
+			delete(s.kinds, key)
+		}
+	}
+}
+
+// fits reports whether any member of the kind's pools can ever run a task.
+func (k *kind) fits(needs state.Resources) bool {
+	for _, p := range k.pools {
+		if needs.Fits(p.capacity) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/dispatch/queue.go
@@ -0,0 +1,100 @@
+package dispatch
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/core/job"
+)
+
+// node is a queued item. It is a member of its class's list, of its job's list
+// and, with a deadline, of the deadline heap.
+type node struct {
+	item    Item
+	class   *class
+	flow    *flow
+	prev    *node
+	next    *node
+	jobPrev *node
+	jobNext *node
+	// heapIndex is the position in the deadline heap, -1 outside.
+	heapIndex int
+}
+
+// deadlineHeap orders nodes by deadline.
+type deadlineHeap []*node
+
+func (h deadlineHeap) Len() int           { return len(h) }
+func (h deadlineHeap) Less(i, j int) bool { return h[i].item.Deadline.Before(h[j].item.Deadline) }
+
+func (h deadlineHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].heapIndex = i
+	h[j].heapIndex = j
+}
+
+// Push implements heap.Interface.
+func (h *deadlineHeap) Push(x any) {
+	n := x.(*node)
+	n.heapIndex = len(*h)
+	*h = append(*h, n)
+}
+
+// Pop implements heap.Interface.
+func (h *deadlineHeap) Pop() any {
+	old := *h
+	last := len(old) - 1
+	n := old[last]
+	old[last] = nil
+	*h = old[:last]
+	n.heapIndex = -1
+	return n
+}
+
+// queue holds all queued items, indexed by job and by deadline.
+type queue struct {
+	jobs      map[job.Key]*node
+	deadlines deadlineHeap
+	size      int
+}
+
+func (q *queue) add(n *node) {
+	n.heapIndex = -1
+	first := q.jobs[n.item.Job]
+	n.jobNext = first
+	if first != nil {
+		first.jobPrev = n
+	}
+	q.jobs[n.item.Job] = n
+	if !n.item.Deadline.IsZero() {
+		heap.Push(&q.deadlines, n)
+	}
+	q.size++
+}
+
+func (q *queue) remove(n *node) {
+	if n.jobPrev != nil {
+		n.jobPrev.jobNext = n.jobNext
+	} else if n.jobNext != nil {
+		q.jobs[n.item.Job] = n.jobNext
+	} else {
+		delete(q.jobs, n.item.Job)
+	}
+	if n.jobNext != nil {
+		n.jobNext.jobPrev = n.jobPrev
+	}
+	n.jobPrev = nil
+	n.jobNext = nil
+	if n.heapIndex >= 0 {
+		heap.Remove(&q.deadlines, n.heapIndex)
+	}
+	q.size--
+}
+
+// due returns the node with the earliest deadline if that has passed.
+func (q *queue) due(now time.Time) *node {
+	if len(q.deadlines) == 0 || q.deadlines[0].item.Deadline.After(now) {
+		return nil
+	}
+	return q.deadlines[0]
+}
--- /dev/null
+++ b/core/dispatch/scheduler.go
@@ -0,0 +1,294 @@
+package dispatch
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/core/invariant"
+	"github.com/cicadapulley/cicadapulley/core/job"
+	"github.com/cicadapulley/cicadapulley/core/state"
+)
+
+// caller is what an entry knows of one caller.
+type caller struct {
+	name     string
+	weight   int64
+	queued   int
+	inFlight int
+	flows    int
+}
+
+// Scheduler is the queue and the endpoint choice of one entry.
+type Scheduler struct {
+	opts    Options
+	random  *rand.Rand
+	now     time.Time
+	queue   queue
+	fair    fairQueue
+	callers map[string]*caller
+	weights map[string]int64
+	kinds   map[state.ServedKind]*kind
+
+	endpoints   map[string]*endpoint
+	pools       map[string]*pool
+	quarantined int
+	flights     map[uint64]*flight
+	timers      timerHeap
+	budget      budget
+	speculation speculation
+	stats       Counters
+
+	// expired holds items past their deadline until Expired returns them.
+	expired []Item
+	// idle is set when Next found nothing to start and nothing changed since.
+	idle bool
+	// skipped is reused by Next for flows that cannot start.
+	skipped []*flow
+}
+
+// New returns a Scheduler without endpoints.
+func New(opts Options) *Scheduler {
+	opts = opts.withDefaults()
+	return &Scheduler{
+		opts:      opts,
+		random:    rand.New(rand.NewPCG(opts.Seed, 0x9e3779b97f4a7c15)),
+		queue:     queue{jobs: map[job.Key]*node{}},
+		fair:      fairQueue{flows: map[flowKey]*flow{}},
+		callers:   map[string]*caller{},
+		weights:   map[string]int64{},
+		kinds:     map[state.ServedKind]*kind{},
+		endpoints: map[string]*endpoint{},
+		pools:     map[string]*pool{},
+		flights:   map[uint64]*flight{},
+	}
+}
+
+// SetWeights sets the callers' shares of the queue. Callers that are not
+// listed and weights below 1 count as 1.
+func (s *Scheduler) SetWeights(weights map[string]int64) {
+	s.weights = weights
+	for _, c := range s.callers {
+		c.weight = max(1, weights[c.name])
+	}
+}
+
+// Enqueue adds items to the queue. It accepts them all: Admit has bounded them.
+func (s *Scheduler) Enqueue(now time.Time, items []Item) {
+	for _, item := range items {
+		s.enqueue(item, false)
+	}
+	s.idle = false
+}
+
+func (s *Scheduler) enqueue(item Item, first bool) {
+	if s.fair.crowded() {
+		s.collectFlows()
+	}
+	c := s.caller(item.Caller)
+	k := s.kind(item.Service, item.Kind)
+	f := s.fair.flow(flowKey{item.Service, item.Caller}, c)
+	n := &node{item: item, flow: f}
+	n.class = f.class(classKey{item.Kind, item.Needs}, k)
+	if first {
+		n.class.prepend(n)
+	} else {
+		n.class.append(n)
+	}
+	s.queue.add(n)
+	f.queued++
+	c.queued++
+	k.queued++
+	s.fair.activate(f)
+}
+
+// dequeue takes a node out of all indexes.
+func (s *Scheduler) dequeue(n *node) {
+	f := n.flow
+	n.class.unlink(n)
+	if n.class.first == nil {
+		f.dropClass(n.class)
+	}
+	s.queue.remove(n)
+	f.queued--
+	f.caller.queued--
+	n.class.kind.queued--
+	if f.queued == 0 {
+		heap.Remove(&s.fair.heap, f.heapIndex)
+	}
+	s.dropCaller(f.caller)
+}
+
+func (s *Scheduler) caller(name string) *caller {
+	c := s.callers[name]
+	if c == nil {
+		c = &caller{name: name, weight: max(1, s.weights[name])}
+		s.callers[name] = c
+	}
+	return c
+}
+
+// collectFlows drops idle flows that owe no work.
+func (s *Scheduler) collectFlows() {
+	for key, f := range s.fair.flows {
+		if f.heapIndex < 0 && f.tag <= s.fair.virtual {
+			delete(s.fair.flows, key)
+			f.caller.flows--
+			s.dropCaller(f.caller)
+		}
+	}
+}
+
+// dropCaller forgets a caller without tasks and flows.
+func (s *Scheduler) dropCaller(c *caller) {
+	if c.queued == 0 && c.inFlight == 0 && c.flows == 0 {
+		delete(s.callers, c.name)
+	}
+}
+
+func (s *Scheduler) kind(service, name string) *kind {
+	key := state.ServedKind{Service: service, Kind: name}
+	k := s.kinds[key]
+	if k == nil {
+		k = &kind{service: service, name: name, work: s.opts.DefaultRunTime.Seconds()}
+		s.kinds[key] = k
+	}
+	return k
+}
+
+// Remove takes the queued items of a job out of the queue and returns them.
+func (s *Scheduler) Remove(key job.Key) []Item {
+	var items []Item
+	for n := s.queue.jobs[key]; n != nil; n = s.queue.jobs[key] {
+		items = append(items, n.item)
+		s.dequeue(n)
+	}
+	return items
+}
+
+// Expired takes items past their deadline out of the queue and returns them.
+func (s *Scheduler) Expired(now time.Time) []Item {
+	s.expire(now)
+	items := s.expired
+	s.expired = nil
+	return items
+}
+
+func (s *Scheduler) expire(now time.Time) {
+	for n := s.queue.due(now); n != nil; n = s.queue.due(now) {
+		s.expired = append(s.expired, n.item)
+		s.dequeue(n)
+	}
+}
+
+// Requeue puts an item back at the head of its queue after NotRun, with the
+// endpoint that refused it in Avoid unless that was only busy. It returns
+// false when the retry budget is spent; the item is then not queued.
+func (s *Scheduler) Requeue(now time.Time, item Item) bool {
+	if !s.budget.take(now) {
+		s.stats.RetriesDenied++
+		return false
+	}
+	s.stats.Retries++
+	s.enqueue(item, true)
+	s.idle = false
+	return true
+}
+
+// Next takes the item that should start now out of the queue and chooses its
+// endpoint. It returns false when nothing can start now.
+func (s *Scheduler) Next(now time.Time) (Assignment, bool) {
+	s.advance(now)
+	if s.idle {
+		return Assignment{}, false
+	}
+	n, e, spare := s.selectNext(now)
+	if n == nil {
+		s.idle = true
+		return Assignment{}, false
+	}
+	s.start(now, n, e, spare)
+	return Assignment{Item: n.item, Endpoint: e.ID}, true
+}
+
+// selectNext goes through the flows in fair order and returns the first item
+// that has an endpoint.
+func (s *Scheduler) selectNext(now time.Time) (n *node, e *endpoint, spare bool) {
+	for n == nil && len(s.fair.heap) > 0 {
+		f := s.fair.heap[0]
+		n, e, spare = s.startable(now, f)
+		if n == nil {
+			heap.Pop(&s.fair.heap)
+			s.skipped = append(s.skipped, f)
+		}
+	}
+	for i, f := range s.skipped {
+		heap.Push(&s.fair.heap, f)
+		s.skipped[i] = nil
+	}
+	s.skipped = s.skipped[:0]
+	return n, e, spare
+}
+
+// startable returns a flow's best-ranked head that has an endpoint.
+func (s *Scheduler) startable(now time.Time, f *flow) (*node, *endpoint, bool) {
+	var best *node
+	var chosen *endpoint
+	var chosenSpare bool
+	for _, c := range f.classes {
+		if best != nil && !c.rank().Before(best.class.rank()) {
+			continue
+		}
+		e, spare := s.choose(now, c.kind, &c.first.item)
+		if e != nil {
+			best, chosen, chosenSpare = c.first, e, spare
+		}
+	}
+	return best, chosen, chosenSpare
+}
+
+// start records an assignment.
+func (s *Scheduler) start(now time.Time, n *node, e *endpoint, spare bool) {
+	k := n.class.kind
+	f := n.flow
+	s.fair.virtual = max(s.fair.virtual, f.tag)
+	s.fair.charge(f, k.work)
+	f.caller.inFlight++
+	s.dequeue(n)
+	fl := &flight{
+		item: n.item.ID, endpoint: e, kind: k, caller: f.caller, flow: f,
+		started: now, work: k.work, spare: spare, trial: e.health.quarantined,
+	}
+	invariant.Check(s.flights[n.item.ID] == nil, invariant.InternalCounting, "item %d is in flight twice", n.item.ID)
+	s.flights[n.item.ID] = fl
+	e.flights = append(e.flights, fl)
+	invariant.Check(len(e.flights) <= e.Slots, invariant.SlotBound,
+		"endpoint %s has %d tasks in flight and %d slots", e.ID, len(e.flights), e.Slots)
+	k.inFlight++
+	s.stats.Started++
+	if spare {
+		s.speculation.take()
+		s.stats.Spare++
+	}
+	s.place(e)
+}
+
+// Done reports the end of an assignment. A second report of the same
+// assignment is ignored.
+func (s *Scheduler) Done(now time.Time, a Assignment, r Report) {
+	s.advance(now)
+	f := s.flights[a.Item.ID]
+	if f == nil || f.endpoint.ID != a.Endpoint {
+		return
+	}
+	delete(s.flights, a.Item.ID)
+	e := f.endpoint
+	e.dropFlight(f)
+	f.kind.inFlight--
+	f.caller.inFlight--
+	s.learn(now, f, r)
+	s.noteOutcome(now, f, r)
+	s.dropCaller(f.caller)
+	s.idle = false
+	s.place(e)
+}
--- /dev/null
+++ b/core/dispatch/timers.go
@@ -0,0 +1,68 @@
+package dispatch
+
+import (
+	"container/heap"
+	"time"
+)
+
+// timer is a time at which an endpoint's state changes without an event.
+type timer struct {
+	at       time.Time
+	endpoint *endpoint
+}
+
+type timerHeap []timer
+
+func (h timerHeap) Len() int           { return len(h) }
+func (h timerHeap) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
+func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *timerHeap) Push(x any) { *h = append(*h, x.(timer)) }
+
+// Pop implements heap.Interface.
+func (h *timerHeap) Pop() any {
+	old := *h
+	last := len(old) - 1
+	t := old[last]
+	old[last] = timer{}
+	*h = old[:last]
+	return t
+}
+
+func (s *Scheduler) wakeAt(at time.Time, e *endpoint) {
+	heap.Push(&s.timers, timer{at, e})
+}
+
+// advance moves the scheduler's clock, which never goes back, and applies what
+// is due: deadlines, trials and ended pauses.
+func (s *Scheduler) advance(now time.Time) {
+	if now.After(s.now) {
+		s.now = now
+	}
+	s.expire(s.now)
+	for len(s.timers) > 0 && !s.timers[0].at.After(s.now) {
+		t := heap.Pop(&s.timers).(timer)
+		if t.endpoint.removed() {
+			continue
+		}
+		s.idle = false
+		s.place(t.endpoint)
+	}
+}
+
+// NextWake returns when Next or Expired should be called without an event, for
+// a trial, a deadline or an ended pause. It is zero if there is none.
+func (s *Scheduler) NextWake(now time.Time) time.Time {
+	if len(s.expired) > 0 {
+		return now
+	}
+	var at time.Time
+	if len(s.queue.deadlines) > 0 {
+		at = s.queue.deadlines[0].item.Deadline
+	}
+	if len(s.timers) > 0 && s.queue.size > 0 && (at.IsZero() || s.timers[0].at.Before(at)) {
+		at = s.timers[0].at
+	}
+	return at
+}
--- /dev/null
+++ b/core/slots/slots.go
@@ -0,0 +1,143 @@
+// Package slots divides an agent's slots among entries in advance, so that an
+// entry starts a task with one round trip and without a probe. A grant is
+// advice: the agent's own rule stays that running tasks never exceed the slots.
+// Slots and grants are counts of tasks. The caller serialises all methods.
+package slots
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/core/invariant"
+)
+
+const (
+	// EntryLife is how long an entry without running tasks keeps its grant. It
+	// is longer than the time after which an entry stops using one, so that no
+	// slot is granted twice for long.
+	EntryLife = time.Second
+	// backlogHalfLife is the time in which a reported backlog counts half,
+	// because the entry may have sent it elsewhere since.
+	backlogHalfLife = 100 * time.Millisecond
+)
+
+// account is what the agent knows of one entry.
+type account struct {
+	entry   string
+	running int
+	backlog int
+	// told is the last grant that the entry was given.
+	told int
+	// seen is the time of the last start or end; asked that of the last start.
+	seen  time.Time
+	asked time.Time
+}
+
+// demand is the number of tasks that the entry could have in progress here.
+func (a *account) demand(now time.Time) int {
+	age := float64(max(now.Sub(a.asked), 0)) / float64(backlogHalfLife)
+	return a.running + int(float64(a.backlog)*math.Exp2(-age))
+}
+
+// Divider divides the slots of one agent.
+type Divider struct {
+	slots    int
+	accounts []*account
+}
+
+// New returns a Divider without entries.
+func New(slots int) *Divider {
+	return &Divider{slots: slots}
+}
+
+// Begin notes the start of a task of an entry, which has a backlog of tasks
+// waiting. The agent has checked that a slot is free.
+func (d *Divider) Begin(entry string, backlog int, now time.Time) {
+	a := d.touch(entry, now)
+	a.running++
+	a.backlog = backlog
+	a.asked = now
+}
+
+// Refused notes the backlog of an entry whose task found no free slot.
+func (d *Divider) Refused(entry string, backlog int, now time.Time) {
+	a := d.touch(entry, now)
+	a.backlog = backlog
+	a.asked = now
+}
+
+// End notes the end of a task of an entry.
+func (d *Divider) End(entry string, now time.Time) {
+	a := d.touch(entry, now)
+	invariant.Check(a.running > 0, invariant.InternalCounting, "entry %s ended more tasks than it began", entry)
+	a.running--
+}
+
+// Granted returns how many tasks an entry may have in progress, at least 1.
+// The sum over all entries never exceeds the slots plus the number of entries.
+// A grant rises only as far as the grants that other entries were last told
+// allow, because they may still use them.
+func (d *Divider) Granted(entry string, now time.Time) int {
+	a := d.touch(entry, now)
+	d.prune(now)
+	others := 0
+	for _, other := range d.accounts {
+		if other != a {
+			others += other.told
+		}
+	}
+	share, slack := d.share(a, now)
+	limit := d.slots + slack - others
+	a.told = max(1, min(share, limit, d.slots))
+	invariant.Check(others+a.told <= d.slots+len(d.accounts), invariant.InternalCounting,
+		"grants of %d tasks for %d slots and %d entries", others+a.told, d.slots, len(d.accounts))
+	return a.told
+}
+
+// Entries returns the number of entries that were active recently.
+func (d *Divider) Entries(now time.Time) int {
+	d.prune(now)
+	return len(d.accounts)
+}
+
+func (d *Divider) touch(entry string, now time.Time) *account {
+	for _, a := range d.accounts {
+		if a.entry == entry {
+			a.seen = now
+			return a
+		}
+	}
+	d.prune(now)
+	a := &account{entry: entry, told: 1, seen: now, asked: now}
+	d.accounts = append(d.accounts, a)
+	return a
+}
+
+// prune forgets entries that were silent for EntryLife.
+func (d *Divider) prune(now time.Time) {
+	d.accounts = slices.DeleteFunc(d.accounts, func(a *account) bool {
+		return a.running == 0 && now.Sub(a.seen) >= EntryLife
+	})
+}
+
+// share returns an entry's part of the slots: max-min fair by demand, the rest
+// in equal parts. The slack is how far grants may exceed the slots: one for
+// each entry while there is room, none when the demand fills the slots.
+func (d *Divider) share(a *account, now time.Time) (share, slack int) {
+	order := slices.Clone(d.accounts)
+	slices.SortStableFunc(order, func(x, y *account) int { return x.demand(now) - y.demand(now) })
+	left := d.slots
+	for i, other := range order {
+		part := min(max(1, other.demand(now)), max(left/(len(order)-i), 1))
+		left -= part
+		if other == a {
+			share = part
+		}
+	}
+	if left <= 0 {
+		return share, 0
+	}
+	n := len(d.accounts)
+	return share + (left+n-1)/n + 1, n
+}
