daemon/entry: jobs, calls, recovery and the callers' interface

Cause: the near end of the path from callers to endpoints. Change: the entry's tree: dispatcher around the scheduler, one peer for each agent, jobs with acceptance, retries, cancel and takeover, the HTTP interface.

--- /dev/null
+++ b/daemon/entry/await.go
@@ -0,0 +1,168 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/api/codec"
+	"github.com/cicadapulley/cicadapulley/api/rpc"
+	"github.com/cicadapulley/cicadapulley/core/job"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
+)
+
+const (
+	// remoteHold is how long another entry may hold a question about its job.
+	remoteHold = 10 * time.Second
+	// remotePause is the wait before a job's record is read again.
+	remotePause = 200 * time.Millisecond
+)
+
+// await returns the outcome of a submitted job, or nil if ctx ends before.
+func (m *jobs) await(ctx context.Context, j *activeJob) *job.Outcome {
+	j.mu.Lock()
+	existing := j.existing
+	j.mu.Unlock()
+	if existing != nil {
+		return m.awaitRecord(ctx, *existing)
+	}
+	select {
+	case <-j.done:
+		return j.published()
+	case <-j.moved:
+		return m.awaitRecord(ctx, j.record)
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// awaitRecord waits for the outcome of a job that another entry owns.
+func (m *jobs) awaitRecord(ctx context.Context, r job.Record) *job.Outcome {
+	for {
+		if r.State.Final() {
+			return r.Outcome
+		}
+		if o := m.askOwner(ctx, r); o != nil {
+			return o
+		}
+		wait(ctx, remotePause)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if next, found, _ := m.read(ctx, r.Key); found {
+			r = *next
+		}
+	}
+}
+
+// askOwner asks the owning entry for the outcome; nil if it has none.
+func (m *jobs) askOwner(ctx context.Context, r job.Record) *job.Outcome {
+	client := m.entryClient(r)
+	if client == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*remoteHold)
+	defer cancel()
+	resp, err := client.Await(ctx, &rpc.AwaitRequest{
+		Key:       codec.KeyToRPC(r.Key),
+		MaxWaitMs: remoteHold.Milliseconds(),
+		Clock:     m.log.Clock().Now(),
+	})
+	if err != nil || !resp.Known {
+		return nil
+	}
+	m.log.Clock().Observe(resp.Clock)
+	return codec.OutcomeFromRPC(resp.Outcome)
+}
+
+// entryClient reaches the owner of a job, nil if it is this process or gone.
+func (m *jobs) entryClient(r job.Record) rpc.Entry {
+	owner := m.service.members.Replica().Members[r.Owner]
+	if !owner.Active() || owner.ID == m.service.members.ID() || owner.Incarnation != r.OwnerIncarnation {
+		return nil
+	}
+	return rpc.NewEntryProtobufClient(m.service.opts.Security.Scheme()+"://"+owner.Address, m.service.entries)
+}
+
+// read reads a job's record from control.
+func (m *jobs) read(ctx context.Context, k job.Key) (r *job.Record, found bool, err error) {
+	resp, err := m.service.opts.Control.GetJob(ctx, &rpc.GetJobRequest{Key: codec.KeyToRPC(k)})
+	if err != nil || !resp.Found {
+		return nil, false, err
+	}
+	return codec.RecordFromRPC(resp.Record), true, nil
+}
+
+// cancel cancels a job that is active here. Repeats do nothing.
+func (m *jobs) cancel(j *activeJob) {
+	endpoints, first := j.setCancelled()
+	if !first {
+		return
+	}
+	m.log.Emit(events.Event{ID: events.JobCancelled, Job: j.record.Key})
+	m.service.dispatcher.remove(j.record.Key, cancelledError())
+	for _, id := range endpoints {
+		if p := m.service.peers.get(id); p != nil {
+			p.cancel(j.record.Key, j.record.Epoch, time.Until(j.record.Deadline))
+		}
+	}
+}
+
+// setCancelled marks the job and returns the endpoints that have its tasks.
+func (j *activeJob) setCancelled() (endpoints []string, first bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.cancelled || j.outcome != nil {
+		return nil, false
+	}
+	j.cancelled = true
+	for id := range j.sent {
+		endpoints = append(endpoints, id)
+	}
+	return endpoints, true
+}
+
+// cancelRemote asks the owning entry to cancel.
+func (m *jobs) cancelRemote(ctx context.Context, r job.Record) {
+	client := m.entryClient(r)
+	if client == nil {
+		return
+	}
+	// The caller reads the job's state afterwards and sees whether it worked.
+	_, _ = client.CancelJob(ctx, &rpc.CancelJobRequest{Key: codec.KeyToRPC(r.Key)})
+}
+
+// api is the entry's interface to other entries.
+type api struct {
+	jobs *jobs
+}
+
+// Await implements rpc.Entry.
+func (a *api) Await(ctx context.Context, q *rpc.AwaitRequest) (*rpc.AwaitResponse, error) {
+	a.jobs.log.Clock().Observe(q.Clock)
+	resp := &rpc.AwaitResponse{Clock: a.jobs.log.Clock().Now()}
+	j := a.jobs.find(codec.KeyFromRPC(q.Key))
+	if j == nil {
+		return resp, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(q.MaxWaitMs)*time.Millisecond)
+	defer cancel()
+	select {
+	case <-j.done:
+		resp.Known = true
+		resp.Outcome = codec.OutcomeToRPC(j.published())
+	case <-j.moved:
+	case <-ctx.Done():
+		resp.Known = true
+	}
+	return resp, nil
+}
+
+// CancelJob implements rpc.Entry.
+func (a *api) CancelJob(_ context.Context, q *rpc.CancelJobRequest) (*rpc.CancelJobResponse, error) {
+	j := a.jobs.find(codec.KeyFromRPC(q.Key))
+	if j == nil {
+		return &rpc.CancelJobResponse{}, nil
+	}
+	a.jobs.cancel(j)
+	return &rpc.CancelJobResponse{Known: true}, nil
+}
--- /dev/null
+++ b/daemon/entry/calls.go
@@ -0,0 +1,126 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/core/dispatch"
+	"github.com/cicadapulley/cicadapulley/core/job"
+	"github.com/cicadapulley/cicadapulley/core/state"
+	"github.com/cicadapulley/cicadapulley/core/verdict"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
+)
+
+// call is one request of a repeatable kind. It needs no record: the ticket
+// allows a second start.
+type call struct {
+	key      job.Key
+	service  string
+	kind     state.Kind
+	payload  []byte
+	deadline time.Time
+}
+
+// activeCall is a call in progress; the same request id joins it.
+type activeCall struct {
+	call   call
+	done   chan struct{}
+	result job.TaskResult
+}
+
+// call runs a repeatable call or joins the one in progress with the same id.
+func (m *jobs) call(ctx context.Context, c call, admit func() *verdict.Error) (job.TaskResult, *verdict.Error) {
+	a, mine, err := m.enterCall(c)
+	if err != nil {
+		return job.TaskResult{}, err
+	}
+	if mine {
+		m.runCall(a, admit)
+		return a.result, nil
+	}
+	select {
+	case <-a.done:
+		return a.result, nil
+	case <-ctx.Done():
+		return unknown(verdict.CodeUnavailable, "the request ended before the call it joined"), nil
+	}
+}
+
+func (m *jobs) enterCall(c call) (a *activeCall, mine bool, err *verdict.Error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	old := m.calls[c.key]
+	if old == nil {
+		a = &activeCall{call: c, done: make(chan struct{})}
+		m.calls[c.key] = a
+		return a, true, nil
+	}
+	same := old.call.service == c.service && old.call.kind.Name == c.kind.Name && bytes.Equal(old.call.payload, c.payload)
+	if !same {
+		return nil, false, conflict(c.key)
+	}
+	return old, false, nil
+}
+
+// runCall runs the call in the goroutine of its first request.
+func (m *jobs) runCall(a *activeCall, admit func() *verdict.Error) {
+	defer m.endCall(a)
+	a.result = unknown(verdict.CodeInternal, "the call did not end")
+	if refusal := admit(); refusal != nil {
+		a.result = refusedResult(refusal)
+		return
+	}
+	a.result = m.tryCall(a.call)
+	m.log.Emit(events.Event{ID: events.CallFinished, Job: a.call.key, Text: a.result.State.String()})
+}
+
+func (m *jobs) endCall(a *activeCall) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.calls, a.call.key)
+	close(a.done)
+}
+
+// tryCall sends the call until it ran or can't be tried again.
+func (m *jobs) tryCall(c call) job.TaskResult {
+	grants := make(chan grant, 1)
+	m.service.dispatcher.enqueue([]dispatch.Item{{
+		Job:        c.key,
+		Caller:     c.key.Caller,
+		Service:    c.service,
+		Kind:       c.kind.Name,
+		Needs:      c.kind.Needs,
+		Repeatable: true,
+		Enqueued:   time.Now(),
+		Deadline:   c.deadline,
+	}}, grants)
+	for try := 1; ; try++ {
+		g := <-grants
+		if g.err != nil {
+			return refusedResult(g.err)
+		}
+		result := m.sender.send(c.attempt(try), g.assignment)
+		again := result.Verdict != verdict.Ran && time.Now().Before(c.deadline)
+		if !again || !m.service.dispatcher.requeue(g.assignment.Item, g.assignment.Endpoint, grants) {
+			return result
+		}
+		m.log.Emit(events.Event{ID: events.TaskRetried, Job: c.key, Peer: g.assignment.Endpoint, Text: string(result.Code)})
+	}
+}
+
+// attempt gives each try a key of its own, since a repeatable call may start
+// again at an endpoint that started it before.
+func (c call) attempt(try int) attempt {
+	key := job.Key{Caller: c.key.Caller, ID: fmt.Sprintf("%s/%d", c.key.ID, try)}
+	return attempt{
+		key:        job.TaskKey{Job: key},
+		service:    c.service,
+		task:       job.Task{Kind: c.kind.Name, Payload: c.payload},
+		epoch:      1,
+		number:     1,
+		deadline:   c.deadline,
+		repeatable: true,
+	}
+}
--- /dev/null
+++ b/daemon/entry/dispatcher.go
@@ -0,0 +1,162 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/core/dispatch"
+	"github.com/cicadapulley/cicadapulley/core/invariant"
+	"github.com/cicadapulley/cicadapulley/core/job"
+	"github.com/cicadapulley/cicadapulley/core/verdict"
+)
+
+// grant is the dispatcher's answer to a queued task: an endpoint or an error.
+type grant struct {
+	task       int
+	assignment dispatch.Assignment
+	err        *verdict.Error
+}
+
+// dispatcher holds the entry's queue. It makes the scheduler's decisions
+// available to the goroutines of jobs. Its methods are safe for concurrent use.
+type dispatcher struct {
+	mu        sync.Mutex
+	scheduler *dispatch.Scheduler
+	lastID    uint64
+	// waiting maps an item's id to the channel of its job. The channel has
+	// room for all of the job's items, so a send never blocks.
+	waiting map[uint64]chan<- grant
+	timer   *time.Timer
+}
+
+func newDispatcher(o dispatch.Options) *dispatcher {
+	return &dispatcher{
+		scheduler: dispatch.New(o),
+		waiting:   map[uint64]chan<- grant{},
+		timer:     time.NewTimer(time.Hour),
+	}
+}
+
+// Run acts on times that the scheduler asks for, such as deadlines, until ctx ends.
+func (d *dispatcher) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.timer.C:
+			d.locked(func(time.Time) {})
+		}
+	}
+}
+
+// locked runs fn under the lock and starts what can start afterwards.
+func (d *dispatcher) locked(fn func(now time.Time)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	fn(now)
+	d.pump(now)
+}
+
+// pump hands out assignments and expiries. The caller holds mu.
+func (d *dispatcher) pump(now time.Time) {
+	for {
+		a, ok := d.scheduler.Next(now)
+		if !ok {
+			break
+		}
+		d.answer(a.Item, grant{task: a.Item.Task, assignment: a})
+	}
+	for _, item := range d.scheduler.Expired(now) {
+		err := verdict.Errorf(verdict.CodeDeadline, verdict.NotRun, "no endpoint was free before the deadline")
+		d.answer(item, grant{task: item.Task, err: err})
+	}
+	if wake := d.scheduler.NextWake(now); !wake.IsZero() {
+		d.timer.Reset(wake.Sub(now))
+	}
+}
+
+// answer resolves one item. The caller holds mu.
+func (d *dispatcher) answer(item dispatch.Item, g grant) {
+	queue, ok := d.waiting[item.ID]
+	invariant.Check(ok, invariant.InternalCounting, "item %d was answered twice", item.ID)
+	delete(d.waiting, item.ID)
+	queue <- g
+}
+
+// admit checks a whole job against room, quota and deadline.
+func (d *dispatcher) admit(caller, service string, kinds []dispatch.KindCount, deadline time.Time, quota int64) *verdict.Error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.Admit(time.Now(), caller, service, kinds, deadline, quota)
+}
+
+// enqueue queues items; each gets one grant on the channel.
+func (d *dispatcher) enqueue(items []dispatch.Item, grants chan<- grant) {
+	d.locked(func(now time.Time) {
+		for i := range items {
+			d.register(&items[i], grants)
+		}
+		d.scheduler.Enqueue(now, items)
+	})
+}
+
+// register gives an item its id. The caller holds mu.
+func (d *dispatcher) register(item *dispatch.Item, grants chan<- grant) {
+	d.lastID++
+	item.ID = d.lastID
+	d.waiting[item.ID] = grants
+}
+
+// requeue queues an item again after NotRun, away from the endpoint that
+// refused it. It reports false when the retry budget is spent.
+func (d *dispatcher) requeue(item dispatch.Item, endpoint string, grants chan<- grant) bool {
+	granted := false
+	d.locked(func(now time.Time) {
+		item.Avoid = append(item.Avoid[:len(item.Avoid):len(item.Avoid)], endpoint)
+		d.register(&item, grants)
+		granted = d.scheduler.Requeue(now, item)
+		if !granted {
+			delete(d.waiting, item.ID)
+		}
+	})
+	return granted
+}
+
+// done reports the end of an assignment.
+func (d *dispatcher) done(a dispatch.Assignment, r dispatch.Report) {
+	d.locked(func(now time.Time) { d.scheduler.Done(now, a, r) })
+}
+
+// remove takes a job's queued items out; each gets a grant with err.
+func (d *dispatcher) remove(k job.Key, err *verdict.Error) {
+	d.locked(func(time.Time) {
+		for _, item := range d.scheduler.Remove(k) {
+			d.answer(item, grant{task: item.Task, err: err})
+		}
+	})
+}
+
+// configure passes members and configuration to the scheduler.
+func (d *dispatcher) configure(endpoints []dispatch.Endpoint, weights map[string]int64, maxQueued int) {
+	d.locked(func(now time.Time) {
+		d.scheduler.SetMaxQueued(maxQueued)
+		d.scheduler.SetWeights(weights)
+		d.scheduler.SetEndpoints(now, endpoints)
+	})
+}
+
+// queued returns the number of tasks that wait.
+func (d *dispatcher) queued() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.Queued()
+}
+
+// status returns the scheduler's state for operators.
+func (d *dispatcher) status() dispatch.Status {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.Snapshot()
+}
--- /dev/null
+++ b/daemon/entry/entry.go
@@ -0,0 +1,184 @@
+// Package entry takes jobs and calls from callers and sends their tasks to
+// agents. Parent: the root of role entry. Children, rest-for-one in this
+// order: membership, dispatcher, peers (one for each agent), jobs, api (other
+// entries), callers (HTTP). State: the queue, jobs in progress and estimates,
+// in memory; after a crash another entry takes the recorded jobs over.
+package entry
+
+import (
+	"context"
+	"hash/fnv"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/api/controlclient"
+	"github.com/cicadapulley/cicadapulley/api/rpc"
+	"github.com/cicadapulley/cicadapulley/core/dispatch"
+	"github.com/cicadapulley/cicadapulley/core/state"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
+	"github.com/cicadapulley/cicadapulley/daemon/membership"
+	"github.com/cicadapulley/cicadapulley/daemon/settings"
+	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
+	"github.com/cicadapulley/cicadapulley/daemon/transport"
+)
+
+// leaveTimeout bounds the farewell to control at a planned stop.
+const leaveTimeout = 2 * time.Second
+
+// Options are what an entry needs from its daemon.
+type Options struct {
+	Settings settings.Entry
+	Network  transport.Network
+	Control  *controlclient.Client
+	Log      *events.Log
+	// Listener serves other entries; Callers serves callers.
+	Listener net.Listener
+	Callers  net.Listener
+	Security transport.Security
+}
+
+// Service is an entry.
+type Service struct {
+	opts       Options
+	members    *membership.Service
+	dispatcher *dispatcher
+	peers      *peers
+	jobs       *jobs
+	// entries reaches other entries.
+	entries  *http.Client
+	draining atomic.Bool
+}
+
+// New returns an entry; Run starts it.
+func New(o Options) *Service {
+	s := &Service{opts: o}
+	s.dispatcher = newDispatcher(dispatch.Options{
+		Strategy:   strategy(o.Settings.Dispatch),
+		DataCentre: o.Settings.DataCentre,
+		Seed:       seed(o.Settings.ID),
+	})
+	s.members = membership.New(o.Control, o.Log, member(o), s.recoverAll)
+	s.peers = &peers{
+		members:    s.members,
+		dispatcher: s.dispatcher,
+		log:        o.Log,
+		network:    o.Network,
+		security:   o.Security,
+		group:      supervisor.NewGroup("entry/peers", o.Log),
+		byID:       map[string]*peer{},
+	}
+	s.entries = transport.NewClient(transport.ClientOptions{Network: o.Network, TLS: o.Security.ClientConfig()})
+	s.jobs = newJobs(s)
+	return s
+}
+
+func strategy(name string) dispatch.Strategy {
+	for _, s := range []dispatch.Strategy{dispatch.Random, dispatch.TwoChoices} {
+		if s.String() == name {
+			return s
+		}
+	}
+	return dispatch.Grants
+}
+
+// seed differs between entries, so that they don't make the same choices.
+func seed(id string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(id))
+	return h.Sum64()
+}
+
+func member(o Options) state.Member {
+	address := o.Settings.Advertise
+	if address == "" {
+		address = o.Listener.Addr().String()
+	}
+	return state.Member{
+		ID:         o.Settings.ID,
+		Role:       state.RoleEntry,
+		Address:    address,
+		DataCentre: o.Settings.DataCentre,
+		Rack:       o.Settings.Rack,
+	}
+}
+
+// WaitReady blocks until the entry would accept a job.
+func (s *Service) WaitReady(ctx context.Context) error { return s.members.WaitReady(ctx) }
+
+// Ready reports whether the balancer should send callers here.
+func (s *Service) Ready() bool {
+	return !s.draining.Load() && s.members.LeaseValid() && s.members.Replica().Revision > 0
+}
+
+// Members returns the entry's membership, for its operations page.
+func (s *Service) Members() *membership.Service { return s.members }
+
+// Status returns the scheduler's state, for its operations page.
+func (s *Service) Status() dispatch.Status { return s.dispatcher.status() }
+
+// Run serves until ctx ends, then drains: readiness goes first, the balancer
+// is waited for, open requests and jobs end, and the lease is given back last.
+func (s *Service) Run(ctx context.Context) error {
+	stop := s.opts.Settings.Drain() + s.opts.Settings.BalancerWait() + leaveTimeout
+	tree := supervisor.New("entry", supervisor.Options{
+		Strategy:    supervisor.RestForOne,
+		Observer:    s.opts.Log,
+		StopTimeout: stop,
+	})
+	tree.Add(supervisor.Child{Name: "membership", Run: s.runMembership})
+	tree.Add(supervisor.Child{Name: "dispatcher", Run: s.dispatcher.Run})
+	tree.Add(supervisor.Child{Name: "peers", Run: s.peers.Run})
+	tree.Add(supervisor.Child{Name: "jobs", Run: s.jobs.Run})
+	tree.Add(supervisor.Child{Name: "api", Run: s.serveEntries})
+	tree.Add(supervisor.Child{Name: "callers", Run: s.serveCallers})
+	return tree.Run(ctx)
+}
+
+// runMembership gives the lease back when everything after it has stopped.
+func (s *Service) runMembership(ctx context.Context) error {
+	err := s.members.Run(ctx)
+	farewell, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
+	defer cancel()
+	if leaveErr := s.members.Leave(farewell); leaveErr != nil {
+		s.opts.Log.Emit(events.Event{ID: events.LeaseRenewFailed, Text: "planned stop", Err: leaveErr})
+	}
+	return err
+}
+
+func (s *Service) serveEntries(ctx context.Context) error {
+	mux := http.NewServeMux()
+	server := rpc.NewEntryServer(&api{jobs: s.jobs})
+	mux.Handle(server.PathPrefix(), s.opts.Security.Require(transport.RoleEntry, server))
+	srv := transport.NewServer(transport.Recover(s.opts.Log, mux), s.opts.Security.ServerConfig())
+	return transport.Serve(ctx, srv, s.opts.Listener, s.opts.Settings.Drain())
+}
+
+// serveCallers withdraws readiness and waits for the balancer before it stops
+// taking connections.
+func (s *Service) serveCallers(ctx context.Context) error {
+	s.draining.Store(false)
+	front := &front{service: s, jobs: s.jobs, settings: s.opts.Settings}
+	srv := transport.NewServer(transport.Recover(s.opts.Log, front.routes()), nil)
+	l := transport.LimitListener(s.opts.Callers, s.opts.Settings.ConnectionLimit())
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go func() {
+		<-ctx.Done()
+		s.startDrain(serving)
+		stop()
+	}()
+	return transport.Serve(serving, srv, l, s.opts.Settings.Drain())
+}
+
+func (s *Service) startDrain(ctx context.Context) {
+	s.draining.Store(true)
+	s.opts.Log.Emit(events.Event{ID: events.ProcessDraining})
+	bounded, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := s.members.Drain(bounded); err != nil {
+		s.opts.Log.Emit(events.Event{ID: events.LeaseRenewFailed, Text: "planned stop", Err: err})
+	}
+	wait(ctx, s.opts.Settings.BalancerWait())
+}
--- /dev/null
+++ b/daemon/entry/frontcall.go
@@ -0,0 +1,123 @@
+package entry
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/cicadapulley/cicadapulley/api/callers"
+	"github.com/cicadapulley/cicadapulley/core/job"
+	"github.com/cicadapulley/cicadapulley/core/state"
+	"github.com/cicadapulley/cicadapulley/core/verdict"
+)
+
+// callPrefix keeps the ids of calls apart from those of jobs.
+const callPrefix = "call:"
+
+// call serves one request. A repeatable kind needs no record; any other is a
+// job of one task, so that it runs at most once over resubmissions.
+func (f *front) call(w http.ResponseWriter, q *http.Request, p httprouter.Params) {
+	body, err := f.body(w, q)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	c, err := f.parseCall(q, p, body)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	if c.kind.Repeatable {
+		f.callRepeatable(w, q, c)
+		return
+	}
+	f.callOnce(w, q, c)
+}
+
+func (f *front) parseCall(q *http.Request, p httprouter.Params, body []byte) (call, *verdict.Error) {
+	c := call{
+		key:     job.Key{Caller: q.Header.Get(callers.HeaderCaller), ID: callPrefix + q.Header.Get(callers.HeaderRequestID)},
+		service: p.ByName("service"),
+	}
+	if err := checkName(callers.HeaderCaller, c.key.Caller); err != nil {
+		return c, err
+	}
+	if err := checkName(callers.HeaderRequestID, q.Header.Get(callers.HeaderRequestID)); err != nil {
+		return c, err
+	}
+	ms, convErr := strconv.ParseInt(q.Header.Get(callers.HeaderDeadlineMS), 10, 64)
+	if convErr != nil {
+		return c, badRequest("%s must be a number of milliseconds", callers.HeaderDeadlineMS)
+	}
+	deadline, err := parseDeadline(callers.HeaderDeadlineMS, ms, f.settings.DeadlineLimit())
+	if err != nil {
+		return c, err
+	}
+	c.deadline = time.Now().Add(deadline)
+	if c.payload, err = parsePayload(body); err != nil {
+		return c, err
+	}
+	c.kind, err = f.kindOf(c.service, p.ByName("kind"))
+	return c, err
+}
+
+func (f *front) kindOf(serviceName, kindName string) (state.Kind, *verdict.Error) {
+	service, err := findService(f.service.members.Replica(), serviceName)
+	if err != nil {
+		return state.Kind{}, err
+	}
+	return findKind(service, kindName)
+}
+
+func (f *front) callRepeatable(w http.ResponseWriter, q *http.Request, c call) {
+	record := c.record()
+	result, err := f.jobs.call(q.Context(), c, func() *verdict.Error { return f.service.admit(record) })
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	writeCallResult(w, result)
+}
+
+// record is the call as a job of one task.
+func (c call) record() job.Record {
+	tasks := []job.Task{{Kind: c.kind.Name, Payload: c.payload}}
+	return job.Record{
+		Key:      c.key,
+		Service:  c.service,
+		Tasks:    tasks,
+		Deadline: c.deadline,
+		// The deadline is left out: a caller that repeats a call may give it less time.
+		Digest: digest(c.service, 0, tasks),
+	}
+}
+
+func (f *front) callOnce(w http.ResponseWriter, q *http.Request, c call) {
+	record := c.record()
+	j, err := f.jobs.submit(q.Context(), record, func() *verdict.Error { return f.service.admit(record) })
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	outcome := f.jobs.await(q.Context(), j)
+	if outcome == nil || len(outcome.Results) != 1 {
+		refuse(w, verdict.Errorf(verdict.CodeUnavailable, verdict.MayHaveRun, "the request ended before its answer"))
+		return
+	}
+	writeCallResult(w, outcome.Results[0])
+}
+
+// writeCallResult answers with the endpoint's output alone, or with a refusal.
+func writeCallResult(w http.ResponseWriter, r job.TaskResult) {
+	w.Header().Set(callers.HeaderVerdict, r.Verdict.String())
+	if r.State != job.TaskDone {
+		refuse(w, &verdict.Error{Code: r.Code, Verdict: r.Verdict, Message: r.Message})
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(r.Output)))
+	w.WriteHeader(http.StatusOK)
+	_, _ = w.Write(r.Output) // a broken connection is the caller's to notice
+}
--- /dev/null
+++ b/daemon/entry/jobs.go
@@ -0,0 +1,356 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cicadapulley/cicadapulley/api/codec"
+	"github.com/cicadapulley/cicadapulley/api/controlclient"
+	"github.com/cicadapulley/cicadapulley/api/rpc"
+	"github.com/cicadapulley/cicadapulley/core/invariant"
+	"github.com/cicadapulley/cicadapulley/core/job"
+	"github.com/cicadapulley/cicadapulley/core/state"
+	"github.com/cicadapulley/cicadapulley/core/verdict"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
+	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
+)
+
+const (
+	// acceptTimeout bounds the wait for the record of a job. An election takes
+	// less than this.
+	acceptTimeout = 5 * time.Second
+	// finishPause is the wait before an outcome is offered to control again.
+	finishPause = 500 * time.Millisecond
+)
+
+// activeJob is a job that this entry owns, or tries to.
+type activeJob struct {
+	record job.Record
+	// accepted closes when control has answered; then refusal or remote may be set.
+	accepted chan struct{}
+	// done closes when the outcome is set.
+	done chan struct{}
+	// moved closes when another entry decides the outcome.
+	moved chan struct{}
+
+	mu      sync.Mutex
+	refusal *verdict.Error
+	// existing is set if the job is not run here: another entry owns it, or it
+	// is finished.
+	existing  *job.Record
+	epoch     uint64
+	cancelled bool
+	outcome   *job.Outcome
+	// sent counts the tasks in flight at each endpoint.
+	sent map[string]int
+}
+
+func newActiveJob(r job.Record) *activeJob {
+	return &activeJob{
+		record:   r,
+		accepted: make(chan struct{}),
+		done:     make(chan struct{}),
+		moved:    make(chan struct{}),
+		sent:     map[string]int{},
+	}
+}
+
+// jobs holds the jobs that this entry owns. Its methods are safe for
+// concurrent use.
+type jobs struct {
+	service *Service
+	sender  *sender
+	log     *events.Log
+
+	mu     sync.Mutex
+	active map[job.Key]*activeJob
+	calls  map[job.Key]*activeCall
+	// idle is closed and replaced each time a job is forgotten.
+	idle chan struct{}
+	// background ends after the drain; work of jobs that outlives their
+	// requests runs under it.
+	background context.Context
+	stop       context.CancelFunc
+}
+
+func newJobs(s *Service) *jobs {
+	background, stop := context.WithCancel(context.Background())
+	return &jobs{
+		service:    s,
+		sender:     &sender{peers: s.peers, dispatcher: s.dispatcher, log: s.opts.Log, entryID: s.opts.Settings.ID},
+		log:        s.opts.Log,
+		active:     map[job.Key]*activeJob{},
+		calls:      map[job.Key]*activeCall{},
+		idle:       make(chan struct{}),
+		background: background,
+		stop:       stop,
+	}
+}
+
+// Run keeps the jobs until ctx ends, then waits until all have ended and their
+// outcomes are recorded, within the bound of the drain.
+func (m *jobs) Run(ctx context.Context) error {
+	defer m.stop()
+	<-ctx.Done()
+	bounded, cancel := context.WithTimeout(m.background, m.service.opts.Settings.Drain())
+	defer cancel()
+	m.waitIdle(bounded)
+	return nil
+}
+
+func (m *jobs) waitIdle(ctx context.Context) {
+	for {
+		m.mu.Lock()
+		left, idle := len(m.active), m.idle
+		m.mu.Unlock()
+		if left == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-idle:
+		}
+	}
+}
+
+// spawn runs fn in a goroutine whose panic becomes an event. A job whose
+// goroutine broke never answers, so that no wrong answer leaves.
+func (m *jobs) spawn(name string, fn func()) {
+	go func() {
+		_ = supervisor.Guard(m.log, "entry/jobs/"+name, func() error { fn(); return nil })
+	}()
+}
+
+// submit accepts a job or joins the one with the same key. The returned job is
+// in m.active or has existing set.
+func (m *jobs) submit(ctx context.Context, r job.Record, admit func() *verdict.Error) (*activeJob, *verdict.Error) {
+	j, mine, err := m.enter(r)
+	if err != nil {
+		return nil, err
+	}
+	if mine {
+		// The caller may go away; the job is settled all the same.
+		m.spawn("accept", func() { m.accept(j, admit) })
+	}
+	select {
+	case <-j.accepted:
+	case <-ctx.Done():
+		return nil, verdict.Errorf(verdict.CodeUnavailable, verdict.MayHaveRun, "the request ended before the job was recorded")
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j, j.refusal
+}
+
+// enter finds the active job of a key or adds one.
+func (m *jobs) enter(r job.Record) (j *activeJob, mine bool, err *verdict.Error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if old := m.active[r.Key]; old != nil {
+		if old.record.Digest != r.Digest {
+			return nil, false, conflict(r.Key)
+		}
+		m.log.Emit(events.Event{ID: events.JobJoined, Job: r.Key})
+		return old, false, nil
+	}
+	j = newActiveJob(r)
+	m.active[r.Key] = j
+	return j, true, nil
+}
+
+func conflict(k job.Key) *verdict.Error {
+	return verdict.Errorf(verdict.CodeConflict, verdict.NotRun, "id %q of caller %q belongs to another submission", k.ID, k.Caller)
+}
+
+// accept asks for admission, records the job and runs it.
+func (m *jobs) accept(j *activeJob, admit func() *verdict.Error) {
+	if refusal := admit(); refusal != nil {
+		m.refuseUnlessKnown(j, refusal)
+		return
+	}
+	j.record.Owner = m.service.members.ID()
+	j.record.OwnerIncarnation = m.service.members.Incarnation()
+	resp, err := m.propose(j)
+	if err != nil {
+		m.unsettled(j, err)
+		return
+	}
+	m.settle(j, resp)
+}
+
+// refuseUnlessKnown refuses a job, unless an earlier submission of it is
+// recorded: then NotRun would be false, and the recorded job is answered.
+func (m *jobs) refuseUnlessKnown(j *activeJob, refusal *verdict.Error) {
+	ctx, cancel := context.WithTimeout(m.background, acceptTimeout)
+	defer cancel()
+	record, found, err := m.read(ctx, j.record.Key)
+	switch {
+	case err != nil:
+		e := *refusal
+		e.Verdict = verdict.MayHaveRun
+		m.refuse(j, &e)
+	case !found:
+		m.refuse(j, refusal)
+	default:
+		m.join(j, record)
+	}
+}
+
+func (m *jobs) propose(j *activeJob) (*rpc.AcceptJobResponse, error) {
+	ctx, cancel := context.WithTimeout(m.background, acceptTimeout)
+	defer cancel()
+	resp, err := m.service.opts.Control.AcceptJob(ctx, &rpc.AcceptJobRequest{
+		Record: codec.RecordToRPC(&j.record),
+		Clock:  m.log.Clock().Now(),
+	})
+	if err == nil {
+		m.log.Clock().Observe(resp.Clock)
+	}
+	return resp, err
+}
+
+// settle acts on control's answer.
+func (m *jobs) settle(j *activeJob, resp *rpc.AcceptJobResponse) {
+	record := codec.RecordFromRPC(resp.Record)
+	switch state.AcceptStatus(resp.Status) {
+	case state.Accepted:
+		m.start(j, record)
+	case state.Existing:
+		if m.ownProposal(j, record) {
+			m.start(j, record)
+			return
+		}
+		m.join(j, record)
+	case state.Conflicting:
+		m.refuse(j, conflict(j.record.Key))
+	default:
+		m.refuse(j, verdict.Errorf(verdict.CodeUnavailable, verdict.NotRun, "the entry's lease has ended").After(time.Second))
+	}
+}
+
+// ownProposal reports whether the record is this submission's own, proposed by
+// an earlier call whose answer was lost. Jobs of this entry stay active until
+// their outcome is recorded, so a running one that is not active was never started.
+func (m *jobs) ownProposal(j *activeJob, r *job.Record) bool {
+	return !r.State.Final() && r.Epoch == 1 &&
+		r.Owner == j.record.Owner && r.OwnerIncarnation == j.record.OwnerIncarnation
+}
+
+// start runs an accepted job in this goroutine.
+func (m *jobs) start(j *activeJob, r *job.Record) {
+	m.log.Emit(events.Event{ID: events.JobAccepted, Job: r.Key})
+	j.mu.Lock()
+	j.record = *r
+	j.epoch = r.Epoch
+	j.mu.Unlock()
+	close(j.accepted)
+	m.runJob(j, *r, nil)
+}
+
+// join answers from a record that exists already.
+func (m *jobs) join(j *activeJob, r *job.Record) {
+	if r.Digest != j.record.Digest {
+		m.refuse(j, conflict(j.record.Key))
+		return
+	}
+	m.log.Emit(events.Event{ID: events.JobJoined, Job: r.Key})
+	j.mu.Lock()
+	j.existing = r
+	j.mu.Unlock()
+	m.forget(j)
+	close(j.accepted)
+}
+
+func (m *jobs) refuse(j *activeJob, e *verdict.Error) {
+	m.log.Emit(events.Event{ID: events.JobRefused, Job: j.record.Key, Text: string(e.Code)})
+	j.mu.Lock()
+	j.refusal = e
+	j.mu.Unlock()
+	m.forget(j)
+	close(j.accepted)
+}
+
+// forget removes a job from the active ones.
+func (m *jobs) forget(j *activeJob) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.active[j.record.Key] != j {
+		return
+	}
+	delete(m.active, j.record.Key)
+	close(m.idle)
+	m.idle = make(chan struct{})
+}
+
+// find returns the active job of a key, nil if there is none.
+func (m *jobs) find(k job.Key) *activeJob {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.active[k]
+}
+
+// publish sets the outcome once and lets everyone read it.
+func (m *jobs) publish(j *activeJob, o job.Outcome) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	invariant.Check(j.outcome == nil, invariant.WholeAnswer, "job %s has two outcomes", j.record.Key)
+	j.outcome = &o
+	close(j.done)
+	m.log.Emit(events.Event{ID: events.JobFinished, Job: j.record.Key, Text: o.State.String()})
+}
+
+// move hands the job's waiters over to the entry that decides the outcome.
+func (m *jobs) move(j *activeJob) {
+	m.forget(j)
+	close(j.moved)
+}
+
+// unsettled refuses a job whose proposal got no answer. If control may have
+// taken it, the record may exist, and NotRun can't be promised: the entry keeps
+// asking and ends the job without starting it.
+func (m *jobs) unsettled(j *activeJob, err error) {
+	refusal := verdict.Errorf(verdict.CodeUnavailable, verdict.NotRun, "the job could not be recorded: %v", err).After(time.Second)
+	var noLeader *controlclient.ErrNoLeader
+	if errors.As(err, &noLeader) && !noLeader.MaybeApplied {
+		m.refuse(j, refusal)
+		return
+	}
+	refusal.Verdict = verdict.MayHaveRun
+	j.mu.Lock()
+	j.refusal = refusal
+	j.mu.Unlock()
+	close(j.accepted)
+	m.endUnsettled(j)
+	m.move(j)
+}
+
+// endUnsettled proposes the job until control answers and, if it was accepted
+// for this entry, records that none of its tasks ran.
+func (m *jobs) endUnsettled(j *activeJob) {
+	for m.background.Err() == nil {
+		resp, err := m.propose(j)
+		if err != nil {
+			wait(m.background, finishPause)
+			continue
+		}
+		record := codec.RecordFromRPC(resp.Record)
+		accepted := state.AcceptStatus(resp.Status) == state.Accepted
+		if accepted || (record != nil && m.ownProposal(j, record)) {
+			m.record(j, *record, nothingRan(len(record.Tasks)))
+		}
+		return
+	}
+}
+
+// nothingRan is the outcome of a job that was recorded but never started.
+func nothingRan(tasks int) job.Outcome {
+	results := make([]job.TaskResult, tasks)
+	for i := range results {
+		results[i] = notRun(verdict.CodeUnavailable, "the job was not recorded in time")
+	}
+	return job.NewOutcome(results)
+}
--- /dev/null
+++ b/daemon/entry/peers.go
@@ -0,0 +1,191 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/api/codec"
+	"github.com/cicadapulley/cicadapulley/api/rpc"
+	"github.com/cicadapulley/cicadapulley/core/dispatch"
+	"github.com/cicadapulley/cicadapulley/core/job"
+	"github.com/cicadapulley/cicadapulley/core/state"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
+	"github.com/cicadapulley/cicadapulley/daemon/membership"
+	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
+	"github.com/cicadapulley/cicadapulley/daemon/transport"
+)
+
+const (
+	// cancelWindow gathers the cancels of a wave into one message an agent.
+	cancelWindow = 5 * time.Millisecond
+	// cancelTimeout bounds one cancel message. A lost one only costs work.
+	cancelTimeout = time.Second
+	// cancelQueue bounds the cancels that wait for one agent.
+	cancelQueue = 4096
+)
+
+// peer is one agent as this entry reaches it.
+type peer struct {
+	member  state.Member
+	client  *http.Client
+	agent   rpc.Agent
+	cancels chan *rpc.CancelRef
+	log     *events.Log
+}
+
+// Run sends cancels to the agent, a wave in one message, until ctx ends.
+func (p *peer) Run(ctx context.Context) error {
+	p.log.Emit(events.Event{ID: events.PeerConnected, Peer: p.member.ID})
+	defer p.client.CloseIdleConnections()
+	for {
+		select {
+		case <-ctx.Done():
+			p.log.Emit(events.Event{ID: events.PeerLost, Peer: p.member.ID})
+			return nil
+		case first := <-p.cancels:
+			p.sendCancels(ctx, p.gather(first))
+		}
+	}
+}
+
+// gather waits for the rest of a wave.
+func (p *peer) gather(first *rpc.CancelRef) []*rpc.CancelRef {
+	wave := []*rpc.CancelRef{first}
+	timer := time.NewTimer(cancelWindow)
+	defer timer.Stop()
+	for {
+		select {
+		case next := <-p.cancels:
+			wave = append(wave, next)
+		case <-timer.C:
+			return wave
+		}
+	}
+}
+
+func (p *peer) sendCancels(ctx context.Context, wave []*rpc.CancelRef) {
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
+	// A cancel that is lost leaves its tasks running to their end, which is allowed.
+	_, _ = p.agent.Cancel(ctx, &rpc.CancelRequest{Jobs: wave, Clock: p.log.Clock().Now()})
+}
+
+// cancel queues a job's cancel for the agent. A full queue drops it.
+func (p *peer) cancel(k job.Key, epoch uint64, left time.Duration) {
+	ref := &rpc.CancelRef{Job: codec.KeyToRPC(k), Epoch: epoch, TimeoutMs: left.Milliseconds()}
+	select {
+	case p.cancels <- ref:
+	default:
+	}
+}
+
+// peers follows the membership: one peer for each active agent.
+type peers struct {
+	members    *membership.Service
+	dispatcher *dispatcher
+	log        *events.Log
+	network    transport.Network
+	security   transport.Security
+	group      *supervisor.Group
+
+	mu   sync.RWMutex
+	byID map[string]*peer
+}
+
+// Run follows the membership until ctx ends.
+func (ps *peers) Run(ctx context.Context) error {
+	defer ps.group.StopAll()
+	for {
+		changed := ps.members.Changed()
+		ps.update(ctx, ps.members.Replica())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+// update starts and stops peers and configures the dispatcher.
+func (ps *peers) update(ctx context.Context, r *state.Replica) {
+	ps.mu.Lock()
+	for id, p := range ps.byID {
+		if m := r.Members[id]; m.Active() && m.Incarnation == p.member.Incarnation {
+			continue
+		}
+		ps.group.Stop(id)
+		delete(ps.byID, id)
+	}
+	for id, m := range r.Members {
+		if m.Role != state.RoleAgent || !m.Active() || ps.byID[id] != nil {
+			continue
+		}
+		p := ps.newPeer(m)
+		ps.byID[id] = p
+		ps.group.Start(ctx, id, p.Run)
+	}
+	ps.mu.Unlock()
+	ps.dispatcher.configure(endpoints(r), weights(r), int(r.Config.Limits.MaxQueued))
+}
+
+func (ps *peers) newPeer(m state.Member) *peer {
+	client := transport.NewClient(transport.ClientOptions{Network: ps.network, TLS: ps.security.ClientConfig()})
+	return &peer{
+		member:  m,
+		client:  client,
+		agent:   rpc.NewAgentProtobufClient(ps.security.Scheme()+"://"+m.Address, client),
+		cancels: make(chan *rpc.CancelRef, cancelQueue),
+		log:     ps.log,
+	}
+}
+
+// get returns the peer of an endpoint, nil if it is gone.
+func (ps *peers) get(id string) *peer {
+	ps.mu.RLock()
+	defer ps.mu.RUnlock()
+	return ps.byID[id]
+}
+
+// all returns the peers of all active agents.
+func (ps *peers) all() []*peer {
+	ps.mu.RLock()
+	defer ps.mu.RUnlock()
+	list := make([]*peer, 0, len(ps.byID))
+	for _, p := range ps.byID {
+		list = append(list, p)
+	}
+	return list
+}
+
+// endpoints translates members for the scheduler. A draining member or one
+// with a drain mark stays listed, so that its tasks in flight are counted.
+func endpoints(r *state.Replica) []dispatch.Endpoint {
+	var list []dispatch.Endpoint
+	for _, m := range r.Members {
+		if m.Role != state.RoleAgent || !m.Active() {
+			continue
+		}
+		list = append(list, dispatch.Endpoint{
+			ID:         m.ID,
+			Slots:      m.Slots,
+			DataCentre: m.DataCentre,
+			Rack:       m.Rack,
+			Capacity:   m.Resources,
+			Serves:     m.Serves,
+			Drain:      m.State == state.MemberDraining || r.Config.Drains[m.ID].Drain,
+		})
+	}
+	return list
+}
+
+func weights(r *state.Replica) map[string]int64 {
+	list := map[string]int64{}
+	for caller, q := range r.Config.Quotas {
+		if q.Weight > 0 {
+			list[caller] = q.Weight
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/daemon/entry/run.go
@@ -0,0 +1,235 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/cicadapulley/cicadapulley/api/codec"
+	"github.com/cicadapulley/cicadapulley/api/rpc"
+	"github.com/cicadapulley/cicadapulley/core/dispatch"
+	"github.com/cicadapulley/cicadapulley/core/job"
+	"github.com/cicadapulley/cicadapulley/core/verdict"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
+)
+
+// runJob runs a job's tasks, publishes the outcome and records it. known holds
+// results of tasks that a takeover found; nil entries are run.
+func (m *jobs) runJob(j *activeJob, r job.Record, known []*job.TaskResult) {
+	results := m.runTasks(j, r, known)
+	outcome := job.NewOutcome(results)
+	if j.isCancelled() && outcome.State != job.Complete {
+		outcome.State = job.Cancelled
+		outcome.Code = verdict.CodeCancelled
+	}
+	m.conclude(j, r, outcome)
+}
+
+// runTasks queues the tasks that are not known and collects all results.
+func (m *jobs) runTasks(j *activeJob, r job.Record, known []*job.TaskResult) []job.TaskResult {
+	results := make([]job.TaskResult, len(r.Tasks))
+	items := m.items(r, known, results)
+	grants := make(chan grant, len(items))
+	m.service.dispatcher.enqueue(items, grants)
+	if j.isCancelled() {
+		m.service.dispatcher.remove(r.Key, cancelledError())
+	}
+	var tasks conc.WaitGroup
+	for range items {
+		g := <-grants
+		tasks.Go(func() { results[g.task] = m.runTask(j, r, g) })
+	}
+	tasks.Wait()
+	return results
+}
+
+// items lists the tasks to run and copies the known results.
+func (m *jobs) items(r job.Record, known []*job.TaskResult, results []job.TaskResult) []dispatch.Item {
+	service := m.service.members.Replica().Config.Services[r.Service]
+	now := time.Now()
+	var items []dispatch.Item
+	for i, t := range r.Tasks {
+		if known != nil && known[i] != nil {
+			results[i] = *known[i]
+			continue
+		}
+		kind, _ := service.Kind(t.Kind)
+		items = append(items, dispatch.Item{
+			Job:      r.Key,
+			Task:     i,
+			Caller:   r.Key.Caller,
+			Service:  r.Service,
+			Kind:     t.Kind,
+			Needs:    kind.Needs,
+			Enqueued: now,
+			Deadline: r.Deadline,
+		})
+	}
+	return items
+}
+
+// runTask sends one task until it ran, may have run, or can't be tried again.
+func (m *jobs) runTask(j *activeJob, r job.Record, g grant) job.TaskResult {
+	retry := make(chan grant, 1)
+	for number := uint32(1); ; number++ {
+		if g.err != nil {
+			return refusedResult(g.err)
+		}
+		result := m.sendOnce(j, r, g, number)
+		if result.Verdict != verdict.NotRun || !m.mayRetry(j, r, result) {
+			return result
+		}
+		m.log.Emit(events.Event{ID: events.TaskRetried, Job: r.Key, Task: g.task + 1, Peer: g.assignment.Endpoint, Text: string(result.Code)})
+		if !m.service.dispatcher.requeue(g.assignment.Item, g.assignment.Endpoint, retry) {
+			return result
+		}
+		g = <-retry
+	}
+}
+
+// sendOnce makes one attempt. An entry without a valid lease may have lost the
+// job to another owner and sends nothing.
+func (m *jobs) sendOnce(j *activeJob, r job.Record, g grant, number uint32) job.TaskResult {
+	m.awaitLease(r)
+	if refusal := m.ownershipLost(j, r); refusal != nil {
+		m.service.dispatcher.done(g.assignment, dispatch.Report{Verdict: verdict.NotRun, Code: verdict.CodeCancelled})
+		return refusedResult(refusal)
+	}
+	j.track(g.assignment.Endpoint, 1)
+	defer j.track(g.assignment.Endpoint, -1)
+	return m.sender.send(attempt{
+		key:      job.TaskKey{Job: r.Key, Task: g.task},
+		service:  r.Service,
+		task:     r.Tasks[g.task],
+		epoch:    r.Epoch,
+		number:   number,
+		deadline: r.Deadline,
+	}, g.assignment)
+}
+
+// awaitLease blocks while the entry's lease has lapsed, up to the job's deadline.
+func (m *jobs) awaitLease(r job.Record) {
+	members := m.service.members
+	if members.LeaseValid() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(m.background, r.Deadline)
+	defer cancel()
+	for ctx.Err() == nil {
+		changed := members.Changed()
+		if members.LeaseValid() {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (m *jobs) ownershipLost(j *activeJob, r job.Record) *verdict.Error {
+	members := m.service.members
+	switch {
+	case j.isCancelled():
+		return cancelledError()
+	case !members.LeaseValid():
+		return verdict.Errorf(verdict.CodeLeaseLapsed, verdict.NotRun, "the entry's lease has lapsed")
+	case members.Incarnation() != r.OwnerIncarnation:
+		return verdict.Errorf(verdict.CodeFenced, verdict.NotRun, "the job has another owner")
+	}
+	return nil
+}
+
+// mayRetry limits retries to refusals that another endpoint may not repeat.
+func (m *jobs) mayRetry(j *activeJob, r job.Record, result job.TaskResult) bool {
+	switch result.Code {
+	case verdict.CodeCancelled, verdict.CodeFenced:
+		return false
+	}
+	return !j.isCancelled() && time.Now().Before(r.Deadline)
+}
+
+func refusedResult(e *verdict.Error) job.TaskResult {
+	result := notRun(e.Code, e.Message)
+	if e.Code == verdict.CodeCancelled {
+		result.State = job.TaskCancelled
+	}
+	return result
+}
+
+func cancelledError() *verdict.Error {
+	return verdict.Errorf(verdict.CodeCancelled, verdict.NotRun, "the job was cancelled")
+}
+
+// track counts the tasks in flight at an endpoint, for cancels.
+func (j *activeJob) track(endpoint string, change int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.sent[endpoint] += change
+	if j.sent[endpoint] == 0 {
+		delete(j.sent, endpoint)
+	}
+}
+
+func (j *activeJob) isCancelled() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.cancelled
+}
+
+// conclude answers and records an outcome. With a valid lease nobody else can
+// own the job, so the answer goes first; otherwise control decides first.
+func (m *jobs) conclude(j *activeJob, r job.Record, o job.Outcome) {
+	if m.superseded(j, r) {
+		return
+	}
+	if m.service.members.LeaseValid() && m.service.members.Incarnation() == r.OwnerIncarnation {
+		m.publish(j, o)
+		m.record(j, r, o)
+		m.forget(j)
+		return
+	}
+	recorded := m.record(j, r, o)
+	if m.superseded(j, r) {
+		return
+	}
+	if recorded == nil {
+		m.move(j)
+		return
+	}
+	m.publish(j, *recorded)
+	m.forget(j)
+}
+
+// superseded reports whether this entry runs the job again under a higher epoch.
+func (m *jobs) superseded(j *activeJob, r job.Record) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.epoch != r.Epoch
+}
+
+// record offers the outcome to control until it has an answer. It returns the
+// recorded outcome, or nil if another owner will decide it.
+func (m *jobs) record(j *activeJob, r job.Record, o job.Outcome) *job.Outcome {
+	ctx := m.background
+	for {
+		resp, err := m.service.opts.Control.FinishJob(ctx, &rpc.FinishJobRequest{
+			Key:     codec.KeyToRPC(r.Key),
+			Epoch:   r.Epoch,
+			Outcome: codec.OutcomeToRPC(&o),
+			Clock:   m.log.Clock().Now(),
+		})
+		if err == nil && resp.Finished {
+			return codec.RecordFromRPC(resp.Record).Outcome
+		}
+		if err == nil || m.superseded(j, r) {
+			return nil
+		}
+		m.log.Emit(events.Event{ID: events.FinishFailed, Job: r.Key, Err: err})
+		wait(ctx, finishPause)
+		if ctx.Err() != nil {
+			return nil
+		}
+	}
+}
--- a/daemon/supervisor/supervisor.go
+++ b/daemon/supervisor/supervisor.go
@@ -11,7 +11,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
-	"github.com/sourcegraph/conc/panics"
 )
 
 // Strategy says which children restart when one fails.
@@ -240,18 +239,8 @@
 	})
 }
 
-// runChild turns a panic into an error.
 func (s *Supervisor) runChild(ctx context.Context, c *running) error {
-	var err error
-	caught := panics.Try(func() { err = c.Run(ctx) })
-	if caught == nil {
-		return err
-	}
-	path := s.path + "/" + c.Name
-	if s.opts.Observer != nil {
-		s.opts.Observer.ChildPanicked(path, caught.Value, string(caught.Stack))
-	}
-	return errors.Wrap(caught.AsError(), "panic")
+	return Guard(s.opts.Observer, s.path+"/"+c.Name, func() error { return c.Run(ctx) })
 }
 
 // stopFrom stops the children from an index on, last first, each within its
