core/raft: consensus core that elects, replicates and commits; API stable

Cause: the control VMs need a replicated log of their own, and the driver needs an API to be written against. The API of this commit is stable. A Ready returned during a sync has only Messages and CommittedEntries, so messages and applying need not wait for the disk. Loss, crashes and group changes are not tested yet.

--- /dev/null
+++ b/core/raft/election.go
@@ -0,0 +1,152 @@
+package raft
+
+import (
+	"github.com/cicadapulley/cicadapulley/core/invariant"
+)
+
+// campaign starts an election. Pre-votes come first, so a server that can't
+// win doesn't raise the term and depose a healthy leader.
+func (n *Node) campaign() {
+	if n.isOnlyVoter() {
+		n.startVote(MsgVote)
+		return
+	}
+	n.role = PreCandidate
+	n.leader = ""
+	n.votes = map[ServerID]bool{n.id: true}
+	n.preVoteRound++
+	n.scheduleElection()
+	n.requestVotes(MsgPreVote, n.term+1)
+}
+
+// startVote enters the next term with the own vote. That vote counts once it
+// is synced, see Advance.
+func (n *Node) startVote(request MessageType) {
+	n.term++
+	n.vote = n.id
+	n.termLeader = ""
+	n.role = Candidate
+	n.leader = ""
+	n.votes = map[ServerID]bool{}
+	n.scheduleElection()
+	n.requestVotes(request, n.term)
+}
+
+func (n *Node) requestVotes(request MessageType, term uint64) {
+	m := Message{Type: request, Term: term, Index: n.log.last(), LogTerm: n.log.lastTerm(), Round: n.preVoteRound}
+	for _, s := range n.group().Servers {
+		if s.Voter && s.ID != n.id {
+			m.To = s.ID
+			n.send(m)
+		}
+	}
+}
+
+// mayElect tells whether the sender may get this server's vote: its log has
+// all that this one has, and this server is a voter. A server that isn't one
+// votes only for a log that is ahead and so may hold its promotion; the
+// candidate counts nothing else than votes of its own group's voters.
+func (n *Node) mayElect(m Message) bool {
+	order := n.log.upToDate(m.Index, m.LogTerm)
+	if order == 0 {
+		return n.group().IsVoter(n.id)
+	}
+	return order > 0 && len(n.group().Servers) > 0
+}
+
+func (n *Node) handlePreVote(m Message) {
+	grant := m.Term > n.term && !n.hearsLeader() && n.mayElect(m)
+	reply := Message{Type: MsgPreVoteReply, To: m.From, Round: m.Round, Reject: !grant}
+	if grant {
+		reply.Term = m.Term
+	}
+	n.send(reply)
+}
+
+func (n *Node) handlePreVoteReply(m Message) {
+	late := m.Round != n.preVoteRound || (!m.Reject && m.Term != n.term+1)
+	if n.role != PreCandidate || late {
+		return
+	}
+	n.votes[m.From] = !m.Reject
+	switch n.countVotes() {
+	case won:
+		n.startVote(MsgVote)
+	case lost:
+		n.becomeFollower(n.term, "")
+	}
+}
+
+// handleVote answers a vote of the own term. No vote is given while a leader's
+// lease may depend on this server, except after a transfer.
+func (n *Node) handleVote(m Message) {
+	free := n.vote == m.From || (n.vote == "" && n.termLeader == "")
+	promised := m.Type == MsgVote && n.hearsLeader()
+	grant := free && !promised && n.mayElect(m)
+	if grant {
+		n.vote = m.From
+		n.scheduleElection()
+	}
+	n.send(Message{Type: MsgVoteReply, To: m.From, Reject: !grant})
+}
+
+func (n *Node) handleVoteReply(m Message) {
+	if n.role == Candidate {
+		n.recordVote(m.From, !m.Reject)
+	}
+}
+
+func (n *Node) recordVote(from ServerID, granted bool) {
+	n.votes[from] = granted
+	switch n.countVotes() {
+	case won:
+		n.becomeLeader()
+	case lost:
+		n.becomeFollower(n.term, "")
+	}
+}
+
+type tally uint8
+
+const (
+	open tally = iota
+	won
+	lost
+)
+
+// countVotes counts the votes of the group's voters.
+func (n *Node) countVotes() tally {
+	group := n.group()
+	granted, refused := 0, 0
+	for id, yes := range n.votes {
+		switch {
+		case !group.IsVoter(id):
+		case yes:
+			granted++
+		default:
+			refused++
+		}
+	}
+	switch {
+	case granted >= group.Majority():
+		return won
+	case refused > group.Voters()-group.Majority():
+		return lost
+	}
+	return open
+}
+
+// becomeLeader starts a leadership with an empty entry: entries of earlier
+// terms are committed only together with one of the own term.
+func (n *Node) becomeLeader() {
+	invariant.Check(n.vote == n.id, invariant.ElectionSafety, "leader of term %d voted for %q", n.term, n.vote)
+	n.role = Leader
+	n.leader = n.id
+	n.termLeader = n.id
+	n.votes = nil
+	n.lead = newLeadership(n)
+	n.appendEntries(Entry{Term: n.term, Index: n.log.last() + 1})
+	n.lead.firstIndex = n.log.last()
+	n.broadcastHeartbeat()
+	n.replicateAll()
+}
--- /dev/null
+++ b/core/raft/follower.go
@@ -0,0 +1,81 @@
+package raft
+
+import "github.com/cicadapulley/cicadapulley/core/invariant"
+
+func (n *Node) handleAppend(m Message) {
+	n.followLeader(m)
+	if m.Index < n.log.commit {
+		n.send(Message{Type: MsgAppendReply, To: m.From, Index: n.log.commit})
+		return
+	}
+	if !n.log.matches(m.Index, m.LogTerm) {
+		n.rejectAppend(m)
+		return
+	}
+	if at := n.log.conflict(m.Entries); at < len(m.Entries) {
+		n.replaceSuffix(m.Entries[at:])
+	}
+	last := m.Index + uint64(len(m.Entries))
+	n.commitTo(min(m.Commit, last))
+	n.send(Message{Type: MsgAppendReply, To: m.From, Index: last})
+}
+
+// replaceSuffix appends entries after removing what conflicts with them; a
+// group change in the removed part is rolled back.
+func (n *Node) replaceSuffix(entries []Entry) {
+	if first := entries[0].Index; first <= n.log.last() {
+		n.log.truncate(first)
+		n.groups.truncate(first)
+	}
+	n.appendEntries(entries...)
+}
+
+// rejectAppend names the last entry that may be equal to the leader's, so that
+// the leader skips a whole term at a time.
+func (n *Node) rejectAppend(m Message) {
+	hint := n.log.searchBack(m.Index, m.LogTerm)
+	term, _ := n.log.term(hint)
+	n.send(Message{Type: MsgAppendReply, To: m.From, Index: m.Index, Reject: true, Hint: hint, LogTerm: term})
+}
+
+func (n *Node) handleHeartbeat(m Message) {
+	n.followLeader(m)
+	n.commitTo(m.Commit)
+	n.send(Message{Type: MsgHeartbeatReply, To: m.From, Round: m.Round})
+}
+
+func (n *Node) handleSnapshot(m Message) {
+	n.followLeader(m)
+	if m.Snapshot == nil {
+		return
+	}
+	if s := m.Snapshot; s.Index > n.log.commit {
+		n.installSnapshot(s)
+	}
+	n.send(Message{Type: MsgSnapshotReply, To: m.From, Index: n.log.commit})
+}
+
+// installSnapshot replaces the log, unless the log already has all of it.
+func (n *Node) installSnapshot(s *Snapshot) {
+	if n.log.matches(s.Index, s.Term) {
+		n.commitTo(s.Index)
+		return
+	}
+	n.log.reset(s)
+	n.groups = newGroupHistory(s.Index, s.Group)
+	n.snapshot = *s
+	n.install = s
+}
+
+func (n *Node) commitTo(index uint64) {
+	before := n.log.commit
+	n.log.commitTo(max(index, before))
+	invariant.Check(n.log.commit >= before, invariant.DurableAck, "commit went from %d to %d", before, n.log.commit)
+}
+
+// handleTimeoutNow takes over from the leader that asked for it.
+func (n *Node) handleTimeoutNow(m Message) {
+	if n.role == Follower && n.leader == m.From && n.group().IsVoter(n.id) {
+		n.startVote(MsgTransferVote)
+	}
+}
--- /dev/null
+++ b/core/raft/leader.go
@@ -0,0 +1,180 @@
+package raft
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/core/invariant"
+)
+
+// leadership is the leader's state of its term.
+type leadership struct {
+	peers map[ServerID]*peer
+	// firstIndex is the entry that opened the term.
+	firstIndex  uint64
+	heartbeatAt time.Time
+	round       uint64
+	rounds      []sentRound
+	transfer    transfer
+}
+
+func newLeadership(n *Node) *leadership {
+	l := &leadership{peers: map[ServerID]*peer{}}
+	for _, s := range n.group().Servers {
+		if s.ID != n.id {
+			l.peers[s.ID] = newPeer(n.log.last()+1, n.now)
+		}
+	}
+	return l
+}
+
+func (n *Node) tickLeader() {
+	if !n.now.Before(n.quorumDeadline()) {
+		n.becomeFollower(n.term, "")
+		return
+	}
+	if n.transferExpired() {
+		return
+	}
+	if !n.now.Before(n.lead.heartbeatAt) {
+		n.broadcastHeartbeat()
+	}
+}
+
+func (n *Node) leaderDeadline() time.Time {
+	deadline := n.lead.heartbeatAt
+	for _, t := range []time.Time{n.quorumDeadline(), n.lead.transfer.deadline} {
+		if !t.IsZero() && t.Before(deadline) {
+			deadline = t
+		}
+	}
+	return deadline
+}
+
+// Propose appends one entry for each of datas and returns the first index. It
+// fails with a *NotLeaderError or ErrEmptyProposal. A proposal may get lost
+// with its leader: it is committed once Ready.CommittedEntries has its index
+// with the Term of this call; another term there means that it was replaced.
+func (n *Node) Propose(now time.Time, datas [][]byte) (uint64, error) {
+	n.observe(now)
+	if err := n.mayPropose(); err != nil {
+		return 0, err
+	}
+	if len(datas) == 0 {
+		return 0, ErrEmptyProposal
+	}
+	first := n.log.last() + 1
+	entries := make([]Entry, len(datas))
+	for i, data := range datas {
+		entries[i] = Entry{Term: n.term, Index: first + uint64(i), Data: data}
+	}
+	n.appendEntries(entries...)
+	n.replicateAll()
+	return first, nil
+}
+
+func (n *Node) mayPropose() error {
+	if n.role != Leader {
+		return &NotLeaderError{Leader: n.leader}
+	}
+	if to := n.lead.transfer.to; to != "" {
+		return &NotLeaderError{Leader: to}
+	}
+	return nil
+}
+
+// replicateAll sends what the servers lack. The order is fixed, so that a
+// seeded test repeats.
+func (n *Node) replicateAll() {
+	for _, s := range n.group().Servers {
+		if s.ID != n.id {
+			n.replicate(s.ID)
+		}
+	}
+}
+
+func (n *Node) replicate(to ServerID) {
+	p := n.lead.peers[to]
+	for p.maySend(n.limits.maxInflight) {
+		if p.next <= n.log.offset {
+			n.sendSnapshot(to, p)
+			return
+		}
+		if !n.sendAppend(to, p) {
+			return
+		}
+	}
+}
+
+func (n *Node) sendAppend(to ServerID, p *peer) bool {
+	entries := n.log.batch(p.next, n.limits.maxEntries, n.limits.maxBytes)
+	if len(entries) == 0 {
+		return false
+	}
+	prev := p.next - 1
+	term, _ := n.log.term(prev)
+	n.send(Message{Type: MsgAppend, To: to, Index: prev, LogTerm: term, Commit: n.log.commit, Entries: entries})
+	p.sent(entries[len(entries)-1].Index, n.now)
+	return true
+}
+
+func (n *Node) sendSnapshot(to ServerID, p *peer) {
+	s := n.snapshot
+	n.send(Message{Type: MsgSnapshot, To: to, Snapshot: &s})
+	p.sentSnapshot(s.Index, n.now)
+}
+
+// handleReply handles what only a leader gets.
+func (n *Node) handleReply(m Message) {
+	if n.role != Leader {
+		return
+	}
+	p := n.lead.peers[m.From]
+	if p == nil {
+		return
+	}
+	p.heard = n.now
+	switch {
+	case m.Type == MsgHeartbeatReply:
+		n.roundAnswered(p, m.Round)
+		p.retry(n.now, n.limits)
+	case m.Reject:
+		p.rejected(m, n.log)
+	default:
+		invariant.Check(m.Index <= n.log.last(), invariant.DurableAck,
+			"%q has committed or matched %d, the leader's last entry is %d", m.From, m.Index, n.log.last())
+		p.acknowledged(m.Index, n.now)
+		n.advanceCommit()
+		n.continueTransfer()
+	}
+	if n.role == Leader {
+		n.replicate(m.From)
+	}
+}
+
+// advanceCommit commits what a majority of voters has synced. Only an entry of
+// the own term is counted: an older one could still be replaced although a
+// majority holds it.
+func (n *Node) advanceCommit() {
+	index := n.majorityMatch()
+	if term, ok := n.log.term(index); ok && term == n.term && index > n.log.commit {
+		n.commitTo(index)
+	}
+}
+
+// majorityMatch returns the highest index that a majority of voters has synced.
+func (n *Node) majorityMatch() uint64 {
+	group := n.group()
+	var matches []uint64
+	for _, s := range group.Servers {
+		switch {
+		case !s.Voter:
+		case s.ID == n.id:
+			matches = append(matches, n.log.stable)
+		default:
+			matches = append(matches, n.lead.peers[s.ID].match)
+		}
+	}
+	slices.Sort(matches)
+	return matches[len(matches)-group.Majority()]
+}
--- /dev/null
+++ b/core/raft/ready.go
@@ -0,0 +1,116 @@
+package raft
+
+import "github.com/cicadapulley/cicadapulley/core/invariant"
+
+// Ready is what the driver has to do, in this order: send Messages; save
+// Snapshot (which replaces the whole saved log), then Entries and HardState,
+// with one sync if MustSync; send MessagesAfterSync; restore Snapshot and
+// apply CommittedEntries; call Advance. Sending and applying may also run
+// while the sync does; applying keeps the order in which Readys were returned.
+type Ready struct {
+	// HardState is nil if unchanged.
+	HardState *HardState
+	// TruncateFrom is the first saved entry to remove before Entries are
+	// appended; 0 if none.
+	TruncateFrom uint64
+	Entries      []Entry
+	// Snapshot was received from the leader.
+	Snapshot *Snapshot
+	// MustSync is false if nothing depends on what is saved; a changed commit
+	// index alone may stay unsynced.
+	MustSync          bool
+	Messages          []Message
+	MessagesAfterSync []Message
+	// CommittedEntries are synced and committed.
+	CommittedEntries []Entry
+	// durable is set for a Ready that owns the parts to be saved.
+	durable bool
+}
+
+// HasReady tells whether Ready returns work. While an earlier Ready is being
+// synced, only Messages and CommittedEntries count.
+func (n *Node) HasReady() bool {
+	if len(n.messages) > 0 || len(n.committed()) > 0 {
+		return true
+	}
+	return !n.syncing && n.hasDurable()
+}
+
+func (n *Node) hasDurable() bool {
+	return n.install != nil || len(n.afterSync) > 0 || n.log.stable < n.log.last() || n.hardState() != n.saved
+}
+
+// committed holds entries back that follow a snapshot not yet handed out.
+func (n *Node) committed() []Entry {
+	if n.install != nil {
+		return nil
+	}
+	return n.log.committed()
+}
+
+// hardState names a commit index only up to the synced log, so that a saved
+// log shorter than its commit index shows a loss.
+func (n *Node) hardState() HardState {
+	return HardState{Term: n.term, Vote: n.vote, Commit: min(n.log.commit, n.log.stable)}
+}
+
+// Ready returns the work since the last call. Parts to be saved are held back
+// until Advance was called for the Ready that had the previous ones.
+func (n *Node) Ready() Ready {
+	rd := Ready{Messages: n.messages, CommittedEntries: n.committed()}
+	n.messages = nil
+	if count := len(rd.CommittedEntries); count > 0 {
+		n.log.handed = rd.CommittedEntries[count-1].Index
+	}
+	if !n.syncing && n.hasDurable() {
+		n.addDurable(&rd)
+	}
+	return rd
+}
+
+func (n *Node) addDurable(rd *Ready) {
+	rd.durable = true
+	n.syncing = true
+	rd.MessagesAfterSync, n.afterSync = n.afterSync, nil
+	rd.Snapshot, n.install = n.install, nil
+	rd.Entries = n.log.slice(n.log.stable+1, n.log.last())
+	if len(rd.Entries) > 0 && rd.Snapshot == nil && rd.Entries[0].Index <= n.log.diskLast {
+		rd.TruncateFrom = rd.Entries[0].Index
+	}
+	if hs := n.hardState(); hs != n.saved {
+		rd.HardState = &hs
+	}
+	votes := rd.HardState != nil && (rd.HardState.Term != n.saved.Term || rd.HardState.Vote != n.saved.Vote)
+	rd.MustSync = votes || len(rd.Entries) > 0 || rd.Snapshot != nil
+}
+
+// Advance reports that all of rd is done.
+func (n *Node) Advance(rd Ready) {
+	if count := len(rd.CommittedEntries); count > 0 {
+		n.log.applied = max(n.log.applied, rd.CommittedEntries[count-1].Index)
+	}
+	if !rd.durable {
+		return
+	}
+	invariant.Check(n.syncing, invariant.InternalCounting, "advance without a ready")
+	n.syncing = false
+	if rd.Snapshot != nil {
+		n.log.applied = max(n.log.applied, rd.Snapshot.Index)
+		n.log.diskLast = rd.Snapshot.Index
+	}
+	if rd.HardState != nil {
+		n.saved = *rd.HardState
+	}
+	n.log.saved(rd.Entries)
+	n.countOwnSync()
+}
+
+// countOwnSync counts this server's own synced vote or log.
+func (n *Node) countOwnSync() {
+	switch {
+	case n.role == Candidate && n.saved.Term == n.term && n.saved.Vote == n.id:
+		n.recordVote(n.id, true)
+	case n.role == Leader:
+		n.advanceCommit()
+	}
+}
