--- /dev/null
+++ b/daemon/storage/errors.go
@@ -0,0 +1,33 @@
+package storage
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrClosed is returned by every call after Close.
+var ErrClosed = errors.New("storage is closed")
+
+// ErrLocked is wrapped by the error of Open when another process holds the
+// folder's lock.
+var ErrLocked = errors.New("locked by another process")
+
+// CorruptError reports damage that recovery must not pass over.
+type CorruptError struct {
+	// File is the path of the damaged file.
+	File string
+	// Offset is the position of the damaged header or frame, in bytes.
+	Offset int64
+	// Reason says what disagrees.
+	Reason string
+}
+
+// Error implements error.
+func (e *CorruptError) Error() string {
+	return fmt.Sprintf("%s is damaged at byte %d: %s", e.File, e.Offset, e.Reason)
+}
+
+func corrupt(file string, offset int64, format string, args ...any) *CorruptError {
+	return &CorruptError{File: file, Offset: offset, Reason: fmt.Sprintf(format, args...)}
+}
--- /dev/null
+++ b/daemon/storage/header.go
@@ -0,0 +1,142 @@
+package storage
+
+import (
+	"bytes"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"hash/crc32"
+
+	"github.com/cicadapulley/cicadapulley/core/raft"
+	"github.com/cockroachdb/errors"
+)
+
+// Every file starts with a header of fixed size:
+//
+//	offset  bytes  field
+//	     0      8  magic
+//	     8      2  format version
+//	    10      1  kind of file
+//	    11      1  flags: bit 0 is reset
+//	    12     16  identity of the folder
+//	    28      8  sequence
+//	    36      4  chain value at the end of the previous segment
+//	    40      8  marker
+//	    48     12  reserved, zero
+//	    60      4  CRC-32C of the bytes before
+//
+// Numbers are little-endian.
+const (
+	headerBytes   = 64
+	headerCRCAt   = 60
+	reservedAt    = 48
+	formatVersion = 1
+	magic         = "CPSTORE\n"
+	flagReset     = 1
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+type fileKind uint8
+
+const (
+	kindIdentity fileKind = iota + 1
+	kindSegment
+	kindSnapshot
+)
+
+// String returns the kind's name.
+func (k fileKind) String() string {
+	return [...]string{"unknown", "identity", "segment", "snapshot"}[k]
+}
+
+type identity [16]byte
+
+func (id identity) serverID() raft.ServerID { return raft.ServerID(hex.EncodeToString(id[:])) }
+
+func newIdentity() identity {
+	var id identity
+	_, _ = rand.Read(id[:]) // crypto/rand never fails; it ends the program instead
+	return id
+}
+
+// marker starts each frame of a file. It is random for each file, so that
+// callers' data in a frame can't look like the start of another frame.
+type marker [8]byte
+
+func newMarker() marker {
+	var m marker
+	_, _ = rand.Read(m[:])
+	return m
+}
+
+type header struct {
+	kind fileKind
+	// reset is set on a snapshot that replaces the log, and on the segment
+	// that follows it.
+	reset    bool
+	identity identity
+	// sequence numbers a segment. On a snapshot, it is the number of a segment
+	// that existed when the snapshot was written.
+	sequence uint64
+	// previous is the chain value at the end of the previous segment.
+	previous uint32
+	marker   marker
+}
+
+func (h header) encode() []byte {
+	b := make([]byte, 0, headerBytes)
+	b = append(b, magic...)
+	b = binary.LittleEndian.AppendUint16(b, formatVersion)
+	b = append(b, byte(h.kind), h.flags())
+	b = append(b, h.identity[:]...)
+	b = binary.LittleEndian.AppendUint64(b, h.sequence)
+	b = binary.LittleEndian.AppendUint32(b, h.previous)
+	b = append(b, h.marker[:]...)
+	b = append(b, make([]byte, headerCRCAt-len(b))...)
+	return binary.LittleEndian.AppendUint32(b, crc32.Checksum(b, castagnoli))
+}
+
+func (h header) flags() byte {
+	if h.reset {
+		return flagReset
+	}
+	return 0
+}
+
+// decodeHeader reads the header of a file of the wanted kind.
+func decodeHeader(data []byte, want fileKind) (header, error) {
+	if len(data) < headerBytes {
+		return header{}, errors.Newf("header has %d of %d bytes", len(data), headerBytes)
+	}
+	b := data[:headerBytes]
+	if crc32.Checksum(b[:headerCRCAt], castagnoli) != binary.LittleEndian.Uint32(b[headerCRCAt:]) {
+		return header{}, errors.New("header checksum disagrees")
+	}
+	if err := checkHeader(b, want); err != nil {
+		return header{}, err
+	}
+	h := header{kind: want, reset: b[11] == flagReset}
+	copy(h.identity[:], b[12:28])
+	h.sequence = binary.LittleEndian.Uint64(b[28:])
+	h.previous = binary.LittleEndian.Uint32(b[36:])
+	copy(h.marker[:], b[40:48])
+	return h, nil
+}
+
+func checkHeader(b []byte, want fileKind) error {
+	if string(b[:len(magic)]) != magic {
+		return errors.New("not a file of this store")
+	}
+	if v := binary.LittleEndian.Uint16(b[8:]); v != formatVersion {
+		return errors.Newf("format version %d, this program reads %d", v, formatVersion)
+	}
+	if fileKind(b[10]) != want {
+		return errors.Newf("kind of file is %d, not %d", b[10], want)
+	}
+	unused := bytes.Count(b[reservedAt:headerCRCAt], []byte{0}) != headerCRCAt-reservedAt
+	if unused || b[11]&^flagReset != 0 {
+		return errors.New("unknown header fields")
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/storage/load.go
@@ -0,0 +1,117 @@
+package storage
+
+import (
+	"github.com/cicadapulley/cicadapulley/core/raft"
+	"github.com/cockroachdb/errors"
+)
+
+// loaded is the state of a data folder, as read without changing it.
+type loaded struct {
+	log       *replay
+	snapshots []snapshotFile
+	// current is the snapshot that is in force; nil when there is none.
+	current *snapshotFile
+	// restart is set when the snapshot replaces the log, but the crash came
+	// before the segment after it.
+	restart bool
+}
+
+// load reads snapshots and segments of a folder that has an identity.
+func load(d *disk, id identity, f folder) (*loaded, error) {
+	snapshots, err := readSnapshots(d, id, f.snapshots)
+	if err != nil {
+		return nil, err
+	}
+	log, err := replaySegments(d, id, f.segments)
+	if err != nil {
+		return nil, err
+	}
+	l := &loaded{log: log, snapshots: snapshots}
+	if _, err := log.lastSequence(); err != nil {
+		return nil, errors.Wrapf(err, "folder %s", d.dir)
+	}
+	return l, l.choose(d)
+}
+
+// choose takes the newest valid snapshot. An older one than the newest is
+// acceptable only if the log holds every entry from it to the damaged ones.
+// Without any valid snapshot the log alone is not enough: a snapshot at index 0
+// holds the first group, which is not in the log.
+func (l *loaded) choose(d *disk) error {
+	var damaged *snapshotFile
+	for i := len(l.snapshots) - 1; i >= 0 && l.current == nil; i-- {
+		s := &l.snapshots[i]
+		if s.err == nil {
+			l.current = s
+		} else if damaged == nil {
+			damaged = s
+		}
+	}
+	if damaged == nil {
+		return l.join(d)
+	}
+	covered := l.current != nil && l.log.index.last() >= damaged.index
+	if covered && l.join(d) == nil && !l.restart {
+		return nil
+	}
+	return damaged.err
+}
+
+// join checks that the log continues the chosen snapshot.
+func (l *loaded) join(d *disk) error {
+	first := segmentName(l.log.segments[0].sequence)
+	if l.current == nil {
+		if l.log.index.base > 0 {
+			return corrupt(d.path(first), headerBytes, "log starts after index %d and there is no snapshot", l.log.index.base)
+		}
+		return nil
+	}
+	last, err := l.log.lastSequence()
+	if err != nil {
+		return err
+	}
+	s := l.current
+	if last < s.header.sequence {
+		return corrupt(d.path(snapshotName(s.index)), 0, "segment %s is missing", segmentName(s.header.sequence))
+	}
+	if s.header.reset && last == s.header.sequence {
+		l.restart = true
+		return nil
+	}
+	if l.log.index.holds(s.snapshot.Index, s.snapshot.Term) {
+		return nil
+	}
+	return corrupt(d.path(first), headerBytes, "log of indexes %d to %d does not hold index %d, term %d, of snapshot %s",
+		l.log.index.base+1, l.log.index.last(), s.snapshot.Index, s.snapshot.Term, snapshotName(s.index))
+}
+
+// recovered returns the state for the caller.
+func (l *loaded) recovered(id identity) Recovered {
+	r := Recovered{Identity: id.serverID(), HardState: l.log.hard, Cut: l.log.cut}
+	for i := range l.snapshots {
+		if err := l.snapshots[i].err; err != nil {
+			r.Damaged = append(r.Damaged, err)
+		}
+	}
+	after := uint64(0)
+	if l.current != nil {
+		r.Snapshot = l.current.snapshot
+		after = r.Snapshot.Index
+	}
+	r.HardState.Commit = max(r.HardState.Commit, after)
+	if !l.restart {
+		r.Entries = entriesAfter(l.log.entries, after)
+	}
+	return r
+}
+
+// entriesAfter copies the entries after an index, so that the others can be freed.
+func entriesAfter(entries []raft.Entry, index uint64) []raft.Entry {
+	if len(entries) == 0 || entries[len(entries)-1].Index <= index {
+		return nil
+	}
+	if entries[0].Index > index {
+		return entries
+	}
+	return append([]raft.Entry(nil), entries[index+1-entries[0].Index:]...)
+}
--- /dev/null
+++ b/daemon/storage/logindex.go
@@ -0,0 +1,106 @@
+package storage
+
+import (
+	"github.com/cicadapulley/cicadapulley/core/raft"
+	"github.com/cockroachdb/errors"
+)
+
+// logIndex knows the indexes and terms of the log on disk.
+type logIndex struct {
+	// base is the index before the first entry on disk.
+	base uint64
+	// baseTerm is the term of the entry at base; 0 when unknown or when base is 0.
+	baseTerm uint64
+	terms    []uint64
+}
+
+func (l *logIndex) last() uint64 { return l.base + uint64(len(l.terms)) }
+
+// term returns the term of the entry at an index, if that is known.
+func (l *logIndex) term(index uint64) (uint64, bool) {
+	switch {
+	case index < l.base || index > l.last():
+		return 0, false
+	case index == l.base:
+		return l.baseTerm, l.baseTerm > 0 || l.base == 0
+	default:
+		return l.terms[index-l.base-1], true
+	}
+}
+
+// holds tells whether the log reaches a place with the same term there.
+func (l *logIndex) holds(index, term uint64) bool {
+	t, ok := l.term(index)
+	return ok && t == term
+}
+
+// reset continues the log after a place.
+func (l *logIndex) reset(index, term uint64) {
+	*l = logIndex{base: index, baseTerm: term}
+}
+
+// truncate removes the entries from an index on. A segment may start after
+// entries that a later leader replaced; when the segments before it are gone,
+// the replacement starts at or below base, and the term before it is unknown.
+func (l *logIndex) truncate(from uint64) {
+	if from <= l.base {
+		l.reset(from-1, 0)
+		return
+	}
+	l.terms = l.terms[:min(uint64(len(l.terms)), from-l.base-1)]
+}
+
+// trim forgets the entries up to an index that the log holds.
+func (l *logIndex) trim(index uint64) {
+	if index <= l.base {
+		return
+	}
+	term, _ := l.term(index)
+	kept := append([]uint64(nil), l.terms[index-l.base:]...)
+	*l = logIndex{base: index, baseTerm: term, terms: kept}
+}
+
+// check tells why a batch can't follow the log.
+func (l *logIndex) check(b batch) error {
+	next := l.last() + 1
+	if b.truncate > next {
+		return errors.Newf("truncation from %d after the last index %d", b.truncate, l.last())
+	}
+	if b.truncate > 0 {
+		next = b.truncate
+	}
+	term, _ := l.term(next - 1)
+	for i := range b.entries {
+		e := &b.entries[i]
+		if e.Index != next {
+			return errors.Newf("entry %d where %d belongs", e.Index, next)
+		}
+		if e.Term < term {
+			return errors.Newf("entry %d of term %d follows term %d", e.Index, e.Term, term)
+		}
+		next++
+		term = e.Term
+	}
+	return nil
+}
+
+// apply changes the index by a batch that check accepted.
+func (l *logIndex) apply(b batch) {
+	if b.truncate > 0 {
+		l.truncate(b.truncate)
+	}
+	for i := range b.entries {
+		l.terms = append(l.terms, b.entries[i].Term)
+	}
+}
+
+// cutEntries returns the entries before an index.
+func cutEntries(entries []raft.Entry, from uint64) []raft.Entry {
+	if len(entries) == 0 || from > entries[len(entries)-1].Index {
+		return entries
+	}
+	if from <= entries[0].Index {
+		return nil
+	}
+	return entries[:from-entries[0].Index]
+}
--- /dev/null
+++ b/daemon/storage/names.go
@@ -0,0 +1,72 @@
+package storage
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	lockName        = "LOCK"
+	identityName    = "IDENTITY"
+	segmentSuffix   = ".log"
+	snapshotSuffix  = ".snapshot"
+	temporarySuffix = ".tmp"
+	// numberDigits holds any uint64, so that names sort like their numbers.
+	numberDigits = 20
+)
+
+func segmentName(sequence uint64) string     { return numberedName(sequence, segmentSuffix) }
+func snapshotName(index uint64) string       { return numberedName(index, snapshotSuffix) }
+func numberedName(n uint64, s string) string { return fmt.Sprintf("%0*d%s", numberDigits, n, s) }
+
+// folder lists the store's files of a data folder, in ascending order.
+type folder struct {
+	identity    bool
+	segments    []uint64
+	snapshots   []uint64
+	temporaries []string
+}
+
+func (d *disk) list() (folder, error) {
+	names, err := d.fs.List(d.dir)
+	if err != nil {
+		return folder{}, errors.Wrap(err, "list data folder")
+	}
+	var f folder
+	for _, name := range names {
+		f.add(name)
+	}
+	slices.Sort(f.segments)
+	slices.Sort(f.snapshots)
+	return f, nil
+}
+
+// add sorts a name into the listing. Other names are not the store's and are left alone.
+func (f *folder) add(name string) {
+	if strings.HasSuffix(name, temporarySuffix) {
+		f.temporaries = append(f.temporaries, name)
+		return
+	}
+	if n, ok := parseName(name, segmentSuffix); ok {
+		f.segments = append(f.segments, n)
+	}
+	if n, ok := parseName(name, snapshotSuffix); ok {
+		f.snapshots = append(f.snapshots, n)
+	}
+	if name == identityName {
+		f.identity = true
+	}
+}
+
+func parseName(name, suffix string) (uint64, bool) {
+	digits, ok := strings.CutSuffix(name, suffix)
+	if !ok || len(digits) != numberDigits {
+		return 0, false
+	}
+	n, err := strconv.ParseUint(digits, 10, 64)
+	return n, err == nil
+}
--- /dev/null
+++ b/daemon/storage/open.go
@@ -0,0 +1,177 @@
+package storage
+
+import (
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Open locks a data folder, creates it and its identity on first use, and
+// recovers its state. It returns an error that wraps ErrLocked when another
+// process holds the folder, and one that wraps *CorruptError for damage other
+// than a torn tail.
+func Open(dir string, o Options) (*Store, error) {
+	if o.SegmentBytes <= 0 {
+		o.SegmentBytes = DefaultSegmentBytes
+	}
+	d := newDisk(dir, o)
+	lock, err := d.lock()
+	if err != nil {
+		return nil, err
+	}
+	s := &Store{disk: d, lock: lock, segmentBytes: o.SegmentBytes}
+	if err := s.open(); err != nil {
+		s.abandon()
+		return nil, errors.Wrapf(err, "open data folder %s", dir)
+	}
+	return s, nil
+}
+
+// abandon releases what a failed Open holds.
+func (s *Store) abandon() {
+	if s.file != nil {
+		_ = s.file.Close()
+	}
+	_ = s.lock.Close()
+}
+
+func (s *Store) open() error {
+	f, err := s.disk.list()
+	if err != nil {
+		return err
+	}
+	if !f.identity {
+		if f, err = s.initialise(f); err != nil {
+			return err
+		}
+	}
+	if s.identity, err = readIdentity(s.disk); err != nil {
+		return err
+	}
+	l, err := load(s.disk, s.identity, f)
+	if err != nil {
+		return err
+	}
+	if err := s.removeAll(f.temporaries); err != nil {
+		return err
+	}
+	return s.resume(l)
+}
+
+// initialise creates the first segment and then the identity, so that a folder
+// with an identity always has a segment. Only the first segment of an
+// interrupted first use may exist before.
+func (s *Store) initialise(f folder) (folder, error) {
+	if err := checkUnused(s.disk, f); err != nil {
+		return folder{}, err
+	}
+	if err := s.disk.syncDir(filepath.Dir(s.disk.dir)); err != nil {
+		return folder{}, err
+	}
+	id := newIdentity()
+	h := header{kind: kindSegment, identity: id, sequence: 1, marker: newMarker()}
+	file, _, _, err := createSegment(s.disk, h, checkpoint{})
+	if err != nil {
+		return folder{}, err
+	}
+	if err := file.Close(); err != nil {
+		return folder{}, errors.Wrap(err, "close first segment")
+	}
+	if err := createIdentity(s.disk, id); err != nil {
+		return folder{}, err
+	}
+	return s.disk.list()
+}
+
+// checkUnused refuses to give a new identity to a folder that holds state.
+func checkUnused(d *disk, f folder) error {
+	if len(f.snapshots) == 0 && len(f.segments) == 0 {
+		return nil
+	}
+	missing := errors.Newf("file %s is missing, but the folder holds state", d.path(identityName))
+	if len(f.snapshots) > 0 || len(f.segments) > 1 || f.segments[0] != 1 {
+		return missing
+	}
+	data, err := d.read(segmentName(1))
+	if err != nil {
+		return err
+	}
+	r, err := openSegment(d.path(segmentName(1)), data)
+	if err != nil {
+		return err
+	}
+	if r.at.offset != int64(len(data)) {
+		return missing
+	}
+	return nil
+}
+
+func createIdentity(d *disk, id identity) error {
+	h := header{kind: kindIdentity, identity: id, marker: newMarker()}
+	file, err := d.create(identityName, h.encode())
+	if err != nil {
+		return errors.Wrap(err, "identity")
+	}
+	return errors.Wrap(file.Close(), "close identity")
+}
+
+func readIdentity(d *disk) (identity, error) {
+	data, err := d.read(identityName)
+	if err != nil {
+		return identity{}, err
+	}
+	h, err := decodeHeader(data, kindIdentity)
+	if err == nil && len(data) != headerBytes {
+		err = errors.Newf("%d bytes instead of %d", len(data), headerBytes)
+	}
+	if err != nil {
+		return identity{}, corrupt(d.path(identityName), 0, "%v", err)
+	}
+	return h.identity, nil
+}
+
+// resume makes the store ready for Save and removes the files that a crash or
+// an interrupted SaveSnapshot left behind.
+func (s *Store) resume(l *loaded) error {
+	s.at = l.log.at
+	s.index = l.log.index
+	s.hard = l.log.hard
+	s.segments = l.log.segments
+	s.keepSnapshots(l.snapshots)
+	s.recovered = l.recovered(s.identity)
+	if err := s.rewriteTail(l.log.tail); err != nil {
+		return err
+	}
+	if l.restart {
+		s.index.reset(l.current.snapshot.Index, l.current.snapshot.Term)
+		if err := s.startSegment(true); err != nil {
+			return err
+		}
+	}
+	return s.removeAll(append(segmentNames(l.log.replaced), s.obsoleteFiles(l.restart)...))
+}
+
+// keepSnapshots takes over the valid snapshots. Damaged ones stay in the folder
+// for the operator until the next SaveSnapshot.
+func (s *Store) keepSnapshots(files []snapshotFile) {
+	for _, f := range files {
+		if f.err != nil {
+			s.damaged = append(s.damaged, f.index)
+			continue
+		}
+		s.snapshots = append(s.snapshots, snapshotInfo{index: f.index, term: f.snapshot.Term, bytes: f.bytes})
+	}
+}
+
+// rewriteTail writes the valid part of the last segment to a new file. After a
+// failed sync, its end may be readable but not on the disk, and a second sync
+// would not write it.
+func (s *Store) rewriteTail(tail []byte) error {
+	name := segmentName(s.segments[len(s.segments)-1].sequence)
+	file, err := s.disk.create(name, tail)
+	if err != nil {
+		return errors.Wrapf(err, "rewrite %s", name)
+	}
+	s.file = file
+	return nil
+}
--- /dev/null
+++ b/daemon/storage/record.go
@@ -0,0 +1,223 @@
+package storage
+
+import (
+	"encoding/binary"
+
+	"github.com/cicadapulley/cicadapulley/api/rpc"
+	"github.com/cicadapulley/cicadapulley/core/raft"
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+)
+
+// The payload of a batch is a sequence of records: type (1 byte), length (4
+// bytes), content.
+type recordType uint8
+
+const (
+	recordHardState recordType = iota + 1
+	// recordTruncate holds the first index that is removed (8 bytes).
+	recordTruncate
+	// recordEntry holds a protobuf RaftEntry. For EntryGroup its data is a
+	// protobuf RaftGroup.
+	recordEntry
+)
+
+const (
+	recordHeadBytes = 1 + 4
+	// hardStateBytes is the size of term and commit; the vote follows.
+	hardStateBytes = 8 + 8
+	// checkpointBytes is the size of index and term; the hard state follows.
+	checkpointBytes = 8 + 8
+)
+
+// batch is the content of one Save.
+type batch struct {
+	hard *raft.HardState
+	// truncate is the first index that is removed; 0 removes nothing.
+	truncate uint64
+	entries  []raft.Entry
+}
+
+func (b batch) empty() bool {
+	return b.hard == nil && b.truncate == 0 && len(b.entries) == 0
+}
+
+// append encodes the batch.
+func (b batch) append(dst []byte) ([]byte, error) {
+	if b.hard != nil {
+		dst = appendRecordHead(dst, recordHardState, hardStateBytes+len(b.hard.Vote))
+		dst = appendHardState(dst, *b.hard)
+	}
+	if b.truncate > 0 {
+		dst = appendRecordHead(dst, recordTruncate, 8)
+		dst = binary.LittleEndian.AppendUint64(dst, b.truncate)
+	}
+	var message rpc.RaftEntry
+	for i := range b.entries {
+		var err error
+		if dst, err = appendEntry(dst, &message, &b.entries[i]); err != nil {
+			return nil, errors.Wrapf(err, "encode entry %d", b.entries[i].Index)
+		}
+	}
+	return dst, nil
+}
+
+func appendRecordHead(dst []byte, t recordType, length int) []byte {
+	return binary.LittleEndian.AppendUint32(append(dst, byte(t)), uint32(length))
+}
+
+func appendHardState(dst []byte, hs raft.HardState) []byte {
+	dst = binary.LittleEndian.AppendUint64(dst, hs.Term)
+	dst = binary.LittleEndian.AppendUint64(dst, hs.Commit)
+	return append(dst, hs.Vote...)
+}
+
+// appendEntry encodes an entry through m, which the caller reuses.
+func appendEntry(dst []byte, m *rpc.RaftEntry, e *raft.Entry) ([]byte, error) {
+	m.Term = e.Term
+	m.Index = e.Index
+	m.Type = uint32(e.Type)
+	m.Data = e.Data
+	if e.Type == raft.EntryGroup {
+		data, err := encodeGroup(e)
+		if err != nil {
+			return nil, err
+		}
+		m.Data = data
+	}
+	size := proto.Size(m)
+	if size > maxPayloadBytes {
+		return nil, errors.Newf("record of %d bytes exceeds %d", size, maxPayloadBytes)
+	}
+	dst = appendRecordHead(dst, recordEntry, size)
+	return proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(dst, m)
+}
+
+func encodeGroup(e *raft.Entry) ([]byte, error) {
+	if e.Group == nil || len(e.Data) > 0 {
+		return nil, errors.New("a group entry needs a group and no data")
+	}
+	return proto.Marshal(groupMessage(*e.Group))
+}
+
+func groupMessage(g raft.Group) *rpc.RaftGroup {
+	m := &rpc.RaftGroup{}
+	for _, s := range g.Servers {
+		m.Servers = append(m.Servers, &rpc.RaftServer{Id: string(s.ID), Address: s.Address, Voter: s.Voter})
+	}
+	return m
+}
+
+func groupValue(m *rpc.RaftGroup) raft.Group {
+	var g raft.Group
+	for _, s := range m.GetServers() {
+		g.Servers = append(g.Servers, raft.Server{ID: raft.ServerID(s.Id), Address: s.Address, Voter: s.Voter})
+	}
+	return g
+}
+
+// decodeBatch reads a payload whose checksum agreed.
+func decodeBatch(payload []byte) (batch, error) {
+	var b batch
+	for len(payload) > 0 {
+		if len(payload) < recordHeadBytes {
+			return batch{}, errors.New("record is cut short")
+		}
+		t := recordType(payload[0])
+		length := uint64(binary.LittleEndian.Uint32(payload[1:]))
+		payload = payload[recordHeadBytes:]
+		if length > uint64(len(payload)) {
+			return batch{}, errors.New("record is longer than its frame")
+		}
+		if err := b.decode(t, payload[:length]); err != nil {
+			return batch{}, err
+		}
+		payload = payload[length:]
+	}
+	return b, nil
+}
+
+func (b *batch) decode(t recordType, content []byte) error {
+	switch t {
+	case recordHardState:
+		hs, err := decodeHardState(content)
+		b.hard = &hs
+		return err
+	case recordTruncate:
+		if len(content) != 8 {
+			return errors.New("bad truncate record")
+		}
+		b.truncate = binary.LittleEndian.Uint64(content)
+		return nil
+	case recordEntry:
+		e, err := decodeEntry(content)
+		b.entries = append(b.entries, e)
+		return err
+	default:
+		return errors.Newf("unknown record type %d", t)
+	}
+}
+
+func decodeHardState(content []byte) (raft.HardState, error) {
+	if len(content) < hardStateBytes {
+		return raft.HardState{}, errors.New("bad hard state record")
+	}
+	return raft.HardState{
+		Term:   binary.LittleEndian.Uint64(content),
+		Commit: binary.LittleEndian.Uint64(content[8:]),
+		Vote:   raft.ServerID(content[hardStateBytes:]),
+	}, nil
+}
+
+func decodeEntry(content []byte) (raft.Entry, error) {
+	var m rpc.RaftEntry
+	if err := proto.Unmarshal(content, &m); err != nil {
+		return raft.Entry{}, errors.Wrap(err, "decode entry")
+	}
+	e := raft.Entry{Term: m.Term, Index: m.Index, Type: raft.EntryType(m.Type), Data: m.Data}
+	switch m.Type {
+	case uint32(raft.EntryCommand):
+		return e, nil
+	case uint32(raft.EntryGroup):
+		g, err := decodeGroup(m.Data)
+		e.Group = &g
+		e.Data = nil
+		return e, err
+	default:
+		return raft.Entry{}, errors.Newf("entry %d has unknown type %d", m.Index, m.Type)
+	}
+}
+
+func decodeGroup(data []byte) (raft.Group, error) {
+	var m rpc.RaftGroup
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return raft.Group{}, errors.Wrap(err, "decode group")
+	}
+	return groupValue(&m), nil
+}
+
+// checkpoint is the state before the first batch of a segment, so that older
+// segments can be removed.
+type checkpoint struct {
+	// index and term are those of the last entry before the segment.
+	index, term uint64
+	hard        raft.HardState
+}
+
+func (c checkpoint) append(dst []byte) []byte {
+	dst = binary.LittleEndian.AppendUint64(dst, c.index)
+	dst = binary.LittleEndian.AppendUint64(dst, c.term)
+	return appendHardState(dst, c.hard)
+}
+
+func decodeCheckpoint(payload []byte) (checkpoint, error) {
+	if len(payload) < checkpointBytes {
+		return checkpoint{}, errors.New("checkpoint is cut short")
+	}
+	hard, err := decodeHardState(payload[checkpointBytes:])
+	return checkpoint{
+		index: binary.LittleEndian.Uint64(payload),
+		term:  binary.LittleEndian.Uint64(payload[8:]),
+		hard:  hard,
+	}, err
+}
--- /dev/null
+++ b/daemon/storage/savesnapshot.go
@@ -0,0 +1,168 @@
+package storage
+
+import (
+	"github.com/cicadapulley/cicadapulley/core/invariant"
+	"github.com/cicadapulley/cicadapulley/core/raft"
+	"github.com/cockroachdb/errors"
+)
+
+// keptSnapshots is two, so that a damaged newest snapshot can be replaced by
+// the older one and the log after it.
+const keptSnapshots = 2
+
+// SaveSnapshot stores a snapshot of committed state and removes what it makes
+// obsolete: all but the newest two snapshots, and the log before the older of
+// them. If the log doesn't hold the snapshot's index and term, the snapshot
+// replaces the whole log; the caller must then not call Save at the same time.
+// Otherwise Save continues while the snapshot is written. A failure is
+// permanent, as for Save.
+func (s *Store) SaveSnapshot(snapshot raft.Snapshot) error {
+	s.snapshotting.Lock()
+	defer s.snapshotting.Unlock()
+	h, err := s.planSnapshot(snapshot)
+	if err != nil {
+		return err
+	}
+	bytes, err := s.writeSnapshot(h, snapshot)
+	if err != nil {
+		return s.failUnlocked(err)
+	}
+	info := snapshotInfo{index: snapshot.Index, term: snapshot.Term, bytes: bytes}
+	obsolete, err := s.adoptSnapshot(h, info)
+	if err != nil {
+		return err
+	}
+	if err := s.removeAll(obsolete); err != nil {
+		return s.failUnlocked(err)
+	}
+	return nil
+}
+
+// removeAll deletes files durably in the given order, so that a crash leaves no
+// gap between segments.
+func (s *Store) removeAll(names []string) error {
+	for _, name := range names {
+		if err := s.disk.remove(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Store) failUnlocked(err error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fail(err)
+}
+
+// planSnapshot returns the header of the snapshot's file.
+func (s *Store) planSnapshot(snapshot raft.Snapshot) (header, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.err != nil {
+		return header{}, s.err
+	}
+	invariant.Check(snapshot.Index >= s.snapshotIndex(), invariant.DurableAck,
+		"snapshot %d after snapshot %d", snapshot.Index, s.snapshotIndex())
+	return header{
+		kind:     kindSnapshot,
+		reset:    !s.index.holds(snapshot.Index, snapshot.Term),
+		identity: s.identity,
+		sequence: s.segments[len(s.segments)-1].sequence,
+		marker:   newMarker(),
+	}, nil
+}
+
+// writeSnapshot writes and syncs the file, and returns its size in bytes.
+func (s *Store) writeSnapshot(h header, snapshot raft.Snapshot) (int64, error) {
+	data, err := encodeSnapshot(h, snapshot)
+	if err != nil {
+		return 0, err
+	}
+	file, err := s.disk.create(snapshotName(snapshot.Index), data)
+	if err != nil {
+		return 0, errors.Wrapf(err, "snapshot %d", snapshot.Index)
+	}
+	return int64(len(data)), errors.Wrapf(file.Close(), "snapshot %d", snapshot.Index)
+}
+
+// adoptSnapshot starts a new segment after a snapshot, so that the log before
+// it becomes removable, and returns the names of the obsolete files in the
+// order in which they must be removed.
+func (s *Store) adoptSnapshot(h header, info snapshotInfo) ([]string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.err != nil {
+		return nil, s.err
+	}
+	reset := !s.index.holds(info.index, info.term)
+	invariant.Check(reset == h.reset, invariant.DurableAck,
+		"log changed at index %d while its snapshot was written", info.index)
+	if reset {
+		s.index.reset(info.index, info.term)
+	}
+	if err := s.startSegment(reset); err != nil {
+		return nil, s.fail(err)
+	}
+	s.addSnapshot(info)
+	names := s.damagedFiles(info.index)
+	return append(names, s.obsoleteFiles(reset)...), nil
+}
+
+func (s *Store) addSnapshot(info snapshotInfo) {
+	last := len(s.snapshots) - 1
+	if last >= 0 && s.snapshots[last].index == info.index {
+		s.snapshots = s.snapshots[:last]
+	}
+	s.snapshots = append(s.snapshots, info)
+}
+
+// damagedFiles forgets the damaged snapshots and returns their names, but for
+// one that the new snapshot has overwritten.
+func (s *Store) damagedFiles(overwritten uint64) []string {
+	var names []string
+	for _, index := range s.damaged {
+		if index != overwritten {
+			names = append(names, snapshotName(index))
+		}
+	}
+	s.damaged = nil
+	return names
+}
+
+// obsoleteFiles forgets the snapshots but for the newest ones, and the segments
+// that recovery from the oldest kept snapshot does not need. With reset, only
+// the last segment is needed. mu is held, or Open runs.
+func (s *Store) obsoleteFiles(reset bool) []string {
+	if len(s.snapshots) == 0 {
+		return nil
+	}
+	first := max(0, len(s.snapshots)-keptSnapshots)
+	old := s.snapshots[:first]
+	s.snapshots = append([]snapshotInfo(nil), s.snapshots[first:]...)
+	names := segmentNames(s.obsoleteSegments(reset))
+	for _, snapshot := range old {
+		names = append(names, snapshotName(snapshot.index))
+	}
+	return names
+}
+
+func (s *Store) obsoleteSegments(reset bool) []segmentInfo {
+	first := len(s.segments) - 1
+	needed := s.snapshots[0].index
+	for !reset && first > 0 && s.segments[first].base > needed {
+		first--
+	}
+	old := s.segments[:first]
+	s.segments = append([]segmentInfo(nil), s.segments[first:]...)
+	s.index.trim(min(s.segments[0].base, s.index.last()))
+	return old
+}
+
+func segmentNames(segments []segmentInfo) []string {
+	var names []string
+	for _, segment := range segments {
+		names = append(names, segmentName(segment.sequence))
+	}
+	return names
+}
--- /dev/null
+++ b/daemon/storage/snapshot.go
@@ -0,0 +1,87 @@
+package storage
+
+import (
+	"github.com/cicadapulley/cicadapulley/api/rpc"
+	"github.com/cicadapulley/cicadapulley/core/raft"
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+)
+
+// encodeSnapshot returns the content of a snapshot file.
+func encodeSnapshot(h header, s raft.Snapshot) ([]byte, error) {
+	m := &rpc.RaftSnapshot{Index: s.Index, Term: s.Term, Group: groupMessage(s.Group), Data: s.Data}
+	size := headerBytes + frameHeadBytes + proto.Size(m) + frameTailBytes
+	data := append(make([]byte, 0, size), h.encode()...)
+	at := startCursor(h, data)
+	start := len(data)
+	data, err := proto.MarshalOptions{}.MarshalAppend(at.begin(data), m)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode snapshot")
+	}
+	return at.finish(data, start, frameSnapshot)
+}
+
+// snapshotFile is a snapshot file that was read.
+type snapshotFile struct {
+	// index is the one in the file's name; the rest is valid if err is nil.
+	index    uint64
+	bytes    int64
+	header   header
+	snapshot raft.Snapshot
+	err      *CorruptError
+}
+
+// readSnapshots reads all snapshot files in the given order. Its error is one
+// of I/O; damage is reported in each file's err.
+func readSnapshots(d *disk, id identity, indexes []uint64) ([]snapshotFile, error) {
+	var files []snapshotFile
+	for _, index := range indexes {
+		name := snapshotName(index)
+		data, err := d.read(name)
+		if err != nil {
+			return nil, err
+		}
+		f := decodeSnapshot(d.path(name), data)
+		f.index = index
+		if f.err == nil {
+			f.err = f.check(d.path(name), id)
+		}
+		files = append(files, f)
+	}
+	return files, nil
+}
+
+func (f *snapshotFile) check(file string, id identity) *CorruptError {
+	if f.header.identity != id {
+		return corrupt(file, 0, "snapshot of another data folder, %s", f.header.identity.serverID())
+	}
+	if f.snapshot.Index != f.index {
+		return corrupt(file, 0, "snapshot has index %d", f.snapshot.Index)
+	}
+	return nil
+}
+
+func decodeSnapshot(file string, data []byte) snapshotFile {
+	f := snapshotFile{bytes: int64(len(data))}
+	h, err := decodeHeader(data, kindSnapshot)
+	if err != nil {
+		f.err = corrupt(file, 0, "%v", err)
+		return f
+	}
+	f.header = h
+	at := startCursor(h, data[:headerBytes])
+	t, payload, err := at.next(data)
+	if err == nil && (t != frameSnapshot || at.offset != int64(len(data))) {
+		err = errors.New("not exactly one snapshot frame")
+	}
+	var m rpc.RaftSnapshot
+	if err == nil {
+		err = proto.Unmarshal(payload, &m)
+	}
+	if err != nil {
+		f.err = corrupt(file, headerBytes, "%v", err)
+		return f
+	}
+	f.snapshot = raft.Snapshot{Index: m.Index, Term: m.Term, Group: groupValue(m.Group), Data: m.Data}
+	return f
+}
