core/dispatch: state-machine tests; timers for stale grants

Cause: the random test found an item that waited for good after an agent granted zero slots, a wrong count of quarantined endpoints after one left, and items past their deadline that Remove did not return. Change: one timer for each endpoint covers trials, pauses and stale grants; an endpoint that leaves is released from quarantine; Remove returns late items. Conclusion: the tests stay as guards.

--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -14,7 +14,11 @@
 	if e.removed() {
 		return
 	}
-	e.pool.place(e, s.setOf(e))
+	set := s.setOf(e)
+	e.pool.place(e, set)
+	if set != &e.pool.ready {
+		s.wakeAt(e.nextChange(s.now), e)
+	}
 }
 
 // setOf returns the set in which an endpoint belongs now, nil if it takes no task.
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -43,6 +43,8 @@
 	others    int
 	reported  time.Time
 	busyUntil time.Time
+	// wake is the time of the endpoint's pending timer, zero if there is none.
+	wake time.Time
 
 	logSpeed float64
 	samples  int
@@ -67,12 +69,33 @@
 	e.reported = now
 }
 
-// expireGrant falls back to one slot after a time without a report, when the
-// agent may have granted the slots to other entries.
+// expireGrant falls back to one slot after a time without a report. The agent
+// may have granted more to other entries, or may have become idle.
 func (e *endpoint) expireGrant(now time.Time) {
-	if e.granted > 1 && !e.reported.IsZero() && now.Sub(e.reported) >= grantLife {
-		e.granted = 1
+	if e.reported.IsZero() || now.Sub(e.reported) < grantLife {
+		return
 	}
+	e.granted = 1
+	e.others = min(e.others, max(e.Slots-1, 0))
+}
+
+// nextChange returns when an endpoint without a free granted slot may have one
+// without an event; zero if only an event can change that.
+func (e *endpoint) nextChange(now time.Time) time.Time {
+	if e.Drain || e.inFlight() >= e.Slots {
+		return time.Time{}
+	}
+	var next time.Time
+	candidates := [...]time.Time{e.busyUntil, e.reported.Add(grantLife)}
+	if e.health.quarantined {
+		candidates = [...]time.Time{e.health.nextTrial, {}}
+	}
+	for _, at := range candidates {
+		if at.After(now) && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
+	return next
 }
 
 // dropFlight removes a flight from the endpoint's list.
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -169,7 +169,6 @@
 	h.interval = min(max(2*h.interval, firstTrial), maxTrial)
 	jitter := 0.8 + 0.4*s.random.Float64()
 	h.nextTrial = now.Add(time.Duration(float64(h.interval) * jitter))
-	s.wakeAt(h.nextTrial, e)
 }
 
 func (s *Scheduler) readmit(e *endpoint) {
--- a/core/dispatch/learn.go
+++ b/core/dispatch/learn.go
@@ -56,10 +56,10 @@
 	s.budget.busy++
 	if r.Load == nil {
 		e.granted = min(e.granted, e.inFlight())
+		e.reported = now
 	}
 	e.others = max(e.others, e.Slots-e.inFlight())
 	e.busyUntil = now.Add(busyPause)
-	s.wakeAt(e.busyUntil, e)
 }
 
 // settle corrects the flow's charge to the work that was done: none after a
--- /dev/null
+++ b/core/dispatch/machine_test.go
@@ -0,0 +1,256 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/cicadapulley/cicadapulley/core/verdict"
+)
+
+// machine drives a Scheduler with random events and keeps an independent
+// account of what is queued, in flight and out.
+type machine struct {
+	s        *Scheduler
+	now      time.Time
+	nextID   uint64
+	queued   map[uint64]Item
+	inFlight map[uint64]Assignment
+	busy     map[string]int
+	slots    map[string]int
+	drained  map[string]bool
+	size     int
+	// left holds items in flight at endpoints that left the membership.
+	left map[uint64]bool
+}
+
+func newMachine(t *rapid.T) *machine {
+	m := &machine{
+		now: start, nextID: 1, queued: map[uint64]Item{}, inFlight: map[uint64]Assignment{},
+		busy: map[string]int{}, slots: map[string]int{}, drained: map[string]bool{}, left: map[uint64]bool{},
+	}
+	strategy := rapid.SampledFrom([]Strategy{Grants, Random, TwoChoices}).Draw(t, "strategy")
+	m.s = New(Options{Strategy: strategy, Seed: rapid.Uint64().Draw(t, "seed"), DataCentre: "dc1"})
+	m.membership(t)
+	return m
+}
+
+// membership sets a random list of endpoints, some draining, some gone.
+func (m *machine) membership(t *rapid.T) {
+	m.size = rapid.IntRange(1, 6).Draw(t, "endpoints")
+	list := fleet(m.size, "quote", "batch")
+	m.slots = map[string]int{}
+	m.drained = map[string]bool{}
+	for i := range list {
+		list[i].Slots = rapid.IntRange(1, 8).Draw(t, "slots")
+		list[i].Drain = rapid.IntRange(0, 5).Draw(t, "drain") == 0
+		m.slots[list[i].ID] = list[i].Slots
+		m.drained[list[i].ID] = list[i].Drain
+	}
+	for id, a := range m.inFlight {
+		if _, kept := m.slots[a.Endpoint]; !kept {
+			m.left[id] = true
+			delete(m.busy, a.Endpoint)
+		}
+	}
+	m.s.SetEndpoints(m.now, list)
+}
+
+func (m *machine) enqueue(t *rapid.T) {
+	caller := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "caller")
+	id := rapid.SampledFrom([]string{"j1", "j2"}).Draw(t, "job")
+	kind := rapid.SampledFrom([]string{"quote", "batch"}).Draw(t, "kind")
+	items := tasks(caller, id, kind, m.nextID, rapid.IntRange(1, 30).Draw(t, "count"), m.now)
+	m.nextID += uint64(len(items))
+	deadline := rapid.IntRange(0, 3).Draw(t, "deadline")
+	for i := range items {
+		if deadline > 0 {
+			items[i].Deadline = m.now.Add(time.Duration(deadline) * time.Second)
+		}
+		m.queued[items[i].ID] = items[i]
+	}
+	m.s.Enqueue(m.now, items)
+}
+
+// next takes one assignment and reports whether there was one.
+func (m *machine) next(t *rapid.T) bool {
+	a, ok := m.s.Next(m.now)
+	if !ok {
+		return false
+	}
+	m.takeOut(t, a.Item)
+	if !a.Item.Deadline.IsZero() && !a.Item.Deadline.After(m.now) {
+		t.Fatalf("item %d started after its deadline", a.Item.ID)
+	}
+	m.busy[a.Endpoint]++
+	if m.busy[a.Endpoint] > m.slots[a.Endpoint] {
+		t.Fatalf("%d tasks in flight at %s with %d slots", m.busy[a.Endpoint], a.Endpoint, m.slots[a.Endpoint])
+	}
+	if m.drained[a.Endpoint] {
+		t.Fatalf("start on draining endpoint %s", a.Endpoint)
+	}
+	m.inFlight[a.Item.ID] = a
+	return true
+}
+
+func (m *machine) takeOut(t *rapid.T, item Item) {
+	if _, ok := m.queued[item.ID]; !ok {
+		t.Fatalf("item %d came out but was not queued", item.ID)
+	}
+	delete(m.queued, item.ID)
+}
+
+// anyInFlight returns the assignment in flight with the lowest item.
+func (m *machine) anyInFlight() (Assignment, bool) {
+	var best Assignment
+	for _, a := range m.inFlight {
+		if best.Endpoint == "" || a.Item.ID < best.Item.ID {
+			best = a
+		}
+	}
+	return best, best.Endpoint != ""
+}
+
+func (m *machine) done(t *rapid.T) {
+	a, ok := m.anyInFlight()
+	if !ok {
+		return
+	}
+	r := rapid.SampledFrom([]Report{
+		{Verdict: verdict.Ran, OK: true, RunTime: 60 * time.Millisecond},
+		{Verdict: verdict.Ran, Code: verdict.CodeEndpointFailed, RunTime: time.Millisecond},
+		{Verdict: verdict.MayHaveRun, Code: verdict.CodeEndpointLost},
+		{Verdict: verdict.NotRun, Code: verdict.CodeEndpointBusy},
+		{Verdict: verdict.NotRun, Code: verdict.CodeLeaseLapsed},
+		{Verdict: verdict.MayHaveRun, Code: verdict.CodeDeadline},
+	}).Draw(t, "report")
+	if rapid.Bool().Draw(t, "with load") {
+		slots := m.slots[a.Endpoint]
+		r.Load = &Load{Slots: slots, Running: rapid.IntRange(0, slots).Draw(t, "running"),
+			Granted: rapid.IntRange(0, slots+1).Draw(t, "granted")}
+	}
+	m.finish(a, r)
+	if r.Verdict == verdict.NotRun && m.s.Requeue(m.now, a.Item) {
+		m.queued[a.Item.ID] = a.Item
+	}
+}
+
+func (m *machine) finish(a Assignment, r Report) {
+	delete(m.inFlight, a.Item.ID)
+	if !m.left[a.Item.ID] {
+		m.busy[a.Endpoint]--
+	}
+	delete(m.left, a.Item.ID)
+	m.s.Done(m.now, a, r)
+	m.s.Done(m.now, a, r)
+}
+
+func (m *machine) remove(t *rapid.T) {
+	items := tasks(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "caller"),
+		rapid.SampledFrom([]string{"j1", "j2"}).Draw(t, "job"), "", 0, 1, m.now)
+	key := items[0].Job
+	for _, item := range m.s.Remove(key) {
+		if item.Job != key {
+			t.Fatalf("removed item %d of job %s", item.ID, item.Job)
+		}
+		m.takeOut(t, item)
+	}
+	for _, item := range m.queued {
+		if item.Job == key {
+			t.Fatalf("item %d of removed job %s is still queued", item.ID, key)
+		}
+	}
+}
+
+func (m *machine) pass(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+	m.collectExpired(t)
+}
+
+func (m *machine) collectExpired(t *rapid.T) {
+	for _, item := range m.s.Expired(m.now) {
+		if item.Deadline.IsZero() || item.Deadline.After(m.now) {
+			t.Fatalf("item %d expired before its deadline", item.ID)
+		}
+		m.takeOut(t, item)
+	}
+}
+
+// check compares the scheduler's counters with the independent account.
+func (m *machine) check(t *rapid.T) {
+	st := m.s.Snapshot()
+	late := 0
+	for _, n := range m.s.late {
+		if n.late {
+			late++
+		}
+	}
+	if st.Queued+late != len(m.queued) || st.InFlight != len(m.inFlight) {
+		t.Fatalf("scheduler has %d queued, %d in flight; expected %d, %d",
+			st.Queued, st.InFlight, len(m.queued), len(m.inFlight))
+	}
+	quarantined := 0
+	for _, e := range st.Endpoints {
+		if e.InFlight != m.busy[e.ID] {
+			t.Fatalf("endpoint %s has %d in flight, expected %d", e.ID, e.InFlight, m.busy[e.ID])
+		}
+		if e.Quarantined {
+			quarantined++
+		}
+	}
+	if 2*quarantined > m.size {
+		t.Fatalf("%d of %d endpoints are quarantined", quarantined, m.size)
+	}
+}
+
+// drain lets everything succeed and requires that the queue empties: health,
+// grants and pauses may delay tasks but never hold them for good.
+func (m *machine) drain(t *rapid.T) {
+	for id := range m.drained {
+		m.drained[id] = false
+	}
+	list := fleet(m.size, "quote", "batch")
+	for i := range list {
+		list[i].Slots = m.slots[list[i].ID]
+	}
+	m.s.SetEndpoints(m.now, list)
+	for step := 0; len(m.queued)+len(m.inFlight) > 0; step++ {
+		if step > 10_000 {
+			t.Fatalf("%d items are still queued", len(m.queued))
+		}
+		m.collectExpired(t)
+		for m.next(t) {
+		}
+		if a, ok := m.anyInFlight(); ok {
+			m.now = m.now.Add(time.Millisecond)
+			slots := m.slots[a.Endpoint]
+			m.finish(a, Report{Verdict: verdict.Ran, OK: true, RunTime: 50 * time.Millisecond,
+				Load: &Load{Slots: slots, Granted: slots}})
+			continue
+		}
+		if wake := m.s.NextWake(m.now); wake.After(m.now) {
+			m.now = wake
+		} else if len(m.queued) > 0 && wake.IsZero() {
+			t.Fatalf("%d items wait without a wake-up", len(m.queued))
+		}
+	}
+}
+
+// Guards against lost or duplicated items, starts beyond the slots or on
+// draining endpoints, counters that drift, and queues that never empty.
+func TestSchedulerStateMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"membership": m.membership,
+			"enqueue":    m.enqueue,
+			"next":       func(t *rapid.T) { m.next(t) },
+			"done":       m.done,
+			"remove":     m.remove,
+			"pass":       m.pass,
+			"":           m.check,
+		})
+		m.drain(t)
+	})
+}
--- a/core/dispatch/membership.go
+++ b/core/dispatch/membership.go
@@ -44,9 +44,7 @@
 }
 
 func (s *Scheduler) dropEndpoint(e *endpoint) {
-	if e.health.quarantined {
-		s.quarantined--
-	}
+	s.readmit(e)
 	delete(s.endpoints, e.ID)
 	s.leavePool(e)
 }
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -19,6 +19,9 @@
 	jobNext *node
 	// heapIndex is the position in the deadline heap, -1 outside.
 	heapIndex int
+	// late marks an item past its deadline, which is out of its class's list
+	// and waits for Expired. Remove clears it.
+	late bool
 }
 
 // deadlineHeap orders nodes by deadline.
@@ -72,7 +75,8 @@
 	q.size++
 }
 
-func (q *queue) remove(n *node) {
+// unlinkJob takes a node out of its job's list.
+func (q *queue) unlinkJob(n *node) {
 	if n.jobPrev != nil {
 		n.jobPrev.jobNext = n.jobNext
 	} else if n.jobNext != nil {
@@ -85,10 +89,13 @@
 	}
 	n.jobPrev = nil
 	n.jobNext = nil
+}
+
+// unlinkDeadline takes a node out of the deadline heap.
+func (q *queue) unlinkDeadline(n *node) {
 	if n.heapIndex >= 0 {
 		heap.Remove(&q.deadlines, n.heapIndex)
 	}
-	q.size--
 }
 
 // due returns the node with the earliest deadline if that has passed.
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -39,8 +39,8 @@
 	speculation speculation
 	stats       Counters
 
-	// expired holds items past their deadline until Expired returns them.
-	expired []Item
+	// late holds items past their deadline until Expired returns them.
+	late []*node
 	// idle is set when Next found nothing to start and nothing changed since.
 	idle bool
 	// skipped is reused by Next for flows that cannot start.
@@ -104,12 +104,19 @@
 
 // dequeue takes a node out of all indexes.
 func (s *Scheduler) dequeue(n *node) {
+	s.queue.unlinkJob(n)
+	s.leaveFlow(n)
+}
+
+// leaveFlow takes a node out of its flow and of the deadline heap.
+func (s *Scheduler) leaveFlow(n *node) {
 	f := n.flow
 	n.class.unlink(n)
 	if n.class.first == nil {
 		f.dropClass(n.class)
 	}
-	s.queue.remove(n)
+	s.queue.unlinkDeadline(n)
+	s.queue.size--
 	f.queued--
 	f.caller.queued--
 	n.class.kind.queued--
@@ -156,12 +163,18 @@
 	return k
 }
 
-// Remove takes the queued items of a job out of the queue and returns them.
+// Remove takes the queued items of a job out of the queue and returns them,
+// those past their deadline included.
 func (s *Scheduler) Remove(key job.Key) []Item {
 	var items []Item
 	for n := s.queue.jobs[key]; n != nil; n = s.queue.jobs[key] {
 		items = append(items, n.item)
-		s.dequeue(n)
+		s.queue.unlinkJob(n)
+		if n.late {
+			n.late = false
+			continue
+		}
+		s.leaveFlow(n)
 	}
 	return items
 }
@@ -169,15 +182,23 @@
 // Expired takes items past their deadline out of the queue and returns them.
 func (s *Scheduler) Expired(now time.Time) []Item {
 	s.expire(now)
-	items := s.expired
-	s.expired = nil
+	var items []Item
+	for _, n := range s.late {
+		if !n.late {
+			continue
+		}
+		s.queue.unlinkJob(n)
+		items = append(items, n.item)
+	}
+	s.late = nil
 	return items
 }
 
 func (s *Scheduler) expire(now time.Time) {
 	for n := s.queue.due(now); n != nil; n = s.queue.due(now) {
-		s.expired = append(s.expired, n.item)
-		s.dequeue(n)
+		n.late = true
+		s.late = append(s.late, n)
+		s.leaveFlow(n)
 	}
 }
 
--- a/core/dispatch/timers.go
+++ b/core/dispatch/timers.go
@@ -30,7 +30,13 @@
 	return t
 }
 
+// wakeAt sets the endpoint's timer, unless it is set to an earlier time or the
+// time is zero. When the timer ends, place sets it again if needed.
 func (s *Scheduler) wakeAt(at time.Time, e *endpoint) {
+	if at.IsZero() || (!e.wake.IsZero() && !at.Before(e.wake)) {
+		return
+	}
+	e.wake = at
 	heap.Push(&s.timers, timer{at, e})
 }
 
@@ -43,9 +49,10 @@
 	s.expire(s.now)
 	for len(s.timers) > 0 && !s.timers[0].at.After(s.now) {
 		t := heap.Pop(&s.timers).(timer)
-		if t.endpoint.removed() {
+		if t.endpoint.removed() || !t.at.Equal(t.endpoint.wake) {
 			continue
 		}
+		t.endpoint.wake = time.Time{}
 		s.idle = false
 		s.place(t.endpoint)
 	}
@@ -54,7 +61,7 @@
 // NextWake returns when Next or Expired should be called without an event, for
 // a trial, a deadline or an ended pause. It is zero if there is none.
 func (s *Scheduler) NextWake(now time.Time) time.Time {
-	if len(s.expired) > 0 {
+	if len(s.late) > 0 {
 		return now
 	}
 	var at time.Time
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -80,7 +80,6 @@
 // allow, because they may still use them.
 func (d *Divider) Granted(entry string, now time.Time) int {
 	a := d.touch(entry, now)
-	d.prune(now)
 	others := 0
 	for _, other := range d.accounts {
 		if other != a {
@@ -102,13 +101,13 @@
 }
 
 func (d *Divider) touch(entry string, now time.Time) *account {
+	d.prune(now)
 	for _, a := range d.accounts {
 		if a.entry == entry {
 			a.seen = now
 			return a
 		}
 	}
-	d.prune(now)
 	a := &account{entry: entry, told: 1, seen: now, asked: now}
 	d.accounts = append(d.accounts, a)
 	return a
