--- a/api/codec/member.go
+++ b/api/codec/member.go
@@ -24,6 +24,7 @@
 		EndedUnixMs:     unixMS(m.Ended),
 		EndedIndex:      m.EndedIndex,
 		Revision:        m.Revision,
+		Ops:             m.Ops,
 	}
 }
 
@@ -46,6 +47,7 @@
 		Ended:           fromUnixMS(m.GetEndedUnixMs()),
 		EndedIndex:      m.GetEndedIndex(),
 		Revision:        m.GetRevision(),
+		Ops:             m.GetOps(),
 	}
 }
 
--- a/core/state/config.go
+++ b/core/state/config.go
@@ -89,6 +89,26 @@
 	return c
 }
 
+// hasAny reports whether any object of a ticket exists already.
+func (c Config) hasAny(t Ticket) bool {
+	for _, s := range t.Services {
+		if _, ok := c.Services[s.Name]; ok {
+			return true
+		}
+	}
+	for _, q := range t.Quotas {
+		if _, ok := c.Quotas[q.Caller]; ok {
+			return true
+		}
+	}
+	for _, d := range t.Drains {
+		if _, ok := c.Drains[d.Endpoint]; ok {
+			return true
+		}
+	}
+	return t.Limits != nil && c.Limits.Revision > 0
+}
+
 // Ticket is a numbered change that carries the whole new state of everything
 // it touches.
 type Ticket struct {
--- a/core/state/member.go
+++ b/core/state/member.go
@@ -59,9 +59,11 @@
 // Member is a process that announced itself. A restart has the same id and a
 // higher incarnation.
 type Member struct {
-	ID          string
-	Role        Role
-	Address     string
+	ID      string
+	Role    Role
+	Address string
+	// Ops is the URL of the operations page, empty if it has none.
+	Ops         string
 	Incarnation uint64
 	DataCentre  string
 	Rack        string
--- a/core/state/tickets.go
+++ b/core/state/tickets.go
@@ -13,6 +13,9 @@
 
 func (m *Machine) applyTicket(index uint64, c *ApplyTicket) Result {
 	t := c.Ticket
+	if t.Number == 0 {
+		return m.applyInitial(index, t)
+	}
 	if old, ok := m.tickets[t.Number]; ok {
 		return Result{Ticket: repeatOrConflict(old, c.Digest)}
 	}
@@ -31,6 +34,17 @@
 	return Result{Ticket: &TicketResult{Status: TicketApplied, Revision: index, Winner: t.Number, WinnerAuthor: t.Author}}
 }
 
+// applyInitial stores objects that no ticket and no earlier initial
+// configuration has touched. It has no number and stays out of the history.
+func (m *Machine) applyInitial(index uint64, t Ticket) Result {
+	if m.config.hasAny(t) {
+		return Result{Ticket: &TicketResult{Status: TicketRepeated, Revision: m.configRevision}}
+	}
+	m.storeObjects(index, t)
+	m.touch(index)
+	return Result{Ticket: &TicketResult{Status: TicketApplied, Revision: index}}
+}
+
 func repeatOrConflict(old AppliedTicket, digest [32]byte) *TicketResult {
 	res := &TicketResult{
 		Status:       TicketConflict,
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -63,6 +63,7 @@
 		ID:          o.Settings.ID,
 		Role:        state.RoleAgent,
 		Address:     address,
+		Ops:         o.Settings.OpsURL(),
 		DataCentre:  o.Settings.DataCentre,
 		Rack:        o.Settings.Rack,
 		Slots:       o.Settings.Slots,
--- /dev/null
+++ b/daemon/control/consensus/driver.go
@@ -0,0 +1,309 @@
+// Package consensus drives the replicated log of a control VM: it feeds the
+// raft core with messages, times and proposals, saves and sends what the core
+// asks for, and applies what is committed. Parent: control. Children: one
+// sender for each other control VM. Restart rule: any failure is fatal to the
+// daemon, since memory and disk may disagree afterwards. State: the raft node
+// and the state machine in memory, the log through package storage.
+package consensus
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/cicadapulley/cicadapulley/api/codec"
+	"github.com/cicadapulley/cicadapulley/core/raft"
+	"github.com/cicadapulley/cicadapulley/core/state"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
+	"github.com/cicadapulley/cicadapulley/daemon/storage"
+	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
+)
+
+const (
+	// maxBatch bounds the proposals of one append.
+	maxBatch = 1024
+	// inboxSize bounds the messages that wait for the driver; the core
+	// tolerates the loss of those that find it full.
+	inboxSize = 4096
+	// heartbeatsPerTimeout is how many heartbeats fit in an election timeout.
+	heartbeatsPerTimeout = 5
+	// Bounds of one append message.
+	maxEntriesPerMessage = 512
+	maxBytesPerMessage   = 4 << 20
+	maxInflight          = 64
+	// maxLearned bounds the remembered addresses of senders.
+	maxLearned = 64
+)
+
+// ErrUncertain is returned for a proposal that lost its leader: it may or may
+// not come into force.
+var ErrUncertain = errors.New("the proposal lost its leader")
+
+// Options configure a driver.
+type Options struct {
+	Store     *storage.Store
+	Recovered storage.Recovered
+	// Address is this VM's address, as others reach it.
+	Address         string
+	ElectionTimeout time.Duration
+	// SnapshotEntries is the number of applied entries between snapshots.
+	SnapshotEntries uint64
+	Retention       state.Retention
+	Transport       Transport
+	Log             *events.Log
+	Seed            uint64
+}
+
+// Transport sends messages to another control VM.
+type Transport interface {
+	// Send delivers messages to an address, or fails.
+	Send(ctx context.Context, address string, messages []raft.Message) error
+}
+
+// Driver runs one control VM's part of the agreement. Its methods are safe for
+// concurrent use.
+type Driver struct {
+	opts      Options
+	proposals chan *proposal
+	inbox     chan raft.Message
+	saves     chan raft.Ready
+	saved     chan raft.Ready
+	snapshots chan raft.Snapshot
+	// woken makes the loop look at the core after a call from outside.
+	woken chan struct{}
+	group *supervisor.Group
+
+	mu sync.Mutex
+	// base is the context of the senders, set by Run.
+	base context.Context
+	// node, machine and everything below are guarded by mu.
+	node    *raft.Node
+	machine *state.Machine
+	// waiting maps a log index to the proposal that was appended there.
+	waiting map[uint64]*proposal
+	leading bool
+	// changed is closed and replaced at each change of the state or the leader.
+	changed chan struct{}
+	peers   map[raft.ServerID]*peer
+	// learned holds the addresses of senders, for VMs outside the group.
+	learned map[raft.ServerID]string
+	// snapshotIndex is the index of the last snapshot that was started.
+	snapshotIndex uint64
+}
+
+// New returns a driver on recovered state.
+func New(o Options) (*Driver, error) {
+	d := &Driver{
+		opts:      o,
+		proposals: make(chan *proposal, maxBatch),
+		inbox:     make(chan raft.Message, inboxSize),
+		saves:     make(chan raft.Ready, 1),
+		saved:     make(chan raft.Ready, 1),
+		snapshots: make(chan raft.Snapshot, 1),
+		group:     supervisor.NewGroup("control/consensus", o.Log),
+		machine:   state.New(o.Retention),
+		waiting:   map[uint64]*proposal{},
+		changed:   make(chan struct{}),
+		peers:     map[raft.ServerID]*peer{},
+		learned:   map[raft.ServerID]string{},
+		woken:     make(chan struct{}, 1),
+	}
+	if err := d.restore(o.Recovered.Snapshot); err != nil {
+		return nil, err
+	}
+	node, err := raft.New(raft.Config{
+		ID:                   o.Recovered.Identity,
+		Now:                  time.Now(),
+		ElectionTimeout:      o.ElectionTimeout,
+		HeartbeatInterval:    o.ElectionTimeout / heartbeatsPerTimeout,
+		Rand:                 rand.New(rand.NewPCG(o.Seed, uint64(time.Now().UnixNano()))),
+		MaxEntriesPerMessage: maxEntriesPerMessage,
+		MaxBytesPerMessage:   maxBytesPerMessage,
+		MaxInflight:          maxInflight,
+		HardState:            o.Recovered.HardState,
+		Snapshot:             o.Recovered.Snapshot,
+		Entries:              o.Recovered.Entries,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "start consensus")
+	}
+	d.node = node
+	return d, nil
+}
+
+// restore replaces the state machine by a snapshot; an empty one is a new machine.
+func (d *Driver) restore(s raft.Snapshot) error {
+	if s.Index == 0 {
+		return nil
+	}
+	content, err := codec.DecodeSnapshot(s.Data)
+	if err != nil {
+		return errors.Wrapf(err, "snapshot at index %d", s.Index)
+	}
+	d.machine = state.Restore(d.opts.Retention, content)
+	d.snapshotIndex = s.Index
+	return nil
+}
+
+// Run drives the log until ctx ends. Every error is fatal.
+func (d *Driver) Run(ctx context.Context) error {
+	d.mu.Lock()
+	d.base = ctx
+	d.mu.Unlock()
+	var saver conc.WaitGroup
+	saving, stop := context.WithCancel(ctx)
+	failures := make(chan error, 1)
+	saver.Go(func() { d.saveLoop(saving, failures) })
+	defer saver.Wait()
+	defer stop()
+	defer d.group.StopAll()
+	if err := d.loop(ctx, failures); err != nil {
+		return supervisor.Fatal(err)
+	}
+	d.failAll(ErrUncertain)
+	return nil
+}
+
+// loop waits for one event at a time and acts on it.
+func (d *Driver) loop(ctx context.Context, failures <-chan error) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case err := <-failures:
+			return err
+		case <-timer.C:
+			d.locked(func(now time.Time) { d.node.Tick(now) })
+		case <-d.woken:
+		case p := <-d.proposals:
+			d.locked(func(now time.Time) { d.append(now, d.gather(p)) })
+		case m := <-d.inbox:
+			d.locked(func(now time.Time) { d.receive(now, m) })
+		case rd := <-d.saved:
+			d.locked(func(time.Time) { d.finishSave(rd) })
+		case s := <-d.snapshots:
+			d.locked(func(time.Time) { d.finishSnapshot(s) })
+		}
+		if err := d.act(); err != nil {
+			return err
+		}
+		d.resetTimer(timer)
+	}
+}
+
+func (d *Driver) locked(fn func(now time.Time)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	fn(time.Now())
+}
+
+// receive steps a message and those that wait behind it.
+func (d *Driver) receive(now time.Time, m raft.Message) {
+	d.node.Step(now, m)
+	for range inboxSize {
+		select {
+		case m = <-d.inbox:
+			d.node.Step(now, m)
+		default:
+			return
+		}
+	}
+}
+
+func (d *Driver) resetTimer(timer *time.Timer) {
+	d.mu.Lock()
+	deadline := d.node.NextDeadline()
+	d.mu.Unlock()
+	if deadline.IsZero() {
+		return
+	}
+	timer.Reset(time.Until(deadline))
+}
+
+// act does what the core asks for until nothing is left but a save in progress.
+func (d *Driver) act() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for d.node.HasReady() {
+		rd := d.node.Ready()
+		d.send(rd.Messages)
+		if err := d.apply(rd); err != nil {
+			return err
+		}
+		if !mustSave(rd) {
+			d.send(rd.MessagesAfterSync)
+			d.node.Advance(rd)
+			continue
+		}
+		d.saves <- rd // the core returns the next part to save only after Advance
+	}
+	d.noteLeadership()
+	return nil
+}
+
+func mustSave(rd raft.Ready) bool {
+	return rd.HardState != nil || rd.Snapshot != nil || len(rd.Entries) > 0 || rd.TruncateFrom > 0
+}
+
+// saveLoop makes parts of the log durable, one sync each, beside the driver,
+// so that heartbeats go on while the disk works.
+func (d *Driver) saveLoop(ctx context.Context, failures chan<- error) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case rd := <-d.saves:
+			if err := d.save(rd); err != nil {
+				d.opts.Log.Emit(events.Event{ID: events.StorageFailed, Err: err})
+				failures <- err
+				return
+			}
+			d.saved <- rd
+		}
+	}
+}
+
+func (d *Driver) save(rd raft.Ready) error {
+	if rd.Snapshot != nil {
+		if err := d.opts.Store.SaveSnapshot(*rd.Snapshot); err != nil {
+			return errors.Wrap(err, "save received snapshot")
+		}
+	}
+	err := d.opts.Store.Save(rd.HardState, rd.TruncateFrom, rd.Entries)
+	return errors.Wrap(err, "save log")
+}
+
+// finishSave sends what had to wait for the sync. The caller holds mu.
+func (d *Driver) finishSave(rd raft.Ready) {
+	d.send(rd.MessagesAfterSync)
+	d.node.Advance(rd)
+}
+
+// noteLeadership tells watchers and proposers about a change of leader. The
+// caller holds mu.
+func (d *Driver) noteLeadership() {
+	leading := d.node.IsLeader()
+	if leading == d.leading {
+		return
+	}
+	d.leading = leading
+	id := events.LeaderElected
+	if !leading {
+		id = events.LeaderLost
+		d.failWaiting()
+	}
+	d.opts.Log.Emit(events.Event{ID: id})
+	d.notify()
+}
+
+// notify wakes those who wait for a change. The caller holds mu.
+func (d *Driver) notify() {
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
--- /dev/null
+++ b/daemon/control/consensus/peer.go
@@ -0,0 +1,136 @@
+package consensus
+
+import (
+	"context"
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/core/raft"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
+)
+
+const (
+	// outboxSize bounds the messages that wait for one control VM.
+	outboxSize = 1024
+	// sendTimeout bounds one exchange with another control VM.
+	sendTimeout = 2 * time.Second
+	// sendPause is the wait after a failed exchange.
+	sendPause = 20 * time.Millisecond
+)
+
+// peer sends to one other control VM.
+type peer struct {
+	server    raft.Server
+	outbox    chan raft.Message
+	transport Transport
+	log       *events.Log
+	// reachable avoids an event for each failed exchange.
+	reachable bool
+}
+
+// Run sends messages in order until ctx ends. Those that fail are dropped; the
+// core repeats what matters.
+func (p *peer) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case first := <-p.outbox:
+			p.exchange(ctx, p.gather(first))
+		}
+	}
+}
+
+// gather takes the messages that wait into one exchange.
+func (p *peer) gather(first raft.Message) []raft.Message {
+	batch := []raft.Message{first}
+	for len(batch) < outboxSize {
+		select {
+		case m := <-p.outbox:
+			batch = append(batch, m)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (p *peer) exchange(ctx context.Context, batch []raft.Message) {
+	bounded, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	err := p.transport.Send(bounded, p.server.Address, batch)
+	if err == nil {
+		p.reachable = true
+		return
+	}
+	if p.reachable && ctx.Err() == nil {
+		p.log.Emit(events.Event{ID: events.PeerUnreachable, Peer: p.server.Address, Err: err})
+	}
+	p.reachable = false
+	select {
+	case <-ctx.Done():
+	case <-time.After(sendPause):
+	}
+}
+
+// send queues messages for their receivers; a full outbox drops them. The
+// caller holds mu.
+func (d *Driver) send(messages []raft.Message) {
+	for _, m := range messages {
+		p := d.peer(m.To)
+		if p == nil {
+			continue
+		}
+		select {
+		case p.outbox <- m:
+		default:
+		}
+	}
+}
+
+// peer finds or starts the sender of a control VM. The caller holds mu.
+func (d *Driver) peer(id raft.ServerID) *peer {
+	if p := d.peers[id]; p != nil {
+		return p
+	}
+	server, ok := d.find(id)
+	if !ok {
+		return nil
+	}
+	p := &peer{
+		server:    server,
+		outbox:    make(chan raft.Message, outboxSize),
+		transport: d.opts.Transport,
+		log:       d.opts.Log,
+		reachable: true,
+	}
+	d.peers[id] = p
+	d.group.Start(d.base, server.Address, p.Run)
+	return p
+}
+
+// find looks a control VM up in the group. Answers to a VM that is not in this
+// VM's group yet, as while joining, go to the address it sent from.
+func (d *Driver) find(id raft.ServerID) (raft.Server, bool) {
+	for _, s := range d.node.Status().Group.Servers {
+		if s.ID == id {
+			return s, true
+		}
+	}
+	address, ok := d.learned[id]
+	return raft.Server{ID: id, Address: address}, ok
+}
+
+// Receive takes messages from another control VM at an address.
+func (d *Driver) Receive(from raft.ServerID, address string, messages []raft.Message) {
+	d.mu.Lock()
+	if len(d.learned) < maxLearned {
+		d.learned[from] = address
+	}
+	d.mu.Unlock()
+	for _, m := range messages {
+		select {
+		case d.inbox <- m:
+		default:
+		}
+	}
+}
--- /dev/null
+++ b/daemon/control/consensus/propose.go
@@ -0,0 +1,152 @@
+package consensus
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cicadapulley/cicadapulley/api/codec"
+	"github.com/cicadapulley/cicadapulley/core/raft"
+	"github.com/cicadapulley/cicadapulley/core/state"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
+)
+
+// proposal is a command on its way through the log.
+type proposal struct {
+	data []byte
+	term uint64
+	// answer has room for one answer.
+	answer chan answer
+}
+
+type answer struct {
+	result state.Result
+	err    error
+}
+
+// Propose replicates a command and returns the result of its application. It
+// stamps the command's time. The error is a *raft.NotLeaderError, which means
+// that nothing happened, or ErrUncertain, or that of ctx.
+func (d *Driver) Propose(ctx context.Context, c state.Command) (state.Result, error) {
+	c.Now = time.Now()
+	data, err := codec.EncodeCommand(c)
+	if err != nil {
+		return state.Result{}, err
+	}
+	p := &proposal{data: data, answer: make(chan answer, 1)}
+	select {
+	case d.proposals <- p:
+	case <-ctx.Done():
+		return state.Result{}, ctx.Err()
+	}
+	select {
+	case a := <-p.answer:
+		return a.result, a.err
+	case <-ctx.Done():
+		return state.Result{}, ctx.Err()
+	}
+}
+
+// gather collects the proposals that wait, so that they share one sync.
+func (d *Driver) gather(first *proposal) []*proposal {
+	batch := []*proposal{first}
+	for len(batch) < maxBatch {
+		select {
+		case p := <-d.proposals:
+			batch = append(batch, p)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// append hands a batch to the core. The caller holds mu.
+func (d *Driver) append(now time.Time, batch []*proposal) {
+	datas := make([][]byte, len(batch))
+	for i, p := range batch {
+		datas[i] = p.data
+	}
+	first, err := d.node.Propose(now, datas)
+	for i, p := range batch {
+		if err != nil {
+			p.answer <- answer{err: err}
+			continue
+		}
+		p.term = d.node.Term()
+		d.waiting[first+uint64(i)] = p
+	}
+}
+
+// apply brings committed entries and a received snapshot into force, in order.
+// The caller holds mu.
+func (d *Driver) apply(rd raft.Ready) error {
+	if rd.Snapshot != nil {
+		if err := d.restore(*rd.Snapshot); err != nil {
+			return err
+		}
+		d.opts.Log.Emit(events.Event{ID: events.SnapshotInstalled})
+		d.failWaiting()
+	}
+	before := d.machine.ConfigRevision()
+	for _, e := range rd.CommittedEntries {
+		if err := d.applyEntry(e); err != nil {
+			return err
+		}
+	}
+	if len(rd.CommittedEntries) > 0 {
+		d.startSnapshot()
+	}
+	if rd.Snapshot != nil || d.machine.ConfigRevision() != before {
+		d.notify()
+	}
+	return nil
+}
+
+func (d *Driver) applyEntry(e raft.Entry) error {
+	var command state.Command
+	if e.Type == raft.EntryCommand {
+		var err error
+		if command, err = codec.DecodeCommand(e.Data); err != nil {
+			return errors.Wrapf(err, "log index %d", e.Index)
+		}
+	} else {
+		d.opts.Log.Emit(events.Event{ID: events.GroupChanged})
+	}
+	result := d.machine.Apply(e.Index, command)
+	p, ok := d.waiting[e.Index]
+	if !ok {
+		return nil
+	}
+	delete(d.waiting, e.Index)
+	if p.term != e.Term {
+		p.answer <- answer{err: ErrUncertain}
+		return nil
+	}
+	p.answer <- answer{result: result}
+	return nil
+}
+
+// failWaiting gives up on proposals of a lost leadership; they may still come
+// into force under the next leader. The caller holds mu.
+func (d *Driver) failWaiting() {
+	for index, p := range d.waiting {
+		p.answer <- answer{err: ErrUncertain}
+		delete(d.waiting, index)
+	}
+}
+
+func (d *Driver) failAll(err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.failWaiting()
+	for {
+		select {
+		case p := <-d.proposals:
+			p.answer <- answer{err: err}
+		default:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/daemon/control/consensus/read.go
@@ -0,0 +1,104 @@
+package consensus
+
+import (
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/core/raft"
+	"github.com/cicadapulley/cicadapulley/core/state"
+)
+
+// Read runs fn on the state if this VM may serve reads now: it leads, its
+// lease holds, and everything committed is applied. fn must not keep the
+// machine. It returns a *raft.NotLeaderError otherwise.
+func (d *Driver) Read(fn func(m *state.Machine)) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.node.LeaseValid(time.Now()) || d.machine.Applied() < d.node.ReadIndex() {
+		return d.notLeader()
+	}
+	fn(d.machine)
+	return nil
+}
+
+// notLeader names the leader, unless this VM believes to lead. The caller holds mu.
+func (d *Driver) notLeader() error {
+	leader := d.node.Leader()
+	if d.node.IsLeader() {
+		leader = ""
+	}
+	return &raft.NotLeaderError{Leader: leader}
+}
+
+// Changed returns a channel that closes at the next change of configuration,
+// members or leadership.
+func (d *Driver) Changed() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.changed
+}
+
+// Leading reports whether this VM leads and may serve reads now.
+func (d *Driver) Leading() bool { return d.Read(func(*state.Machine) {}) == nil }
+
+// Term returns the present term.
+func (d *Driver) Term() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.Term()
+}
+
+// Status returns the core's state for operators.
+func (d *Driver) Status() raft.Status {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.Status()
+}
+
+// AddressOf returns the address of a control VM, empty if it is unknown.
+func (d *Driver) AddressOf(id raft.ServerID) string {
+	for _, s := range d.Status().Group.Servers {
+		if s.ID == id {
+			return s.Address
+		}
+	}
+	return ""
+}
+
+// ChangeGroup proposes one change of the group. A nil error means that the
+// change is appended; it is final once committed.
+func (d *Driver) ChangeGroup(c raft.GroupChange) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, err := d.node.ProposeGroup(time.Now(), c)
+	d.wake()
+	return err
+}
+
+// TransferLeadership hands the leadership to the voter with the longest log,
+// before a planned stop. It reports whether a transfer began.
+func (d *Driver) TransferLeadership() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	status := d.node.Status()
+	var best raft.ServerStatus
+	for _, s := range status.Servers {
+		if s.Server.Voter && s.Server.ID != status.ID && s.Match >= best.Match {
+			best = s
+		}
+	}
+	if best.Server.ID == "" {
+		return false
+	}
+	err := d.node.TransferLeadership(time.Now(), best.Server.ID)
+	d.wake()
+	return err == nil
+}
+
+// wake makes the loop look at the core after a call from another goroutine.
+// The caller holds mu.
+func (d *Driver) wake() {
+	select {
+	case d.woken <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/daemon/control/control.go
@@ -0,0 +1,226 @@
+// Package control holds the replicated state on a VM with a disk. Parent: the
+// root of role control. Children, rest-for-one in this order: consensus (the
+// log and one sender a peer), leases (expiry and takeover, on the leader), api.
+// State: the data folder, opened before the children start. Its failures are
+// fatal to the daemon.
+package control
+
+import (
+	"context"
+	"hash/fnv"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cicadapulley/cicadapulley/api/rpc"
+	"github.com/cicadapulley/cicadapulley/core/raft"
+	"github.com/cicadapulley/cicadapulley/core/state"
+	"github.com/cicadapulley/cicadapulley/daemon/control/consensus"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
+	"github.com/cicadapulley/cicadapulley/daemon/settings"
+	"github.com/cicadapulley/cicadapulley/daemon/storage"
+	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
+	"github.com/cicadapulley/cicadapulley/daemon/transport"
+)
+
+const (
+	// transferWait is how long a leader waits for its successor at a planned stop.
+	transferWait = time.Second
+	// defaultSnapshotEntries is the number of log entries between snapshots.
+	defaultSnapshotEntries = 10_000
+)
+
+// Options are what a control VM needs from its daemon.
+type Options struct {
+	Settings settings.Control
+	Network  transport.Network
+	Log      *events.Log
+	Listener net.Listener
+	Security transport.Security
+	// FS is the file system of the data folder; nil is the operating system's.
+	FS storage.FS
+	// Retention bounds the history; zero is the default.
+	Retention state.Retention
+}
+
+// Service is a control VM.
+type Service struct {
+	opts     Options
+	store    *storage.Store
+	driver   *consensus.Driver
+	leases   *leases
+	draining atomic.Bool
+}
+
+// Open opens the data folder and returns the control VM; Run starts it. A
+// folder that is damaged or locked is an error.
+func Open(o Options) (*Service, error) {
+	if o.Retention == (state.Retention{}) {
+		o.Retention = state.DefaultRetention
+	}
+	store, err := storage.Open(o.Settings.DataDir, storage.Options{
+		SyncDelay: time.Duration(o.Settings.SyncDelayMS) * time.Millisecond,
+		FS:        o.FS,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "open data folder")
+	}
+	s := &Service{opts: o, store: store}
+	if err := s.init(); err != nil {
+		store.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Service) init() error {
+	recovered := s.store.Recovered()
+	s.opts.Log.Emit(events.Event{ID: events.StorageOpened, Text: string(recovered.Identity)})
+	if recovered.Cut != nil {
+		s.opts.Log.Emit(events.Event{ID: events.StorageTornTail, Text: recovered.Cut.File})
+	}
+	if s.opts.Settings.Bootstrap {
+		if err := s.bootstrap(&recovered); err != nil {
+			return errors.Wrap(err, "start a new group")
+		}
+	}
+	driver, err := consensus.New(consensus.Options{
+		Store:           s.store,
+		Recovered:       recovered,
+		Address:         s.address(),
+		ElectionTimeout: s.opts.Settings.ElectionTimeout(),
+		SnapshotEntries: s.snapshotEntries(),
+		Retention:       s.opts.Retention,
+		Transport:       newRaftTransport(s.opts, recovered.Identity, s.address()),
+		Log:             s.opts.Log,
+		Seed:            seed(string(recovered.Identity)),
+	})
+	if err != nil {
+		return err
+	}
+	s.driver = driver
+	s.leases = newLeases(driver, s.opts.Settings.LeaseTTL(), s.opts.Log)
+	return nil
+}
+
+func seed(identity string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(identity))
+	return h.Sum64()
+}
+
+func (s *Service) snapshotEntries() uint64 {
+	if s.opts.Settings.SnapshotEntries == 0 {
+		return defaultSnapshotEntries
+	}
+	return s.opts.Settings.SnapshotEntries
+}
+
+func (s *Service) address() string {
+	if s.opts.Settings.Advertise != "" {
+		return s.opts.Settings.Advertise
+	}
+	return s.opts.Listener.Addr().String()
+}
+
+// bootstrap writes the first entry of a new group, with this VM alone, unless
+// the folder has a log already.
+func (s *Service) bootstrap(r *storage.Recovered) error {
+	if r.Snapshot.Index > 0 || len(r.Entries) > 0 || r.HardState.Term > 0 {
+		return nil
+	}
+	group := raft.Group{Servers: []raft.Server{{ID: r.Identity, Address: s.address(), Voter: true}}}
+	r.Entries = []raft.Entry{{Term: 1, Index: 1, Type: raft.EntryGroup, Group: &group}}
+	r.HardState = raft.HardState{Term: 1, Commit: 1}
+	return s.store.Save(&r.HardState, 0, r.Entries)
+}
+
+// Driver returns the replicated log, for the operations page.
+func (s *Service) Driver() *consensus.Driver { return s.driver }
+
+// Ready reports whether this VM knows a leader.
+func (s *Service) Ready() bool {
+	return !s.draining.Load() && (s.driver.Leading() || s.driver.Status().Leader != "")
+}
+
+// WaitLeader blocks until this VM leads and serves reads.
+func (s *Service) WaitLeader(ctx context.Context) error {
+	for {
+		changed := s.driver.Changed()
+		if s.driver.Leading() {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case <-time.After(s.opts.Settings.ElectionTimeout() / 10):
+		}
+	}
+}
+
+// Run serves until ctx ends, then hands leadership over and stops.
+func (s *Service) Run(ctx context.Context) error {
+	defer s.store.Close()
+	tree := supervisor.New("control", supervisor.Options{
+		Strategy:    supervisor.RestForOne,
+		Observer:    s.opts.Log,
+		StopTimeout: s.opts.Settings.Drain(),
+	})
+	tree.Add(supervisor.Child{Name: "consensus", Run: s.driver.Run})
+	tree.Add(supervisor.Child{Name: "leases", Run: s.leases.Run})
+	tree.Add(supervisor.Child{Name: "api", Run: s.serve})
+	return tree.Run(ctx)
+}
+
+// Operator returns the operators' interface, for a development system that
+// serves it beside the callers' one.
+func (s *Service) Operator() rpc.TwirpServer {
+	return rpc.NewOperatorServer(&api{driver: s.driver, leases: s.leases, log: s.opts.Log, stopping: context.Background()})
+}
+
+func (s *Service) serve(ctx context.Context) error {
+	mux := http.NewServeMux()
+	api := &api{driver: s.driver, leases: s.leases, log: s.opts.Log, stopping: ctx}
+	sec := s.opts.Security
+	control := rpc.NewControlServer(api)
+	mux.Handle(control.PathPrefix(), sec.RequireAny([]transport.Role{transport.RoleEntry, transport.RoleAgent}, control))
+	operator := rpc.NewOperatorServer(api)
+	mux.Handle(operator.PathPrefix(), sec.Require(transport.RoleOperator, operator))
+	raftServer := rpc.NewRaftServer(&raftAPI{driver: s.driver, log: s.opts.Log, id: s.driver.Status().ID})
+	mux.Handle(raftServer.PathPrefix(), sec.Require(transport.RoleControl, raftServer))
+	srv := transport.NewServer(transport.Recover(s.opts.Log, mux), sec.ServerConfig())
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go func() {
+		<-ctx.Done()
+		s.handOver()
+		stop()
+	}()
+	return transport.Serve(serving, srv, s.opts.Listener, s.opts.Settings.Drain())
+}
+
+// handOver gives the leadership to another VM before a planned stop, so that
+// proposals don't wait for an election.
+func (s *Service) handOver() {
+	s.draining.Store(true)
+	s.opts.Log.Emit(events.Event{ID: events.ProcessDraining})
+	if !s.driver.Leading() || !s.driver.TransferLeadership() {
+		return
+	}
+	deadline := time.After(transferWait)
+	for {
+		changed := s.driver.Changed()
+		if !s.driver.Leading() {
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/daemon/control/leases.go
@@ -0,0 +1,208 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/core/job"
+	"github.com/cicadapulley/cicadapulley/core/state"
+	"github.com/cicadapulley/cicadapulley/daemon/control/consensus"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
+)
+
+const (
+	// leaseMargin is added to a lease on the leader's clock. A member counts its
+	// lease from an earlier moment, so it always ends first there.
+	leaseMargin = 500 * time.Millisecond
+	// leasePause is the wait after a failed proposal of the leases.
+	leasePause = 100 * time.Millisecond
+)
+
+// tracked is what the leader remembers of a member without the log.
+type tracked struct {
+	incarnation uint64
+	expires     time.Time
+	// revision is the configuration that the member has in force.
+	revision uint64
+}
+
+// leases expires members and gives the jobs of ended entries to others, while
+// this VM leads. Renewals live in its memory only; a new leader gives every
+// member a fresh lease.
+type leases struct {
+	driver *consensus.Driver
+	ttl    time.Duration
+	log    *events.Log
+
+	mu      sync.Mutex
+	members map[string]tracked
+	// term is the term in which members was filled.
+	term uint64
+	// caughtUp is closed and replaced when a member reports a newer revision.
+	caughtUp chan struct{}
+}
+
+func newLeases(d *consensus.Driver, ttl time.Duration, log *events.Log) *leases {
+	return &leases{driver: d, ttl: ttl, log: log, members: map[string]tracked{}, caughtUp: make(chan struct{})}
+}
+
+// Run watches over the members until ctx ends.
+func (l *leases) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		changed := l.driver.Changed()
+		if !l.driver.Leading() {
+			pause(ctx, changed, l.ttl/8)
+			continue
+		}
+		next := l.round(ctx)
+		pause(ctx, changed, next)
+	}
+	return nil
+}
+
+// pause waits for a change, a time or the end of ctx.
+func pause(ctx context.Context, changed <-chan struct{}, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-timer.C:
+	}
+}
+
+// round ends lapsed members and moves orphaned jobs. It returns when to look again.
+func (l *leases) round(ctx context.Context) time.Duration {
+	now := time.Now()
+	term := l.driver.Term()
+	var lapsed []state.Member
+	var orphans []job.Record
+	var entries []state.Member
+	next := l.ttl
+	err := l.driver.Read(func(m *state.Machine) {
+		lapsed, next = l.lapsed(m.Members(), term, now)
+		orphans = m.Orphans()
+		entries = liveEntries(m.Members())
+	})
+	if err != nil {
+		return leasePause
+	}
+	for _, m := range lapsed {
+		l.expire(ctx, m)
+	}
+	l.moveOrphans(ctx, orphans, entries)
+	return next
+}
+
+// lapsed lists the members whose lease is over and when the next one ends.
+func (l *leases) lapsed(members []state.Member, term uint64, now time.Time) ([]state.Member, time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if term != l.term {
+		l.term = term
+		l.members = map[string]tracked{}
+	}
+	next := l.ttl
+	var list []state.Member
+	for _, m := range members {
+		if !m.Active() {
+			delete(l.members, m.ID)
+			continue
+		}
+		t, ok := l.members[m.ID]
+		if !ok || t.incarnation != m.Incarnation {
+			t = tracked{incarnation: m.Incarnation, expires: now.Add(l.ttl + leaseMargin)}
+			l.members[m.ID] = t
+		}
+		left := t.expires.Sub(now)
+		if left <= 0 {
+			list = append(list, m)
+			continue
+		}
+		next = min(next, left)
+	}
+	return list, next
+}
+
+func (l *leases) expire(ctx context.Context, m state.Member) {
+	command := state.Command{EndMember: &state.EndMember{ID: m.ID, Incarnation: m.Incarnation, State: state.MemberExpired}}
+	result, err := l.driver.Propose(ctx, command)
+	if err == nil && result.Ended {
+		l.log.Emit(events.Event{ID: events.MemberExpired, Peer: m.ID})
+	}
+}
+
+func liveEntries(members []state.Member) []state.Member {
+	var list []state.Member
+	for _, m := range members {
+		if m.Role == state.RoleEntry && m.State == state.MemberLive {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// moveOrphans spreads the jobs of ended entries over the live ones.
+func (l *leases) moveOrphans(ctx context.Context, orphans []job.Record, entries []state.Member) {
+	if len(entries) == 0 {
+		return
+	}
+	for i, r := range orphans {
+		owner := entries[i%len(entries)]
+		command := state.Command{TakeOverJob: &state.TakeOverJob{Key: r.Key, FromEpoch: r.Epoch, Owner: owner.ID}}
+		result, err := l.driver.Propose(ctx, command)
+		if err != nil {
+			return
+		}
+		if result.TookOver {
+			l.log.Emit(events.Event{ID: events.JobTakenOver, Job: r.Key, Peer: owner.ID})
+		}
+	}
+}
+
+// renew extends a member's lease. The caller has checked that the member is active.
+func (l *leases) renew(id string, incarnation, revision uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	old := l.members[id]
+	t := tracked{incarnation: incarnation, expires: time.Now().Add(l.ttl + leaseMargin), revision: revision}
+	if old.incarnation == incarnation {
+		t.revision = max(t.revision, old.revision)
+	}
+	l.members[id] = t
+	if t.revision > old.revision {
+		close(l.caughtUp)
+		l.caughtUp = make(chan struct{})
+	}
+}
+
+// behind lists the active members that do not yet run a revision.
+func (l *leases) behind(members []state.Member, revision uint64) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []string
+	for _, m := range members {
+		t := l.members[m.ID]
+		if !m.Active() || (t.incarnation == m.Incarnation && t.revision >= revision) {
+			continue
+		}
+		list = append(list, m.ID)
+	}
+	return list
+}
+
+// nextReport returns a channel that closes when a member reports a newer revision.
+func (l *leases) nextReport() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.caughtUp
+}
+
+// status returns a member's tracked state for operators.
+func (l *leases) status(id string) (revision uint64, left time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.members[id]
+	return t.revision, time.Until(t.expires)
+}
--- /dev/null
+++ b/daemon/dev/dev.go
@@ -0,0 +1,251 @@
+// Package dev runs all roles in one process, on a network in memory, with
+// stand-in endpoints. Parent: the root. Children, one-for-one: control VMs,
+// endpoints, agents, entries and the set-up. State: the data folder.
+package dev
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/cicadapulley/cicadapulley/api/controlclient"
+	"github.com/cicadapulley/cicadapulley/daemon/agent"
+	"github.com/cicadapulley/cicadapulley/daemon/control"
+	"github.com/cicadapulley/cicadapulley/daemon/dev/standin"
+	"github.com/cicadapulley/cicadapulley/daemon/entry"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
+	"github.com/cicadapulley/cicadapulley/daemon/memnet"
+	"github.com/cicadapulley/cicadapulley/daemon/settings"
+	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
+	"github.com/cicadapulley/cicadapulley/daemon/transport"
+)
+
+// dataCentre is the data centre of all parts.
+const dataCentre = "dev"
+
+// workersPerRack is as at the users' sites.
+const workersPerRack = 3
+
+// Options configure a development system.
+type Options struct {
+	// Listen has one address for each entry.
+	Listen []string
+	Data   string
+	// Controls is the number of control VMs: 1, 3 or 5.
+	Controls int
+	// Speeds has the speed of each worker's endpoint.
+	Speeds []float64
+	// Slots is the number of slots of each worker.
+	Slots int
+	// LinkDelay is the one-way delay between processes.
+	LinkDelay time.Duration
+	// SyncDelay is added to each sync.
+	SyncDelay time.Duration
+	// LeaseTTL is the length of leases.
+	LeaseTTL time.Duration
+	Dispatch string
+	Logger   *zap.Logger
+	// Ready gets the line that says where callers are served.
+	Ready io.Writer
+}
+
+// connectionsPerWorker is as at the users' sites.
+const connectionsPerWorker = 64
+
+// System is a development system. Build it with New, then Run once.
+type System struct {
+	opts      Options
+	net       *memnet.Network
+	root      *supervisor.Supervisor
+	starts    *standin.Starts
+	controls  []*control.Service
+	agents    []*agent.Service
+	entries   []*entry.Service
+	endpoints map[string]*standin.Endpoint
+	logs      map[string]*events.Log
+	urls      []string
+}
+
+// New opens the data folder and the listeners.
+func New(ctx context.Context, o Options) (*System, error) {
+	s := &System{
+		opts:      o,
+		net:       memnet.New(o.LinkDelay),
+		endpoints: map[string]*standin.Endpoint{},
+		logs:      map[string]*events.Log{},
+	}
+	s.root = supervisor.New("root", supervisor.Options{Observer: s.log("dev"), StopTimeout: time.Minute})
+	for _, step := range []func(context.Context) error{s.addControls, s.openStarts, s.addWorkers, s.addEntries} {
+		if err := step(ctx); err != nil {
+			return nil, err
+		}
+	}
+	s.root.Add(supervisor.Child{Name: "setup", Run: s.setUp, Once: true})
+	return s, nil
+}
+
+// log returns the events of one process of the system.
+func (s *System) log(process string) *events.Log {
+	if l := s.logs[process]; l != nil {
+		return l
+	}
+	l := events.NewLog(process, s.opts.Logger.With(zap.String("process", process)), &events.HybridClock{})
+	s.logs[process] = l
+	return l
+}
+
+func (s *System) openStarts(context.Context) error {
+	starts, err := standin.OpenStarts(filepath.Join(s.opts.Data, "starts.jsonl"))
+	s.starts = starts
+	return err
+}
+
+func (s *System) process(id string) settings.Process {
+	return settings.Process{ID: id, DataCentre: dataCentre, Advertise: address(id)}
+}
+
+// address is where a process listens on the network in memory.
+func address(id string) string { return id + ".dev:1" }
+
+func (s *System) addControls(ctx context.Context) error {
+	for i := range s.opts.Controls {
+		id := fmt.Sprintf("control-%d", i+1)
+		host := s.net.Host(id)
+		l, err := host.Listen(ctx, address(id))
+		if err != nil {
+			return err
+		}
+		service, err := control.Open(control.Options{
+			Settings: settings.Control{
+				Process:     s.process(id),
+				DataDir:     filepath.Join(s.opts.Data, id),
+				Bootstrap:   i == 0,
+				LeaseTTLMS:  s.opts.LeaseTTL.Milliseconds(),
+				SyncDelayMS: s.opts.SyncDelay.Milliseconds(),
+			},
+			Network:  host,
+			Log:      s.log(id),
+			Listener: l,
+		})
+		if err != nil {
+			return errors.Wrapf(err, "%s", id)
+		}
+		s.controls = append(s.controls, service)
+		s.root.Add(supervisor.Child{Name: id, Run: service.Run})
+	}
+	return nil
+}
+
+// controlClient reaches the control VMs from a host.
+func (s *System) controlClient(host string) *controlclient.Client {
+	client := transport.NewClient(transport.ClientOptions{Network: s.net.Host(host)})
+	addresses := make([]string, s.opts.Controls)
+	for i := range addresses {
+		addresses[i] = address(fmt.Sprintf("control-%d", i+1))
+	}
+	return controlclient.New(client, "http", addresses)
+}
+
+func (s *System) addWorkers(ctx context.Context) error {
+	// An endpoint is on its agent's worker, so the link between them has no delay.
+	local := memnet.New(0)
+	for i, speed := range s.opts.Speeds {
+		endpointID := fmt.Sprintf("endpoint-%d", i+1)
+		l, err := local.Host(endpointID).Listen(ctx, address(endpointID))
+		if err != nil {
+			return err
+		}
+		agentID := fmt.Sprintf("worker-%d", i+1)
+		e := standin.New(l, s.starts, standin.Behaviour{Mode: standin.Normal, Speed: speed})
+		s.endpoints[agentID] = e
+		s.root.Add(supervisor.Child{Name: endpointID, Run: e.Run})
+		if err := s.addAgent(ctx, agentID, endpointID, i/workersPerRack, local); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *System) addAgent(ctx context.Context, id, endpointID string, rack int, local *memnet.Network) error {
+	host := s.net.Host(id)
+	l, err := host.Listen(ctx, address(id))
+	if err != nil {
+		return err
+	}
+	process := s.process(id)
+	process.Rack = fmt.Sprintf("rack-%d", rack+1)
+	process.Ops = s.opsURL(id)
+	service := agent.New(agent.Options{
+		Settings: settings.Agent{
+			Process:     process,
+			Endpoint:    "http://" + address(endpointID) + "/",
+			Serves:      served(),
+			Slots:       s.opts.Slots,
+			Connections: connectionsPerWorker,
+		},
+		Network:         host,
+		EndpointNetwork: local.Host(id),
+		Control:         s.controlClient(id),
+		Log:             s.log(id),
+		Listener:        l,
+	})
+	s.agents = append(s.agents, service)
+	s.root.Add(supervisor.Child{Name: id, Run: service.Run})
+	return nil
+}
+
+func (s *System) addEntries(ctx context.Context) error {
+	for i, listen := range s.opts.Listen {
+		id := fmt.Sprintf("entry-%d", i+1)
+		host := s.net.Host(id)
+		l, err := host.Listen(ctx, address(id))
+		if err != nil {
+			return err
+		}
+		callers, err := net.Listen("tcp", listen)
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		s.urls = append(s.urls, "http://"+callers.Addr().String())
+		s.addEntry(id, host, l, callers)
+	}
+	return nil
+}
+
+func (s *System) addEntry(id string, host transport.Network, l, callers net.Listener) {
+	process := s.process(id)
+	process.Ops = s.opsURL(id)
+	service := entry.New(entry.Options{
+		Settings: settings.Entry{
+			Process:        process,
+			BalancerWaitMS: 1, // no balancer stands before a development system
+			Dispatch:       s.opts.Dispatch,
+		},
+		Network:  host,
+		Control:  s.controlClient(id),
+		Log:      s.log(id),
+		Listener: l,
+		Callers:  callers,
+		Extra:    http.HandlerFunc(s.serveExtra),
+	})
+	s.entries = append(s.entries, service)
+	s.root.Add(supervisor.Child{Name: id, Run: service.Run})
+}
+
+// opsURL is where a process's events are served on the first entry's address.
+func (s *System) opsURL(id string) string {
+	return "http://" + s.opts.Listen[0] + "/dev/processes/" + id
+}
+
+// Run serves until ctx ends.
+func (s *System) Run(ctx context.Context) error {
+	defer s.starts.Close()
+	return s.root.Run(ctx)
+}
--- /dev/null
+++ b/daemon/dev/extra.go
@@ -0,0 +1,136 @@
+package dev
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/cicadapulley/cicadapulley/core/job"
+	"github.com/cicadapulley/cicadapulley/core/state"
+	"github.com/cicadapulley/cicadapulley/daemon/dev/standin"
+	"github.com/cicadapulley/cicadapulley/daemon/ops"
+)
+
+// serveExtra serves what only a development system has, beside the callers'
+// interface: starts, endpoints' behaviour, faults of the network, and the
+// pages of operators.
+func (s *System) serveExtra(w http.ResponseWriter, r *http.Request) {
+	s.extraRoutes().ServeHTTP(w, r)
+}
+
+func (s *System) extraRoutes() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /dev/starts", s.showStarts)
+	mux.HandleFunc("GET /dev/endpoints", s.showEndpoints)
+	mux.HandleFunc("PUT /dev/endpoints/{id}", s.setEndpoint)
+	mux.HandleFunc("POST /dev/links", s.setLink)
+	mux.HandleFunc("GET /dev/processes/{id}/", s.showProcess)
+	for _, c := range s.controls {
+		if c.Driver().Leading() {
+			operator := c.Operator()
+			mux.Handle(operator.PathPrefix(), operator)
+			break
+		}
+	}
+	return mux
+}
+
+// showStarts answers the starts of one job, or of all jobs of a caller.
+func (s *System) showStarts(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	key := job.Key{Caller: q.Get("caller"), ID: q.Get("job")}
+	if key.Caller == "" {
+		http.Error(w, "caller: is required", http.StatusBadRequest)
+		return
+	}
+	if key.ID == "" {
+		writeJSON(w, s.starts.OfCaller(key.Caller))
+		return
+	}
+	writeJSON(w, s.starts.Of(key, s.taskCount(key)))
+}
+
+// taskCount returns the number of tasks of a recorded job, zero if unknown.
+func (s *System) taskCount(k job.Key) int {
+	leader := s.leader()
+	if leader == nil {
+		return 0
+	}
+	tasks := 0
+	// Without a leader the counted starts alone give the array's length.
+	_ = leader.service.Read(func(m *state.Machine) {
+		if record, ok := m.Job(k); ok {
+			tasks = len(record.Tasks)
+		}
+	})
+	return tasks
+}
+
+func (s *System) showEndpoints(w http.ResponseWriter, _ *http.Request) {
+	all := map[string]standin.Behaviour{}
+	for id, e := range s.endpoints {
+		all[id] = e.Behaviour()
+	}
+	writeJSON(w, all)
+}
+
+// setEndpoint changes how a worker's endpoint behaves.
+func (s *System) setEndpoint(w http.ResponseWriter, r *http.Request) {
+	e, ok := s.endpoints[r.PathValue("id")]
+	if !ok {
+		http.Error(w, "no such worker", http.StatusNotFound)
+		return
+	}
+	b := e.Behaviour()
+	if err := json.NewDecoder(r.Body).Decode(&b); err != nil || b.Speed <= 0 {
+		http.Error(w, "body: mode or speed is not valid", http.StatusBadRequest)
+		return
+	}
+	e.Set(b)
+	writeJSON(w, b)
+}
+
+// link is a fault between two processes.
+type link struct {
+	A string `json:"a"`
+	B string `json:"b"`
+	// State is "cut", "healed" or "silent".
+	State string `json:"state"`
+}
+
+func (s *System) setLink(w http.ResponseWriter, r *http.Request) {
+	var l link
+	if err := json.NewDecoder(r.Body).Decode(&l); err != nil {
+		http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	switch l.State {
+	case "cut":
+		s.net.Cut(l.A, l.B)
+	case "healed":
+		s.net.Heal(l.A, l.B)
+	case "silent":
+		s.net.Silence(l.A, l.B)
+	default:
+		http.Error(w, "state: is none of cut, healed, silent", http.StatusBadRequest)
+		return
+	}
+	writeJSON(w, l)
+}
+
+// showProcess serves the operations page of one process of the system.
+func (s *System) showProcess(w http.ResponseWriter, r *http.Request) {
+	log, ok := s.logs[r.PathValue("id")]
+	if !ok {
+		http.Error(w, "no such process", http.StatusNotFound)
+		return
+	}
+	prefix := "/dev/processes/" + r.PathValue("id")
+	page := ops.New(ops.Options{Log: log, Ready: func() bool { return true }})
+	http.StripPrefix(strings.TrimSuffix(prefix, "/"), page.Handler()).ServeHTTP(w, r)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // a broken connection is the reader's to notice
+}
--- /dev/null
+++ b/daemon/dev/leader.go
@@ -0,0 +1,22 @@
+package dev
+
+import (
+	"github.com/cicadapulley/cicadapulley/core/raft"
+	"github.com/cicadapulley/cicadapulley/daemon/control/consensus"
+)
+
+// leaderView is the leading control VM and the group as it sees it.
+type leaderView struct {
+	service *consensus.Driver
+	status  raft.Status
+}
+
+// knows reports whether a control VM is in the group, and whether it votes.
+func (l *leaderView) knows(id raft.ServerID) (known, voter bool) {
+	for _, server := range l.status.Group.Servers {
+		if server.ID == id {
+			return true, server.Voter
+		}
+	}
+	return false, false
+}
--- /dev/null
+++ b/daemon/dev/setup.go
@@ -0,0 +1,113 @@
+package dev
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/core/raft"
+	"github.com/cicadapulley/cicadapulley/core/state"
+	"github.com/cicadapulley/cicadapulley/daemon/dev/standin"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
+	"github.com/cicadapulley/cicadapulley/daemon/settings"
+)
+
+// serviceName is the service that a development system starts with.
+const serviceName = "demo"
+
+// setupPause is the wait between tries of a step of the set-up.
+const setupPause = 20 * time.Millisecond
+
+func served() []settings.ServedKind {
+	var list []settings.ServedKind
+	for _, k := range demoService().Kinds {
+		list = append(list, settings.ServedKind{Service: serviceName, Kind: k.Name})
+	}
+	return list
+}
+
+func demoService() state.Service {
+	return state.Service{
+		Name: serviceName,
+		Kinds: []state.Kind{
+			{Name: standin.KindSleep, Repeatable: true},
+			{Name: standin.KindFail},
+			{Name: standin.KindHold},
+		},
+	}
+}
+
+// setUp forms the group of control VMs, brings the initial configuration into
+// force, waits until a job would be accepted, and says so.
+func (s *System) setUp(ctx context.Context) error {
+	steps := []func(context.Context) bool{s.formGroup, s.seedConfig, s.allReady}
+	for _, step := range steps {
+		for !step(ctx) {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-time.After(setupPause):
+			}
+		}
+	}
+	s.log("dev").Emit(events.Event{ID: events.ProcessReady})
+	_, err := fmt.Fprintf(s.opts.Ready, "ready %s\n", s.urls[0])
+	return err
+}
+
+// leader returns the control VM that leads, nil if none does.
+func (s *System) leader() *leaderView {
+	for _, c := range s.controls {
+		if c.Driver().Leading() {
+			return &leaderView{service: c.Driver(), status: c.Driver().Status()}
+		}
+	}
+	return nil
+}
+
+// formGroup adds or promotes one control VM a call, until all are voters.
+func (s *System) formGroup(context.Context) bool {
+	leader := s.leader()
+	if leader == nil {
+		return false
+	}
+	for i, c := range s.controls {
+		id := c.Driver().Status().ID
+		server := raft.Server{ID: id, Address: address(fmt.Sprintf("control-%d", i+1))}
+		change := raft.GroupChange{Type: raft.AddLearner, Server: server}
+		if known, voter := leader.knows(id); voter {
+			continue
+		} else if known {
+			change.Type = raft.Promote
+		}
+		// A change is refused while another is pending or the VM catches up;
+		// the next call tries again.
+		_ = leader.service.ChangeGroup(change)
+		return false
+	}
+	return true
+}
+
+// seedConfig proposes the service with which a new system starts.
+func (s *System) seedConfig(ctx context.Context) bool {
+	leader := s.leader()
+	if leader == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	ticket := state.Ticket{Author: "dev", Services: []state.Service{demoService()}}
+	_, err := leader.service.Propose(ctx, state.Command{ApplyTicket: &state.ApplyTicket{Ticket: ticket}})
+	return err == nil
+}
+
+// allReady reports whether every entry knows the service and every agent.
+func (s *System) allReady(context.Context) bool {
+	for _, e := range s.entries {
+		replica := e.Members().Replica()
+		if !e.Ready() || len(replica.Config.Services) == 0 || len(e.Status().Endpoints) < len(s.agents) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/daemon/dev/standin/starts.go
@@ -0,0 +1,110 @@
+package standin
+
+import (
+	"bufio"
+	"encoding/json"
+	"os"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cicadapulley/cicadapulley/core/job"
+)
+
+// Starts counts the starts of each task over all stand-in endpoints. With a
+// file, the counts outlive the process, so that a start before a kill and one
+// after it are seen as two.
+type Starts struct {
+	mu     sync.Mutex
+	counts map[job.Key][]int
+	file   *os.File
+}
+
+// line is one start in the file.
+type line struct {
+	Caller string `json:"caller"`
+	Job    string `json:"job"`
+	Task   int    `json:"task"`
+}
+
+// OpenStarts reads the counts of a file and appends further starts to it. An
+// empty name keeps the counts in memory alone.
+func OpenStarts(name string) (*Starts, error) {
+	s := &Starts{counts: map[job.Key][]int{}}
+	if name == "" {
+		return s, nil
+	}
+	f, err := os.OpenFile(name, os.O_RDWR|os.O_CREATE|os.O_APPEND, 0o644)
+	if err != nil {
+		return nil, errors.Wrap(err, "open starts")
+	}
+	s.file = f
+	return s, s.load()
+}
+
+func (s *Starts) load() error {
+	scanner := bufio.NewScanner(s.file)
+	for scanner.Scan() {
+		var l line
+		if err := json.Unmarshal(scanner.Bytes(), &l); err != nil {
+			continue // the last line of a killed process may be partial
+		}
+		s.count(job.TaskKey{Job: job.Key{Caller: l.Caller, ID: l.Job}, Task: l.Task})
+	}
+	return errors.Wrap(scanner.Err(), "read starts")
+}
+
+// Add counts a start.
+func (s *Starts) Add(k job.TaskKey) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count(k)
+	if s.file == nil {
+		return nil
+	}
+	data, err := json.Marshal(line{Caller: k.Job.Caller, Job: k.Job.ID, Task: k.Task})
+	if err != nil {
+		return err
+	}
+	_, err = s.file.Write(append(data, '\n'))
+	return errors.Wrap(err, "write starts")
+}
+
+func (s *Starts) count(k job.TaskKey) {
+	list := s.counts[k.Job]
+	for len(list) <= k.Task {
+		list = append(list, 0)
+	}
+	list[k.Task]++
+	s.counts[k.Job] = list
+}
+
+// Of returns the starts of a job's tasks, in task order, for at least tasks tasks.
+func (s *Starts) Of(k job.Key, tasks int) []int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]int, max(tasks, len(s.counts[k])))
+	copy(list, s.counts[k])
+	return list
+}
+
+// OfCaller returns the starts of all jobs of a caller.
+func (s *Starts) OfCaller(caller string) map[string][]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := map[string][]int{}
+	for k, list := range s.counts {
+		if k.Caller == caller {
+			all[k.ID] = append([]int(nil), list...)
+		}
+	}
+	return all
+}
+
+// Close closes the file.
+func (s *Starts) Close() error {
+	if s.file == nil {
+		return nil
+	}
+	return s.file.Close()
+}
--- a/daemon/entry/calls.go
+++ b/daemon/entry/calls.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/cicadapulley/cicadapulley/core/dispatch"
@@ -110,12 +109,11 @@
 	}
 }
 
-// attempt gives each try a key of its own, since a repeatable call may start
-// again at an endpoint that started it before.
+// attempt gives each try a task number of its own, since a repeatable call may
+// start again at an endpoint that started it before.
 func (c call) attempt(try int) attempt {
-	key := job.Key{Caller: c.key.Caller, ID: fmt.Sprintf("%s/%d", c.key.ID, try)}
 	return attempt{
-		key:        job.TaskKey{Job: key},
+		key:        job.TaskKey{Job: c.key, Task: try - 1},
 		service:    c.service,
 		task:       job.Task{Kind: c.kind.Name, Payload: c.payload},
 		epoch:      1,
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -37,6 +37,8 @@
 	Listener net.Listener
 	Callers  net.Listener
 	Security transport.Security
+	// Extra serves paths that are not the callers' interface; nil for none.
+	Extra http.Handler
 }
 
 // Service is an entry.
@@ -99,6 +101,7 @@
 		ID:         o.Settings.ID,
 		Role:       state.RoleEntry,
 		Address:    address,
+		Ops:        o.Settings.OpsURL(),
 		DataCentre: o.Settings.DataCentre,
 		Rack:       o.Settings.Rack,
 	}
--- a/daemon/entry/front.go
+++ b/daemon/entry/front.go
@@ -34,12 +34,17 @@
 	r.GET("/v1/jobs/:id", f.show)
 	r.DELETE("/v1/jobs/:id", f.cancel)
 	r.POST("/v1/call/:service/:kind", f.call)
-	r.NotFound = http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		refuse(w, verdict.Errorf(verdict.CodeNotFound, verdict.NotRun, "no such path: %s", q.URL.Path))
-	})
+	r.NotFound = http.HandlerFunc(notFound)
+	if f.service.opts.Extra != nil {
+		r.NotFound = f.service.opts.Extra
+	}
 	return r
 }
 
+func notFound(w http.ResponseWriter, q *http.Request) {
+	refuse(w, verdict.Errorf(verdict.CodeNotFound, verdict.NotRun, "no such path: %s", q.URL.Path))
+}
+
 func (f *front) submit(w http.ResponseWriter, q *http.Request, _ httprouter.Params) {
 	body, err := f.body(w, q)
 	if err != nil {
--- a/daemon/events/log.go
+++ b/daemon/events/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"go.uber.org/zap"
 
@@ -12,6 +13,9 @@
 // An event takes about 200 bytes, so the buffer stays under 4 MB.
 const BufferSize = 16384
 
+// maxID is above every event's number.
+const maxID = 1000
+
 // Event is one occurrence. Zero fields do not apply.
 type Event struct {
 	// Clock is the hybrid logical time, set by Emit.
@@ -42,6 +46,8 @@
 	zap     *zap.Logger
 	clock   Clock
 
+	counts [maxID]atomic.Uint64
+
 	mu     sync.Mutex
 	buffer []Event
 	next   int
@@ -62,6 +68,7 @@
 // Emit stamps an event, keeps it for the time line and writes it to the log.
 func (l *Log) Emit(e Event) {
 	e.Clock = l.clock.Now()
+	l.counts[e.ID].Add(1)
 	l.keep(e)
 	entry := l.zap.Check(byID[e.ID].Level, e.ID.Name())
 	if entry == nil {
@@ -70,6 +77,9 @@
 	entry.Write(fields(e)...)
 }
 
+// Count returns how often an event occurred since the start.
+func (l *Log) Count(id ID) uint64 { return l.counts[id].Load() }
+
 func (l *Log) keep(e Event) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- /dev/null
+++ b/daemon/memnet/memnet.go
@@ -0,0 +1,222 @@
+// Package memnet is a network inside one process. It models the delay of
+// links and their faults: hosts that can't reach each other, and connections
+// that go silent for good while new ones work. Role dev and the failure tests
+// run the daemons' own code on it.
+package memnet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/daemon/transport"
+)
+
+// Network connects hosts by name.
+type Network struct {
+	// oneWay is the delay of each link.
+	oneWay time.Duration
+
+	mu        sync.Mutex
+	listeners map[string]*listener
+	conns     map[*conn]struct{}
+	// cut holds the pairs of hosts that can't reach each other.
+	cut map[pair]bool
+}
+
+// pair is two hosts in alphabetical order.
+type pair struct{ a, b string }
+
+func pairOf(a, b string) pair {
+	if a > b {
+		a, b = b, a
+	}
+	return pair{a, b}
+}
+
+// New returns a network whose links have a one-way delay.
+func New(oneWay time.Duration) *Network {
+	return &Network{
+		oneWay:    oneWay,
+		listeners: map[string]*listener{},
+		conns:     map[*conn]struct{}{},
+		cut:       map[pair]bool{},
+	}
+}
+
+// Host returns the network as one host sees it.
+func (n *Network) Host(name string) transport.Network { return &host{network: n, name: name} }
+
+// Cut makes two hosts unreachable to each other, in silence: open connections
+// carry nothing any more, for good, and new ones are not answered.
+func (n *Network) Cut(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[pairOf(a, b)] = true
+	n.silence(pairOf(a, b))
+}
+
+// Heal lets new connections of two hosts work again.
+func (n *Network) Heal(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.cut, pairOf(a, b))
+}
+
+// Silence makes the open connections of two hosts carry nothing any more,
+// while new ones work.
+func (n *Network) Silence(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.silence(pairOf(a, b))
+}
+
+// silence marks connections. The caller holds mu.
+func (n *Network) silence(p pair) {
+	for c := range n.conns {
+		if c.pair == p {
+			c.silent.Store(true)
+		}
+	}
+}
+
+// Kill resets all connections of a host and closes its listeners, as when its
+// process dies.
+func (n *Network) Kill(name string) {
+	n.mu.Lock()
+	var victims []*conn
+	for c := range n.conns {
+		if c.pair.a == name || c.pair.b == name {
+			victims = append(victims, c)
+		}
+	}
+	var listeners []*listener
+	for _, l := range n.listeners {
+		if l.host == name {
+			listeners = append(listeners, l)
+		}
+	}
+	n.mu.Unlock()
+	for _, l := range listeners {
+		l.Close()
+	}
+	for _, c := range victims {
+		c.reset()
+	}
+}
+
+// host is the network from one host's side.
+type host struct {
+	network *Network
+	name    string
+}
+
+// Listen implements transport.Network. The address is "host:port".
+func (h *host) Listen(_ context.Context, address string) (net.Listener, error) {
+	n := h.network
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listeners[address] != nil {
+		return nil, fmt.Errorf("listen %s: address in use", address)
+	}
+	l := &listener{
+		network:  n,
+		host:     h.name,
+		address:  address,
+		incoming: make(chan net.Conn),
+		closed:   make(chan struct{}),
+	}
+	n.listeners[address] = l
+	return l, nil
+}
+
+// Dial implements transport.Network. A connection's set-up takes one round
+// trip; a dial to a host behind a cut gets no answer.
+func (h *host) Dial(ctx context.Context, address string) (net.Conn, error) {
+	n := h.network
+	if err := sleep(ctx, 2*n.oneWay); err != nil {
+		return nil, dialError(address, err)
+	}
+	n.mu.Lock()
+	l := n.listeners[address]
+	cut := l != nil && n.cut[pairOf(h.name, l.host)]
+	n.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return nil, dialError(address, ctx.Err())
+	}
+	if l == nil {
+		return nil, dialError(address, fmt.Errorf("connection refused"))
+	}
+	near, far := n.connect(h.name, l.host)
+	select {
+	case l.incoming <- far:
+		return near, nil
+	case <-l.closed:
+		return nil, dialError(address, fmt.Errorf("connection refused"))
+	case <-ctx.Done():
+		return nil, dialError(address, ctx.Err())
+	}
+}
+
+func dialError(address string, err error) error {
+	return &net.OpError{Op: "dial", Net: "mem", Addr: addr(address), Err: err}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d == 0 {
+		return nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// listener accepts connections to one address.
+type listener struct {
+	network  *Network
+	host     string
+	address  string
+	incoming chan net.Conn
+	once     sync.Once
+	closed   chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.incoming:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.network.mu.Lock()
+		defer l.network.mu.Unlock()
+		delete(l.network.listeners, l.address)
+	})
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *listener) Addr() net.Addr { return addr(l.address) }
+
+type addr string
+
+// Network implements net.Addr.
+func (a addr) Network() string { return "mem" }
+
+// String implements net.Addr.
+func (a addr) String() string { return string(a) }
--- /dev/null
+++ b/daemon/ops/ops.go
@@ -0,0 +1,175 @@
+// Package ops serves the operators' side of a process: metrics, health and the
+// events of the time line. Parent: the root. Restart rule: one-for-one. It owns
+// no state.
+package ops
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/cicadapulley/cicadapulley/core/job"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
+	"github.com/cicadapulley/cicadapulley/daemon/transport"
+)
+
+// drain bounds the end of requests at a stop.
+const drain = time.Second
+
+// Options are what the page shows.
+type Options struct {
+	Log      *events.Log
+	Listener net.Listener
+	// Ready reports whether the process serves requests.
+	Ready func() bool
+	// Collectors are the role's own metrics.
+	Collectors []prometheus.Collector
+	// Status returns the role's state as JSON; nil if it has none.
+	Status func() any
+}
+
+// Server is the operations page of one process.
+type Server struct {
+	opts     Options
+	registry *prometheus.Registry
+}
+
+// New returns a server; Run starts it.
+func New(o Options) *Server {
+	s := &Server{opts: o, registry: prometheus.NewRegistry()}
+	s.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	s.registry.MustRegister(eventCollector{o.Log})
+	s.registry.MustRegister(o.Collectors...)
+	return s
+}
+
+// Run serves until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	srv := transport.NewServer(transport.Recover(s.opts.Log, s.Handler()), nil)
+	return transport.Serve(ctx, srv, s.opts.Listener, drain)
+}
+
+// Handler returns the page's routes.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, "ok") })
+	mux.HandleFunc("GET /readyz", s.ready)
+	mux.HandleFunc("GET /v1/events", s.events)
+	mux.HandleFunc("GET /v1/status", s.status)
+	return mux
+}
+
+func reply(w http.ResponseWriter, code int, text string) {
+	w.WriteHeader(code)
+	_, _ = w.Write([]byte(text + "\n")) // a broken connection is the reader's to notice
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if s.opts.Ready() {
+		reply(w, http.StatusOK, "ready")
+		return
+	}
+	reply(w, http.StatusServiceUnavailable, "not ready")
+}
+
+func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
+	if s.opts.Status == nil {
+		http.NotFound(w, nil)
+		return
+	}
+	writeJSON(w, s.opts.Status())
+}
+
+// Event is an event as the time line reads it.
+type Event struct {
+	Process string `json:"process"`
+	Clock   uint64 `json:"clock"`
+	ID      uint16 `json:"event"`
+	Name    string `json:"name"`
+	Caller  string `json:"caller,omitempty"`
+	Job     string `json:"job,omitempty"`
+	// Task is the task's index plus one.
+	Task   int    `json:"task,omitempty"`
+	Ticket uint64 `json:"ticket,omitempty"`
+	Peer   string `json:"peer,omitempty"`
+	Text   string `json:"text,omitempty"`
+	Error  string `json:"error,omitempty"`
+}
+
+// events answers the kept events that match the query: job, caller, ticket and
+// since (a clock value).
+func (s *Server) events(w http.ResponseWriter, r *http.Request) {
+	filter, err := parseFilter(r)
+	if err != nil {
+		reply(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	list := []Event{}
+	for _, e := range s.opts.Log.Select(filter) {
+		list = append(list, encode(s.opts.Log.Process(), e))
+	}
+	writeJSON(w, list)
+}
+
+func parseFilter(r *http.Request) (events.Filter, error) {
+	q := r.URL.Query()
+	f := events.Filter{Job: job.Key{Caller: q.Get("caller"), ID: q.Get("job")}}
+	var err error
+	if v := q.Get("ticket"); v != "" {
+		if f.Ticket, err = strconv.ParseUint(v, 10, 64); err != nil {
+			return f, err
+		}
+	}
+	if v := q.Get("since"); v != "" {
+		f.Since, err = strconv.ParseUint(v, 10, 64)
+	}
+	return f, err
+}
+
+func encode(process string, e events.Event) Event {
+	out := Event{
+		Process: process,
+		Clock:   e.Clock,
+		ID:      uint16(e.ID),
+		Name:    e.ID.Name(),
+		Caller:  e.Job.Caller,
+		Job:     e.Job.ID,
+		Task:    e.Task,
+		Ticket:  e.Ticket,
+		Peer:    e.Peer,
+		Text:    e.Text,
+	}
+	if e.Err != nil {
+		out.Error = e.Err.Error()
+	}
+	return out
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // a broken connection is the reader's to notice
+}
+
+// eventCollector counts the events of a process by name.
+type eventCollector struct{ log *events.Log }
+
+var eventDesc = prometheus.NewDesc("cicadapulley_events_total", "Events since the start, by catalogue name.", []string{"event"}, nil)
+
+// Describe implements prometheus.Collector.
+func (c eventCollector) Describe(ch chan<- *prometheus.Desc) { ch <- eventDesc }
+
+// Collect implements prometheus.Collector.
+func (c eventCollector) Collect(ch chan<- prometheus.Metric) {
+	for _, d := range events.Catalogue {
+		n := c.log.Count(d.ID)
+		ch <- prometheus.MustNewConstMetric(eventDesc, prometheus.CounterValue, float64(n), d.Name)
+	}
+}
--- /dev/null
+++ b/daemon/settings/check.go
@@ -0,0 +1,45 @@
+package settings
+
+import (
+	"encoding/json"
+	"os"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Check reads a file as the settings of a role. Without a role, the field that
+// only one role has decides.
+func Check(role, file string) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Wrap(err, "read settings")
+	}
+	if role == "" {
+		role = guessRole(data)
+	}
+	switch role {
+	case "control":
+		return Decode(file, data, &Control{})
+	case "entry":
+		return Decode(file, data, &Entry{})
+	case "agent":
+		return Decode(file, data, &Agent{})
+	}
+	return errors.Newf("role %q is none of control, entry, agent", role)
+}
+
+// guessRole looks for a required field of each role. An unreadable file is
+// read as control's, which reports what is wrong with it.
+func guessRole(data []byte) string {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(data, &fields) != nil {
+		return "control"
+	}
+	if _, ok := fields["callers"]; ok {
+		return "entry"
+	}
+	if _, ok := fields["endpoint"]; ok {
+		return "agent"
+	}
+	return "control"
+}
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"strings"
 	"time"
 )
 
@@ -53,6 +54,14 @@
 	return p.Listen
 }
 
+// OpsURL returns the URL of the operations page, empty if there is none.
+func (p Process) OpsURL() string {
+	if p.Ops == "" || strings.Contains(p.Ops, "://") {
+		return p.Ops
+	}
+	return "http://" + p.Ops
+}
+
 func milliseconds(ms int64, fallback time.Duration) time.Duration {
 	if ms == 0 {
 		return fallback
