--- a/daemon/entry/peers.go
+++ b/daemon/entry/peers.go
@@ -148,17 +148,6 @@
 	return ps.byID[id]
 }
 
-// all returns the peers of all active agents.
-func (ps *peers) all() []*peer {
-	ps.mu.RLock()
-	defer ps.mu.RUnlock()
-	list := make([]*peer, 0, len(ps.byID))
-	for _, p := range ps.byID {
-		list = append(list, p)
-	}
-	return list
-}
-
 // endpoints translates members for the scheduler. A draining member or one
 // with a drain mark stays listed, so that its tasks in flight are counted.
 func endpoints(r *state.Replica) []dispatch.Endpoint {
