daemon/storage: crash, damage and fuzz tests; inspect, backup and restore

Cause: what Save acknowledges must survive any crash, and damage must never be accepted silently; operators need to look at a folder and to copy it. Inspect lists a folder, Backup copies a live one without its identity, Restore writes a backup under a new identity. Conclusion: recovery returns the acknowledged state, or the one of the call that failed.

--- /dev/null
+++ b/daemon/storage/crashfs_test.go
@@ -0,0 +1,184 @@
+package storage
+
+import (
+	"bytes"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+var (
+	errPower = errors.New("power is off")
+	errFault = errors.New("injected fault")
+)
+
+type faultKind int
+
+const (
+	faultPower faultKind = iota + 1 // this operation and all later ones fail
+	faultOnce                       // this operation fails
+)
+
+// inode is a file's content. disk is what a power loss leaves; clean is the
+// length of data that a sync will not write again, because it was written, or
+// because a sync of it failed.
+type inode struct {
+	data, disk []byte
+	clean      int
+}
+
+// crashFS is an in-memory file system. A power loss keeps of unsynced data and
+// names an arbitrary part. The fault strikes at an operation that changes something.
+type crashFS struct {
+	names, disk map[string]*inode
+	pending     []map[string]*inode
+	locked      map[string]bool
+	ops, at     int
+	kind        faultKind
+}
+
+func newCrashFS() *crashFS {
+	return &crashFS{names: map[string]*inode{}, disk: map[string]*inode{}, locked: map[string]bool{}}
+}
+
+// step counts an operation and reports the fault that strikes it.
+func (fs *crashFS) step() error {
+	fs.ops++
+	if fs.kind == faultPower && fs.ops >= fs.at {
+		return errPower
+	}
+	if fs.kind == faultOnce && fs.ops == fs.at {
+		return errFault
+	}
+	return nil
+}
+
+func (fs *crashFS) change(names map[string]*inode) error {
+	if err := fs.step(); err != nil {
+		return err
+	}
+	fs.apply(fs.names, names)
+	fs.pending = append(fs.pending, names)
+	return nil
+}
+
+func (fs *crashFS) apply(to, names map[string]*inode) {
+	maps.Copy(to, names)
+	maps.DeleteFunc(to, func(_ string, n *inode) bool { return n == nil })
+}
+
+func (fs *crashFS) MkdirAll(string) error    { return nil }
+func (fs *crashFS) Remove(name string) error { return fs.change(map[string]*inode{name: nil}) }
+func (fs *crashFS) List(string) ([]string, error) {
+	var names []string
+	for name := range fs.names {
+		names = append(names, filepath.Base(name))
+	}
+	return names, nil
+}
+
+func (fs *crashFS) ReadFile(name string) ([]byte, error) {
+	if n := fs.names[name]; n != nil {
+		return slices.Clone(n.data), nil
+	}
+	return nil, os.ErrNotExist
+}
+
+func (fs *crashFS) Create(name string) (File, error) {
+	n := &inode{}
+	return &crashFile{fs: fs, node: n}, fs.change(map[string]*inode{name: n})
+}
+
+func (fs *crashFS) Rename(from, to string) error {
+	return fs.change(map[string]*inode{from: nil, to: fs.names[from]})
+}
+
+func (fs *crashFS) SyncDir(string) error {
+	if err := fs.step(); err != nil {
+		return err
+	}
+	fs.disk = maps.Clone(fs.names)
+	fs.pending = nil
+	return nil
+}
+
+func (fs *crashFS) Lock(name string) (io.Closer, error) {
+	if fs.locked[name] {
+		return nil, ErrLocked
+	}
+	fs.locked[name] = true
+	return unlock(func() { delete(fs.locked, name) }), nil
+}
+
+type unlock func()
+
+func (u unlock) Close() error { u(); return nil }
+
+// restart models the end of the process: unsynced data stays readable.
+func (fs *crashFS) restart() {
+	fs.kind = 0
+	clear(fs.locked)
+}
+
+// powerLoss replaces the content by what the disk holds.
+func (fs *crashFS) powerLoss(r *rand.Rand) {
+	fs.restart()
+	for _, names := range fs.pending {
+		if r.IntN(2) == 0 {
+			fs.apply(fs.disk, names)
+		}
+	}
+	fs.names = maps.Clone(fs.disk)
+	fs.pending = nil
+	for _, n := range fs.names {
+		n.lose(r)
+	}
+}
+
+// lose keeps a random length of the unsynced data, with blocks of it missing.
+func (n *inode) lose(r *rand.Rand) {
+	const block = 16
+	kept := slices.Clone(n.data[:max(len(n.disk), r.IntN(len(n.data)+1))])
+	copy(kept, n.disk)
+	for i := len(n.disk); i < len(kept); i += block {
+		if i < n.clean || r.IntN(4) == 0 {
+			clear(kept[i:min(i+block, len(kept))])
+		}
+	}
+	*n = inode{data: kept, disk: slices.Clone(kept), clean: len(kept)}
+}
+
+type crashFile struct {
+	fs   *crashFS
+	node *inode
+}
+
+func (f *crashFile) Close() error { return nil }
+
+func (f *crashFile) Write(p []byte) (int, error) {
+	err := f.fs.step()
+	if err != nil {
+		p = p[:len(p)/2]
+	}
+	f.node.data = append(f.node.data, p...)
+	return len(p), err
+}
+
+func (f *crashFile) Sync() error {
+	n := f.node
+	err := f.fs.step()
+	if err == nil {
+		// Data of an earlier failed sync is not written again.
+		n.disk = append(n.disk, bytes.Repeat([]byte{0}, n.clean-len(n.disk))...)
+		n.disk = append(n.disk, n.data[n.clean:]...)
+	}
+	if !errors.Is(err, errPower) {
+		n.clean = len(n.data)
+	}
+	return err
+}
--- /dev/null
+++ b/daemon/storage/inspect.go
@@ -0,0 +1,129 @@
+package storage
+
+import (
+	"io"
+
+	"github.com/cicadapulley/cicadapulley/core/raft"
+)
+
+// FileInfo describes one file of a data folder.
+type FileInfo struct {
+	Name  string
+	Bytes int64
+	// FirstIndex and LastIndex are the entries that the file holds, with their
+	// terms; all are 0 when it holds none. A snapshot has its index in both.
+	FirstIndex, LastIndex uint64
+	FirstTerm, LastTerm   uint64
+	// Frames counts the frames whose checksums agree.
+	Frames int
+	// Torn is set when Err may be the trace of an interrupted write, which
+	// Open cuts if the file is the last segment.
+	Torn bool
+	// Err is the first damage; nil when all checksums agree.
+	Err error
+}
+
+// Listing describes a data folder.
+type Listing struct {
+	Identity  raft.ServerID
+	HardState raft.HardState
+	// SnapshotIndex and LastIndex are those that Open would recover.
+	SnapshotIndex, LastIndex uint64
+	Files                    []FileInfo
+	// Err is the reason for which Open would refuse the folder.
+	Err error
+}
+
+// Inspect reads a data folder without a lock and without changing it. While a
+// daemon writes there, a file may be listed as torn or missing. The error is
+// one of listing the folder; damage is reported in the listing.
+func Inspect(dir string) (Listing, error) {
+	d := newDisk(dir, Options{})
+	f, err := d.list()
+	if err != nil {
+		return Listing{}, err
+	}
+	var l Listing
+	for _, index := range f.snapshots {
+		l.Files = append(l.Files, inspectSnapshot(d, index))
+	}
+	for _, sequence := range f.segments {
+		l.Files = append(l.Files, inspectSegment(d, sequence))
+	}
+	l.Err = l.inspectState(d, f)
+	return l, nil
+}
+
+func (l *Listing) inspectState(d *disk, f folder) error {
+	id, err := readIdentity(d)
+	if err != nil {
+		return err
+	}
+	l.Identity = id.serverID()
+	state, err := load(d, id, f)
+	if err != nil {
+		return err
+	}
+	r := state.recovered(id)
+	l.HardState = r.HardState
+	l.SnapshotIndex = r.Snapshot.Index
+	l.LastIndex = r.Snapshot.Index + uint64(len(r.Entries))
+	return nil
+}
+
+func inspectSnapshot(d *disk, index uint64) FileInfo {
+	info := FileInfo{Name: snapshotName(index)}
+	data, err := d.read(info.Name)
+	if err != nil {
+		info.Err = err
+		return info
+	}
+	s := decodeSnapshot(d.path(info.Name), data)
+	info.Bytes = s.bytes
+	if s.err != nil {
+		info.Err = s.err
+		return info
+	}
+	info.Frames = 1
+	info.FirstIndex, info.LastIndex = s.snapshot.Index, s.snapshot.Index
+	info.FirstTerm, info.LastTerm = s.snapshot.Term, s.snapshot.Term
+	return info
+}
+
+func inspectSegment(d *disk, sequence uint64) FileInfo {
+	info := FileInfo{Name: segmentName(sequence)}
+	data, err := d.read(info.Name)
+	if err != nil {
+		info.Err = err
+		return info
+	}
+	info.Bytes = int64(len(data))
+	r, err := openSegment(d.path(info.Name), data)
+	if err != nil {
+		info.Err = err
+		return info
+	}
+	info.Frames = 1
+	for info.Err == nil {
+		var b batch
+		b, info.Torn, info.Err = r.next()
+		info.add(b)
+	}
+	if info.Err == io.EOF {
+		info.Err = nil
+	}
+	return info
+}
+
+// add counts a batch; the batch of a failed read is empty.
+func (i *FileInfo) add(b batch) {
+	if i.Err == nil {
+		i.Frames++
+	}
+	for _, e := range b.entries {
+		if i.FirstIndex == 0 {
+			i.FirstIndex, i.FirstTerm = e.Index, e.Term
+		}
+		i.LastIndex, i.LastTerm = e.Index, e.Term
+	}
+}
--- a/daemon/storage/logindex.go
+++ b/daemon/storage/logindex.go
@@ -9,9 +9,11 @@
 type logIndex struct {
 	// base is the index before the first entry on disk.
 	base uint64
-	// baseTerm is the term of the entry at base; 0 when unknown or when base is 0.
+	// baseTerm is the term of the entry at base.
 	baseTerm uint64
-	terms    []uint64
+	// baseUnknown is set when baseTerm is not known.
+	baseUnknown bool
+	terms       []uint64
 }
 
 func (l *logIndex) last() uint64 { return l.base + uint64(len(l.terms)) }
@@ -22,7 +24,7 @@
 	case index < l.base || index > l.last():
 		return 0, false
 	case index == l.base:
-		return l.baseTerm, l.baseTerm > 0 || l.base == 0
+		return l.baseTerm, !l.baseUnknown
 	default:
 		return l.terms[index-l.base-1], true
 	}
@@ -44,7 +46,7 @@
 // the replacement starts at or below base, and the term before it is unknown.
 func (l *logIndex) truncate(from uint64) {
 	if from <= l.base {
-		l.reset(from-1, 0)
+		*l = logIndex{base: from - 1, baseUnknown: true}
 		return
 	}
 	l.terms = l.terms[:min(uint64(len(l.terms)), from-l.base-1)]
--- a/daemon/storage/replay.go
+++ b/daemon/storage/replay.go
@@ -74,6 +74,10 @@
 		r.replaced = append(r.replaced, r.segments...)
 		r.segments = nil
 	}
+	if r.index.last() == r.index.base {
+		// The term is not known yet when an earlier segment's truncation went below base.
+		r.index.reset(c.index, c.term)
+	}
 	r.hard = c.hard
 	r.segments = append(r.segments, segmentInfo{sequence: sequence, base: c.index})
 	return nil
--- a/daemon/storage/store.go
+++ b/daemon/storage/store.go
@@ -132,7 +132,8 @@
 		kind: kindSegment, reset: reset, identity: s.identity,
 		sequence: last + 1, previous: s.at.chain, marker: newMarker(),
 	}
-	term, _ := s.index.term(s.index.last())
+	term, known := s.index.term(s.index.last())
+	invariant.Check(known, invariant.LogMatching, "term of the last index %d is unknown", s.index.last())
 	file, info, at, err := createSegment(s.disk, h, checkpoint{index: s.index.last(), term: term, hard: s.hard})
 	if err != nil {
 		return err
--- a/daemon/storage/store_test.go
+++ b/daemon/storage/store_test.go
@@ -1,6 +1,11 @@
 package storage
 
 import (
+	"fmt"
+	"maps"
+	"path/filepath"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/cicadapulley/cicadapulley/core/raft"
@@ -8,28 +13,142 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against two daemons writing one folder, and against a restart that
-// loses identity, vote, entries or groups on a real disk.
-func TestReopenAndLock(t *testing.T) {
+// fill saves batches of two entries, with snapshots after the given batches.
+func fill(t testing.TB, s *Store, batches int, snapshots ...int) {
+	for i := range batches {
+		index := uint64(2*i + 1)
+		hs := raft.HardState{Term: 1, Vote: "v", Commit: index - 1}
+		assert.NilError(t, s.Save(&hs, 0, []raft.Entry{
+			{Term: 1, Index: index, Data: fmt.Append(nil, "command ", index)},
+			{Term: 1, Index: index + 1},
+		}))
+		if slices.Contains(snapshots, i) {
+			assert.NilError(t, s.SaveSnapshot(raft.Snapshot{Index: index, Term: 1, Data: []byte("state")}))
+		}
+	}
+}
+
+// Guards against two daemons writing one folder, and against a restart, backup
+// or restore on a real disk that loses state or copies the identity.
+func TestRealDisk(t *testing.T) {
 	dir := t.TempDir() + "/data"
-	s, err := Open(dir, Options{})
+	s, err := Open(dir, Options{SegmentBytes: 500})
 	assert.NilError(t, err)
 	id := s.Recovered().Identity
 	_, err = Open(dir, Options{})
 	assert.ErrorIs(t, err, ErrLocked)
 	assert.ErrorContains(t, err, dir)
-	hs := raft.HardState{Term: 3, Vote: id, Commit: 1}
+	fill(t, s, 9, 4)
 	group := raft.Group{Servers: []raft.Server{{ID: id, Address: "127.0.0.1:1", Voter: true}}}
-	entries := []raft.Entry{
-		{Term: 2, Index: 1, Type: raft.EntryGroup, Group: &group},
-		{Term: 3, Index: 2, Data: []byte("command")},
-	}
-	assert.NilError(t, s.Save(&hs, 0, entries))
+	assert.NilError(t, s.Save(nil, 0, []raft.Entry{{Term: 1, Index: 19, Type: raft.EntryGroup, Group: &group}}))
+	backup := dir + "-backup"
+	assert.NilError(t, s.Backup(backup))
 	assert.NilError(t, s.Close())
-	assert.Assert(t, errors.Is(s.Save(&hs, 0, nil), ErrClosed))
+	assert.Assert(t, errors.Is(s.Save(&raft.HardState{}, 0, nil), ErrClosed))
+
 	s, err = Open(dir, Options{})
 	assert.NilError(t, err)
-	r := s.Recovered()
-	assert.DeepEqual(t, r, Recovered{Identity: id, HardState: hs, Entries: entries})
+	want := s.Recovered()
+	assert.Equal(t, want.Identity, id)
+	assert.Equal(t, want.Snapshot.Index, uint64(9))
+	assert.DeepEqual(t, want.Entries[9].Group, &group)
+	assert.NilError(t, s.Close())
+	l, err := Inspect(dir)
+	assert.NilError(t, err)
+	assert.NilError(t, l.Err)
+	assert.Equal(t, l.LastIndex, uint64(19))
+
+	_, err = Open(backup, Options{})
+	assert.ErrorContains(t, err, identityName)
+	restored, err := Restore(backup, dir+"-restored")
+	assert.NilError(t, err)
+	assert.Assert(t, restored != id)
+	s, err = Open(dir+"-restored", Options{})
+	assert.NilError(t, err)
+	want.Identity = restored
+	want.HardState.Vote = ""
+	assert.DeepEqual(t, s.Recovered(), want)
+	assert.NilError(t, s.Close())
+}
+
+// damagedFolder returns a folder with several segments and two snapshots, its
+// content, and the name of its last segment.
+func damagedFolder(t *testing.T) (*crashFS, content, string) {
+	fs := newCrashFS()
+	s, err := Open(crashDir, crashOptions(fs))
+	assert.NilError(t, err)
+	fill(t, s, 16, 3, 8)
 	assert.NilError(t, s.Close())
+	s, err = Open(crashDir, crashOptions(fs))
+	assert.NilError(t, err)
+	whole := contentOf(s.Recovered())
+	assert.Assert(t, len(s.segments) > 3 && len(s.snapshots) == 2)
+	last := filepath.Join(crashDir, segmentName(s.segments[len(s.segments)-1].sequence))
+	assert.NilError(t, s.Close())
+	return fs, whole, last
+}
+
+// with returns a copy of the file system in which one file has another content.
+func (fs *crashFS) with(name string, data []byte) *crashFS {
+	c := newCrashFS()
+	c.names = maps.Clone(fs.names)
+	c.names[name] = &inode{data: data}
+	return c
+}
+
+// Guards against damage that is accepted silently, or reported for a wrong place.
+func TestFlippedByte(t *testing.T) {
+	fs, whole, last := damagedFolder(t)
+	for name, node := range fs.names {
+		for i := range node.data {
+			data := slices.Clone(node.data)
+			data[i] ^= byte(1 + i%255)
+			checkDamage(t, fs.with(name, data), name, int64(i), whole, last)
+		}
+	}
+}
+
+func checkDamage(t *testing.T, fs *crashFS, name string, at int64, whole content, last string) {
+	t.Helper()
+	s, err := Open(crashDir, crashOptions(fs))
+	if err != nil {
+		var damage *CorruptError
+		assert.Assert(t, errors.As(err, &damage), "%s byte %d: %v", name, at, err)
+		assert.Equal(t, damage.File, name)
+		assert.Assert(t, damage.Offset <= at, "%s byte %d: %v", name, at, err)
+		return
+	}
+	r := s.Recovered()
+	if strings.HasSuffix(name, snapshotSuffix) {
+		assert.Assert(t, len(r.Damaged) == 1 && r.Damaged[0].File == name)
+		assert.DeepEqual(t, contentOf(r).snapshot(whole.Snapshot), whole)
+		return
+	}
+	assert.Equal(t, name, last, "byte %d", at)
+	assert.Assert(t, r.Cut != nil && r.Cut.File == name && r.Cut.Offset <= at, "byte %d", at)
+	assert.Equal(t, int64(len(fs.names[name].data)), r.Cut.Offset)
+	whole.Entries = whole.Entries[:len(whole.Entries)-2]
+	whole.Hard.Commit -= 2
+	assert.DeepEqual(t, contentOf(r), whole)
+}
+
+// Guards against a lost file that goes unnoticed, and against a new identity
+// for a folder that holds state.
+func TestMissingFile(t *testing.T) {
+	fs, whole, last := damagedFolder(t)
+	first := filepath.Join(crashDir, segmentName(1))
+	for name := range fs.names {
+		c := fs.with(name, nil)
+		delete(c.names, name)
+		s, err := Open(crashDir, crashOptions(c))
+		switch {
+		case name == last:
+			// Without its last segment, a folder is a valid older one.
+		case name == first || strings.HasSuffix(name, snapshotSuffix):
+			assert.NilError(t, err)
+			assert.DeepEqual(t, contentOf(s.Recovered()).snapshot(whole.Snapshot), whole)
+		default:
+			assert.Assert(t, err != nil, name)
+		}
+	}
 }
