core/state: keep the exact numbers of forgotten tickets

Cause: a ticket that left the history raised a bound below which every number counted as used. One ticket with a mistakenly huge number made all later tickets stale once it was dropped, and disjoint number ranges blocked each other, although only the last ticket of a touched object may refuse. The refusal names the number itself. Conclusion: a mistaken number costs one object, not the whole configuration.

--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -42,8 +42,10 @@
 	prunedRevision uint64
 	tickets        map[uint64]AppliedTicket
 	ticketOrder    []uint64
-	// forgottenTicket is the highest number dropped from the history; a resend
-	// of it or of a lower number is stale.
+	// forgottenTickets holds the numbers dropped from the history: they stay used.
+	forgottenTickets ticketRanges
+	// forgottenTicket is a bound at or below which all numbers count as used. It
+	// is above zero only after maxTicketRanges was exceeded.
 	forgottenTicket uint64
 	members         map[string]Member
 	jobs            map[job.Key]*job.Record
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -1,6 +1,10 @@
 package state
 
-import "github.com/cicadapulley/cicadapulley/core/job"
+import (
+	"slices"
+
+	"github.com/cicadapulley/cicadapulley/core/job"
+)
 
 // Snapshot is the whole state of a machine as typed values. It shares
 // immutable parts with the machine; the caller encodes it before the next Apply.
@@ -9,10 +13,13 @@
 	ConfigRevision  uint64
 	PrunedRevision  uint64
 	ForgottenTicket uint64
-	Config          Config
-	Tickets         []AppliedTicket
-	Members         []Member
-	// Running and Finished list the jobs; Finished is in order of their end.
+	// ForgottenTickets lists the used numbers above ForgottenTicket that are not
+	// in Tickets, in rising order.
+	ForgottenTickets []TicketRange
+	Config           Config
+	Tickets          []AppliedTicket
+	Members          []Member
+	// Running and Finished list the jobs in order of their last change.
 	Running  []job.Record
 	Finished []job.Record
 }
@@ -20,13 +27,14 @@
 // Snapshot returns the machine's whole state.
 func (m *Machine) Snapshot() Snapshot {
 	s := Snapshot{
-		Applied:         m.applied,
-		ConfigRevision:  m.configRevision,
-		PrunedRevision:  m.prunedRevision,
-		ForgottenTicket: m.forgottenTicket,
-		Config:          m.config.Clone(),
-		Tickets:         m.Tickets(),
-		Members:         m.Members(),
+		Applied:          m.applied,
+		ConfigRevision:   m.configRevision,
+		PrunedRevision:   m.prunedRevision,
+		ForgottenTicket:  m.forgottenTicket,
+		ForgottenTickets: slices.Clone(m.forgottenTickets),
+		Config:           m.config.Clone(),
+		Tickets:          m.Tickets(),
+		Members:          m.Members(),
 	}
 	for _, r := range m.jobs {
 		if !r.State.Final() {
@@ -48,6 +56,7 @@
 	m.forgottenTicket = s.ForgottenTicket
 	m.config = s.Config.Clone()
 	for _, t := range s.Tickets {
+	m.forgottenTickets = slices.Clone(s.ForgottenTickets)
 		m.tickets[t.Ticket.Number] = t
 		m.ticketOrder = append(m.ticketOrder, t.Ticket.Number)
 	}
--- a/core/state/tickets.go
+++ b/core/state/tickets.go
@@ -16,8 +16,8 @@
 	if old, ok := m.tickets[t.Number]; ok {
 		return Result{Ticket: repeatOrConflict(old, c.Digest)}
 	}
-	if t.Number <= m.forgottenTicket {
-		return Result{Ticket: &TicketResult{Status: TicketStale, Winner: m.forgottenTicket, Object: "ticket history"}}
+	if t.Number <= m.forgottenTicket || m.forgottenTickets.contains(t.Number) {
+		return Result{Ticket: m.forgotten(t.Number)}
 	}
 	for _, o := range m.touchedBy(t) {
 		if t.Number > o.last {
@@ -53,6 +53,16 @@
 	}
 }
 
+// forgotten refuses a number whose ticket is no longer in the history, so that
+// a repetition can't be told from another content.
+func (m *Machine) forgotten(number uint64) *TicketResult {
+	return &TicketResult{
+		Status: TicketStale,
+		Winner: max(number, m.forgottenTicket),
+		Object: "ticket history",
+	}
+}
+
 func (m *Machine) touchedBy(t Ticket) []ticketObject {
 	var objects []ticketObject
 	for _, s := range t.Services {
@@ -103,7 +113,19 @@
 	oldest := m.ticketOrder[0]
 	m.ticketOrder = m.ticketOrder[1:]
 	delete(m.tickets, oldest)
-	m.forgottenTicket = max(m.forgottenTicket, oldest)
+	m.forgetNumber(oldest)
+}
+
+// forgetNumber keeps a number as used. Only the exact numbers are kept, since a
+// bound alone would refuse every later ticket after a single one with a
+// mistakenly huge number.
+func (m *Machine) forgetNumber(number uint64) {
+	m.forgottenTickets = m.forgottenTickets.insert(number)
+	if len(m.forgottenTickets) <= maxTicketRanges {
+		return
+	}
+	m.forgottenTicket = max(m.forgottenTicket, m.forgottenTickets[0].Last)
+	m.forgottenTickets = slices.Delete(m.forgottenTickets, 0, 1)
 }
 
 // Tickets lists the kept tickets in the order in which they were applied.
@@ -123,8 +145,12 @@
 
 // HighestTicket returns the highest number in force, zero before the first.
 func (m *Machine) HighestTicket() uint64 {
-	if len(m.ticketOrder) == 0 {
-		return m.forgottenTicket
+	highest := m.forgottenTicket
+	if last := len(m.forgottenTickets) - 1; last >= 0 {
+		highest = m.forgottenTickets[last].Last
+	}
+	for _, n := range m.ticketOrder {
+		highest = max(highest, n)
 	}
-	return max(m.forgottenTicket, slices.Max(m.ticketOrder))
+	return highest
 }
