core/state: refuse an outcome that is not final or not whole

Cause: Apply asserted that an outcome is final. The command is committed before Apply sees it, so one bad request of an entry would have stopped every control VM, again at each replay of the log. A complete outcome with too few results passed. AcceptJob clears the outcome of the record that it is given. Conclusion: the check is stricter than before and can't stop a replica.

--- a/core/state/jobs.go
+++ b/core/state/jobs.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
-	"github.com/cicadapulley/cicadapulley/core/invariant"
 	"github.com/cicadapulley/cicadapulley/core/job"
+	"github.com/cicadapulley/cicadapulley/core/verdict"
 )
 
 // recordOverhead is the assumed size in bytes of a record without its outputs.
@@ -26,6 +26,8 @@
 	r.AcceptedIndex = index
 	r.Epoch = 1
 	r.State = job.Running
+	r.Outcome = nil
+	r.Finished = time.Time{}
 	r.Revision = index
 	m.jobs[r.Key] = &r
 	return Result{Accept: Accepted, Record: copyRecord(&r)}
@@ -39,8 +41,9 @@
 	if r.State.Final() {
 		return Result{Finished: true, Record: copyRecord(r)}
 	}
-	invariant.Check(c.Outcome.State.Final(), invariant.WholeAnswer,
-		"job %s finished in state %s", c.Key, c.Outcome.State)
+	if !wholeOutcome(r, &c.Outcome) {
+		return Result{}
+	}
 	out := c.Outcome
 	r.State = out.State
 	r.Outcome = &out
@@ -53,6 +56,21 @@
 	return Result{Finished: true, Record: copyRecord(r)}
 }
 
+// wholeOutcome reports whether an outcome is final and, if complete, has every
+// task done. Another one is refused rather than asserted: a panic on a committed
+// command would stop every replica, again after each restart.
+func wholeOutcome(r *job.Record, o *job.Outcome) bool {
+	if o.State != job.Complete {
+		return o.State == job.Failed || o.State == job.Cancelled
+	}
+	for _, t := range o.Results {
+		if t.State != job.TaskDone || t.Verdict != verdict.Ran {
+			return false
+		}
+	}
+	return len(o.Results) == len(r.Tasks)
+}
+
 func dropPayloads(tasks []job.Task) []job.Task {
 	kept := make([]job.Task, len(tasks))
 	for i, t := range tasks {
