core/state: index running jobs by owner and changes by revision

Cause: each view scanned all jobs and all members, and the leader's search for orphans scanned all jobs. Change: running jobs are indexed by their owner, those got by takeover a second time; changes of watched objects are kept in order of their revision, and out-of-date ones are dropped once they outnumber the objects. Views are ordered by revision. Conclusion: the cost of a view follows what changed.

--- a/core/state/jobs.go
+++ b/core/state/jobs.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -18,7 +19,7 @@
 		}
 		return Result{Accept: Existing, Record: copyRecord(old)}
 	}
-	if !m.ownerActive(&c.Record) {
+	if !m.active(ownerOf(&c.Record)) {
 		return Result{Accept: UnknownOwner}
 	}
 	r := c.Record
@@ -30,6 +31,7 @@
 	r.Finished = time.Time{}
 	r.Revision = index
 	m.jobs[r.Key] = &r
+	m.running.add(&r)
 	return Result{Accept: Accepted, Record: copyRecord(&r)}
 }
 
@@ -44,6 +46,7 @@
 	if !wholeOutcome(r, &c.Outcome) {
 		return Result{}
 	}
+	m.running.remove(r)
 	out := c.Outcome
 	r.State = out.State
 	r.Outcome = &out
@@ -84,13 +87,15 @@
 	if !ok || r.State.Final() || r.Epoch != c.FromEpoch {
 		return Result{}
 	}
-	owner, ok := m.members[c.Owner]
-	if !ok || owner.State != MemberLive || owner.Role != RoleEntry {
+	next, ok := m.members[c.Owner]
+	if !ok || next.State != MemberLive || next.Role != RoleEntry {
 		return Result{}
 	}
-	r.Owner = owner.ID
-	r.OwnerIncarnation = owner.Incarnation
+	m.running.remove(r)
+	r.Owner = next.ID
+	r.OwnerIncarnation = next.Incarnation
 	r.Epoch++
+	m.running.add(r)
 	r.Revision = index
 	m.touch(index)
 	return Result{TookOver: true, Record: copyRecord(r)}
@@ -109,47 +114,46 @@
 // The leader takes them over.
 func (m *Machine) Orphans() []job.Record {
 	var orphans []job.Record
-	for _, r := range m.jobs {
-		if r.State.Final() || m.ownerActive(r) {
+	for o, jobs := range m.running {
+		if m.active(o) {
 			continue
 		}
-		orphans = append(orphans, *r)
+		for _, r := range jobs.all {
+			orphans = append(orphans, *r)
+		}
 	}
 	slices.SortFunc(orphans, byRevision)
 	return orphans
 }
 
-func (m *Machine) ownerActive(r *job.Record) bool {
-	owner, ok := m.members[r.Owner]
-	return ok && owner.Active() && owner.Incarnation == r.OwnerIncarnation
+func (m *Machine) active(o owner) bool {
+	member, ok := m.members[o.id]
+	return ok && member.Active() && member.Incarnation == o.incarnation
 }
 
 // TakenOver lists the running jobs that the current incarnation of an entry
 // got by takeover after a revision, oldest first.
-func (m *Machine) TakenOver(owner string, after uint64) []job.Record {
-	if m.members[owner].Role != RoleEntry {
+func (m *Machine) TakenOver(entry string, after uint64) []job.Record {
+	member, ok := m.members[entry]
+	if !ok || member.Role != RoleEntry {
+		return nil
+	}
+	owned, ok := m.running[owner{id: entry, incarnation: member.Incarnation}]
+	if !ok {
 		return nil
 	}
 	var jobs []job.Record
-	for _, r := range m.jobs {
-		mine := r.Owner == owner && r.OwnerIncarnation == m.members[owner].Incarnation
-		if !mine || r.Epoch == 1 || r.State.Final() || r.Revision <= after {
-			continue
+	for _, r := range owned.takenOver {
+		if r.Revision > after {
+			jobs = append(jobs, *r)
 		}
-		jobs = append(jobs, *r)
 	}
 	slices.SortFunc(jobs, byRevision)
 	return jobs
 }
 
 func byRevision(a, b job.Record) int {
-	switch {
-	case a.Revision < b.Revision:
-		return -1
-	case a.Revision > b.Revision:
-		return 1
-	}
-	return 0
+	return cmp.Compare(a.Revision, b.Revision)
 }
 
 // Jobs lists copies of all records without payloads and outputs, for operators.
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -49,6 +49,10 @@
 	forgottenTicket uint64
 	members         map[string]Member
 	jobs            map[job.Key]*job.Record
+	// running indexes the running jobs of jobs.
+	running jobIndex
+	// changes lists the changes of watched objects in order of their revision.
+	changes []change
 	// finished lists finished jobs in order of their end.
 	finished      []job.Key
 	finishedBytes int64
@@ -62,6 +66,7 @@
 		tickets:   map[uint64]AppliedTicket{},
 		members:   map[string]Member{},
 		jobs:      map[job.Key]*job.Record{},
+		running:   jobIndex{},
 	}
 }
 
--- a/core/state/members.go
+++ b/core/state/members.go
@@ -21,6 +21,7 @@
 	}
 	n.RegisteredIndex = index
 	n.Revision = index
+	m.recordChange(memberObject, n.ID, index)
 	m.members[n.ID] = n
 	m.touch(index)
 	m.pruneMembers(now)
@@ -36,6 +37,7 @@
 	member.Ended = now
 	member.EndedIndex = index
 	member.Revision = index
+	m.recordChange(memberObject, c.ID, index)
 	m.members[c.ID] = member
 	m.touch(index)
 	m.pruneMembers(now)
@@ -49,6 +51,7 @@
 	}
 	member.State = MemberDraining
 	member.Revision = index
+	m.recordChange(memberObject, c.ID, index)
 	m.members[c.ID] = member
 	m.touch(index)
 	return Result{Ended: true}
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -36,14 +36,15 @@
 		Tickets:          m.Tickets(),
 		Members:          m.Members(),
 	}
-	for _, r := range m.jobs {
-		if !r.State.Final() {
+	for _, jobs := range m.running {
+		for _, r := range jobs.all {
 			s.Running = append(s.Running, *r)
 		}
 	}
 	for _, k := range m.finished {
 		s.Finished = append(s.Finished, *m.jobs[k])
 	}
+	slices.SortFunc(s.Running, byRevision)
 	return s
 }
 
@@ -63,8 +64,10 @@
 	for _, member := range s.Members {
 		m.members[member.ID] = member
 	}
+	m.rebuildChanges()
 	for _, r := range s.Running {
 		m.jobs[r.Key] = &r
+		m.running.add(&r)
 	}
 	for _, r := range s.Finished {
 		m.jobs[r.Key] = &r
--- a/core/state/tickets.go
+++ b/core/state/tickets.go
@@ -84,16 +84,19 @@
 	for _, s := range t.Services {
 		s.Ticket = t.Number
 		s.Revision = index
+		m.recordChange(serviceObject, s.Name, index)
 		m.config.Services[s.Name] = s
 	}
 	for _, q := range t.Quotas {
 		q.Ticket = t.Number
 		q.Revision = index
+		m.recordChange(quotaObject, q.Caller, index)
 		m.config.Quotas[q.Caller] = q
 	}
 	for _, d := range t.Drains {
 		d.Ticket = t.Number
 		d.Revision = index
+		m.recordChange(drainObject, d.Endpoint, index)
 		m.config.Drains[d.Endpoint] = d
 	}
 	if t.Limits != nil {
--- a/core/state/view.go
+++ b/core/state/view.go
@@ -29,30 +29,26 @@
 		after = 0
 	}
 	v := View{Revision: m.configRevision, Full: full, Limits: m.config.Limits}
-	for _, s := range m.config.Services {
-		if s.Revision > after {
-			v.Services = append(v.Services, s)
-		}
-	}
-	for _, q := range m.config.Quotas {
-		if q.Revision > after {
-			v.Quotas = append(v.Quotas, q)
-		}
-	}
-	for _, d := range m.config.Drains {
-		if d.Revision > after {
-			v.Drains = append(v.Drains, d)
-		}
-	}
-	for _, member := range m.members {
-		if member.Revision > after {
-			v.Members = append(v.Members, member)
-		}
+	for _, c := range m.changesAfter(after) {
+		m.addToView(&v, c)
 	}
 	v.TakenOver = m.TakenOver(watcher, after)
 	return v
 }
 
+func (m *Machine) addToView(v *View, c change) {
+	switch c.kind {
+	case serviceObject:
+		v.Services = append(v.Services, m.config.Services[c.name])
+	case quotaObject:
+		v.Quotas = append(v.Quotas, m.config.Quotas[c.name])
+	case drainObject:
+		v.Drains = append(v.Drains, m.config.Drains[c.name])
+	case memberObject:
+		v.Members = append(v.Members, m.members[c.name])
+	}
+}
+
 // Replica is a watcher's copy of configuration and members. It is immutable:
 // Merge returns a new one, so readers need no lock.
 type Replica struct {
