core/state: forget finished jobs in order of their release

Cause: finished jobs were forgotten in order of their end, and a job whose deadline had not passed stopped the search. The size of a record left out its tasks and messages. Change: finished jobs are kept in a heap by the later of end and deadline, and the time bound counts from there.

--- a/core/state/jobs.go
+++ b/core/state/jobs.go
@@ -9,9 +9,6 @@
 	"github.com/cicadapulley/cicadapulley/core/verdict"
 )
 
-// recordOverhead is the assumed size in bytes of a record without its outputs.
-const recordOverhead = 512
-
 func (m *Machine) acceptJob(index uint64, now time.Time, c *AcceptJob) Result {
 	if old, ok := m.jobs[c.Record.Key]; ok {
 		if old.Digest != c.Record.Digest {
@@ -54,8 +51,7 @@
 	r.Revision = index
 	// The payloads are only needed to run the tasks again.
 	r.Tasks = dropPayloads(r.Tasks)
-	m.finished = append(m.finished, c.Key)
-	m.finishedBytes += recordBytes(r)
+	m.keepFinished(r)
 	return Result{Finished: true, Record: copyRecord(r)}
 }
 
@@ -168,35 +164,6 @@
 	return list
 }
 
-func (m *Machine) pruneJobs(now time.Time) {
-	if now.IsZero() {
-		return
-	}
-	for len(m.finished) > 0 {
-		r := m.jobs[m.finished[0]]
-		fresh := now.Sub(r.Finished) < m.retention.FinishedJobs
-		// A caller may resubmit until its deadline, so the answer stays until then.
-		resubmittable := now.Before(r.Deadline)
-		if resubmittable || (fresh && m.finishedBytes <= m.retention.FinishedBytes) {
-			return
-		}
-		m.finishedBytes -= recordBytes(r)
-		delete(m.jobs, m.finished[0])
-		m.finished = m.finished[1:]
-	}
-}
-
-func recordBytes(r *job.Record) int64 {
-	size := int64(recordOverhead)
-	if r.Outcome == nil {
-		return size
-	}
-	for _, t := range r.Outcome.Results {
-		size += int64(len(t.Output)) + recordOverhead/8
-	}
-	return size
-}
-
 // copyRecord returns a copy that shares the immutable tasks and outcome.
 func copyRecord(r *job.Record) *job.Record {
 	c := *r
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -12,9 +12,11 @@
 
 // Retention bounds what the machine keeps of the past.
 type Retention struct {
-	// FinishedJobs is how long a finished job's answer is kept.
+	// FinishedJobs is how long a finished job's answer is kept after the later
+	// of its end and its deadline.
 	FinishedJobs time.Duration
-	// FinishedBytes bounds the kept answers' size in bytes.
+	// FinishedBytes bounds the kept answers' size in bytes. Answers of jobs
+	// whose deadline has not passed are kept beyond it.
 	FinishedBytes int64
 	// EndedMembers is how long a left or expired member is kept.
 	EndedMembers time.Duration
@@ -52,9 +54,8 @@
 	// running indexes the running jobs of jobs.
 	running jobIndex
 	// changes lists the changes of watched objects in order of their revision.
-	changes []change
-	// finished lists finished jobs in order of their end.
-	finished      []job.Key
+	changes       []change
+	finished      finishedJobs
 	finishedBytes int64
 }
 
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -41,10 +41,11 @@
 			s.Running = append(s.Running, *r)
 		}
 	}
-	for _, k := range m.finished {
-		s.Finished = append(s.Finished, *m.jobs[k])
+	for _, r := range m.finished {
+		s.Finished = append(s.Finished, *r)
 	}
 	slices.SortFunc(s.Running, byRevision)
+	slices.SortFunc(s.Finished, byRevision)
 	return s
 }
 
@@ -71,8 +72,7 @@
 	}
 	for _, r := range s.Finished {
 		m.jobs[r.Key] = &r
-		m.finished = append(m.finished, r.Key)
-		m.finishedBytes += recordBytes(&r)
+		m.keepFinished(&r)
 	}
 	return m
 }
