--- a/core/state/jobs.go
+++ b/core/state/jobs.go
@@ -1,16 +1,14 @@
 package state
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
-	"github.com/cicadapulley/cicadapulley/core/invariant"
 	"github.com/cicadapulley/cicadapulley/core/job"
+	"github.com/cicadapulley/cicadapulley/core/verdict"
 )
 
-// recordOverhead is the assumed size in bytes of a record without its outputs.
-const recordOverhead = 512
-
 func (m *Machine) acceptJob(index uint64, now time.Time, c *AcceptJob) Result {
 	if old, ok := m.jobs[c.Record.Key]; ok {
 		if old.Digest != c.Record.Digest {
@@ -18,7 +16,7 @@
 		}
 		return Result{Accept: Existing, Record: copyRecord(old)}
 	}
-	if !m.ownerActive(&c.Record) {
+	if !m.active(ownerOf(&c.Record)) {
 		return Result{Accept: UnknownOwner}
 	}
 	r := c.Record
@@ -26,8 +24,11 @@
 	r.AcceptedIndex = index
 	r.Epoch = 1
 	r.State = job.Running
+	r.Outcome = nil
+	r.Finished = time.Time{}
 	r.Revision = index
 	m.jobs[r.Key] = &r
+	m.running.add(&r)
 	return Result{Accept: Accepted, Record: copyRecord(&r)}
 }
 
@@ -39,8 +40,10 @@
 	if r.State.Final() {
 		return Result{Finished: true, Record: copyRecord(r)}
 	}
-	invariant.Check(c.Outcome.State.Final(), invariant.WholeAnswer,
-		"job %s finished in state %s", c.Key, c.Outcome.State)
+	if !wholeOutcome(r, &c.Outcome) {
+		return Result{}
+	}
+	m.running.remove(r)
 	out := c.Outcome
 	r.State = out.State
 	r.Outcome = &out
@@ -48,11 +51,25 @@
 	r.Revision = index
 	// The payloads are only needed to run the tasks again.
 	r.Tasks = dropPayloads(r.Tasks)
-	m.finished = append(m.finished, c.Key)
-	m.finishedBytes += recordBytes(r)
+	m.keepFinished(r)
 	return Result{Finished: true, Record: copyRecord(r)}
 }
 
+// wholeOutcome reports whether an outcome is final and, if complete, has every
+// task done. Another one is refused rather than asserted: a panic on a committed
+// command would stop every replica, again after each restart.
+func wholeOutcome(r *job.Record, o *job.Outcome) bool {
+	if o.State != job.Complete {
+		return o.State == job.Failed || o.State == job.Cancelled
+	}
+	for _, t := range o.Results {
+		if t.State != job.TaskDone || t.Verdict != verdict.Ran {
+			return false
+		}
+	}
+	return len(o.Results) == len(r.Tasks)
+}
+
 func dropPayloads(tasks []job.Task) []job.Task {
 	kept := make([]job.Task, len(tasks))
 	for i, t := range tasks {
@@ -66,13 +83,15 @@
 	if !ok || r.State.Final() || r.Epoch != c.FromEpoch {
 		return Result{}
 	}
-	owner, ok := m.members[c.Owner]
-	if !ok || owner.State != MemberLive || owner.Role != RoleEntry {
+	next, ok := m.members[c.Owner]
+	if !ok || next.State != MemberLive || next.Role != RoleEntry {
 		return Result{}
 	}
-	r.Owner = owner.ID
-	r.OwnerIncarnation = owner.Incarnation
+	m.running.remove(r)
+	r.Owner = next.ID
+	r.OwnerIncarnation = next.Incarnation
 	r.Epoch++
+	m.running.add(r)
 	r.Revision = index
 	m.touch(index)
 	return Result{TookOver: true, Record: copyRecord(r)}
@@ -91,47 +110,46 @@
 // The leader takes them over.
 func (m *Machine) Orphans() []job.Record {
 	var orphans []job.Record
-	for _, r := range m.jobs {
-		if r.State.Final() || m.ownerActive(r) {
+	for o, jobs := range m.running {
+		if m.active(o) {
 			continue
 		}
-		orphans = append(orphans, *r)
+		for _, r := range jobs.all {
+			orphans = append(orphans, *r)
+		}
 	}
 	slices.SortFunc(orphans, byRevision)
 	return orphans
 }
 
-func (m *Machine) ownerActive(r *job.Record) bool {
-	owner, ok := m.members[r.Owner]
-	return ok && owner.Active() && owner.Incarnation == r.OwnerIncarnation
+func (m *Machine) active(o owner) bool {
+	member, ok := m.members[o.id]
+	return ok && member.Active() && member.Incarnation == o.incarnation
 }
 
 // TakenOver lists the running jobs that the current incarnation of an entry
 // got by takeover after a revision, oldest first.
-func (m *Machine) TakenOver(owner string, after uint64) []job.Record {
-	if m.members[owner].Role != RoleEntry {
+func (m *Machine) TakenOver(entry string, after uint64) []job.Record {
+	member, ok := m.members[entry]
+	if !ok || member.Role != RoleEntry {
+		return nil
+	}
+	owned, ok := m.running[owner{id: entry, incarnation: member.Incarnation}]
+	if !ok {
 		return nil
 	}
 	var jobs []job.Record
-	for _, r := range m.jobs {
-		mine := r.Owner == owner && r.OwnerIncarnation == m.members[owner].Incarnation
-		if !mine || r.Epoch == 1 || r.State.Final() || r.Revision <= after {
-			continue
+	for _, r := range owned.takenOver {
+		if r.Revision > after {
+			jobs = append(jobs, *r)
 		}
-		jobs = append(jobs, *r)
 	}
 	slices.SortFunc(jobs, byRevision)
 	return jobs
 }
 
 func byRevision(a, b job.Record) int {
-	switch {
-	case a.Revision < b.Revision:
-		return -1
-	case a.Revision > b.Revision:
-		return 1
-	}
-	return 0
+	return cmp.Compare(a.Revision, b.Revision)
 }
 
 // Jobs lists copies of all records without payloads and outputs, for operators.
@@ -146,35 +164,6 @@
 	return list
 }
 
-func (m *Machine) pruneJobs(now time.Time) {
-	if now.IsZero() {
-		return
-	}
-	for len(m.finished) > 0 {
-		r := m.jobs[m.finished[0]]
-		fresh := now.Sub(r.Finished) < m.retention.FinishedJobs
-		// A caller may resubmit until its deadline, so the answer stays until then.
-		resubmittable := now.Before(r.Deadline)
-		if resubmittable || (fresh && m.finishedBytes <= m.retention.FinishedBytes) {
-			return
-		}
-		m.finishedBytes -= recordBytes(r)
-		delete(m.jobs, m.finished[0])
-		m.finished = m.finished[1:]
-	}
-}
-
-func recordBytes(r *job.Record) int64 {
-	size := int64(recordOverhead)
-	if r.Outcome == nil {
-		return size
-	}
-	for _, t := range r.Outcome.Results {
-		size += int64(len(t.Output)) + recordOverhead/8
-	}
-	return size
-}
-
 // copyRecord returns a copy that shares the immutable tasks and outcome.
 func copyRecord(r *job.Record) *job.Record {
 	c := *r
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -12,9 +12,11 @@
 
 // Retention bounds what the machine keeps of the past.
 type Retention struct {
-	// FinishedJobs is how long a finished job's answer is kept.
+	// FinishedJobs is how long a finished job's answer is kept after the later
+	// of its end and its deadline.
 	FinishedJobs time.Duration
-	// FinishedBytes bounds the kept answers' size in bytes.
+	// FinishedBytes bounds the kept answers' size in bytes. Answers of jobs
+	// whose deadline has not passed are kept beyond it.
 	FinishedBytes int64
 	// EndedMembers is how long a left or expired member is kept.
 	EndedMembers time.Duration
@@ -42,13 +44,18 @@
 	prunedRevision uint64
 	tickets        map[uint64]AppliedTicket
 	ticketOrder    []uint64
-	// forgottenTicket is the highest number dropped from the history; a resend
-	// of it or of a lower number is stale.
+	// forgottenTickets holds the numbers dropped from the history: they stay used.
+	forgottenTickets ticketRanges
+	// forgottenTicket is a bound at or below which all numbers count as used. It
+	// is above zero only after maxTicketRanges was exceeded.
 	forgottenTicket uint64
 	members         map[string]Member
 	jobs            map[job.Key]*job.Record
-	// finished lists finished jobs in order of their end.
-	finished      []job.Key
+	// running indexes the running jobs of jobs.
+	running jobIndex
+	// changes lists the changes of watched objects in order of their revision.
+	changes       []change
+	finished      finishedJobs
 	finishedBytes int64
 }
 
@@ -60,6 +67,7 @@
 		tickets:   map[uint64]AppliedTicket{},
 		members:   map[string]Member{},
 		jobs:      map[job.Key]*job.Record{},
+		running:   jobIndex{},
 	}
 }
 
--- a/core/state/tickets.go
+++ b/core/state/tickets.go
@@ -19,8 +19,8 @@
 	if old, ok := m.tickets[t.Number]; ok {
 		return Result{Ticket: repeatOrConflict(old, c.Digest)}
 	}
-	if t.Number <= m.forgottenTicket {
-		return Result{Ticket: &TicketResult{Status: TicketStale, Winner: m.forgottenTicket, Object: "ticket history"}}
+	if t.Number <= m.forgottenTicket || m.forgottenTickets.contains(t.Number) {
+		return Result{Ticket: m.forgotten(t.Number)}
 	}
 	for _, o := range m.touchedBy(t) {
 		if t.Number > o.last {
@@ -67,6 +67,16 @@
 	}
 }
 
+// forgotten refuses a number whose ticket is no longer in the history, so that
+// a repetition can't be told from another content.
+func (m *Machine) forgotten(number uint64) *TicketResult {
+	return &TicketResult{
+		Status: TicketStale,
+		Winner: max(number, m.forgottenTicket),
+		Object: "ticket history",
+	}
+}
+
 func (m *Machine) touchedBy(t Ticket) []ticketObject {
 	var objects []ticketObject
 	for _, s := range t.Services {
@@ -88,16 +98,19 @@
 	for _, s := range t.Services {
 		s.Ticket = t.Number
 		s.Revision = index
+		m.recordChange(serviceObject, s.Name, index)
 		m.config.Services[s.Name] = s
 	}
 	for _, q := range t.Quotas {
 		q.Ticket = t.Number
 		q.Revision = index
+		m.recordChange(quotaObject, q.Caller, index)
 		m.config.Quotas[q.Caller] = q
 	}
 	for _, d := range t.Drains {
 		d.Ticket = t.Number
 		d.Revision = index
+		m.recordChange(drainObject, d.Endpoint, index)
 		m.config.Drains[d.Endpoint] = d
 	}
 	if t.Limits != nil {
@@ -117,7 +130,19 @@
 	oldest := m.ticketOrder[0]
 	m.ticketOrder = m.ticketOrder[1:]
 	delete(m.tickets, oldest)
-	m.forgottenTicket = max(m.forgottenTicket, oldest)
+	m.forgetNumber(oldest)
+}
+
+// forgetNumber keeps a number as used. Only the exact numbers are kept, since a
+// bound alone would refuse every later ticket after a single one with a
+// mistakenly huge number.
+func (m *Machine) forgetNumber(number uint64) {
+	m.forgottenTickets = m.forgottenTickets.insert(number)
+	if len(m.forgottenTickets) <= maxTicketRanges {
+		return
+	}
+	m.forgottenTicket = max(m.forgottenTicket, m.forgottenTickets[0].Last)
+	m.forgottenTickets = slices.Delete(m.forgottenTickets, 0, 1)
 }
 
 // Tickets lists the kept tickets in the order in which they were applied.
@@ -137,8 +162,12 @@
 
 // HighestTicket returns the highest number in force, zero before the first.
 func (m *Machine) HighestTicket() uint64 {
-	if len(m.ticketOrder) == 0 {
-		return m.forgottenTicket
+	highest := m.forgottenTicket
+	if last := len(m.forgottenTickets) - 1; last >= 0 {
+		highest = m.forgottenTickets[last].Last
+	}
+	for _, n := range m.ticketOrder {
+		highest = max(highest, n)
 	}
-	return max(m.forgottenTicket, slices.Max(m.ticketOrder))
+	return highest
 }
