--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -58,7 +58,7 @@
 	m.forgottenTicket = s.ForgottenTicket
 	m.config = s.Config.Clone()
 	for _, t := range s.Tickets {
-	m.forgottenTickets = slices.Clone(s.ForgottenTickets)
+		m.forgottenTickets = slices.Clone(s.ForgottenTickets)
 		m.tickets[t.Ticket.Number] = t
 		m.ticketOrder = append(m.ticketOrder, t.Ticket.Number)
 	}
