control: one sync a proposal, overlapping exchanges, precise modelled delays

Cause: a commit took two syncs, because the hard state was synced again when only its commit index had moved; an append could wait a round trip for the answer to the message before it; and the runtime's timers made modelled links of 0.5 ms last 1.1 ms on an idle process. Change: a commit index alone waits for the next sync; up to four exchanges with a control VM overlap; models sleep in the kernel for the last 1.5 ms; bytes of connections are counted.

--- a/daemon/app/app.go
+++ b/daemon/app/app.go
@@ -25,7 +25,7 @@
 type process struct {
 	settings settings.Process
 	log      *events.Log
-	network  transport.Network
+	network  *transport.Counted
 	security transport.Security
 	listener net.Listener
 	root     *supervisor.Supervisor
@@ -51,7 +51,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "log_level")
 	}
-	p := &process{settings: s, network: transport.TCP{}}
+	p := &process{settings: s, network: &transport.Counted{Network: transport.TCP{}}}
 	p.log = events.NewLog(s.ID, z.With(zap.String("process", s.ID)), &events.HybridClock{})
 	p.log.Emit(events.Event{ID: events.ProcessStarted})
 	if p.security, err = transport.LoadSecurity(s.TLS, p.log); err != nil {
@@ -78,12 +78,14 @@
 	if p.settings.Ops == "" {
 		return nil
 	}
-	l, err := p.network.Listen(ctx, p.settings.Ops)
+	// The page is not counted, so that reading the counters doesn't change them.
+	l, err := transport.TCP{}.Listen(ctx, p.settings.Ops)
 	if err != nil {
 		return errors.Wrap(err, "ops")
 	}
 	o.Log = p.log
 	o.Listener = l
+	o.Collectors = append(o.Collectors, p.network.Collectors()...)
 	p.root.Add(supervisor.Child{Name: "ops", Run: ops.New(o).Run})
 	return nil
 }
@@ -137,7 +139,7 @@
 	if err != nil {
 		return err
 	}
-	callers, err := p.network.Listen(ctx, s.Callers)
+	callers, err := transport.TCP{}.Listen(ctx, s.Callers)
 	if err != nil {
 		return errors.Wrap(err, "callers")
 	}
@@ -171,7 +173,7 @@
 	service := agent.New(agent.Options{
 		Settings:        s,
 		Network:         p.network,
-		EndpointNetwork: p.network,
+		EndpointNetwork: transport.TCP{},
 		Control:         p.control(s.Control),
 		Log:             p.log,
 		Listener:        p.listener,
--- a/daemon/control/consensus/driver.go
+++ b/daemon/control/consensus/driver.go
@@ -91,6 +91,8 @@
 	peers   map[raft.ServerID]*peer
 	// learned holds the addresses of senders, for VMs outside the group.
 	learned map[raft.ServerID]string
+	// deferred is a hard state that waits for the next sync.
+	deferred *raft.HardState
 	// snapshotIndex is the index of the last snapshot that was started.
 	snapshotIndex uint64
 }
@@ -236,19 +238,35 @@
 		if err := d.apply(rd); err != nil {
 			return err
 		}
-		if !mustSave(rd) {
+		if !rd.MustSync && rd.Snapshot == nil {
+			d.deferSave(rd)
 			d.send(rd.MessagesAfterSync)
 			d.node.Advance(rd)
 			continue
 		}
-		d.saves <- rd // the core returns the next part to save only after Advance
+		d.saves <- d.withDeferred(rd) // the core returns the next part to save only after Advance
 	}
 	d.noteLeadership()
 	return nil
 }
 
-func mustSave(rd raft.Ready) bool {
-	return rd.HardState != nil || rd.Snapshot != nil || len(rd.Entries) > 0 || rd.TruncateFrom > 0
+// deferSave keeps a hard state whose commit index alone changed for the next
+// sync. A sync of its own would delay the next proposal, and a restart learns
+// the commit index from the leader anyway. The caller holds mu.
+func (d *Driver) deferSave(rd raft.Ready) {
+	if rd.HardState != nil {
+		d.deferred = rd.HardState
+	}
+}
+
+// withDeferred adds the deferred hard state to a part that will be synced. The
+// caller holds mu.
+func (d *Driver) withDeferred(rd raft.Ready) raft.Ready {
+	if rd.HardState == nil {
+		rd.HardState = d.deferred
+	}
+	d.deferred = nil
+	return rd
 }
 
 // saveLoop makes parts of the log durable, one sync each, beside the driver,
--- a/daemon/control/consensus/peer.go
+++ b/daemon/control/consensus/peer.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
+	"github.com/sourcegraph/conc/pool"
+
 	"github.com/cicadapulley/cicadapulley/core/raft"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 )
@@ -15,6 +18,9 @@
 	sendTimeout = 2 * time.Second
 	// sendPause is the wait after a failed exchange.
 	sendPause = 20 * time.Millisecond
+	// maxExchanges is how many exchanges with one control VM overlap. With one
+	// alone, an append waits a round trip for the answer to the message before it.
+	maxExchanges = 4
 )
 
 // peer sends to one other control VM.
@@ -24,18 +30,21 @@
 	transport Transport
 	log       *events.Log
 	// reachable avoids an event for each failed exchange.
-	reachable bool
+	reachable atomic.Bool
 }
 
-// Run sends messages in order until ctx ends. Those that fail are dropped; the
-// core repeats what matters.
+// Run sends messages until ctx ends, mostly in order. Those that fail are
+// dropped; the core repeats what matters.
 func (p *peer) Run(ctx context.Context) error {
+	exchanges := pool.New().WithMaxGoroutines(maxExchanges)
+	defer exchanges.Wait()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case first := <-p.outbox:
-			p.exchange(ctx, p.gather(first))
+			batch := p.gather(first)
+			exchanges.Go(func() { p.exchange(ctx, batch) })
 		}
 	}
 }
@@ -59,13 +68,12 @@
 	defer cancel()
 	err := p.transport.Send(bounded, p.server.Address, batch)
 	if err == nil {
-		p.reachable = true
+		p.reachable.Store(true)
 		return
 	}
-	if p.reachable && ctx.Err() == nil {
+	if p.reachable.Swap(false) && ctx.Err() == nil {
 		p.log.Emit(events.Event{ID: events.PeerUnreachable, Peer: p.server.Address, Err: err})
 	}
-	p.reachable = false
 	select {
 	case <-ctx.Done():
 	case <-time.After(sendPause):
@@ -101,8 +109,8 @@
 		outbox:    make(chan raft.Message, outboxSize),
 		transport: d.opts.Transport,
 		log:       d.opts.Log,
-		reachable: true,
 	}
+	p.reachable.Store(true)
 	d.peers[id] = p
 	d.group.Start(d.base, server.Address, p.Run)
 	return p
--- a/daemon/dev/dev.go
+++ b/daemon/dev/dev.go
@@ -18,6 +18,7 @@
 	"github.com/cicadapulley/cicadapulley/api/controlclient"
 	"github.com/cicadapulley/cicadapulley/daemon/agent"
 	"github.com/cicadapulley/cicadapulley/daemon/control"
+	"github.com/cicadapulley/cicadapulley/daemon/dev/precise"
 	"github.com/cicadapulley/cicadapulley/daemon/dev/standin"
 	"github.com/cicadapulley/cicadapulley/daemon/entry"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
@@ -77,7 +78,7 @@
 func New(ctx context.Context, o Options) (*System, error) {
 	s := &System{
 		opts:      o,
-		net:       memnet.New(o.LinkDelay),
+		net:       memnet.New(o.LinkDelay).WithSleep(precise.Sleep),
 		endpoints: map[string]*standin.Endpoint{},
 		logs:      map[string]*events.Log{},
 	}
--- a/daemon/dev/standin/standin.go
+++ b/daemon/dev/standin/standin.go
@@ -14,6 +14,7 @@
 
 	"github.com/cicadapulley/cicadapulley/api/callers"
 	"github.com/cicadapulley/cicadapulley/core/job"
+	"github.com/cicadapulley/cicadapulley/daemon/dev/precise"
 	"github.com/cicadapulley/cicadapulley/daemon/transport"
 )
 
@@ -119,7 +120,7 @@
 		http.Error(w, "this endpoint fails everything", http.StatusInternalServerError)
 		return
 	}
-	if !sleep(r.Context(), time.Duration(p.MS/b.Speed*float64(time.Millisecond))) {
+	if !precise.SleepContext(r.Context(), time.Duration(p.MS/b.Speed*float64(time.Millisecond))) {
 		return
 	}
 	if r.Header.Get(callers.HeaderKind) == KindFail {
@@ -132,14 +133,3 @@
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(p.Echo) // a broken connection is the agent's to notice
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/daemon/memnet/conn.go
+++ b/daemon/memnet/conn.go
@@ -75,7 +75,7 @@
 func (c *conn) deliver(queue <-chan chunk, to net.Conn) {
 	for ch := range queue {
 		if wait := time.Until(ch.due); wait > 0 {
-			time.Sleep(wait)
+			c.network.sleep(wait)
 		}
 		if c.silent.Load() {
 			continue
--- a/daemon/memnet/memnet.go
+++ b/daemon/memnet/memnet.go
@@ -18,6 +18,8 @@
 type Network struct {
 	// oneWay is the delay of each link.
 	oneWay time.Duration
+	// sleep waits for a chunk to be due.
+	sleep func(time.Duration)
 
 	mu        sync.Mutex
 	listeners map[string]*listener
@@ -40,12 +42,20 @@
 func New(oneWay time.Duration) *Network {
 	return &Network{
 		oneWay:    oneWay,
+		sleep:     time.Sleep,
 		listeners: map[string]*listener{},
 		conns:     map[*conn]struct{}{},
 		cut:       map[pair]bool{},
 	}
 }
 
+// WithSleep replaces the wait for delays, as by a more precise one, before the
+// network is used. Tests in virtual time keep time.Sleep.
+func (n *Network) WithSleep(sleep func(time.Duration)) *Network {
+	n.sleep = sleep
+	return n
+}
+
 // Host returns the network as one host sees it.
 func (n *Network) Host(name string) transport.Network { return &host{network: n, name: name} }
 
--- /dev/null
+++ b/daemon/transport/counted.go
@@ -0,0 +1,86 @@
+package transport
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Counted counts the bytes of all connections of a network. TCP and IP headers
+// are not included.
+type Counted struct {
+	Network
+	sent     atomic.Uint64
+	received atomic.Uint64
+	dials    atomic.Uint64
+	accepts  atomic.Uint64
+}
+
+// Dial implements Network.
+func (c *Counted) Dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := c.Network.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	c.dials.Add(1)
+	return &countedConn{Conn: conn, counts: c}, nil
+}
+
+// Listen implements Network.
+func (c *Counted) Listen(ctx context.Context, address string) (net.Listener, error) {
+	l, err := c.Network.Listen(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedListener{Listener: l, counts: c}, nil
+}
+
+type countedListener struct {
+	net.Listener
+	counts *Counted
+}
+
+// Accept implements net.Listener.
+func (l *countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.counts.accepts.Add(1)
+	return &countedConn{Conn: conn, counts: l.counts}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	counts *Counted
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.counts.received.Add(uint64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.counts.sent.Add(uint64(n))
+	return n, err
+}
+
+// Collectors returns the counters as metrics.
+func (c *Counted) Collectors() []prometheus.Collector {
+	return []prometheus.Collector{
+		counter("cicadapulley_network_sent_bytes_total", "Bytes written to connections, without TCP and IP headers.", &c.sent),
+		counter("cicadapulley_network_received_bytes_total", "Bytes read from connections, without TCP and IP headers.", &c.received),
+		counter("cicadapulley_network_dials_total", "Connections opened.", &c.dials),
+		counter("cicadapulley_network_accepts_total", "Connections accepted.", &c.accepts),
+	}
+}
+
+func counter(name, help string, v *atomic.Uint64) prometheus.Collector {
+	return prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, func() float64 { return float64(v.Load()) })
+}
