core/state: keep an ended member while it matters, and tell watchers when it is gone

Cause: a member that ended was forgotten 30 minutes later even if a job still ran that it may have started tasks of; an entry that took the job over would have asked nobody and started the tasks again. Watchers that had seen the end never learned that the member was forgotten and kept it for ever. Each registration scanned all members. Change: ended members are kept in order of their end and forgotten from the front, not before the oldest running job was accepted. A pruning counts as a change that needs a full view, so it waits for 64 members. Conclusion: a takeover knows of every agent that may have run its tasks.

--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -18,8 +18,11 @@
 	// FinishedBytes bounds the kept answers' size in bytes. Answers of jobs
 	// whose deadline has not passed are kept beyond it.
 	FinishedBytes int64
-	// EndedMembers is how long a left or expired member is kept.
+	// EndedMembers is how long a left or expired member is kept at least. It is
+	// kept longer while a job runs that it may have started tasks of.
 	EndedMembers time.Duration
+	// EndedBatch is the number of members that are forgotten at once.
+	EndedBatch int
 	// Tickets is the number of tickets kept in the history.
 	Tickets int
 }
@@ -29,7 +32,9 @@
 	FinishedJobs:  10 * time.Minute,
 	FinishedBytes: 64 << 20,
 	EndedMembers:  30 * time.Minute,
-	Tickets:       1000,
+	// At 300 ended members a day this costs each watcher five full views.
+	EndedBatch: 64,
+	Tickets:    1000,
 }
 
 // Machine is the replicated state.
@@ -39,8 +44,8 @@
 	config    Config
 	// configRevision is the index of the last change of configuration or members.
 	configRevision uint64
-	// prunedRevision is the newest change that pruning has forgotten; a reader
-	// older than it needs a full view.
+	// prunedRevision is the index of the last pruning of members; a reader older
+	// than it needs a full view.
 	prunedRevision uint64
 	tickets        map[uint64]AppliedTicket
 	ticketOrder    []uint64
@@ -50,7 +55,9 @@
 	// is above zero only after maxTicketRanges was exceeded.
 	forgottenTicket uint64
 	members         map[string]Member
-	jobs            map[job.Key]*job.Record
+	// ended lists the ids of left and expired members in order of their end.
+	ended []string
+	jobs  map[job.Key]*job.Record
 	// running indexes the running jobs of jobs.
 	running jobIndex
 	// changes lists the changes of watched objects in order of their revision.
@@ -110,13 +117,3 @@
 
 // touch records a change that watchers must see.
 func (m *Machine) touch(index uint64) { m.configRevision = index }
-
-func (m *Machine) pruneMembers(now time.Time) {
-	for id, member := range m.members {
-		if member.Active() || now.Sub(member.Ended) < m.retention.EndedMembers {
-			continue
-		}
-		delete(m.members, id)
-		m.prunedRevision = max(m.prunedRevision, member.Revision)
-	}
-}
--- a/core/state/retention.go
+++ b/core/state/retention.go
@@ -1,7 +1,10 @@
 package state
 
 import (
+	"cmp"
 	"container/heap"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/cicadapulley/cicadapulley/core/job"
@@ -92,3 +95,59 @@
 	}
 	return int64(size)
 }
+
+// pruneMembers forgets members that ended long ago. Every pruning costs each
+// watcher a full view, since a partial one can't name what is gone, so it waits
+// until enough members are due.
+func (m *Machine) pruneMembers(index uint64, now time.Time) {
+	batch := max(1, m.retention.EndedBatch)
+	if m.dueMembers(now, math.MaxUint64) < batch {
+		return
+	}
+	due := m.dueMembers(now, m.oldestRunning())
+	if due < batch {
+		return
+	}
+	for _, id := range m.ended[:due] {
+		delete(m.members, id)
+	}
+	m.ended = slices.Delete(m.ended, 0, due)
+	m.prunedRevision = index
+}
+
+// dueMembers counts the leading ended members that ended long ago and before an index.
+func (m *Machine) dueMembers(now time.Time, before uint64) int {
+	for i, id := range m.ended {
+		member := m.members[id]
+		if member.EndedIndex >= before || now.Sub(member.Ended) < m.retention.EndedMembers {
+			return i
+		}
+	}
+	return len(m.ended)
+}
+
+// oldestRunning returns the lowest index at which a running job was accepted. A
+// member that ended later may have started tasks of that job, and an entry that
+// takes the job over must learn of it.
+func (m *Machine) oldestRunning() uint64 {
+	oldest := uint64(math.MaxUint64)
+	for _, jobs := range m.running {
+		for _, r := range jobs.all {
+			oldest = min(oldest, r.AcceptedIndex)
+		}
+	}
+	return oldest
+}
+
+// rebuildEnded derives the list of ended members from the members.
+func (m *Machine) rebuildEnded() {
+	m.ended = nil
+	for id, member := range m.members {
+		if !member.Active() {
+			m.ended = append(m.ended, id)
+		}
+	}
+	slices.SortFunc(m.ended, func(a, b string) int {
+		return cmp.Compare(m.members[a].EndedIndex, m.members[b].EndedIndex)
+	})
+}
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -24,7 +24,7 @@
 	Finished []job.Record
 }
 
-// Snapshot returns the machine's whole state.
+// Snapshot returns the machine's whole state. Equal machines return equal snapshots.
 func (m *Machine) Snapshot() Snapshot {
 	s := Snapshot{
 		Applied:          m.applied,
@@ -56,9 +56,9 @@
 	m.configRevision = s.ConfigRevision
 	m.prunedRevision = s.PrunedRevision
 	m.forgottenTicket = s.ForgottenTicket
+	m.forgottenTickets = slices.Clone(s.ForgottenTickets)
 	m.config = s.Config.Clone()
 	for _, t := range s.Tickets {
-	m.forgottenTickets = slices.Clone(s.ForgottenTickets)
 		m.tickets[t.Ticket.Number] = t
 		m.ticketOrder = append(m.ticketOrder, t.Ticket.Number)
 	}
@@ -66,6 +66,7 @@
 		m.members[member.ID] = member
 	}
 	m.rebuildChanges()
+	m.rebuildEnded()
 	for _, r := range s.Running {
 		m.jobs[r.Key] = &r
 		m.running.add(&r)
