--- /dev/null
+++ b/core/state/regression_test.go
@@ -0,0 +1,136 @@
+package state
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cicadapulley/cicadapulley/core/job"
+)
+
+// TestMain fixes the seed of random tests unless one is given, so that CI
+// returns the same verdict on every run.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
+		if err := seed.Value.Set("1"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// script applies commands at given times to one machine.
+type script struct {
+	*Machine
+}
+
+func (s script) at(seconds int64, c Command) Result {
+	c.Now = time.Unix(seconds, 0)
+	return s.Apply(s.Applied()+1, c)
+}
+
+func register(id string, role Role) Command {
+	return Command{Register: &RegisterMember{Member{ID: id, Role: role, Incarnation: 1}}}
+}
+
+func expire(id string) Command {
+	return Command{EndMember: &EndMember{id, 1, MemberExpired}}
+}
+
+func accept(id string, deadline int64) Command {
+	return Command{AcceptJob: &AcceptJob{job.Record{
+		Key: job.Key{Caller: "c", ID: id}, Owner: "e", OwnerIncarnation: 1,
+		Tasks: make([]job.Task, 1), Deadline: time.Unix(deadline, 0),
+	}}}
+}
+
+func fail(id string) Command {
+	return Command{FinishJob: &FinishJob{job.Key{Caller: "c", ID: id}, 1, job.Outcome{State: job.Failed}}}
+}
+
+// Guards against a finished job with a distant deadline that keeps all later
+// jobs from being forgotten.
+func TestDistantDeadlineHoldsBackNoOtherJob(t *testing.T) {
+	s := script{New(testRetention)}
+	s.at(0, register("e", RoleEntry))
+	s.at(0, accept("distant", 1_000_000))
+	s.at(0, fail("distant"))
+	s.at(0, accept("other", 1))
+	s.at(0, fail("other"))
+	s.at(100, Command{})
+	_, kept := s.Job(job.Key{Caller: "c", ID: "other"})
+	assert.Assert(t, !kept)
+	_, kept = s.Job(job.Key{Caller: "c", ID: "distant"})
+	assert.Assert(t, kept)
+}
+
+// Guards against a takeover that learns nothing of an agent that ran tasks of
+// the job and ended longer ago than ended members are kept.
+func TestEndedMemberIsKeptForRunningJob(t *testing.T) {
+	s := script{New(Retention{EndedMembers: time.Second, EndedBatch: 1, Tickets: 1})}
+	s.at(0, register("e", RoleEntry))
+	s.at(0, register("agent", RoleAgent))
+	job1 := s.at(0, accept("long", 1000)).Record
+	s.at(1, expire("agent"))
+	s.at(500, register("other", RoleAgent))
+	agent, kept := s.Member("agent")
+	assert.Assert(t, kept && agent.MayHaveLostStarts(job1.AcceptedIndex))
+	s.at(500, fail("long"))
+	s.at(501, expire("other"))
+	_, kept = s.Member("agent")
+	assert.Assert(t, !kept)
+}
+
+// Guards against a watcher that keeps an ended member that the machine has
+// forgotten: it would pile up members for ever.
+func TestWatcherForgetsPrunedMember(t *testing.T) {
+	s := script{New(Retention{EndedMembers: time.Second, EndedBatch: 1, Tickets: 1})}
+	s.at(0, register("agent", RoleAgent))
+	s.at(0, expire("agent"))
+	watcher, _ := NewReplica().Merge(s.View(0, ""))
+	s.at(10, register("other", RoleAgent))
+	watcher, _ = watcher.Merge(s.View(watcher.Revision, ""))
+	assert.DeepEqual(t, watcher.Members, s.members)
+}
+
+// Guards against one ticket with a mistaken huge number that, once it leaves
+// the history, makes every later ticket stale.
+func TestHugeTicketNumberBlocksNoOtherObject(t *testing.T) {
+	s := script{New(testRetention)}
+	apply := func(number uint64, caller string) TicketStatus {
+		tk := Ticket{Number: number, Quotas: []Quota{{Caller: caller}}}
+		return s.at(0, Command{ApplyTicket: &ApplyTicket{Ticket: tk, Digest: [32]byte{byte(number)}}}).Ticket.Status
+	}
+	assert.Equal(t, apply(math.MaxUint64, "typo"), TicketApplied)
+	for n := uint64(1); n <= 20; n++ {
+		assert.Equal(t, apply(n, "c"), TicketApplied)
+	}
+	assert.Equal(t, apply(math.MaxUint64, "c"), TicketStale)
+	assert.Equal(t, apply(3, "fresh"), TicketStale)
+	assert.Equal(t, s.HighestTicket(), uint64(math.MaxUint64))
+}
+
+// Guards against a committed outcome that is not final or not whole and stops
+// every replica, again at each replay of the log.
+func TestUnfinishedOutcomeIsRefused(t *testing.T) {
+	for _, out := range []job.Outcome{
+		{State: job.Running},
+		{State: 77},
+		{State: job.Complete},
+		{State: job.Complete, Results: make([]job.TaskResult, 1)},
+	} {
+		t.Run(fmt.Sprint(uint8(out.State), len(out.Results)), func(t *testing.T) {
+			s := script{New(testRetention)}
+			s.at(0, register("e", RoleEntry))
+			r := s.at(0, accept("j", 9)).Record
+			res := s.at(0, Command{FinishJob: &FinishJob{r.Key, 1, out}})
+			assert.Assert(t, !res.Finished)
+		})
+	}
+}
