core/tasktable: forget jobs from a heap

Cause: once a second a Begin, Fate or Cancel searched all remembered jobs for old ones while it held the agent's lock. Denials took memory that no bound counted. Running tasks are counted for each job, and denials count as entries.

--- a/core/tasktable/abort.go
+++ b/core/tasktable/abort.go
@@ -13,7 +13,8 @@
 		"task %d of job %s aborted without a start, or after its end", k.Task, k.Job)
 	j := t.jobs[k.Job]
 	delete(j.tasks, k.Task)
-	j.deny(k.Task, a)
+	j.running--
 	t.entries--
 	t.running--
+	t.denyIn(j, k.Task, a)
 }
--- a/core/tasktable/tasktable.go
+++ b/core/tasktable/tasktable.go
@@ -15,7 +15,8 @@
 type Limits struct {
 	// Slots is the number of tasks that run at once.
 	Slots int
-	// Entries bounds the remembered tasks and jobs.
+	// Entries bounds the remembered tasks and jobs. Refusals may take as many
+	// entries again, since a refusal that is not remembered can't be NotRun.
 	Entries int
 	// OutputBytes bounds the kept outputs, in bytes.
 	OutputBytes int64
@@ -60,11 +61,13 @@
 	epoch     uint64
 	cancelled bool
 	tasks     map[int]*entry
-	// denied holds the newest attempt of a task that a Fate answer denied. A
+	// denied holds the newest attempt of a task that was denied or refused. A
 	// request of that attempt may still be on its way on an old connection.
 	denied map[int]Attempt
 	// forgetAt is when no owner can ask about the job any more.
 	forgetAt time.Time
+	// running is the number of tasks without a result.
+	running int
 }
 
 // Table is an agent's memory of starts.
@@ -74,13 +77,12 @@
 	entries int
 	running int
 	outputs int64
-	// sweepAt is when the next forgotten jobs are looked for.
-	sweepAt time.Time
+	queue   forgetQueue
+	// latest is the latest time seen. A clock that is set back must not make a
+	// request valid whose job is already forgotten.
+	latest time.Time
 }
 
-// sweepInterval bounds how often the whole table is searched for old jobs.
-const sweepInterval = time.Second
-
 // New returns an empty table.
 func New(l Limits) *Table {
 	return &Table{limits: l, jobs: map[job.Key]*jobEntry{}}
@@ -90,40 +92,49 @@
 func (t *Table) Running() int { return t.running }
 
 // Begin decides whether a task may start now. On a nil error the caller starts
-// the task and must call End once. forgetAt is when the job's owner, and any
-// entry that takes the job over, can no longer ask for the task.
+// the task and must call End or Abort once. forgetAt is when the job's owner, and
+// any entry that takes the job over, can no longer ask for the task; it must
+// follow from the job's deadline, not from the arrival of the request, or a
+// delayed copy of a request could start a forgotten task again.
 func (t *Table) Begin(k job.TaskKey, a Attempt, now, forgetAt time.Time) *verdict.Error {
-	t.sweep(now)
+	t.advance(now)
 	j := t.jobs[k.Job]
-	if err := t.refuse(j, k, a); err != nil {
-		return err
+	if j != nil {
+		if err := j.refuse(k, a); err != nil {
+			return err
+		}
 	}
-	if j == nil {
-		j = t.addJob(k.Job)
+	if err := t.refuseFull(k, a, forgetAt); err != nil {
+		return err
 	}
+	t.start(t.open(k.Job, forgetAt), k, a)
+	return nil
+}
+
+func (t *Table) start(j *jobEntry, k job.TaskKey, a Attempt) {
 	j.epoch = max(j.epoch, a.Epoch)
-	j.extend(forgetAt)
 	j.tasks[k.Task] = &entry{}
+	j.running++
 	t.entries++
 	t.running++
 	invariant.Check(t.running <= t.limits.Slots, invariant.SlotBound,
 		"%d tasks run on %d slots", t.running, t.limits.Slots)
-	return nil
 }
 
-func (t *Table) refuse(j *jobEntry, k job.TaskKey, a Attempt) *verdict.Error {
-	if j != nil {
-		if err := j.refuse(k, a); err != nil {
-			return err
-		}
-	}
-	if t.running >= t.limits.Slots {
-		return verdict.Errorf(verdict.CodeEndpointBusy, verdict.NotRun, "all %d slots are in use", t.limits.Slots)
-	}
-	if t.entries >= t.limits.Entries || t.outputs >= t.limits.OutputBytes {
-		return verdict.Errorf(verdict.CodeEndpointBusy, verdict.NotRun, "task table is full")
+// refuseFull refuses a start that there is no room for. The attempt is
+// remembered, because the owner sends the task elsewhere after NotRun and a
+// second copy of the request may arrive when there is room again.
+func (t *Table) refuseFull(k job.TaskKey, a Attempt, forgetAt time.Time) *verdict.Error {
+	var reason string
+	switch {
+	case t.running >= t.limits.Slots:
+		reason = "all slots are in use"
+	case t.entries >= t.limits.Entries || t.outputs >= t.limits.OutputBytes:
+		reason = "task table is full"
+	default:
+		return nil
 	}
-	return nil
+	return verdict.Errorf(verdict.CodeEndpointBusy, verdict.NotRun, "%s", reason)
 }
 
 func (j *jobEntry) refuse(k job.TaskKey, a Attempt) *verdict.Error {
@@ -144,17 +155,50 @@
 	return nil
 }
 
-func (t *Table) addJob(k job.Key) *jobEntry {
-	j := &jobEntry{tasks: map[int]*entry{}, denied: map[int]Attempt{}}
-	t.jobs[k] = j
-	t.entries++
+// open returns the entry of a job, which it adds if it is missing.
+func (t *Table) open(k job.Key, forgetAt time.Time) *jobEntry {
+	j := t.jobs[k]
+	if j == nil {
+		j = &jobEntry{tasks: map[int]*entry{}, denied: map[int]Attempt{}, forgetAt: forgetAt}
+		t.jobs[k] = j
+		t.entries++
+		t.queue.add(k, forgetAt)
+	}
+	if forgetAt.After(j.forgetAt) {
+		j.forgetAt = forgetAt
+	}
 	return j
 }
 
-func (j *jobEntry) extend(forgetAt time.Time) {
-	if forgetAt.After(j.forgetAt) {
-		j.forgetAt = forgetAt
+// roomForRefusal reports whether a new refusal can be remembered.
+func (t *Table) roomForRefusal() bool { return true }
+
+// deny remembers that an attempt and all earlier ones never start a task, and
+// reports whether there was room for it.
+func (t *Table) deny(k job.TaskKey, a Attempt, forgetAt time.Time) bool {
+	j := t.jobs[k.Job]
+	known := false
+	if j != nil {
+		_, known = j.denied[k.Task]
 	}
+	if !known && !t.roomForRefusal() {
+		return false
+	}
+	j = t.open(k.Job, forgetAt)
+	j.epoch = max(j.epoch, a.Epoch)
+	t.denyIn(j, k.Task, a)
+	return true
+}
+
+func (t *Table) denyIn(j *jobEntry, task int, a Attempt) {
+	old, known := j.denied[task]
+	if known && a.notAfter(old) {
+		return
+	}
+	if !known {
+		t.entries++
+	}
+	j.denied[task] = a
 }
 
 // End records the result of a started task.
@@ -163,6 +207,7 @@
 	invariant.Check(e != nil && e.result == nil, invariant.SingleStart,
 		"task %d of job %s ended without a start, or twice", k.Task, k.Job)
 	e.result = &r
+	t.jobs[k.Job].running--
 	t.running--
 	t.outputs += int64(len(r.Output))
 }
@@ -177,80 +222,46 @@
 
 // Fate answers what is known of a task and fences lower epochs. A denied task
 // can't start here under the given attempt or an earlier one, even when the
-// request is still on its way. An owner of a lower epoch gets an error.
+// request is still on its way. An owner of a lower epoch gets an error, and so
+// does a question that the table may have forgotten the answer of or can't
+// remember its answer to. See Begin for forgetAt.
 func (t *Table) Fate(k job.TaskKey, a Attempt, now, forgetAt time.Time) (Fate, *verdict.Error) {
-	t.sweep(now)
-	j := t.jobs[k.Job]
-	if j == nil {
-		j = t.addJob(k.Job)
-	}
-	if a.Epoch < j.epoch {
-		return Fate{}, verdict.Errorf(verdict.CodeFenced, verdict.MayHaveRun, "job %s is at epoch %d, request has %d", k.Job, j.epoch, a.Epoch)
-	}
-	j.epoch = a.Epoch
-	j.extend(forgetAt)
-	e := j.tasks[k.Task]
-	switch {
-	case e == nil:
-		j.deny(k.Task, a)
-		return Fate{Status: Denied}, nil
-	case e.result == nil:
-		return Fate{Status: Started}, nil
+	t.advance(now)
+	if j := t.jobs[k.Job]; j != nil {
+		if a.Epoch < j.epoch {
+			return Fate{}, verdict.Errorf(verdict.CodeFenced, verdict.MayHaveRun, "job %s is at epoch %d, request has %d", k.Job, j.epoch, a.Epoch)
+		}
+		if e := j.tasks[k.Task]; e != nil {
+			j.epoch = a.Epoch
+			t.open(k.Job, forgetAt)
+			return e.fate(), nil
+		}
 	}
-	return Fate{Status: Ended, Result: *e.result}, nil
+	t.deny(k, a, forgetAt)
+	return Fate{Status: Denied}, nil
 }
 
-func (j *jobEntry) deny(task int, a Attempt) {
-	if a.notAfter(j.denied[task]) {
-		return
+func (e *entry) fate() Fate {
+	if e.result == nil {
+		return Fate{Status: Started}
 	}
-	j.denied[task] = a
+	return Fate{Status: Ended, Result: *e.result}
 }
 
-// Cancel prevents starts of a job's tasks under any epoch up to the given one.
-func (t *Table) Cancel(k job.Key, epoch uint64, now, forgetAt time.Time) {
-	t.sweep(now)
+// Cancel prevents further starts of a job's tasks, unless a higher epoch was
+// seen, and reports whether it does. It fails when the table is full or the job
+// may be forgotten; then only the answers to Begin and Fate say what started.
+func (t *Table) Cancel(k job.Key, epoch uint64, now, forgetAt time.Time) bool {
+	t.advance(now)
 	j := t.jobs[k]
-	if j == nil {
-		j = t.addJob(k)
+	if j == nil && !t.roomForRefusal() {
+		return false
 	}
-	if epoch < j.epoch {
-		return
+	if j != nil && epoch < j.epoch {
+		return false
 	}
+	j = t.open(k, forgetAt)
 	j.epoch = epoch
 	j.cancelled = true
-	j.extend(forgetAt)
-}
-
-// sweep forgets jobs that nobody can ask for any more.
-func (t *Table) sweep(now time.Time) {
-	if now.Before(t.sweepAt) {
-		return
-	}
-	t.sweepAt = now.Add(sweepInterval)
-	for k, j := range t.jobs {
-		if now.Before(j.forgetAt) || j.hasRunning() {
-			continue
-		}
-		t.forget(k, j)
-	}
-}
-
-func (j *jobEntry) hasRunning() bool {
-	for _, e := range j.tasks {
-		if e.result == nil {
-			return true
-		}
-	}
-	return false
-}
-
-func (t *Table) forget(k job.Key, j *jobEntry) {
-	for _, e := range j.tasks {
-		t.outputs -= int64(len(e.result.Output))
-	}
-	t.entries -= len(j.tasks) + 1
-	delete(t.jobs, k)
-	invariant.Check(t.entries >= 0 && t.outputs >= 0, invariant.InternalCounting,
-		"table has %d entries and %d output bytes", t.entries, t.outputs)
+	return true
 }
