core/tasktable: refuse requests for jobs that may be forgotten

Cause: a request that arrived after its job was forgotten found no memory: a copy of an old Run started the task a second time, and Fate denied a task that had run. Conclusion: forgetting a job can't lead to a second start or an untrue not_run, as long as forgetAt follows from the job's deadline.

--- a/core/tasktable/tasktable.go
+++ b/core/tasktable/tasktable.go
@@ -104,6 +104,9 @@
 			return err
 		}
 	}
+	if t.expired(forgetAt) {
+		return errExpired(k)
+	}
 	if err := t.refuseFull(k, a, forgetAt); err != nil {
 		return err
 	}
@@ -237,6 +240,9 @@
 			return e.fate(), nil
 		}
 	}
+	if t.expired(forgetAt) {
+		return Fate{}, errExpired(k)
+	}
 	t.deny(k, a, forgetAt)
 	return Fate{Status: Denied}, nil
 }
@@ -254,7 +260,7 @@
 func (t *Table) Cancel(k job.Key, epoch uint64, now, forgetAt time.Time) bool {
 	t.advance(now)
 	j := t.jobs[k]
-	if j == nil && !t.roomForRefusal() {
+	if j == nil && (t.expired(forgetAt) || !t.roomForRefusal()) {
 		return false
 	}
 	if j != nil && epoch < j.epoch {
