core/tasktable: remember refused attempts

Cause: a full agent refused a task with not_run and forgot the attempt. A copy of the request that arrived when a slot was free started the task, although its owner had sent it elsewhere. Fate and Cancel added entries without a bound. Change: a refusal for lack of room denies the attempt like Fate. Refusals may take as many entries as starts; beyond that the answer is may_have_run, and Cancel reports that it was not recorded. A random test of one table delivers requests of three epochs late, in any order and several times. Measured: no figure; TestRefusedAttemptNeverStarts and TestTable fail without the change. go test ./tasktable takes 0.4 s. Conclusion: not_run also covers copies of the refused request.

--- a/core/tasktable/tasktable.go
+++ b/core/tasktable/tasktable.go
@@ -137,6 +137,9 @@
 	default:
 		return nil
 	}
+	if !t.deny(k, a, forgetAt) {
+		return errNoRoom(k)
+	}
 	return verdict.Errorf(verdict.CodeEndpointBusy, verdict.NotRun, "%s", reason)
 }
 
@@ -174,7 +177,7 @@
 }
 
 // roomForRefusal reports whether a new refusal can be remembered.
-func (t *Table) roomForRefusal() bool { return true }
+func (t *Table) roomForRefusal() bool { return t.entries < 2*t.limits.Entries }
 
 // deny remembers that an attempt and all earlier ones never start a task, and
 // reports whether there was room for it.
@@ -243,7 +246,9 @@
 	if t.expired(forgetAt) {
 		return Fate{}, errExpired(k)
 	}
-	t.deny(k, a, forgetAt)
+	if !t.deny(k, a, forgetAt) {
+		return Fate{}, errNoRoom(k)
+	}
 	return Fate{Status: Denied}, nil
 }
 
