core/tasktable: make the random test of owners reach full tables and aborts

Change: takeovers and restarts are rarer, agents have one slot, an aborted start answers its owner with not_run, and more runs are made.

--- a/core/tasktable/owners_test.go
+++ b/core/tasktable/owners_test.go
@@ -20,7 +20,7 @@
 type modelAgent struct {
 	table       *Table
 	incarnation int
-	running     map[int]Attempt
+	running     map[int]message
 }
 
 // taskView is what an owner knows of a task.
@@ -82,7 +82,7 @@
 func newFleet() *fleet {
 	f := &fleet{now: start, owners: []*modelOwner{{epoch: 1}}}
 	for i := range f.agents {
-		f.agents[i] = modelAgent{table: New(testLimits), running: map[int]Attempt{}}
+		f.agents[i] = modelAgent{table: New(Limits{Slots: 1, Entries: 20, OutputBytes: 100}), running: map[int]message{}}
 	}
 	return f
 }
@@ -130,7 +130,7 @@
 		f.answers = append(f.answers, r)
 		return
 	}
-	a.running[r.task] = r.attempt
+	a.running[r.task] = r
 	f.starts[r.task]++
 }
 
@@ -172,7 +172,7 @@
 }
 
 func (f *fleet) takeOver(t *rapid.T) {
-	if len(f.owners) == 4 {
+	if rapid.IntRange(0, 9).Draw(t, "rare") > 0 || len(f.owners) == 4 {
 		t.Skip()
 	}
 	o := &modelOwner{epoch: uint64(len(f.owners) + 1)}
@@ -195,7 +195,7 @@
 	agent := o.unasked[0]
 	o.unasked = o.unasked[1:]
 	a := &f.agents[agent]
-	unreachable := rapid.IntRange(0, 9).Draw(t, "reach") == 0
+	unreachable := rapid.IntRange(0, 19).Draw(t, "reach") == 0
 	o.lost = o.lost || unreachable || a.incarnation > 0
 	for task := range o.tasks {
 		if unreachable {
@@ -217,15 +217,17 @@
 // end ends a running task; an aborted one never reached the endpoint.
 func (f *fleet) end(t *rapid.T) {
 	a, task := &f.agents[f.agent(t)], rapid.IntRange(0, modelTasks-1).Draw(t, "task")
-	attempt, ok := a.running[task]
+	m, ok := a.running[task]
 	if !ok {
 		t.Skip()
 	}
 	delete(a.running, task)
 	k := job.TaskKey{Job: modelKey, Task: task}
 	if rapid.Bool().Draw(t, "abort") {
-		a.table.Abort(k, attempt)
+		a.table.Abort(k, m.attempt)
 		f.starts[task]--
+		m.err = verdict.Errorf(verdict.CodeEndpointFailed, verdict.NotRun, "connection refused")
+		f.answers = append(f.answers, m)
 		return
 	}
 	a.table.End(k, job.TaskResult{})
@@ -233,14 +235,14 @@
 
 func (f *fleet) restart(t *rapid.T) {
 	a := &f.agents[f.agent(t)]
-	if rapid.IntRange(0, 4).Draw(t, "restart") > 0 {
+	if rapid.IntRange(0, 19).Draw(t, "rare") > 0 {
 		t.Skip()
 	}
-	*a = modelAgent{table: New(testLimits), incarnation: a.incarnation + 1, running: map[int]Attempt{}}
+	*a = modelAgent{table: New(Limits{Slots: 1, Entries: 20, OutputBytes: 100}), incarnation: a.incarnation + 1, running: map[int]message{}}
 }
 
 func (f *fleet) advance(t *rapid.T) {
-	f.now = f.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+	f.now = f.now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond)
 }
 
 func (f *fleet) check(t *rapid.T) {
@@ -255,7 +257,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet()
 		t.Repeat(map[string]func(*rapid.T){
-			"": f.check, "send": f.send, "deliver": f.deliver, "answer": f.answer, "ask": f.ask,
+			"": f.check, "send": f.send, "deliver": f.deliver, "deliverAgain": f.deliver, "answer": f.answer, "ask": f.ask,
 			"takeOver": f.takeOver, "learn": f.learn, "end": f.end, "restart": f.restart, "advance": f.advance,
 		})
 	})
--- a/core/tasktable/table_test.go
+++ b/core/tasktable/table_test.go
@@ -18,7 +18,7 @@
 // fill no table.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.steps": "100", "rapid.checks": "400"} {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.steps": "100", "rapid.checks": "2000"} {
 		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
 			if err := f.Value.Set(value); err != nil {
 				panic(err)
