--- a/api/codec/command.go
+++ b/api/codec/command.go
@@ -104,18 +104,19 @@
 func EncodeSnapshot(s state.Snapshot) ([]byte, error) {
 	c := ConfigToRPC(s.Config)
 	m := &rpc.StateSnapshot{
-		Applied:         s.Applied,
-		ConfigRevision:  s.ConfigRevision,
-		PrunedRevision:  s.PrunedRevision,
-		ForgottenTicket: s.ForgottenTicket,
-		Services:        c.Services,
-		Quotas:          c.Quotas,
-		Drains:          c.Drains,
-		Limits:          c.Limits,
-		Tickets:         mapSlice(s.Tickets, AppliedTicketToRPC),
-		Members:         mapSlice(s.Members, MemberToRPC),
-		Running:         RecordsToRPC(s.Running),
-		Finished:        RecordsToRPC(s.Finished),
+		Applied:          s.Applied,
+		ConfigRevision:   s.ConfigRevision,
+		PrunedRevision:   s.PrunedRevision,
+		ForgottenTicket:  s.ForgottenTicket,
+		ForgottenTickets: mapSlice(s.ForgottenTickets, rangeToRPC),
+		Services:         c.Services,
+		Quotas:           c.Quotas,
+		Drains:           c.Drains,
+		Limits:           c.Limits,
+		Tickets:          mapSlice(s.Tickets, AppliedTicketToRPC),
+		Members:          mapSlice(s.Members, MemberToRPC),
+		Running:          RecordsToRPC(s.Running),
+		Finished:         RecordsToRPC(s.Finished),
 	}
 	data, err := proto.Marshal(m)
 	if err != nil {
@@ -131,14 +132,23 @@
 		return state.Snapshot{}, fmt.Errorf("decode snapshot: %w", err)
 	}
 	return state.Snapshot{
-		Applied:         m.Applied,
-		ConfigRevision:  m.ConfigRevision,
-		PrunedRevision:  m.PrunedRevision,
-		ForgottenTicket: m.ForgottenTicket,
-		Config:          configOf(m.Services, m.Quotas, m.Drains, m.Limits),
-		Tickets:         mapSlice(m.Tickets, AppliedTicketFromRPC),
-		Members:         mapSlice(m.Members, MemberFromRPC),
-		Running:         RecordsFromRPC(m.Running),
-		Finished:        RecordsFromRPC(m.Finished),
+		Applied:          m.Applied,
+		ConfigRevision:   m.ConfigRevision,
+		PrunedRevision:   m.PrunedRevision,
+		ForgottenTicket:  m.ForgottenTicket,
+		ForgottenTickets: mapSlice(m.ForgottenTickets, rangeFromRPC),
+		Config:           configOf(m.Services, m.Quotas, m.Drains, m.Limits),
+		Tickets:          mapSlice(m.Tickets, AppliedTicketFromRPC),
+		Members:          mapSlice(m.Members, MemberFromRPC),
+		Running:          RecordsFromRPC(m.Running),
+		Finished:         RecordsFromRPC(m.Finished),
 	}, nil
 }
+
+func rangeToRPC(r state.TicketRange) *rpc.TicketRange {
+	return &rpc.TicketRange{First: r.First, Last: r.Last}
+}
+
+func rangeFromRPC(r *rpc.TicketRange) state.TicketRange {
+	return state.TicketRange{First: r.GetFirst(), Last: r.GetLast()}
+}
