core/tasktable: let the agent refuse through the table

Cause: the agent refused with not_run without asking the table when it was draining or its lease had lapsed. That is untrue for a copy of a request whose task runs or ran there, and a copy could start the task once the lease held again. Change: Refuse remembers the attempt and returns another error when not_run would be untrue; the agent uses it. The random test of one table includes it. Conclusion: every not_run of the agent before a start goes through the table.

--- a/core/tasktable/table_test.go
+++ b/core/tasktable/table_test.go
@@ -65,7 +65,7 @@
 func (m *tableModel) send(t *rapid.T) {
 	name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "job")
 	m.sent = append(m.sent, request{
-		kind:     rapid.SampledFrom([]string{"run", "run", "run", "run", "fate", "fate", "cancel"}).Draw(t, "kind"),
+		kind:     rapid.SampledFrom([]string{"run", "run", "run", "run", "lapsed", "fate", "fate", "cancel"}).Draw(t, "kind"),
 		key:      job.TaskKey{Job: job.Key{Caller: "c", ID: name}, Task: rapid.IntRange(0, 2).Draw(t, "task")},
 		attempt:  Attempt{rapid.Uint64Range(1, 3).Draw(t, "epoch"), rapid.Uint32Range(0, 3).Draw(t, "attempt")},
 		forgetAt: start.Add(time.Duration(name[0]-'a'+1) * 10 * time.Second),
@@ -80,6 +80,11 @@
 	switch r.kind {
 	case "run":
 		m.run(t, r)
+	case "lapsed":
+		refusal := verdict.Errorf(verdict.CodeLeaseLapsed, verdict.NotRun, "lease has lapsed")
+		if m.Refuse(r.key, r.attempt, m.now, r.forgetAt, refusal).Verdict == verdict.NotRun {
+			m.deny(t, r)
+		}
 	case "fate":
 		m.ask(t, r)
 	case "cancel":
--- a/core/tasktable/tasktable.go
+++ b/core/tasktable/tasktable.go
@@ -97,9 +97,30 @@
 // follow from the job's deadline, not from the arrival of the request, or a
 // delayed copy of a request could start a forgotten task again.
 func (t *Table) Begin(k job.TaskKey, a Attempt, now, forgetAt time.Time) *verdict.Error {
+	if err := t.check(k, a, now, forgetAt); err != nil {
+		return err
+	}
+	if reason, full := t.full(); full {
+		return t.remember(k, a, forgetAt, verdict.Errorf(verdict.CodeEndpointBusy, verdict.NotRun, "%s", reason))
+	}
+	t.start(t.open(k.Job, forgetAt), k, a)
+	return nil
+}
+
+// Refuse refuses to start a task for a reason of the caller's, a refusal with
+// the verdict NotRun. It returns another error if that would not be correct: if
+// the task was started here, or if the refusal can't be remembered.
+func (t *Table) Refuse(k job.TaskKey, a Attempt, now, forgetAt time.Time, refusal *verdict.Error) *verdict.Error {
+	if err := t.check(k, a, now, forgetAt); err != nil {
+		return err
+	}
+	return t.remember(k, a, forgetAt, refusal)
+}
+
+// check refuses what may not start whatever room there is.
+func (t *Table) check(k job.TaskKey, a Attempt, now, forgetAt time.Time) *verdict.Error {
 	t.advance(now)
-	j := t.jobs[k.Job]
-	if j != nil {
+	if j := t.jobs[k.Job]; j != nil {
 		if err := j.refuse(k, a); err != nil {
 			return err
 		}
@@ -107,13 +128,19 @@
 	if t.expired(forgetAt) {
 		return errExpired(k)
 	}
-	if err := t.refuseFull(k, a, forgetAt); err != nil {
-		return err
-	}
-	t.start(t.open(k.Job, forgetAt), k, a)
 	return nil
 }
 
+// remember denies a refused attempt, because the owner sends the task elsewhere
+// after NotRun and a second copy of the request may arrive when nothing stands
+// against a start any more.
+func (t *Table) remember(k job.TaskKey, a Attempt, forgetAt time.Time, refusal *verdict.Error) *verdict.Error {
+	if !t.deny(k, a, forgetAt) {
+		return errNoRoom(k)
+	}
+	return refusal
+}
+
 func (t *Table) start(j *jobEntry, k job.TaskKey, a Attempt) {
 	j.epoch = max(j.epoch, a.Epoch)
 	j.tasks[k.Task] = &entry{}
@@ -124,23 +151,15 @@
 		"%d tasks run on %d slots", t.running, t.limits.Slots)
 }
 
-// refuseFull refuses a start that there is no room for. The attempt is
-// remembered, because the owner sends the task elsewhere after NotRun and a
-// second copy of the request may arrive when there is room again.
-func (t *Table) refuseFull(k job.TaskKey, a Attempt, forgetAt time.Time) *verdict.Error {
-	var reason string
+// full reports whether there is no room for a start, and why.
+func (t *Table) full() (string, bool) {
 	switch {
 	case t.running >= t.limits.Slots:
-		reason = "all slots are in use"
+		return "all slots are in use", true
 	case t.entries >= t.limits.Entries || t.outputs >= t.limits.OutputBytes:
-		reason = "task table is full"
-	default:
-		return nil
-	}
-	if !t.deny(k, a, forgetAt) {
-		return errNoRoom(k)
+		return "task table is full", true
 	}
-	return verdict.Errorf(verdict.CodeEndpointBusy, verdict.NotRun, "%s", reason)
+	return "", false
 }
 
 func (j *jobEntry) refuse(k job.TaskKey, a Attempt) *verdict.Error {
--- a/daemon/agent/executor.go
+++ b/daemon/agent/executor.go
@@ -88,16 +88,26 @@
 	now := time.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	forgetAt := now.Add(r.timeout + keepAfterDeadline)
+	if refusal := x.unavailable(); refusal != nil {
+		return x.table.Refuse(r.key, r.attempt, now, forgetAt, refusal)
+	}
+	if err := x.table.Begin(r.key, r.attempt, now, forgetAt); err != nil {
+		return err
+	}
+	x.aborts[r.key] = abort
+	return nil
+}
+
+// unavailable says why the agent starts nothing now, nil if it may. The caller
+// holds mu.
+func (x *executor) unavailable() *verdict.Error {
 	if x.draining {
 		return verdict.Errorf(verdict.CodeShuttingDown, verdict.NotRun, "the endpoint is leaving")
 	}
 	if !x.members.LeaseValid() {
 		return verdict.Errorf(verdict.CodeLeaseLapsed, verdict.NotRun, "the agent's lease has lapsed")
 	}
-	if err := x.table.Begin(r.key, r.attempt, now, now.Add(r.timeout+keepAfterDeadline)); err != nil {
-		return err
-	}
-	x.aborts[r.key] = abort
 	return nil
 }
 
