agent: refuse requests for another incarnation

Cause: an agent that restarts after a takeover has asked it has lost the fence against the replaced entry. A request of that entry that was still on its way could start a task that the new owner sends elsewhere; the random test of owners found the case. The entry's check of its lease leaves a small window. Change: a Run request names the agent's incarnation and the agent refuses another one with lease_lapsed and not_run, which is retried elsewhere. Conclusion: the fence no longer depends on clocks.

--- a/daemon/agent/api.go
+++ b/daemon/agent/api.go
@@ -27,10 +27,11 @@
 			kind:    q.Kind,
 			payload: q.Payload,
 		},
-		attempt: tasktable.Attempt{Epoch: q.Epoch, Number: q.Attempt},
-		timeout: time.Duration(q.TimeoutMs) * time.Millisecond,
-		entry:   q.Entry,
-		backlog: int(q.Backlog),
+		attempt:     tasktable.Attempt{Epoch: q.Epoch, Number: q.Attempt},
+		timeout:     time.Duration(q.TimeoutMs) * time.Millisecond,
+		entry:       q.Entry,
+		incarnation: q.Incarnation,
+		backlog:     int(q.Backlog),
 	})
 	resp := &rpc.RunResponse{
 		Refusal: codec.FailureToRPC(refusal),
--- a/daemon/agent/executor.go
+++ b/daemon/agent/executor.go
@@ -28,7 +28,9 @@
 	attempt tasktable.Attempt
 	timeout time.Duration
 	entry   string
-	backlog int
+	// incarnation is the agent's incarnation that the entry knows.
+	incarnation uint64
+	backlog     int
 }
 
 // executor starts tasks at the endpoint. Its methods are safe for concurrent use.
@@ -89,7 +91,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	forgetAt := now.Add(r.timeout + keepAfterDeadline)
-	if refusal := x.unavailable(); refusal != nil {
+	if refusal := x.unavailable(r); refusal != nil {
 		return x.table.Refuse(r.key, r.attempt, now, forgetAt, refusal)
 	}
 	if err := x.table.Begin(r.key, r.attempt, now, forgetAt); err != nil {
@@ -101,7 +103,10 @@
 
 // unavailable says why the agent starts nothing now, nil if it may. The caller
 // holds mu.
-func (x *executor) unavailable() *verdict.Error {
+func (x *executor) unavailable(r run) *verdict.Error {
+	if own := x.members.Incarnation(); r.incarnation != own {
+		return verdict.Errorf(verdict.CodeLeaseLapsed, verdict.NotRun, "the agent has incarnation %d, the request is for %d", own, r.incarnation)
+	}
 	if x.draining {
 		return verdict.Errorf(verdict.CodeShuttingDown, verdict.NotRun, "the endpoint is leaving")
 	}
--- a/daemon/entry/sender.go
+++ b/daemon/entry/sender.go
@@ -80,17 +80,18 @@
 		GotConn: func(httptrace.GotConnInfo) { written.Store(true) },
 	})
 	resp, err := p.agent.Run(ctx, &rpc.RunRequest{
-		Job:       codec.KeyToRPC(a.key.Job),
-		Task:      uint32(a.key.Task),
-		Epoch:     a.epoch,
-		Attempt:   a.number,
-		Service:   a.service,
-		Kind:      a.task.Kind,
-		Payload:   a.task.Payload,
-		TimeoutMs: time.Until(a.deadline).Milliseconds(),
-		Entry:     s.entryID,
-		Backlog:   uint32(s.dispatcher.queued()),
-		Clock:     s.log.Clock().Now(),
+		Job:         codec.KeyToRPC(a.key.Job),
+		Task:        uint32(a.key.Task),
+		Epoch:       a.epoch,
+		Attempt:     a.number,
+		Service:     a.service,
+		Kind:        a.task.Kind,
+		Payload:     a.task.Payload,
+		TimeoutMs:   time.Until(a.deadline).Milliseconds(),
+		Entry:       s.entryID,
+		Backlog:     uint32(s.dispatcher.queued()),
+		Clock:       s.log.Clock().Now(),
+		Incarnation: p.member.Incarnation,
 	})
 	return resp, written.Load(), err
 }
