--- a/daemon/agent/executor.go
+++ b/daemon/agent/executor.go
@@ -28,7 +28,9 @@
 	attempt tasktable.Attempt
 	timeout time.Duration
 	entry   string
-	backlog int
+	// incarnation is the agent's incarnation that the entry knows.
+	incarnation uint64
+	backlog     int
 }
 
 // executor starts tasks at the endpoint. Its methods are safe for concurrent use.
@@ -88,16 +90,29 @@
 	now := time.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	forgetAt := now.Add(r.timeout + keepAfterDeadline)
+	if refusal := x.unavailable(r); refusal != nil {
+		return x.table.Refuse(r.key, r.attempt, now, forgetAt, refusal)
+	}
+	if err := x.table.Begin(r.key, r.attempt, now, forgetAt); err != nil {
+		return err
+	}
+	x.aborts[r.key] = abort
+	return nil
+}
+
+// unavailable says why the agent starts nothing now, nil if it may. The caller
+// holds mu.
+func (x *executor) unavailable(r run) *verdict.Error {
+	if own := x.members.Incarnation(); r.incarnation != own {
+		return verdict.Errorf(verdict.CodeLeaseLapsed, verdict.NotRun, "the agent has incarnation %d, the request is for %d", own, r.incarnation)
+	}
 	if x.draining {
 		return verdict.Errorf(verdict.CodeShuttingDown, verdict.NotRun, "the endpoint is leaving")
 	}
 	if !x.members.LeaseValid() {
 		return verdict.Errorf(verdict.CodeLeaseLapsed, verdict.NotRun, "the agent's lease has lapsed")
 	}
-	if err := x.table.Begin(r.key, r.attempt, now, now.Add(r.timeout+keepAfterDeadline)); err != nil {
-		return err
-	}
-	x.aborts[r.key] = abort
 	return nil
 }
 
