--- a/daemon/storage/crash_test.go
+++ b/daemon/storage/crash_test.go
@@ -185,3 +185,23 @@
 		})
 	})
 }
+
+// Guards against a folder that is refused after a crash between the removals of
+// two segments, when a truncation had gone below the second one.
+func TestCrashBetweenRemovals(t *testing.T) {
+	for operation := range 16 {
+		fs := newCrashFS()
+		s, err := Open(crashDir, crashOptions(fs))
+		assert.NilError(t, err)
+		assert.NilError(t, s.Save(nil, 0, []raft.Entry{{Term: 1, Index: 1}}))
+		assert.NilError(t, s.SaveSnapshot(raft.Snapshot{}))
+		assert.NilError(t, s.Save(nil, 1, nil))
+		fs.kind = faultOnce
+		fs.at = fs.ops + 1 + operation
+		_ = s.SaveSnapshot(raft.Snapshot{})
+		fs.restart()
+		s, err = Open(crashDir, crashOptions(fs))
+		assert.NilError(t, err, "operation %d", operation)
+		assert.DeepEqual(t, contentOf(s.Recovered()), content{})
+	}
+}
--- a/daemon/storage/header.go
+++ b/daemon/storage/header.go
@@ -45,11 +45,6 @@
 	kindSnapshot
 )
 
-// String returns the kind's name.
-func (k fileKind) String() string {
-	return [...]string{"unknown", "identity", "segment", "snapshot"}[k]
-}
-
 type identity [16]byte
 
 func (id identity) serverID() raft.ServerID { return raft.ServerID(hex.EncodeToString(id[:])) }
--- a/daemon/storage/load.go
+++ b/daemon/storage/load.go
@@ -18,6 +18,9 @@
 
 // load reads snapshots and segments of a folder that has an identity.
 func load(d *disk, id identity, f folder) (*loaded, error) {
+	if len(f.segments) == 0 {
+		return nil, errors.Newf("folder %s holds no log segment", d.dir)
+	}
 	snapshots, err := readSnapshots(d, id, f.snapshots)
 	if err != nil {
 		return nil, err
@@ -27,9 +30,6 @@
 		return nil, err
 	}
 	l := &loaded{log: log, snapshots: snapshots}
-	if _, err := log.lastSequence(); err != nil {
-		return nil, errors.Wrapf(err, "folder %s", d.dir)
-	}
 	return l, l.choose(d)
 }
 
@@ -66,10 +66,7 @@
 		}
 		return nil
 	}
-	last, err := l.log.lastSequence()
-	if err != nil {
-		return err
-	}
+	last := l.log.lastSequence()
 	s := l.current
 	if last < s.header.sequence {
 		return corrupt(d.path(snapshotName(s.index)), 0, "segment %s is missing", segmentName(s.header.sequence))
--- a/daemon/storage/replay.go
+++ b/daemon/storage/replay.go
@@ -4,7 +4,6 @@
 	"io"
 
 	"github.com/cicadapulley/cicadapulley/core/raft"
-	"github.com/cockroachdb/errors"
 )
 
 // segmentInfo describes a segment on disk.
@@ -141,10 +140,7 @@
 	return nil
 }
 
-// lastSequence returns the number of the last segment.
-func (r *replay) lastSequence() (uint64, error) {
-	if len(r.segments) == 0 {
-		return 0, errors.New("the data folder holds no log segment")
-	}
-	return r.segments[len(r.segments)-1].sequence, nil
+// lastSequence returns the number of the last segment; there is at least one.
+func (r *replay) lastSequence() uint64 {
+	return r.segments[len(r.segments)-1].sequence
 }
--- a/daemon/storage/segment.go
+++ b/daemon/storage/segment.go
@@ -1,8 +1,6 @@
 package storage
 
-import (
-	"io"
-)
+import "io"
 
 // encodeSegment returns the header and the checkpoint of a new segment, and
 // the place of its first batch.
--- a/daemon/storage/store.go
+++ b/daemon/storage/store.go
@@ -83,8 +83,9 @@
 func (s *Store) check(b batch) {
 	err := s.index.check(b)
 	invariant.Check(err == nil, invariant.LogMatching, "save: %v", err)
-	invariant.Check(b.truncate == 0 || b.truncate > s.snapshotIndex(), invariant.DurableAck,
-		"truncation from %d below snapshot %d", b.truncate, s.snapshotIndex())
+	committed := max(s.snapshotIndex(), s.hard.Commit)
+	invariant.Check(b.truncate == 0 || b.truncate > committed, invariant.DurableAck,
+		"truncation from %d, committed up to %d", b.truncate, committed)
 	if b.hard == nil {
 		return
 	}
--- a/daemon/storage/store_test.go
+++ b/daemon/storage/store_test.go
@@ -28,8 +28,8 @@
 	}
 }
 
-// Guards against two daemons writing one folder, and against a restart, backup
-// or restore on a real disk that loses state or copies the identity.
+// Guards against two daemons writing one folder, and against a restart on a
+// real disk that loses state, also when Save and SaveSnapshot run at once.
 func TestRealDisk(t *testing.T) {
 	dir := t.TempDir() + "/data"
 	s, err := Open(dir, Options{SegmentBytes: 500})
@@ -39,33 +39,49 @@
 	assert.ErrorIs(t, err, ErrLocked)
 	assert.ErrorContains(t, err, dir)
 	fill(t, s, 9, 4)
+	done := make(chan error, 1)
+	go func() { done <- s.SaveSnapshot(raft.Snapshot{Index: 11, Term: 1}) }()
 	group := raft.Group{Servers: []raft.Server{{ID: id, Address: "127.0.0.1:1", Voter: true}}}
 	assert.NilError(t, s.Save(nil, 0, []raft.Entry{{Term: 1, Index: 19, Type: raft.EntryGroup, Group: &group}}))
-	backup := dir + "-backup"
-	assert.NilError(t, s.Backup(backup))
+	assert.NilError(t, <-done)
 	assert.NilError(t, s.Close())
 	assert.Assert(t, errors.Is(s.Save(&raft.HardState{}, 0, nil), ErrClosed))
 
 	s, err = Open(dir, Options{})
 	assert.NilError(t, err)
-	want := s.Recovered()
-	assert.Equal(t, want.Identity, id)
-	assert.Equal(t, want.Snapshot.Index, uint64(9))
-	assert.DeepEqual(t, want.Entries[9].Group, &group)
+	r := s.Recovered()
+	assert.Equal(t, r.Identity, id)
+	assert.Equal(t, r.Snapshot.Index, uint64(11))
+	assert.DeepEqual(t, r.Entries[7].Group, &group)
 	assert.NilError(t, s.Close())
 	l, err := Inspect(dir)
 	assert.NilError(t, err)
 	assert.NilError(t, l.Err)
 	assert.Equal(t, l.LastIndex, uint64(19))
+}
+
+// Guards against a backup that can be started as a second VM of the same
+// identity, and a restored folder that lacks state or keeps the old vote.
+func TestBackup(t *testing.T) {
+	dir := t.TempDir()
+	s, err := Open(dir+"/data", Options{SegmentBytes: 500})
+	assert.NilError(t, err)
+	fill(t, s, 9, 4)
+	assert.NilError(t, s.Backup(dir+"/backup"))
+	assert.NilError(t, s.Close())
+	s, err = Open(dir+"/data", Options{})
+	assert.NilError(t, err)
+	want := s.Recovered()
+	assert.NilError(t, s.Close())
 
-	_, err = Open(backup, Options{})
+	_, err = Open(dir+"/backup", Options{})
 	assert.ErrorContains(t, err, identityName)
-	restored, err := Restore(backup, dir+"-restored")
+	id, err := Restore(dir+"/backup", dir+"/restored")
 	assert.NilError(t, err)
-	assert.Assert(t, restored != id)
-	s, err = Open(dir+"-restored", Options{})
+	assert.Assert(t, id != want.Identity)
+	s, err = Open(dir+"/restored", Options{})
 	assert.NilError(t, err)
-	want.Identity = restored
+	want.Identity = id
 	want.HardState.Vote = ""
 	assert.DeepEqual(t, s.Recovered(), want)
 	assert.NilError(t, s.Close())
@@ -152,3 +168,32 @@
 		}
 	}
 }
+
+// Guards against a frame that is accepted after other frames than those it was
+// written after, and against a closed segment that lost its last frames.
+func TestChain(t *testing.T) {
+	one := testSegment([]byte("a"), []byte("b"))
+	two := testSegment([]byte("c"), []byte("d"))
+	frame := frameHeadBytes + 1 + frameTailBytes
+	mixed := slices.Concat(one[:len(one)-frame], two[len(two)-frame:])
+	s, err := openSegment("file", mixed)
+	assert.NilError(t, err)
+	_, _, err = s.at.next(mixed)
+	assert.NilError(t, err)
+	_, _, err = s.at.next(mixed)
+	assert.ErrorContains(t, err, "checksum")
+
+	fs, _, last := damagedFolder(t)
+	for name, node := range fs.names {
+		if name == last || !strings.HasSuffix(name, segmentSuffix) {
+			continue
+		}
+		s, err := openSegment(name, node.data)
+		assert.NilError(t, err)
+		if s.at.offset == int64(len(node.data)) {
+			continue // a segment without batches
+		}
+		_, err = Open(crashDir, crashOptions(fs.with(name, node.data[:s.at.offset])))
+		assert.ErrorContains(t, err, "does not continue "+filepath.Base(name))
+	}
+}
