--- a/daemon/storage/names.go
+++ b/daemon/storage/names.go
@@ -47,9 +47,8 @@
 
 // add sorts a name into the listing. Other names are not the store's and are left alone.
 func (f *folder) add(name string) {
-	if strings.HasSuffix(name, temporarySuffix) {
+	if base, ok := strings.CutSuffix(name, temporarySuffix); ok && isOwn(base) {
 		f.temporaries = append(f.temporaries, name)
-		return
 	}
 	if n, ok := parseName(name, segmentSuffix); ok {
 		f.segments = append(f.segments, n)
@@ -62,6 +61,12 @@
 	}
 }
 
+func isOwn(name string) bool {
+	_, segment := parseName(name, segmentSuffix)
+	_, snapshot := parseName(name, snapshotSuffix)
+	return segment || snapshot || name == identityName
+}
+
 func parseName(name, suffix string) (uint64, bool) {
 	digits, ok := strings.CutSuffix(name, suffix)
 	if !ok || len(digits) != numberDigits {
