api/strictjson: strict decoding shared by settings and ticket files

Cause: ticket files need the same refusals, with path and line, as the daemons' settings. Change: the decoder moves from daemon/settings to api/strictjson. It now also finds wrong types and null itself, so that their path has list indexes, and bounds the nesting, as the walk recurses.

--- /dev/null
+++ b/api/strictjson/walk.go
@@ -0,0 +1,163 @@
+package strictjson
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"strings"
+)
+
+// maxDepth bounds the nesting of a file. The walk recurses, and a stack that
+// outgrows its limit ends the process.
+const maxDepth = 100
+
+// decoder walks the tokens of a file beside the Go type, to find unknown and
+// repeated fields and wrong types, and to note the line of each field.
+type decoder struct {
+	file     string
+	data     []byte
+	json     *json.Decoder
+	depth    int
+	lines    map[string]int
+	problems Problems
+}
+
+func newDecoder(file string, data []byte) *decoder {
+	d := &decoder{file: file, data: data, lines: map[string]int{}}
+	d.json = json.NewDecoder(bytes.NewReader(data))
+	d.json.UseNumber()
+	return d
+}
+
+func (d *decoder) document(out any) {
+	if err := d.value("", reflect.TypeOf(out).Elem()); err != nil {
+		d.syntaxProblem(err)
+		return
+	}
+	if _, err := d.json.Token(); err != io.EOF {
+		d.add(d.line(), "", "unexpected data after the end")
+	}
+}
+
+func (d *decoder) value(path string, t reflect.Type) error {
+	d.depth++
+	defer func() { d.depth-- }()
+	if d.depth > maxDepth {
+		return fmt.Errorf("nested deeper than %d levels", maxDepth)
+	}
+	tok, err := d.json.Token()
+	if err != nil {
+		return err
+	}
+	if message := mismatch(t, tok); message != "" {
+		d.add(d.line(), path, message)
+		t = anyType
+	}
+	switch tok {
+	case json.Delim('{'):
+		return d.object(path, t)
+	case json.Delim('['):
+		return d.array(path, t)
+	}
+	return nil
+}
+
+func (d *decoder) object(path string, t reflect.Type) error {
+	for d.json.More() {
+		tok, err := d.json.Token()
+		if err != nil {
+			return err
+		}
+		name := tok.(string)
+		if err := d.field(join(path, name), name, t); err != nil {
+			return err
+		}
+	}
+	_, err := d.json.Token()
+	return err
+}
+
+func (d *decoder) field(path, name string, t reflect.Type) error {
+	if free(t) {
+		return d.value(path, anyType)
+	}
+	if _, repeated := d.lines[path]; repeated {
+		d.add(d.line(), path, "field appears twice")
+	}
+	d.lines[path] = d.line()
+	ft, known := fieldType(t, name)
+	if !known {
+		d.add(d.line(), path, "unknown field")
+		ft = anyType
+	}
+	return d.value(path, ft)
+}
+
+func (d *decoder) array(path string, t reflect.Type) error {
+	element := anyType
+	if t = indirect(t); !free(t) && t.Kind() == reflect.Slice {
+		element = t.Elem()
+	}
+	for i := 0; d.json.More(); i++ {
+		if err := d.value(fmt.Sprintf("%s[%d]", path, i), element); err != nil {
+			return err
+		}
+	}
+	_, err := d.json.Token()
+	return err
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+// line returns the line of the decoder's position.
+func (d *decoder) line() int { return d.lineAt(d.json.InputOffset()) }
+
+func (d *decoder) lineAt(offset int64) int {
+	offset = min(offset, int64(len(d.data)))
+	return 1 + bytes.Count(d.data[:offset], []byte("\n"))
+}
+
+func (d *decoder) add(line int, path, message string) {
+	d.problems = append(d.problems, Problem{File: d.file, Line: line, Path: path, Message: message})
+}
+
+// report is given to Validate. A field that the file lacks has the line of its
+// nearest parent that is there.
+func (d *decoder) report(path, message string) {
+	d.add(d.lineOf(path), path, message)
+}
+
+func (d *decoder) lineOf(path string) int {
+	for path != "" {
+		if line, ok := d.lines[path]; ok {
+			return line
+		}
+		cut := strings.LastIndexAny(path, ".[")
+		if cut < 0 {
+			break
+		}
+		path = path[:cut]
+	}
+	return 1
+}
+
+func (d *decoder) syntaxProblem(err error) {
+	line := d.line()
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		line = d.lineAt(syntax.Offset)
+	}
+	message := err.Error()
+	if errors.Is(err, io.EOF) {
+		message = "unexpected end of the file"
+	}
+	d.add(line, "", message)
+}
--- a/daemon/settings/check.go
+++ b/daemon/settings/check.go
@@ -5,6 +5,8 @@
 	"os"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/cicadapulley/cicadapulley/api/strictjson"
 )
 
 // Check reads a file as the settings of a role. Without a role, the field that
@@ -19,11 +21,11 @@
 	}
 	switch role {
 	case "control":
-		return Decode(file, data, &Control{})
+		return strictjson.Decode(file, data, &Control{})
 	case "entry":
-		return Decode(file, data, &Entry{})
+		return strictjson.Decode(file, data, &Entry{})
 	case "agent":
-		return Decode(file, data, &Agent{})
+		return strictjson.Decode(file, data, &Agent{})
 	}
 	return errors.Newf("role %q is none of control, entry, agent", role)
 }
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -133,7 +133,7 @@
 	SyncDelayMS int64 `json:"sync_delay_ms"`
 }
 
-// Validate implements Validator.
+// Validate implements strictjson.Validator.
 func (c *Control) Validate(report func(path, message string)) {
 	c.validate(report)
 	required(report, "data_dir", c.DataDir)
@@ -170,7 +170,7 @@
 	Dispatch string `json:"dispatch"`
 }
 
-// Validate implements Validator.
+// Validate implements strictjson.Validator.
 func (e *Entry) Validate(report func(path, message string)) {
 	e.validate(report)
 	addresses(report, "control", e.Control)
@@ -241,7 +241,7 @@
 	Accelerators int64        `json:"accelerators"`
 }
 
-// Validate implements Validator.
+// Validate implements strictjson.Validator.
 func (a *Agent) Validate(report func(path, message string)) {
 	a.validate(report)
 	addresses(report, "control", a.Control)
