cicadapulley: commands for operators and callers

Cause: the client module was empty. Change: status, endpoints, jobs, job, call, drain, ticket, group, timeline and version on cobra, with exit codes for scripts. Packages: exit, connect, entryclient, operator, ticketfile, timeline, output and cli. controlclient returns invalid_argument at once instead of repeating the call until its context ends.

--- a/api/controlclient/client.go
+++ b/api/controlclient/client.go
@@ -1,6 +1,6 @@
 // Package controlclient calls the control VMs. It finds the leader, follows
 // redirects and repeats calls, all of which are idempotent, until the context
-// ends.
+// ends. A twirp invalid_argument error is returned at once.
 package controlclient
 
 import (
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"github.com/cicadapulley/cicadapulley/api/rpc"
 )
 
@@ -114,6 +116,9 @@
 			c.setLeader(s.address)
 			return resp, nil
 		}
+		if refused(err) {
+			return none, err
+		}
 		if err == nil {
 			failure.Last = fmt.Errorf("%s is not the leader", s.address)
 			c.setLeader(resp.GetNotLeader().Address)
@@ -128,6 +133,13 @@
 	}
 }
 
+// refused reports whether the leader found the request itself at fault. Every
+// control VM would refuse it again.
+func refused(err error) bool {
+	var t twirp.Error
+	return errors.As(err, &t) && t.Code() == twirp.InvalidArgument
+}
+
 func once[Req any, Resp redirectable](ctx context.Context, wait time.Duration, s *server, req Req,
 	call func(*server, context.Context, Req) (Resp, error)) (Resp, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
--- /dev/null
+++ b/client/internal/cli/answer.go
@@ -0,0 +1,68 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/cicadapulley/cicadapulley/api/callers"
+	"github.com/cicadapulley/cicadapulley/client/internal/entryclient"
+	"github.com/cicadapulley/cicadapulley/client/internal/exit"
+	"github.com/cicadapulley/cicadapulley/client/internal/output"
+	"github.com/cicadapulley/cicadapulley/core/job"
+	"github.com/cicadapulley/cicadapulley/core/verdict"
+)
+
+// answerView is a job as its caller sees it.
+type answerView callers.Answer
+
+// Print implements output.Printable.
+func (v *answerView) Print(w *output.Writer) {
+	w.Linef("job %s of %s: %s (%s)", output.Clean(v.ID), output.Clean(v.Caller), v.State, v.Verdict)
+	if v.Error != nil {
+		w.Linef("%s: %s", v.Error.Code, output.Clean(v.Error.Message))
+	}
+	list := append(append([]callers.TaskResult{}, v.Results...), v.Tasks...)
+	if len(list) == 0 {
+		return
+	}
+	rows := make([][]string, len(list))
+	for i, t := range list {
+		rows[i] = []string{fmt.Sprint(t.Task), t.State, t.Verdict, string(t.Output)}
+	}
+	w.Table([]string{"TASK", "STATE", "VERDICT", "OUTPUT"}, rows)
+}
+
+// ended returns the failure of a job that failed or was cancelled.
+func ended(a *callers.Answer) error {
+	if a.State == job.Running.String() || a.State == job.Complete.String() {
+		return nil
+	}
+	reason := a.State
+	if a.Error != nil {
+		reason = a.Error.Code + ": " + a.Error.Message
+	}
+	v, err := verdict.Parse(a.Verdict)
+	if err != nil {
+		v = verdict.MayHaveRun
+	}
+	return exit.Errorf(exit.OfVerdict(v), "job %s is %s (%s): %s", a.ID, a.State, a.Verdict, reason)
+}
+
+// refused gives a refusal or a lost answer its exit code.
+func refused(err error) error {
+	var refusal *verdict.Error
+	if errors.As(err, &refusal) {
+		if refusal.RetryAfter > 0 {
+			return exit.Errorf(exit.OfVerdict(refusal.Verdict), "%w; try again after %s", refusal, refusal.RetryAfter)
+		}
+		return exit.Errorf(exit.OfVerdict(refusal.Verdict), "%w", refusal)
+	}
+	var lost *entryclient.Lost
+	if !errors.As(err, &lost) {
+		return err
+	}
+	if lost.Sent {
+		return exit.Errorf(exit.MayHaveRun, "%w; the request may have run", lost)
+	}
+	return exit.Errorf(exit.Unreachable, "%w; the request was not sent", lost)
+}
--- /dev/null
+++ b/client/internal/cli/call.go
@@ -0,0 +1,69 @@
+package cli
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/cicadapulley/cicadapulley/client/internal/entryclient"
+	"github.com/cicadapulley/cicadapulley/client/internal/exit"
+)
+
+func (a *app) call() *cobra.Command {
+	c := entryclient.Call{}
+	payload := ""
+	cmd := &cobra.Command{
+		Use:   "call SERVICE KIND",
+		Short: "Send one request and print the endpoint's output",
+		Long: "call sends one request once. If its answer is lost (exit code 4), sending it again\n" +
+			"with the same --id runs a request that is not repeatable at most once.\n\n" + exit.Help,
+		Example: `  cicadapulley call demo sleep --caller shop --id quote-17 --deadline 2s --payload '{"ms":50,"echo":1}'` + "\n" +
+			"  cicadapulley call demo hold --caller shop --id hold-3 --payload @hold.json",
+		Args: cobra.ExactArgs(2),
+		RunE: a.run(func(ctx context.Context, args []string) error {
+			c.Service, c.Kind = args[0], args[1]
+			return a.doCall(ctx, c, payload)
+		}),
+	}
+	cmd.Flags().StringVar(&c.Caller, "caller", "", "who calls")
+	cmd.Flags().StringVar(&c.ID, "id", "", "id of the request, unique to its caller (default: a random one)")
+	cmd.Flags().DurationVar(&c.Deadline, "deadline", 5*time.Second, "time until the answer")
+	cmd.Flags().StringVar(&payload, "payload", "", "JSON, or @FILE, or @- for standard input")
+	_ = cmd.MarkFlagRequired("caller") // fails only for an unknown flag
+	return cmd
+}
+
+func (a *app) doCall(ctx context.Context, c entryclient.Call, payload string) error {
+	c.Payload = []byte(payload)
+	if file, ok := strings.CutPrefix(payload, "@"); ok {
+		data, err := a.read(file)
+		if err != nil {
+			return err
+		}
+		c.Payload = data
+	}
+	if len(c.Payload) > 0 && !json.Valid(c.Payload) {
+		return exit.Errorf(exit.Usage, "--payload: not valid JSON")
+	}
+	if c.ID == "" {
+		c.ID = rand.Text()
+		a.progress("request id " + c.ID)
+	}
+	client, err := a.entry()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Deadline+a.flags.timeout)
+	defer cancel()
+	out, err := client.Do(ctx, c)
+	if err != nil {
+		return refused(err)
+	}
+	_, err = fmt.Fprintf(a.streams.Out, "%s\n", out)
+	return err
+}
--- /dev/null
+++ b/client/internal/cli/endpoints.go
@@ -0,0 +1,121 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"github.com/cicadapulley/cicadapulley/api/codec"
+	"github.com/cicadapulley/cicadapulley/client/internal/operator"
+	"github.com/cicadapulley/cicadapulley/client/internal/output"
+	"github.com/cicadapulley/cicadapulley/core/state"
+)
+
+type endpointsView struct {
+	Endpoints []endpointView `json:"endpoints"`
+}
+
+type endpointView struct {
+	ID          string   `json:"id"`
+	State       string   `json:"state"`
+	DataCentre  string   `json:"data_centre"`
+	Rack        string   `json:"rack"`
+	Slots       int      `json:"slots"`
+	Connections int      `json:"connections"`
+	MilliCPU    int64    `json:"milli_cpu"`
+	MemoryMB    int64    `json:"memory_mb"`
+	Accelerator int64    `json:"accelerators"`
+	Drained     bool     `json:"drained"`
+	TakesWork   bool     `json:"takes_work"`
+	Serves      []string `json:"serves"`
+}
+
+func (a *app) endpoints() *cobra.Command {
+	return &cobra.Command{
+		Use:     "endpoints",
+		Short:   "List the endpoints that announced themselves",
+		Example: "  cicadapulley endpoints\n  cicadapulley endpoints --output json",
+		Args:    cobra.NoArgs,
+		RunE: a.run(func(ctx context.Context, _ []string) error {
+			ctx, cancel := a.bound(ctx)
+			defer cancel()
+			view, err := a.readEndpoints(ctx)
+			if err != nil {
+				return err
+			}
+			return a.print(view)
+		}),
+	}
+}
+
+func (a *app) readEndpoints(ctx context.Context) (*endpointsView, error) {
+	client, err := a.operator()
+	if err != nil {
+		return nil, err
+	}
+	config, err := client.Config(ctx)
+	if err != nil {
+		return nil, err
+	}
+	status, err := client.Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	view := &endpointsView{Endpoints: []endpointView{}}
+	for _, s := range status.Members {
+		m := codec.MemberFromRPC(s.Member)
+		if m.Role == state.RoleAgent {
+			view.Endpoints = append(view.Endpoints, newEndpoint(m, config))
+		}
+	}
+	return view, nil
+}
+
+func newEndpoint(m state.Member, c operator.Config) endpointView {
+	v := endpointView{
+		ID:          m.ID,
+		State:       m.State.String(),
+		DataCentre:  m.DataCentre,
+		Rack:        m.Rack,
+		Slots:       m.Slots,
+		Connections: m.Connections,
+		MilliCPU:    m.Resources.MilliCPU,
+		MemoryMB:    m.Resources.MemoryMB,
+		Accelerator: m.Resources.Accelerators,
+		Drained:     c.Drains[m.ID].Drain,
+		TakesWork:   operator.TakesWork(m, c.Config),
+		Serves:      []string{},
+	}
+	for _, k := range m.Serves {
+		v.Serves = append(v.Serves, k.Service+"/"+k.Kind)
+	}
+	return v
+}
+
+// Print implements output.Printable.
+func (v *endpointsView) Print(w *output.Writer) {
+	rows := make([][]string, len(v.Endpoints))
+	for i, e := range v.Endpoints {
+		rows[i] = []string{
+			e.ID, e.State, yesNo(e.Drained), yesNo(e.TakesWork), e.DataCentre, e.Rack,
+			fmt.Sprint(e.Slots), fmt.Sprint(e.Connections), e.resources(), strings.Join(e.Serves, " "),
+		}
+	}
+	w.Table([]string{"ID", "STATE", "DRAINED", "TAKES WORK", "DATA CENTRE", "RACK", "SLOTS", "CONNECTIONS", "RESOURCES", "SERVES"}, rows)
+}
+
+func (v endpointView) resources() string {
+	if v.MilliCPU == 0 && v.MemoryMB == 0 && v.Accelerator == 0 {
+		return "undeclared"
+	}
+	return fmt.Sprintf("%d mCPU, %d MB, %d accelerators", v.MilliCPU, v.MemoryMB, v.Accelerator)
+}
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
--- /dev/null
+++ b/client/internal/cli/flags.go
@@ -0,0 +1,100 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/spf13/pflag"
+
+	"github.com/cicadapulley/cicadapulley/api/controlclient"
+	"github.com/cicadapulley/cicadapulley/client/internal/connect"
+	"github.com/cicadapulley/cicadapulley/client/internal/entryclient"
+	"github.com/cicadapulley/cicadapulley/client/internal/exit"
+	"github.com/cicadapulley/cicadapulley/client/internal/operator"
+	"github.com/cicadapulley/cicadapulley/client/internal/output"
+)
+
+// Defaults of the global flags.
+const (
+	// defaultTimeout is longer than an election and a restart of a control VM.
+	defaultTimeout = 10 * time.Second
+	// defaultGroupTimeout is for a new control VM that loads a snapshot.
+	defaultGroupTimeout = 2 * time.Minute
+)
+
+// flags are the global flags.
+type flags struct {
+	set     *pflag.FlagSet
+	control []string
+	entry   string
+	output  output.Format
+	timeout time.Duration
+	tls     connect.Files
+}
+
+func (f *flags) register(set *pflag.FlagSet, env func(string) string) {
+	f.set = set
+	var control []string
+	if list := env("CICADAPULLEY_CONTROL"); list != "" {
+		control = strings.Split(list, ",")
+	}
+	set.StringSliceVar(&f.control, "control", control, "addresses of the control VMs, as in 10.0.0.1:7000,10.0.0.2:7000 (CICADAPULLEY_CONTROL)")
+	set.StringVar(&f.entry, "entry", env("CICADAPULLEY_ENTRY"), "URL of an entry or of its load balancer (CICADAPULLEY_ENTRY)")
+	set.StringVar((*string)(&f.output), "output", string(output.Table), "form of the answer: table or json")
+	set.DurationVar(&f.timeout, "timeout", defaultTimeout, "bound of the whole command; for jobs and calls, beside their deadline")
+	set.StringVar(&f.tls.Cert, "cert", env("CICADAPULLEY_CERT"), "certificate file for TLS (CICADAPULLEY_CERT)")
+	set.StringVar(&f.tls.Key, "key", env("CICADAPULLEY_KEY"), "key file of the certificate (CICADAPULLEY_KEY)")
+	set.StringVar(&f.tls.CA, "ca", env("CICADAPULLEY_CA"), "file of the authorities that sign servers' certificates (CICADAPULLEY_CA)")
+}
+
+func (f *flags) check() error {
+	if !f.output.Valid() {
+		return fmt.Errorf("--output: %q is none of table, json", f.output)
+	}
+	if f.timeout <= 0 {
+		return fmt.Errorf("--timeout: must be above zero")
+	}
+	return nil
+}
+
+// timeoutOr returns the timeout, or another default if it was not given.
+func (f *flags) timeoutOr(fallback time.Duration) time.Duration {
+	if f.set.Changed("timeout") {
+		return f.timeout
+	}
+	return fallback
+}
+
+// bound limits a command to the global timeout.
+func (a *app) bound(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, a.flags.timeout)
+}
+
+// operator returns a client of the control VMs.
+func (a *app) operator() (*operator.Client, error) {
+	if len(a.flags.control) == 0 {
+		return nil, exit.Errorf(exit.Usage, "--control or CICADAPULLEY_CONTROL is required")
+	}
+	h, err := connect.Client(a.flags.tls)
+	if err != nil {
+		return nil, exit.Errorf(exit.Usage, "%w", err)
+	}
+	client := controlclient.New(h, a.flags.tls.Scheme(), a.flags.control)
+	return &operator.Client{Control: client, Progress: a.progress}, nil
+}
+
+// entry returns a client of an entry.
+func (a *app) entry() (*entryclient.Client, error) {
+	u, err := url.Parse(a.flags.entry)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return nil, exit.Errorf(exit.Usage, "--entry or CICADAPULLEY_ENTRY must be a URL such as http://10.0.0.1:8080")
+	}
+	h, err := connect.Client(a.flags.tls)
+	if err != nil {
+		return nil, exit.Errorf(exit.Usage, "%w", err)
+	}
+	return &entryclient.Client{HTTP: h, URL: a.flags.entry}, nil
+}
--- /dev/null
+++ b/client/internal/cli/group.go
@@ -0,0 +1,101 @@
+package cli
+
+import (
+	"context"
+
+	"github.com/spf13/cobra"
+
+	"github.com/cicadapulley/cicadapulley/client/internal/exit"
+	"github.com/cicadapulley/cicadapulley/client/internal/operator"
+	"github.com/cicadapulley/cicadapulley/client/internal/output"
+)
+
+func (a *app) group() *cobra.Command {
+	return parent("group", "List, add or remove control VMs", a.groupList(), a.groupAdd(), a.groupRemove())
+}
+
+// groupView is the group of control VMs.
+type groupView struct {
+	Control []controlView `json:"control"`
+}
+
+// Print implements output.Printable.
+func (v *groupView) Print(w *output.Writer) {
+	rows := make([][]string, len(v.Control))
+	for i, vm := range v.Control {
+		rows[i] = []string{vm.ID, vm.Address, vm.role()}
+	}
+	w.Table([]string{"ID", "ADDRESS", "ROLE"}, rows)
+}
+
+func (a *app) groupList() *cobra.Command {
+	return &cobra.Command{
+		Use:     "list",
+		Short:   "List the control VMs",
+		Example: "  cicadapulley group list",
+		Args:    cobra.NoArgs,
+		RunE: a.run(func(ctx context.Context, _ []string) error {
+			ctx, cancel := a.bound(ctx)
+			defer cancel()
+			client, err := a.operator()
+			if err != nil {
+				return err
+			}
+			return a.printGroup(ctx, client)
+		}),
+	}
+}
+
+func (a *app) printGroup(ctx context.Context, client *operator.Client) error {
+	status, err := client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	view := &groupView{Control: []controlView{}}
+	for _, vm := range status.Group {
+		view.Control = append(view.Control, controlView{vm.Id, vm.Address, vm.Voter, vm.Leader, vm.MatchIndex, vm.SilentMs})
+	}
+	return a.print(view)
+}
+
+func (a *app) groupAdd() *cobra.Command {
+	return &cobra.Command{
+		Use:   "add ID ADDRESS",
+		Short: "Add a control VM and give it a vote",
+		Long: "add brings a new control VM into the group: first without a vote, and with one as soon\n" +
+			"as it has caught up. ID is the identity of its data folder, which the VM logs at its\n" +
+			"start. Running add again continues where it stopped. The default timeout is 2m.\n\n" + exit.Help,
+		Example: "  cicadapulley group add 3f9c2a7e41d0b865 10.0.0.3:7000",
+		Args:    cobra.ExactArgs(2),
+		RunE: a.run(func(ctx context.Context, args []string) error {
+			return a.changeGroup(ctx, func(ctx context.Context, c *operator.Client) error { return c.AddVM(ctx, args[0], args[1]) })
+		}),
+	}
+}
+
+func (a *app) groupRemove() *cobra.Command {
+	return &cobra.Command{
+		Use:   "remove ID",
+		Short: "Remove a control VM",
+		Long: "remove takes a control VM out of the group. The leader can't remove itself: stop it\n" +
+			"first, so that another leads. The default timeout is 2m.\n\n" + exit.Help,
+		Example: "  cicadapulley group remove 3f9c2a7e41d0b865",
+		Args:    cobra.ExactArgs(1),
+		RunE: a.run(func(ctx context.Context, args []string) error {
+			return a.changeGroup(ctx, func(ctx context.Context, c *operator.Client) error { return c.RemoveVM(ctx, args[0]) })
+		}),
+	}
+}
+
+func (a *app) changeGroup(ctx context.Context, change func(context.Context, *operator.Client) error) error {
+	ctx, cancel := context.WithTimeout(ctx, a.flags.timeoutOr(defaultGroupTimeout))
+	defer cancel()
+	client, err := a.operator()
+	if err != nil {
+		return err
+	}
+	if err := change(ctx, client); err != nil {
+		return err
+	}
+	return a.printGroup(ctx, client)
+}
--- /dev/null
+++ b/client/internal/cli/job.go
@@ -0,0 +1,166 @@
+package cli
+
+import (
+	"context"
+	"io"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/cicadapulley/cicadapulley/api/callers"
+	"github.com/cicadapulley/cicadapulley/api/strictjson"
+	"github.com/cicadapulley/cicadapulley/client/internal/entryclient"
+	"github.com/cicadapulley/cicadapulley/client/internal/exit"
+	"github.com/cicadapulley/cicadapulley/core/job"
+)
+
+func (a *app) job() *cobra.Command {
+	return parent("job", "Submit, show or cancel a job", a.jobSubmit(), a.jobShow(), a.jobCancel())
+}
+
+func (a *app) jobSubmit() *cobra.Command {
+	wait := false
+	cmd := &cobra.Command{
+		Use:   "submit FILE|-",
+		Short: "Submit a job from a file or standard input",
+		Long: "submit sends a job and sends it again with the same id while answers are lost;\n" +
+			"the job runs once. With --wait the exit code tells the job's end.\n\n" + exit.Help,
+		Example: "  cicadapulley job submit prices.json --wait\n" +
+			`  echo '{"id":"j1","caller":"shop","service":"demo","deadline_ms":5000,"tasks":[{"kind":"sleep","payload":{"ms":50}}]}' |` + "\n" +
+			"    cicadapulley job submit - --wait",
+		Args: cobra.ExactArgs(1),
+		RunE: a.run(func(ctx context.Context, args []string) error { return a.submit(ctx, args[0], wait) }),
+	}
+	cmd.Flags().BoolVar(&wait, "wait", false, "wait for the job's end")
+	return cmd
+}
+
+// submission is a job file; the entry has more rules.
+type submission struct{ callers.Submission }
+
+// Validate implements strictjson.Validator.
+func (s *submission) Validate(report func(path, message string)) {
+	for path, empty := range map[string]bool{"id": s.ID == "", "caller": s.Caller == "", "service": s.Service == "", "tasks": len(s.Tasks) == 0} {
+		if empty {
+			report(path, "is required")
+		}
+	}
+}
+
+func (a *app) submit(ctx context.Context, file string, wait bool) error {
+	data, err := a.read(file)
+	if err != nil {
+		return err
+	}
+	var s submission
+	if err := strictjson.Decode(file, data, &s); err != nil {
+		return exit.Errorf(exit.Usage, "%w", err)
+	}
+	client, err := a.entry()
+	if err != nil {
+		return err
+	}
+	timeout := a.flags.timeout
+	if wait {
+		timeout += time.Duration(s.DeadlineMS) * time.Millisecond
+		a.progress("waiting for job " + s.ID + " of " + s.Caller)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	answer, err := client.Submit(ctx, data, wait)
+	if err != nil {
+		return refused(err)
+	}
+	return a.answer(answer)
+}
+
+// read reads a file, or standard input for "-".
+func (a *app) read(file string) ([]byte, error) {
+	var data []byte
+	var err error
+	if file == "-" {
+		data, err = io.ReadAll(a.streams.In)
+	} else {
+		data, err = os.ReadFile(file)
+	}
+	if err != nil {
+		return nil, exit.Errorf(exit.Usage, "read %s: %w", file, err)
+	}
+	return data, nil
+}
+
+// answer prints a job and turns a failed end into an exit code.
+func (a *app) answer(answer *callers.Answer) error {
+	if err := a.print((*answerView)(answer)); err != nil {
+		return err
+	}
+	return ended(answer)
+}
+
+func (a *app) jobShow() *cobra.Command {
+	caller := ""
+	cmd := &cobra.Command{
+		Use:     "show ID",
+		Short:   "Show a job",
+		Long:    "show prints a job as its caller sees it. The exit code is 0 whatever the job's state.\n\n" + exit.Help,
+		Example: "  cicadapulley job show j1 --caller shop",
+		Args:    cobra.ExactArgs(1),
+		RunE: a.run(func(ctx context.Context, args []string) error {
+			answer, err := a.ask(ctx, job.Key{Caller: caller, ID: args[0]}, (*entryclient.Client).Show)
+			if err != nil {
+				return err
+			}
+			return a.print((*answerView)(answer))
+		}),
+	}
+	requireCaller(cmd, &caller)
+	return cmd
+}
+
+func (a *app) jobCancel() *cobra.Command {
+	caller := ""
+	cmd := &cobra.Command{
+		Use:   "cancel ID",
+		Short: "Cancel a job",
+		Long: "cancel stops a job: no further task of it starts. The exit code is 0 if the job is\n" +
+			"cancelled and 1 if it had already ended in another way.\n\n" + exit.Help,
+		Example: "  cicadapulley job cancel j1 --caller shop",
+		Args:    cobra.ExactArgs(1),
+		RunE: a.run(func(ctx context.Context, args []string) error {
+			answer, err := a.ask(ctx, job.Key{Caller: caller, ID: args[0]}, (*entryclient.Client).Cancel)
+			if err != nil {
+				return err
+			}
+			if err := a.print((*answerView)(answer)); err != nil {
+				return err
+			}
+			if answer.State != job.Cancelled.String() {
+				return exit.Errorf(exit.Failure, "job %s was not cancelled: it is %s", answer.ID, answer.State)
+			}
+			return nil
+		}),
+	}
+	requireCaller(cmd, &caller)
+	return cmd
+}
+
+func requireCaller(cmd *cobra.Command, caller *string) {
+	cmd.Flags().StringVar(caller, "caller", "", "the job's caller")
+	_ = cmd.MarkFlagRequired("caller") // fails only for an unknown flag
+}
+
+// ask asks an entry about one job.
+func (a *app) ask(ctx context.Context, k job.Key, f func(*entryclient.Client, context.Context, job.Key) (*callers.Answer, error)) (*callers.Answer, error) {
+	client, err := a.entry()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := a.bound(ctx)
+	defer cancel()
+	answer, err := f(client, ctx, k)
+	if err != nil {
+		return nil, refused(err)
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/client/internal/cli/ticket.go
@@ -0,0 +1,192 @@
+package cli
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/spf13/cobra"
+
+	"github.com/cicadapulley/cicadapulley/client/internal/exit"
+	"github.com/cicadapulley/cicadapulley/client/internal/operator"
+	"github.com/cicadapulley/cicadapulley/client/internal/ticketfile"
+	"github.com/cicadapulley/cicadapulley/core/state"
+)
+
+func (a *app) ticket() *cobra.Command {
+	return parent("ticket", "Apply, show, compare and wait for tickets",
+		a.ticketApply(), a.ticketList(), a.ticketShow(), a.ticketDiff(), a.ticketWait())
+}
+
+func (a *app) ticketApply() *cobra.Command {
+	wait := false
+	cmd := &cobra.Command{
+		Use:   "apply FILE|-",
+		Short: "Apply a ticket and print its revision",
+		Long: "apply sends a ticket, and sends it again while answers are lost; the same ticket is\n" +
+			"applied once. A ticket that loses to another has exit code 5 and changes nothing.\n\n" + exit.Help,
+		Example: "  cicadapulley ticket apply change-42.json --wait",
+		Args:    cobra.ExactArgs(1),
+		RunE: a.run(func(ctx context.Context, args []string) error {
+			ctx, cancel := a.bound(ctx)
+			defer cancel()
+			return a.apply(ctx, args[0], wait)
+		}),
+	}
+	cmd.Flags().BoolVar(&wait, "wait", false, "wait until the ticket is in force everywhere")
+	return cmd
+}
+
+func (a *app) apply(ctx context.Context, file string, wait bool) error {
+	t, err := a.readTicket(file)
+	if err != nil {
+		return err
+	}
+	client, err := a.operator()
+	if err != nil {
+		return err
+	}
+	result, err := client.Apply(ctx, t)
+	if err != nil {
+		return err
+	}
+	view := &appliedView{Number: result.Number, Revision: result.Revision, Repeated: result.Repeated}
+	return a.finishTicket(ctx, client, view, wait)
+}
+
+func (a *app) readTicket(file string) (state.Ticket, error) {
+	data, err := a.read(file)
+	if err != nil {
+		return state.Ticket{}, err
+	}
+	t, err := ticketfile.Parse(file, data)
+	if err != nil {
+		return state.Ticket{}, exit.Errorf(exit.Usage, "%w", err)
+	}
+	return t, nil
+}
+
+// finishTicket waits for a committed ticket if asked to, and prints it.
+func (a *app) finishTicket(ctx context.Context, client *operator.Client, v *appliedView, wait bool) error {
+	var err error
+	if wait {
+		v.Waited = true
+		v.Behind, err = client.Wait(ctx, v.Revision)
+		v.InForce = err == nil
+	}
+	if printErr := a.print(v); printErr != nil {
+		return printErr
+	}
+	return err
+}
+
+func (a *app) ticketList() *cobra.Command {
+	return &cobra.Command{
+		Use:     "list",
+		Short:   "List the kept tickets in the order in which they were applied",
+		Example: "  cicadapulley ticket list",
+		Args:    cobra.NoArgs,
+		RunE: a.run(func(ctx context.Context, _ []string) error {
+			ctx, cancel := a.bound(ctx)
+			defer cancel()
+			client, err := a.operator()
+			if err != nil {
+				return err
+			}
+			tickets, err := client.Tickets(ctx)
+			if err != nil {
+				return err
+			}
+			return a.print(newTickets(tickets))
+		}),
+	}
+}
+
+func (a *app) ticketShow() *cobra.Command {
+	return &cobra.Command{
+		Use:     "show NUMBER",
+		Short:   "Print a kept ticket as a ticket file",
+		Example: "  cicadapulley ticket show 42 > change-42.json",
+		Args:    cobra.ExactArgs(1),
+		RunE: a.run(func(ctx context.Context, args []string) error {
+			ctx, cancel := a.bound(ctx)
+			defer cancel()
+			_, t, err := a.keptTicket(ctx, args[0])
+			if err != nil {
+				return err
+			}
+			data, err := ticketfile.Encode(t.Ticket)
+			if err != nil {
+				return err
+			}
+			_, err = a.streams.Out.Write(data)
+			return err
+		}),
+	}
+}
+
+// keptTicket reads the ticket that an argument names.
+func (a *app) keptTicket(ctx context.Context, arg string) (*operator.Client, state.AppliedTicket, error) {
+	number, err := strconv.ParseUint(arg, 10, 64)
+	if err != nil || number == 0 {
+		return nil, state.AppliedTicket{}, exit.Errorf(exit.Usage, "ticket: %q is not a number above zero", arg)
+	}
+	client, err := a.operator()
+	if err != nil {
+		return nil, state.AppliedTicket{}, err
+	}
+	t, err := client.Ticket(ctx, number)
+	return client, t, err
+}
+
+func (a *app) ticketDiff() *cobra.Command {
+	return &cobra.Command{
+		Use:   "diff FILE|-",
+		Short: "Compare a ticket with the configuration in force",
+		Long: "diff prints what a ticket would change, and warns if it would be refused. It changes\n" +
+			"nothing, and its exit code is 0 whether there are differences or not.",
+		Example: "  cicadapulley ticket diff change-42.json",
+		Args:    cobra.ExactArgs(1),
+		RunE: a.run(func(ctx context.Context, args []string) error {
+			ctx, cancel := a.bound(ctx)
+			defer cancel()
+			return a.diff(ctx, args[0])
+		}),
+	}
+}
+
+func (a *app) diff(ctx context.Context, file string) error {
+	t, err := a.readTicket(file)
+	if err != nil {
+		return err
+	}
+	client, err := a.operator()
+	if err != nil {
+		return err
+	}
+	config, err := client.Config(ctx)
+	if err != nil {
+		return err
+	}
+	return a.print(newDiff(t, ticketfile.Diff(config.Config, t)))
+}
+
+func (a *app) ticketWait() *cobra.Command {
+	return &cobra.Command{
+		Use:   "wait NUMBER",
+		Short: "Wait until a ticket is in force in every active process",
+		Long: "wait returns when every active process runs the configuration of the ticket or a newer\n" +
+			"one. With exit code 6 it names the processes that are behind.\n\n" + exit.Help,
+		Example: "  cicadapulley ticket wait 42 --timeout 4s",
+		Args:    cobra.ExactArgs(1),
+		RunE: a.run(func(ctx context.Context, args []string) error {
+			ctx, cancel := a.bound(ctx)
+			defer cancel()
+			client, t, err := a.keptTicket(ctx, args[0])
+			if err != nil {
+				return err
+			}
+			view := &appliedView{Number: t.Ticket.Number, Revision: t.Revision}
+			return a.finishTicket(ctx, client, view, true)
+		}),
+	}
+}
--- /dev/null
+++ b/client/internal/cli/timeline.go
@@ -0,0 +1,155 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/cicadapulley/cicadapulley/client/internal/connect"
+	"github.com/cicadapulley/cicadapulley/client/internal/exit"
+	"github.com/cicadapulley/cicadapulley/client/internal/output"
+	"github.com/cicadapulley/cicadapulley/client/internal/timeline"
+)
+
+// defaultLimit is the number of events of one answer; a page of more is slow
+// to open.
+const defaultLimit = 5000
+
+// timelineFlags are the flags of timeline.
+type timelineFlags struct {
+	job, caller string
+	ticket      uint64
+	since       time.Duration
+	format      string
+	ops         []string
+	limit       int
+}
+
+func (a *app) timeline() *cobra.Command {
+	var f timelineFlags
+	cmd := &cobra.Command{
+		Use:   "timeline --job ID | --ticket NUMBER | --since DURATION",
+		Short: "Merge the events of all processes into one order",
+		Long: "timeline asks every member for its events and orders them by their hybrid logical\n" +
+			"clocks. It names the processes that it could not reach. Control VMs are not members:\n" +
+			"give the URLs of their operations pages with --ops.\n\n" + exit.Help,
+		Example: "  cicadapulley timeline --job j1 --caller shop\n" +
+			"  cicadapulley timeline --ticket 42 --ops http://10.0.0.1:7001,http://10.0.0.2:7001\n" +
+			"  cicadapulley timeline --since 5m --format html > timeline.html",
+		Args: cobra.NoArgs,
+		RunE: a.run(func(ctx context.Context, _ []string) error { return a.showTimeline(ctx, f) }),
+	}
+	cmd.Flags().StringVar(&f.job, "job", "", "events of a job")
+	cmd.Flags().StringVar(&f.caller, "caller", "", "the job's caller, if several use its id")
+	cmd.Flags().Uint64Var(&f.ticket, "ticket", 0, "events of a ticket")
+	cmd.Flags().DurationVar(&f.since, "since", 0, "events of the last time, as in 5m")
+	cmd.Flags().StringVar(&f.format, "format", "text", "text, json or html")
+	cmd.Flags().StringSliceVar(&f.ops, "ops", nil, "URLs of further operations pages")
+	cmd.Flags().IntVar(&f.limit, "limit", defaultLimit, "the number of newest events to show; 0 shows all")
+	return cmd
+}
+
+func (f timelineFlags) check() error {
+	switch {
+	case f.job == "" && f.ticket == 0 && f.since == 0:
+		return exit.Errorf(exit.Usage, "one of --job, --ticket and --since is required")
+	case f.caller != "" && f.job == "":
+		return exit.Errorf(exit.Usage, "--caller needs --job")
+	case f.since < 0 || f.limit < 0:
+		return exit.Errorf(exit.Usage, "--since and --limit must not be negative")
+	case f.format != "text" && f.format != "json" && f.format != "html":
+		return exit.Errorf(exit.Usage, "--format: %q is none of text, json, html", f.format)
+	}
+	return nil
+}
+
+func (f timelineFlags) filter(now time.Time) timeline.Filter {
+	filter := timeline.Filter{Job: f.job, Caller: f.caller, Ticket: f.ticket}
+	if f.since > 0 {
+		filter.Since = timeline.ClockAt(now.Add(-f.since))
+	}
+	return filter
+}
+
+func (f timelineFlags) title() string {
+	title := "Timeline"
+	if f.job != "" {
+		title += " of job " + f.job
+	}
+	if f.ticket > 0 {
+		title += fmt.Sprintf(" of ticket %d", f.ticket)
+	}
+	if f.since > 0 {
+		title += " of the last " + f.since.String()
+	}
+	return title
+}
+
+func (a *app) showTimeline(ctx context.Context, f timelineFlags) error {
+	if err := f.check(); err != nil {
+		return err
+	}
+	h, err := connect.Client(a.flags.tls)
+	if err != nil {
+		return exit.Errorf(exit.Usage, "%w", err)
+	}
+	sources, missing, err := a.sources(ctx, f.ops)
+	if err != nil {
+		return err
+	}
+	a.progress(fmt.Sprintf("asking %d processes", len(sources)))
+	ctx, cancel := a.bound(ctx)
+	defer cancel()
+	t := timeline.Fetch(ctx, h, sources, f.filter(time.Now()))
+	t.Missing = append(missing, t.Missing...)
+	t.Limit(f.limit)
+	for _, m := range t.Missing {
+		a.warn("not reached: %s %s: %s", output.Clean(m.Process), m.URL, output.Clean(m.Error))
+	}
+	if len(t.Processes) == 0 {
+		return exit.Errorf(exit.Unreachable, "no process answered")
+	}
+	return a.writeTimeline(t, f)
+}
+
+// sources lists the operations pages of all members and those given by hand.
+// Control that can't be asked is listed as missing if there are other pages.
+func (a *app) sources(ctx context.Context, ops []string) ([]timeline.Source, []timeline.Missing, error) {
+	var list []timeline.Source
+	for _, url := range ops {
+		list = append(list, timeline.Source{Process: url, URL: url})
+	}
+	client, err := a.operator()
+	if err != nil && len(list) > 0 && len(a.flags.control) == 0 {
+		return list, nil, nil
+	}
+	if err != nil {
+		return nil, nil, err
+	}
+	ctx, cancel := a.bound(ctx)
+	defer cancel()
+	status, err := client.Status(ctx)
+	if err != nil && len(list) > 0 {
+		missing := timeline.Missing{Process: "control", Error: "the members' pages are unknown: " + err.Error()}
+		return list, []timeline.Missing{missing}, nil
+	}
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, m := range status.Members {
+		list = append(list, timeline.Source{Process: m.Member.GetId(), URL: m.Member.GetOps()})
+	}
+	return list, nil, nil
+}
+
+func (a *app) writeTimeline(t *timeline.Timeline, f timelineFlags) error {
+	switch {
+	case f.format == "html":
+		return t.WriteHTML(a.streams.Out, f.title())
+	case f.format == "json" || a.flags.output == output.JSON:
+		return t.WriteJSON(a.streams.Out)
+	}
+	return output.Write(a.streams.Out, output.Table, t)
+}
--- /dev/null
+++ b/client/internal/cli/version.go
@@ -0,0 +1,52 @@
+package cli
+
+import (
+	"context"
+	"runtime"
+	"runtime/debug"
+
+	"github.com/spf13/cobra"
+
+	"github.com/cicadapulley/cicadapulley/client/internal/output"
+)
+
+// versionView is the build of this binary.
+type versionView struct {
+	Version  string `json:"version"`
+	Revision string `json:"revision"`
+	Go       string `json:"go"`
+	Platform string `json:"platform"`
+}
+
+// Print implements output.Printable.
+func (v *versionView) Print(w *output.Writer) {
+	w.Linef("cicadapulley %s (revision %s, %s, %s)", v.Version, v.Revision, v.Go, v.Platform)
+}
+
+func (a *app) version() *cobra.Command {
+	return &cobra.Command{
+		Use:     "version",
+		Short:   "Print the version of this binary",
+		Example: "  cicadapulley version --output json",
+		Args:    cobra.NoArgs,
+		RunE:    a.run(func(context.Context, []string) error { return a.print(newVersion()) }),
+	}
+}
+
+// newVersion reads what the Go toolchain recorded in the binary.
+func newVersion() *versionView {
+	v := &versionView{Version: "devel", Revision: "unknown", Go: runtime.Version(), Platform: runtime.GOOS + "/" + runtime.GOARCH}
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return v
+	}
+	if info.Main.Version != "" && info.Main.Version != "(devel)" {
+		v.Version = info.Main.Version
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			v.Revision = s.Value
+		}
+	}
+	return v
+}
--- /dev/null
+++ b/client/internal/exit/exit.go
@@ -0,0 +1,84 @@
+// Package exit defines the exit codes of the command line. Scripts rely on
+// the numbers.
+package exit
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/cicadapulley/cicadapulley/core/verdict"
+)
+
+// Code is an exit code.
+type Code int
+
+// Exit codes.
+const (
+	OK Code = 0
+	// Failure is any failure that has no code of its own.
+	Failure Code = 1
+	// Usage is a wrong flag, argument or file.
+	Usage Code = 2
+	// NotRun is a refusal or failure after which nothing has run or will run.
+	NotRun Code = 3
+	// MayHaveRun is a failure after which work may have run.
+	MayHaveRun Code = 4
+	// TicketLost is a ticket that lost to another, by its number or by an object.
+	TicketLost Code = 5
+	// NotInForce is a change that is not in effect everywhere in time.
+	NotInForce Code = 6
+	// Unreachable means that nobody answered. A ticket may still have been
+	// applied; sending it again is safe.
+	Unreachable Code = 7
+)
+
+// Help is the list of codes for the commands' help.
+const Help = `Exit codes:
+  0  ok
+  1  failure
+  2  wrong usage: flag, argument or file
+  3  refused or failed with not_run: nothing ran
+  4  failed with may_have_run: work may have run
+  5  the ticket lost to another (conflict or stale)
+  6  not in force, or not done, in time
+  7  unreachable: no control leader or entry answered`
+
+// Error is a failure with its exit code.
+type Error struct {
+	Code Code
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Errorf returns an Error with a formatted message.
+func Errorf(code Code, format string, args ...any) error {
+	return &Error{Code: code, Err: fmt.Errorf(format, args...)}
+}
+
+// Of returns the code of an error: OK for nil, Failure for one without a code.
+func Of(err error) Code {
+	if err == nil {
+		return OK
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return Failure
+}
+
+// OfVerdict returns the code of a refusal or failure with a verdict.
+func OfVerdict(v verdict.Verdict) Code {
+	switch v {
+	case verdict.NotRun:
+		return NotRun
+	case verdict.Ran:
+		return Failure
+	}
+	return MayHaveRun
+}
--- /dev/null
+++ b/client/internal/operator/group.go
@@ -0,0 +1,87 @@
+package operator
+
+import (
+	"context"
+	"strings"
+
+	"github.com/cicadapulley/cicadapulley/api/rpc"
+	"github.com/cicadapulley/cicadapulley/client/internal/exit"
+)
+
+// invalidChange begins the control VMs' refusal of a change that no waiting
+// makes possible.
+const invalidChange = "invalid group change"
+
+// AddVM adds a control VM: first without a vote, and with one as soon as it
+// has caught up. It returns when the VM is a voter; NotInForce if ctx ends first.
+func (c *Client) AddVM(ctx context.Context, id, address string) error {
+	request := &rpc.ChangeGroupRequest{Id: id, Address: address}
+	return c.changeGroup(ctx, request, func(vm *rpc.ControlVM) bool { return vm.GetVoter() })
+}
+
+// RemoveVM removes a control VM. It returns when the VM is out of the group.
+func (c *Client) RemoveVM(ctx context.Context, id string) error {
+	request := &rpc.ChangeGroupRequest{Id: id, Remove: true}
+	return c.changeGroup(ctx, request, func(vm *rpc.ControlVM) bool { return vm == nil })
+}
+
+// changeGroup asks for a change until the VM is as wanted. The group is read
+// before each request, as an answer may be lost after the change was made.
+func (c *Client) changeGroup(ctx context.Context, q *rpc.ChangeGroupRequest, done func(*rpc.ControlVM) bool) error {
+	last := ""
+	for {
+		status, err := c.Status(ctx)
+		if err != nil {
+			return err
+		}
+		vm := findVM(status, q.Id)
+		if done(vm) {
+			return nil
+		}
+		message, err := c.changeOnce(ctx, q)
+		if err != nil {
+			return err
+		}
+		if step := describeStep(q, vm, message); step != last {
+			c.progress("%s", step)
+			last = step
+		}
+		if !sleep(ctx, pollPause) {
+			return exit.Errorf(exit.NotInForce, "control VM %s: %s", q.Id, last)
+		}
+	}
+}
+
+// changeOnce returns the reason for which the change has to wait, empty if it
+// was taken.
+func (c *Client) changeOnce(ctx context.Context, q *rpc.ChangeGroupRequest) (string, error) {
+	resp, err := c.Control.ChangeGroup(ctx, q)
+	if err != nil {
+		return "", failure("change group", err)
+	}
+	if strings.HasPrefix(resp.Message, invalidChange) {
+		return "", exit.Errorf(exit.Failure, "change group: %s", resp.Message)
+	}
+	return resp.Message, nil
+}
+
+func findVM(s *rpc.StatusResponse, id string) *rpc.ControlVM {
+	for _, vm := range s.Group {
+		if vm.Id == id {
+			return vm
+		}
+	}
+	return nil
+}
+
+func describeStep(q *rpc.ChangeGroupRequest, vm *rpc.ControlVM, message string) string {
+	switch {
+	case message != "":
+		return message
+	case q.Remove:
+		return "removal is proposed"
+	case vm == nil:
+		return "added without a vote; waiting until it has caught up"
+	}
+	return "promotion to a voter is proposed"
+}
--- /dev/null
+++ b/client/internal/operator/operator.go
@@ -0,0 +1,98 @@
+// Package operator does the operators' work at the control VMs: status,
+// tickets, drain marks and the group. It prints nothing; failures carry their
+// exit code.
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/cicadapulley/cicadapulley/api/codec"
+	"github.com/cicadapulley/cicadapulley/api/rpc"
+	"github.com/cicadapulley/cicadapulley/client/internal/exit"
+	"github.com/cicadapulley/cicadapulley/core/state"
+)
+
+// pollPause is the wait before something is asked again that takes a control
+// VM some time, such as catching up.
+const pollPause = 200 * time.Millisecond
+
+// Client does operators' work. Progress, if set, gets a line when a step of
+// long work begins.
+type Client struct {
+	// Control is the leader, as controlclient.Client finds it.
+	Control  rpc.Operator
+	Progress func(line string)
+}
+
+func (c *Client) progress(format string, args ...any) {
+	if c.Progress != nil {
+		c.Progress(fmt.Sprintf(format, args...))
+	}
+}
+
+// failure gives an error of a call its exit code.
+func failure(what string, err error) error {
+	var t twirp.Error
+	if !errors.As(err, &t) {
+		return exit.Errorf(exit.Unreachable, "%s: %w", what, err)
+	}
+	switch t.Code() {
+	case twirp.InvalidArgument:
+		return exit.Errorf(exit.Usage, "%s: %s", what, t.Msg())
+	case twirp.PermissionDenied, twirp.Unauthenticated:
+		return exit.Errorf(exit.Failure, "%s: the certificate's role does not allow it: %w", what, err)
+	}
+	return exit.Errorf(exit.Unreachable, "%s: %w", what, err)
+}
+
+// Status returns the state of the group and its members.
+func (c *Client) Status(ctx context.Context) (*rpc.StatusResponse, error) {
+	resp, err := c.Control.Status(ctx, &rpc.StatusRequest{})
+	if err != nil {
+		return nil, failure("read status", err)
+	}
+	return resp, nil
+}
+
+// Config is the configuration in force.
+type Config struct {
+	state.Config
+	Revision uint64
+	// Highest is the highest ticket number, zero before the first.
+	Highest uint64
+}
+
+// Config returns the configuration in force.
+func (c *Client) Config(ctx context.Context) (Config, error) {
+	resp, err := c.Control.GetConfig(ctx, &rpc.GetConfigRequest{})
+	if err != nil {
+		return Config{}, failure("read configuration", err)
+	}
+	return Config{Config: codec.ConfigFromRPC(resp), Revision: resp.Revision, Highest: resp.HighestTicket}, nil
+}
+
+// Jobs lists the job records, without payloads of answers.
+func (c *Client) Jobs(ctx context.Context) ([]*rpc.JobRecord, error) {
+	resp, err := c.Control.ListJobs(ctx, &rpc.ListJobsRequest{})
+	if err != nil {
+		return nil, failure("list jobs", err)
+	}
+	return resp.Jobs, nil
+}
+
+// sleep waits; it reports whether ctx still runs.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/client/internal/timeline/fetch.go
@@ -0,0 +1,127 @@
+package timeline
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+)
+
+// maxBody bounds one process's answer in bytes. A process keeps 16384 events
+// of a few hundred bytes.
+const maxBody = 64 << 20
+
+// Source is the operations page of one process.
+type Source struct {
+	// Process names it where it can't be reached.
+	Process string
+	// URL is the base URL, empty if the process has no page.
+	URL string
+}
+
+// Filter selects events. Zero fields select everything.
+type Filter struct {
+	Job, Caller string
+	Ticket      uint64
+	Since       Clock
+}
+
+func (f Filter) query() url.Values {
+	q := url.Values{}
+	set := func(name, value string) {
+		if value != "" && value != "0" {
+			q.Set(name, value)
+		}
+	}
+	set("ticket", strconv.FormatUint(f.Ticket, 10))
+	set("since", strconv.FormatUint(uint64(f.Since), 10))
+	if f.Job != "" {
+		q.Set("job", f.Job)
+		q.Set("caller", f.Caller)
+	}
+	return q
+}
+
+// answer is what one process said.
+type answer struct {
+	source Source
+	events []Event
+	err    error
+}
+
+// name returns the process's own name where its events give it, as a URL that
+// was given by hand has none.
+func (a answer) name() string {
+	if len(a.events) > 0 {
+		return a.events[0].Process
+	}
+	return a.source.Process
+}
+
+// Fetch asks all processes at once, each in a goroutine, and merges what they
+// answer before ctx ends. Processes that don't answer are listed in Missing.
+func Fetch(ctx context.Context, h *http.Client, sources []Source, f Filter) *Timeline {
+	answers := make([]answer, len(sources))
+	var wg sync.WaitGroup
+	for i, s := range sources {
+		wg.Go(func() {
+			events, err := fetch(ctx, h, s, f)
+			answers[i] = answer{source: s, events: events, err: err}
+		})
+	}
+	wg.Wait()
+	return collect(answers)
+}
+
+func collect(answers []answer) *Timeline {
+	t := &Timeline{Processes: []string{}, Missing: []Missing{}, Events: []Event{}}
+	for _, a := range answers {
+		if a.err != nil {
+			t.Missing = append(t.Missing, Missing{Process: a.source.Process, URL: a.source.URL, Error: a.err.Error()})
+			continue
+		}
+		t.Processes = append(t.Processes, a.name())
+		t.Events = append(t.Events, a.events...)
+	}
+	slices.Sort(t.Processes)
+	t.Processes = slices.Compact(t.Processes)
+	t.Events = Merge(t.Events)
+	slices.SortFunc(t.Missing, func(a, b Missing) int { return cmp.Compare(a.Process, b.Process) })
+	return t
+}
+
+// fetch reads one process's events.
+func fetch(ctx context.Context, h *http.Client, s Source, f Filter) ([]Event, error) {
+	if s.URL == "" {
+		return nil, fmt.Errorf("it has no operations page")
+	}
+	target := strings.TrimSuffix(s.URL, "/") + "/v1/events?" + f.query().Encode()
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := h.Do(q)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }() // everything is read by then
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	if err != nil {
+		return nil, fmt.Errorf("read events: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("answered %s", resp.Status)
+	}
+	var events []Event
+	if err := json.Unmarshal(data, &events); err != nil {
+		return nil, fmt.Errorf("decode events: %w", err)
+	}
+	return events, nil
+}
--- /dev/null
+++ b/client/internal/timeline/timeline.go
@@ -0,0 +1,86 @@
+// Package timeline merges the events of many processes into one order by
+// their hybrid logical clocks, and writes it as text, JSON or a page.
+package timeline
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// counterBits is the width of a clock's counter below its Unix milliseconds.
+const counterBits = 16
+
+// Clock is a hybrid logical clock: 48 bits of Unix milliseconds above 16 bits
+// of counter. An event that caused another has the lower clock.
+type Clock uint64
+
+// ClockAt returns the lowest clock of a time.
+func ClockAt(t time.Time) Clock { return Clock(uint64(max(0, t.UnixMilli())) << counterBits) }
+
+// Time returns the clock's time, in whole milliseconds.
+func (c Clock) Time() time.Time { return time.UnixMilli(int64(c >> counterBits)) }
+
+// Counter orders the events of one millisecond.
+func (c Clock) Counter() uint16 { return uint16(c) }
+
+// Event is one event, as a process's /v1/events answers it.
+type Event struct {
+	Process string `json:"process"`
+	Clock   Clock  `json:"clock"`
+	ID      uint16 `json:"event"`
+	Name    string `json:"name"`
+	Caller  string `json:"caller,omitempty"`
+	Job     string `json:"job,omitempty"`
+	// Task is the task's index plus one.
+	Task   int    `json:"task,omitempty"`
+	Ticket uint64 `json:"ticket,omitempty"`
+	Peer   string `json:"peer,omitempty"`
+	Text   string `json:"text,omitempty"`
+	Error  string `json:"error,omitempty"`
+}
+
+// Missing is a process whose events could not be read.
+type Missing struct {
+	Process string `json:"process"`
+	URL     string `json:"url,omitempty"`
+	Error   string `json:"error"`
+}
+
+// Timeline is the merged events of all processes that answered.
+type Timeline struct {
+	// Processes are those that answered, in order of their names.
+	Processes []string  `json:"processes"`
+	Missing   []Missing `json:"missing"`
+	Events    []Event   `json:"events"`
+	// Omitted is the number of older events that a limit left out.
+	Omitted int `json:"omitted"`
+}
+
+// Merge orders the events of all processes by clock, then by process. The
+// events of one process keep their order, as its clock only rises. An event that
+// was read twice, through two URLs of one process, is kept once.
+func Merge(events []Event) []Event {
+	merged := slices.Clone(events)
+	slices.SortStableFunc(merged, func(a, b Event) int {
+		return cmp.Or(cmp.Compare(a.Clock, b.Clock), cmp.Compare(a.Process, b.Process))
+	})
+	return slices.Compact(merged)
+}
+
+// Limit keeps the newest n events; zero keeps all.
+func (t *Timeline) Limit(n int) {
+	if n <= 0 || len(t.Events) <= n {
+		return
+	}
+	t.Omitted = len(t.Events) - n
+	t.Events = t.Events[t.Omitted:]
+}
+
+// Start returns the time of the first event, zero if there is none.
+func (t *Timeline) Start() time.Time {
+	if len(t.Events) == 0 {
+		return time.Time{}
+	}
+	return t.Events[0].Clock.Time()
+}
