--- a/client/internal/cli/endpoints.go
+++ b/client/internal/cli/endpoints.go
@@ -1,8 +1,10 @@
 package cli
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/spf13/cobra"
@@ -70,6 +72,7 @@
 			view.Endpoints = append(view.Endpoints, newEndpoint(m, config))
 		}
 	}
+	slices.SortFunc(view.Endpoints, func(a, b endpointView) int { return cmp.Compare(a.ID, b.ID) })
 	return view, nil
 }
 
--- a/client/internal/cli/job.go
+++ b/client/internal/cli/job.go
@@ -54,7 +54,7 @@
 		return err
 	}
 	var s submission
-	if err := strictjson.Decode(file, data, &s); err != nil {
+	if err := strictjson.Decode(displayName(file), data, &s); err != nil {
 		return exit.Errorf(exit.Usage, "%w", err)
 	}
 	client, err := a.entry()
@@ -90,6 +90,14 @@
 	return data, nil
 }
 
+// displayName names a file in faults.
+func displayName(file string) string {
+	if file == "-" {
+		return "standard input"
+	}
+	return file
+}
+
 // answer prints a job and turns a failed end into an exit code.
 func (a *app) answer(answer *callers.Answer) error {
 	if err := a.print((*answerView)(answer)); err != nil {
--- a/client/internal/cli/root.go
+++ b/client/internal/cli/root.go
@@ -54,7 +54,6 @@
 		Long:          "cicadapulley shows and changes the state of a dispatcher and submits work to it.\n\n" + exit.Help,
 		SilenceErrors: true,
 		SilenceUsage:  true,
-		Args:          cobra.NoArgs,
 	}
 	root.SetIn(a.streams.In)
 	root.SetOut(a.streams.Out)
--- a/client/internal/cli/status.go
+++ b/client/internal/cli/status.go
@@ -1,8 +1,10 @@
 package cli
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -108,6 +110,9 @@
 	for _, m := range s.Members {
 		v.Members = append(v.Members, newMember(m, tickets))
 	}
+	slices.SortFunc(v.Members, func(a, b memberView) int {
+		return cmp.Or(cmp.Compare(b.Role, a.Role), cmp.Compare(a.ID, b.ID))
+	})
 	return v
 }
 
--- a/client/internal/cli/ticket.go
+++ b/client/internal/cli/ticket.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return state.Ticket{}, err
 	}
-	t, err := ticketfile.Parse(file, data)
+	t, err := ticketfile.Parse(displayName(file), data)
 	if err != nil {
 		return state.Ticket{}, exit.Errorf(exit.Usage, "%w", err)
 	}
--- a/client/internal/cli/timeline.go
+++ b/client/internal/cli/timeline.go
@@ -103,10 +103,10 @@
 	ctx, cancel := a.bound(ctx)
 	defer cancel()
 	t := timeline.Fetch(ctx, h, sources, f.filter(time.Now()))
-	t.Missing = append(missing, t.Missing...)
+	t.Missing = append(t.Missing, missing...)
 	t.Limit(f.limit)
 	for _, m := range t.Missing {
-		a.warn("not reached: %s %s: %s", output.Clean(m.Process), m.URL, output.Clean(m.Error))
+		a.warn("not reached: %s: %s", output.Clean(m.Process), output.Clean(m.Error))
 	}
 	if len(t.Processes) == 0 {
 		return exit.Errorf(exit.Unreachable, "no process answered")
--- a/client/internal/timeline/text.go
+++ b/client/internal/timeline/text.go
@@ -20,7 +20,8 @@
 	return enc.Encode(t)
 }
 
-// Print implements output.Printable: one line an event.
+// Print implements output.Printable: one line an event. Missing processes are
+// for the caller to report, as its reader may see only the standard error.
 func (t *Timeline) Print(w *output.Writer) {
 	if len(t.Events) > 0 {
 		w.Linef("first event at %s", t.Start().UTC().Format(time.RFC3339Nano))
@@ -33,9 +34,6 @@
 	if t.Omitted > 0 {
 		w.Linef("%d older events are left out (--limit)", t.Omitted)
 	}
-	for _, m := range t.Missing {
-		w.Linef("not reached: %s %s: %s", output.Clean(m.Process), m.URL, output.Clean(m.Error))
-	}
 }
 
 // offset returns the milliseconds since the first event.
--- a/client/internal/timeline/timeline.go
+++ b/client/internal/timeline/timeline.go
@@ -28,10 +28,13 @@
 type Event struct {
 	Process string `json:"process"`
 	Clock   Clock  `json:"clock"`
-	ID      uint16 `json:"event"`
-	Name    string `json:"name"`
-	Caller  string `json:"caller,omitempty"`
-	Job     string `json:"job,omitempty"`
+	// Time is the clock's time, as readers of JSON with floating-point numbers
+	// lose the clock's last bits.
+	Time   time.Time `json:"time"`
+	ID     uint16    `json:"event"`
+	Name   string    `json:"name"`
+	Caller string    `json:"caller,omitempty"`
+	Job    string    `json:"job,omitempty"`
 	// Task is the task's index plus one.
 	Task   int    `json:"task,omitempty"`
 	Ticket uint64 `json:"ticket,omitempty"`
@@ -65,6 +68,9 @@
 	slices.SortStableFunc(merged, func(a, b Event) int {
 		return cmp.Or(cmp.Compare(a.Clock, b.Clock), cmp.Compare(a.Process, b.Process))
 	})
+	for i := range merged {
+		merged[i].Time = merged[i].Clock.Time().UTC()
+	}
 	return slices.Compact(merged)
 }
 
