client: tests of the commands against stand-ins; fixes that they led to

Cause: a request that was cut off before a connection was made counted as sent, and group add asked once more after its time was over. Change: connections are traced, so that only a request that got one may have run.

--- a/client/internal/cli/flags.go
+++ b/client/internal/cli/flags.go
@@ -75,6 +75,9 @@
 
 // operator returns a client of the control VMs.
 func (a *app) operator() (*operator.Client, error) {
+	if a.control != nil {
+		return &operator.Client{Control: a.control, Progress: a.progress}, nil
+	}
 	if len(a.flags.control) == 0 {
 		return nil, exit.Errorf(exit.Usage, "--control or CICADAPULLEY_CONTROL is required")
 	}
--- a/client/internal/cli/root.go
+++ b/client/internal/cli/root.go
@@ -10,6 +10,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/cicadapulley/cicadapulley/api/rpc"
 	"github.com/cicadapulley/cicadapulley/client/internal/exit"
 	"github.com/cicadapulley/cicadapulley/client/internal/output"
 )
@@ -26,18 +27,23 @@
 type app struct {
 	streams Streams
 	flags   flags
+	// control replaces the control VMs in tests.
+	control rpc.Operator
 }
 
 // Run runs one command and returns its exit code. env reads the environment.
 func Run(ctx context.Context, args []string, env func(string) string, s Streams) exit.Code {
-	a := &app{streams: s}
+	return (&app{streams: s}).execute(ctx, args, env)
+}
+
+func (a *app) execute(ctx context.Context, args []string, env func(string) string) exit.Code {
 	root := a.root(env)
 	root.SetArgs(args)
 	err := root.ExecuteContext(ctx)
 	if err == nil {
 		return exit.OK
 	}
-	_, _ = fmt.Fprintln(s.Err, "cicadapulley:", err) // nowhere else to report it
+	_, _ = fmt.Fprintln(a.streams.Err, "cicadapulley:", err) // nowhere else to report it
 	var coded *exit.Error
 	if !errors.As(err, &coded) {
 		// Commands give their failures a code, so this one is cobra's, about
--- a/client/internal/entryclient/entryclient.go
+++ b/client/internal/entryclient/entryclient.go
@@ -9,11 +9,12 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cicadapulley/cicadapulley/api/callers"
@@ -138,9 +139,11 @@
 }
 
 func (c *Client) send(q *http.Request) ([]byte, error) {
-	resp, err := c.HTTP.Do(q)
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	resp, err := c.HTTP.Do(q.WithContext(httptrace.WithClientTrace(q.Context(), trace)))
 	if err != nil {
-		return nil, &Lost{Err: err, Sent: !dialFailed(err)}
+		return nil, &Lost{Err: err, Sent: sent.Load()}
 	}
 	defer func() { _ = resp.Body.Close() }() // everything is read by then
 	data, err := io.ReadAll(resp.Body)
@@ -153,11 +156,6 @@
 	return nil, refusal(resp, data)
 }
 
-func dialFailed(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
 // refusal decodes a refusal. An answer without a known verdict did not come
 // from an entry's front and proves nothing.
 func refusal(resp *http.Response, data []byte) error {
--- a/client/internal/operator/group.go
+++ b/client/internal/operator/group.go
@@ -29,27 +29,39 @@
 // before each request, as an answer may be lost after the change was made.
 func (c *Client) changeGroup(ctx context.Context, q *rpc.ChangeGroupRequest, done func(*rpc.ControlVM) bool) error {
 	last := ""
-	for {
-		status, err := c.Status(ctx)
-		if err != nil {
+	for ctx.Err() == nil || last == "" {
+		step, err := c.changeStep(ctx, q, done)
+		if err != nil && (ctx.Err() == nil || last == "") {
 			return err
 		}
-		vm := findVM(status, q.Id)
-		if done(vm) {
+		if err == nil && step == "" {
 			return nil
 		}
-		message, err := c.changeOnce(ctx, q)
-		if err != nil {
-			return err
-		}
-		if step := describeStep(q, vm, message); step != last {
+		if err == nil && step != last {
 			c.progress("%s", step)
 			last = step
 		}
-		if !sleep(ctx, pollPause) {
-			return exit.Errorf(exit.NotInForce, "control VM %s: %s", q.Id, last)
-		}
+		sleep(ctx, pollPause)
+	}
+	return exit.Errorf(exit.NotInForce, "control VM %s: %s", q.Id, last)
+}
+
+// changeStep looks at the group and asks for the change if it is not done. It
+// returns what is waited for, empty if the VM is as wanted.
+func (c *Client) changeStep(ctx context.Context, q *rpc.ChangeGroupRequest, done func(*rpc.ControlVM) bool) (string, error) {
+	status, err := c.Status(ctx)
+	if err != nil {
+		return "", err
+	}
+	vm := findVM(status, q.Id)
+	if done(vm) {
+		return "", nil
+	}
+	message, err := c.changeOnce(ctx, q)
+	if err != nil {
+		return "", err
 	}
+	return describeStep(q, vm, message), nil
 }
 
 // changeOnce returns the reason for which the change has to wait, empty if it
--- a/client/internal/operator/operator.go
+++ b/client/internal/operator/operator.go
@@ -85,14 +85,12 @@
 	return resp.Jobs, nil
 }
 
-// sleep waits; it reports whether ctx still runs.
-func sleep(ctx context.Context, d time.Duration) bool {
+// sleep waits for a time or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-		return false
 	case <-timer.C:
-		return true
 	}
 }
--- a/client/internal/operator/ticket.go
+++ b/client/internal/operator/ticket.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/cicadapulley/cicadapulley/api/codec"
@@ -86,36 +88,40 @@
 // Wait returns once every active process has a revision in force. When ctx
 // ends first, it returns the processes that are behind and the code NotInForce.
 func (c *Client) Wait(ctx context.Context, revision uint64) ([]string, error) {
-	var behind []string
-	asked := false
 	for {
-		slice := waitSlice
+		hold := waitSlice
 		if deadline, ok := ctx.Deadline(); ok {
-			slice = min(slice, time.Until(deadline))
+			hold = min(hold, time.Until(deadline))
 		}
-		if slice <= 0 && asked {
-			return behind, exit.Errorf(exit.NotInForce, "revision %d is not in force everywhere in time", revision)
-		}
-		resp, err := c.waitOnce(ctx, revision, max(slice, 0))
+		resp, err := c.waitOnce(ctx, revision, hold)
 		if err != nil {
 			return nil, err
 		}
-		asked = true
 		if resp.InForce {
 			return nil, nil
 		}
-		behind = resp.Behind
-		c.progress("waiting for %v", behind)
+		if ctx.Err() != nil {
+			return resp.Behind, exit.Errorf(exit.NotInForce, "revision %d is not in force everywhere in time", revision)
+		}
+		c.progress("waiting for %s", strings.Join(resp.Behind, ", "))
+		// A leader that stops answers at once; this pause bounds the calls then.
+		sleep(ctx, pollPause)
 	}
 }
 
 // waitOnce holds one call for a time. The answer to a call that is held until
-// ctx ends would be lost, so the call gets some time beyond it.
+// ctx ends would be lost, so the call gets some time beyond it. Cancelling ctx
+// earlier, as an interrupt does, still ends the call.
 func (c *Client) waitOnce(ctx context.Context, revision uint64, hold time.Duration) (*rpc.WaitTicketResponse, error) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), hold+answerMargin)
+	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(hold, 0)+answerMargin)
 	defer cancel()
+	defer context.AfterFunc(ctx, func() {
+		if errors.Is(ctx.Err(), context.Canceled) {
+			cancel()
+		}
+	})()
 	request := &rpc.WaitTicketRequest{Revision: revision, MaxWaitMs: max(1, hold.Milliseconds())}
-	resp, err := c.Control.WaitTicket(ctx, request)
+	resp, err := c.Control.WaitTicket(call, request)
 	if err != nil {
 		return nil, failure(fmt.Sprintf("wait for revision %d", revision), err)
 	}
--- a/client/internal/timeline/timeline_test.go
+++ b/client/internal/timeline/timeline_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -66,11 +67,11 @@
 	})
 }
 
-func serve(t *testing.T, status int, events ...Event) (string, *http.Request) {
+func serve(t *testing.T, status int, events ...Event) (string, *atomic.Value) {
 	t.Helper()
-	seen := &http.Request{}
+	seen := &atomic.Value{}
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		*seen = *r
+		seen.Store(r.URL.RequestURI())
 		w.WriteHeader(status)
 		_ = json.NewEncoder(w).Encode(events)
 	}))
@@ -89,7 +90,7 @@
 	sources := []Source{{"a", a}, {"a", a + "/"}, {b, b}, {"broken", broken}, {"closed", closed.URL}, {"pageless", ""}}
 	got := Fetch(t.Context(), http.DefaultClient, sources, Filter{Job: "j", Caller: "c", Ticket: 2, Since: 1})
 
-	assert.Equal(t, seen.URL.RequestURI(), "/v1/events?caller=c&job=j&since=1&ticket=2")
+	assert.Equal(t, seen.Load(), any("/v1/events?caller=c&job=j&since=1&ticket=2"))
 	assert.DeepEqual(t, got.Processes, []string{"a", "b"})
 	assert.DeepEqual(t, processesOf(got.Events), []string{"a", "b", "a"})
 	assert.Equal(t, len(got.Missing), 3)
