core/raft: never promote a learner that has not answered

A control VM added under a wrong address became a voter within the first election timeout. Change: promotion needs a synced entry that the learner has acknowledged. Conclusion: the group keeps its spare when an address is mistyped.

--- a/core/raft/change.go
+++ b/core/raft/change.go
@@ -141,7 +141,7 @@
 
 func (n *Node) caughtUp(id ServerID) bool {
 	p := n.lead.peers[id]
-	return p != nil && n.isHeard(id) && p.match+promotionDistance >= n.log.last()
+	return p != nil && p.match > 0 && n.isHeard(id) && p.match+promotionDistance >= n.log.last()
 }
 
 // updatePeers follows a change of the leader's group.
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -1,10 +1,13 @@
 package raft_test
 
 import (
+	"errors"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/cicadapulley/cicadapulley/core/raft"
 )
 
 // settle waits for a leader that serves reads.
@@ -56,3 +59,23 @@
 		assert.Equal(t, other.node.Leader(), leader.id, "seed %d", seed)
 	}
 }
+
+// A server that never answered, as one added under a wrong address, must not
+// become a voter, however short the log is: the group would lose a spare.
+func TestSilentLearnerIsNotPromoted(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	leader := c.settle()
+	silent := c.add(raft.Group{})
+	c.isolate(silent, true)
+	change := raft.GroupChange{Type: raft.AddLearner, Server: raft.Server{ID: silent.id}}
+	_, err := leader.node.ProposeGroup(c.clock(leader), change)
+	assert.NilError(t, err)
+	c.pump(leader)
+	change.Type = raft.Promote
+	for range 50 {
+		c.run(time.Millisecond, nil)
+		_, err = leader.node.ProposeGroup(c.clock(leader), change)
+		assert.Assert(t, errors.Is(err, raft.ErrNotCaughtUp) || errors.Is(err, raft.ErrChangePending), "%v", err)
+	}
+	assert.ErrorIs(t, err, raft.ErrNotCaughtUp)
+}
