core/raft: send a new learner the log at once

Cause: the leader assumed that a new server had the entry that adds it, so it sent nothing until the next proposal. In a quiet group a learner stayed empty; promotion of unheard learners hid this until it was refused. Change: the group change itself is the first entry that a new server is sent.

client: group add and remove refuse a changed address and the leader's removal with a reason; a ticket without an answer says that it may be applied.

--- a/client/internal/cli/control_test.go
+++ b/client/internal/cli/control_test.go
@@ -118,6 +118,10 @@
 		got.json(t, &view)
 		assert.DeepEqual(t, view.Control[1], controlView{ID: "c2", Address: "10.0.0.2:7000", Voter: true, MatchIndex: 1})
 
+		moved := c.run("group", "add", "c2", "10.0.0.9:7000")
+		assert.Equal(t, moved.code, exit.Failure)
+		assert.Check(t, cmp.Contains(moved.err, "with the address 10.0.0.2:7000"))
+		assert.Check(t, cmp.Contains(c.run("group", "remove", "c1").err, "stop it first"))
 		for range 2 {
 			assert.Equal(t, c.run("group", "remove", "c2").code, exit.OK)
 		}
--- a/client/internal/operator/group.go
+++ b/client/internal/operator/group.go
@@ -16,7 +16,7 @@
 // has caught up. It returns when the VM is a voter; NotInForce if ctx ends first.
 func (c *Client) AddVM(ctx context.Context, id, address string) error {
 	request := &rpc.ChangeGroupRequest{Id: id, Address: address}
-	return c.changeGroup(ctx, request, func(vm *rpc.ControlVM) bool { return vm.GetVoter() })
+	return c.changeGroup(ctx, request, func(vm *rpc.ControlVM) bool { return vm.GetVoter() && vm.Address == address })
 }
 
 // RemoveVM removes a control VM. It returns when the VM is out of the group.
@@ -57,6 +57,9 @@
 	if done(vm) {
 		return "", nil
 	}
+	if err := checkChange(q, vm); err != nil {
+		return "", err
+	}
 	message, err := c.changeOnce(ctx, q)
 	if err != nil {
 		return "", err
@@ -64,6 +67,18 @@
 	return describeStep(q, vm, message), nil
 }
 
+// checkChange refuses, with a reason for people, what control would refuse or
+// misunderstand.
+func checkChange(q *rpc.ChangeGroupRequest, vm *rpc.ControlVM) error {
+	if q.Remove && vm.GetLeader() {
+		return exit.Errorf(exit.Failure, "control VM %s leads; stop it first, so that another leads", q.Id)
+	}
+	if !q.Remove && vm != nil && vm.Address != q.Address {
+		return exit.Errorf(exit.Failure, "control VM %s is in the group with the address %s; remove it first", q.Id, vm.Address)
+	}
+	return nil
+}
+
 // changeOnce returns the reason for which the change has to wait, empty if it
 // was taken.
 func (c *Client) changeOnce(ctx context.Context, q *rpc.ChangeGroupRequest) (string, error) {
--- a/client/internal/operator/ticket.go
+++ b/client/internal/operator/ticket.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cicadapulley/cicadapulley/api/codec"
+	"github.com/cicadapulley/cicadapulley/api/controlclient"
 	"github.com/cicadapulley/cicadapulley/api/rpc"
 	"github.com/cicadapulley/cicadapulley/client/internal/exit"
 	"github.com/cicadapulley/cicadapulley/core/state"
@@ -36,7 +37,7 @@
 func (c *Client) Apply(ctx context.Context, t state.Ticket) (Applied, error) {
 	resp, err := c.Control.ApplyTicket(ctx, &rpc.ApplyTicketRequest{Ticket: codec.TicketToRPC(t)})
 	if err != nil {
-		return Applied{}, failure(fmt.Sprintf("apply ticket %d", t.Number), err)
+		return Applied{}, ticketFailure(t.Number, err)
 	}
 	switch state.TicketStatus(resp.Status) {
 	case state.TicketApplied:
@@ -53,6 +54,16 @@
 	return Applied{}, exit.Errorf(exit.Failure, "ticket %d: unknown status %d", t.Number, resp.Status)
 }
 
+// ticketFailure says whether control may have taken the ticket.
+func ticketFailure(number uint64, err error) error {
+	coded := failure(fmt.Sprintf("apply ticket %d", number), err)
+	var lost *controlclient.ErrNoLeader
+	if errors.As(err, &lost) && lost.MaybeApplied {
+		return exit.Errorf(exit.Of(coded), "%w; it may have been applied, and sending it again is safe", coded)
+	}
+	return coded
+}
+
 func author(name string) string {
 	if name == "" {
 		return "an unnamed author"
--- a/core/raft/change.go
+++ b/core/raft/change.go
@@ -144,12 +144,13 @@
 	return p != nil && p.match > 0 && n.isHeard(id) && p.match+promotionDistance >= n.log.last()
 }
 
-// updatePeers follows a change of the leader's group.
+// updatePeers follows a change of the leader's group. A new server is sent the
+// change itself, so that its rejection shows at once what it lacks.
 func (n *Node) updatePeers() {
 	group := n.group()
 	for _, s := range group.Servers {
 		if s.ID != n.id && n.lead.peers[s.ID] == nil {
-			n.lead.peers[s.ID] = newPeer(n.log.last()+1, n.now)
+			n.lead.peers[s.ID] = newPeer(n.log.last(), n.now)
 		}
 	}
 	for id := range n.lead.peers {
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -79,3 +80,15 @@
 	}
 	assert.ErrorIs(t, err, raft.ErrNotCaughtUp)
 }
+
+// A learner must get the log without waiting for the next proposal, which in a
+// quiet group may never come.
+func TestLearnerGetsTheLogOfAQuietGroup(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	leader := c.settle()
+	change := raft.GroupChange{Type: raft.AddLearner, Server: raft.Server{ID: "learner"}}
+	_, err := leader.node.ProposeGroup(c.clock(leader), change)
+	assert.NilError(t, err)
+	sent := func(m raft.Message) bool { return m.To == "learner" && m.Type == raft.MsgAppend }
+	assert.Assert(t, slices.ContainsFunc(leader.node.Ready().Messages, sent))
+}
