--- /dev/null
+++ b/client/internal/operator/group.go
@@ -0,0 +1,114 @@
+package operator
+
+import (
+	"context"
+	"strings"
+
+	"github.com/cicadapulley/cicadapulley/api/rpc"
+	"github.com/cicadapulley/cicadapulley/client/internal/exit"
+)
+
+// invalidChange begins the control VMs' refusal of a change that no waiting
+// makes possible.
+const invalidChange = "invalid group change"
+
+// AddVM adds a control VM: first without a vote, and with one as soon as it
+// has caught up. It returns when the VM is a voter; NotInForce if ctx ends first.
+func (c *Client) AddVM(ctx context.Context, id, address string) error {
+	request := &rpc.ChangeGroupRequest{Id: id, Address: address}
+	return c.changeGroup(ctx, request, func(vm *rpc.ControlVM) bool { return vm.GetVoter() && vm.Address == address })
+}
+
+// RemoveVM removes a control VM. It returns when the VM is out of the group.
+func (c *Client) RemoveVM(ctx context.Context, id string) error {
+	request := &rpc.ChangeGroupRequest{Id: id, Remove: true}
+	return c.changeGroup(ctx, request, func(vm *rpc.ControlVM) bool { return vm == nil })
+}
+
+// changeGroup asks for a change until the VM is as wanted. The group is read
+// before each request, as an answer may be lost after the change was made.
+func (c *Client) changeGroup(ctx context.Context, q *rpc.ChangeGroupRequest, done func(*rpc.ControlVM) bool) error {
+	last := ""
+	for ctx.Err() == nil || last == "" {
+		step, err := c.changeStep(ctx, q, done)
+		if err != nil && (ctx.Err() == nil || last == "") {
+			return err
+		}
+		if err == nil && step == "" {
+			return nil
+		}
+		if err == nil && step != last {
+			c.progress("%s", step)
+			last = step
+		}
+		sleep(ctx, pollPause)
+	}
+	return exit.Errorf(exit.NotInForce, "control VM %s: %s", q.Id, last)
+}
+
+// changeStep looks at the group and asks for the change if it is not done. It
+// returns what is waited for, empty if the VM is as wanted.
+func (c *Client) changeStep(ctx context.Context, q *rpc.ChangeGroupRequest, done func(*rpc.ControlVM) bool) (string, error) {
+	status, err := c.Status(ctx)
+	if err != nil {
+		return "", err
+	}
+	vm := findVM(status, q.Id)
+	if done(vm) {
+		return "", nil
+	}
+	if err := checkChange(q, vm); err != nil {
+		return "", err
+	}
+	message, err := c.changeOnce(ctx, q)
+	if err != nil {
+		return "", err
+	}
+	return describeStep(q, vm, message), nil
+}
+
+// checkChange refuses, with a reason for people, what control would refuse or
+// misunderstand.
+func checkChange(q *rpc.ChangeGroupRequest, vm *rpc.ControlVM) error {
+	if q.Remove && vm.GetLeader() {
+		return exit.Errorf(exit.Failure, "control VM %s leads; stop it first, so that another leads", q.Id)
+	}
+	if !q.Remove && vm != nil && vm.Address != q.Address {
+		return exit.Errorf(exit.Failure, "control VM %s is in the group with the address %s; remove it first", q.Id, vm.Address)
+	}
+	return nil
+}
+
+// changeOnce returns the reason for which the change has to wait, empty if it
+// was taken.
+func (c *Client) changeOnce(ctx context.Context, q *rpc.ChangeGroupRequest) (string, error) {
+	resp, err := c.Control.ChangeGroup(ctx, q)
+	if err != nil {
+		return "", failure("change group", err)
+	}
+	if strings.HasPrefix(resp.Message, invalidChange) {
+		return "", exit.Errorf(exit.Failure, "change group: %s", resp.Message)
+	}
+	return resp.Message, nil
+}
+
+func findVM(s *rpc.StatusResponse, id string) *rpc.ControlVM {
+	for _, vm := range s.Group {
+		if vm.Id == id {
+			return vm
+		}
+	}
+	return nil
+}
+
+func describeStep(q *rpc.ChangeGroupRequest, vm *rpc.ControlVM, message string) string {
+	switch {
+	case message != "":
+		return message
+	case q.Remove:
+		return "removal is proposed"
+	case vm == nil:
+		return "added without a vote; waiting until it has caught up"
+	}
+	return "promotion to a voter is proposed"
+}
