daemon: count requests between processes, unchanged watches and late cancels

Cause: wasted messages and messages a task could not be read from a process. Change: each process counts the requests it receives by method; a watch that ends without news and a cancel that finds no task in progress are events.

--- a/daemon/agent/executor.go
+++ b/daemon/agent/executor.go
@@ -146,11 +146,16 @@
 	defer x.mu.Unlock()
 	x.log.Emit(events.Event{ID: events.JobCancelSeen, Job: k})
 	x.table.Cancel(k, epoch, now, now.Add(timeout+keepAfterDeadline))
+	found := false
 	for task, abort := range x.aborts {
 		if task.Job == k {
 			abort()
+			found = true
 		}
 	}
+	if !found {
+		x.log.Emit(events.Event{ID: events.JobCancelLate, Job: k})
+	}
 }
 
 // drain refuses new tasks from now on.
--- a/daemon/control/api.go
+++ b/daemon/control/api.go
@@ -173,6 +173,9 @@
 			return &rpc.WatchResponse{NotLeader: redirect}, err
 		}
 		if view.Revision > q.After || ctx.Err() != nil || a.stopping.Err() != nil {
+			if view.Revision <= q.After {
+				a.log.Emit(events.Event{ID: events.WatchUnchanged, Peer: q.Id})
+			}
 			resp := codec.ViewToRPC(view)
 			resp.Clock = a.now()
 			return resp, nil
--- a/daemon/events/catalogue.go
+++ b/daemon/events/catalogue.go
@@ -33,6 +33,7 @@
 	LeaseLost         ID = 203
 	ConfigApplied     ID = 210
 	WatchFailed       ID = 211
+	WatchUnchanged    ID = 212
 	MemberExpired     ID = 220
 	MemberLeft        ID = 221
 	MemberDrainMarked ID = 222
@@ -80,6 +81,7 @@
 	TaskRefused    ID = 502
 	JobFenced      ID = 503
 	JobCancelSeen  ID = 504
+	JobCancelLate  ID = 505
 	EndpointFailed ID = 510
 )
 
@@ -114,6 +116,7 @@
 	{LeaseLost, "lease_lost", zapcore.WarnLevel, "control no longer knows this incarnation; the process registers anew"},
 	{ConfigApplied, "config_applied", zapcore.InfoLevel, "a newer configuration is in force in this process"},
 	{WatchFailed, "watch_failed", zapcore.WarnLevel, "the watch of the configuration broke; the present one stays in force"},
+	{WatchUnchanged, "watch_unchanged", zapcore.DebugLevel, "a watch ended without news; the member asks again"},
 	{MemberExpired, "member_expired", zapcore.WarnLevel, "a member's lease lapsed: it crashed or was cut off"},
 	{MemberLeft, "member_left", zapcore.InfoLevel, "a member ended its planned stop"},
 	{MemberDrainMarked, "member_draining", zapcore.InfoLevel, "a member began its planned stop"},
@@ -149,6 +152,7 @@
 	{TaskRefused, "task_refused", zapcore.DebugLevel, "a task was refused; it did not run here"},
 	{JobFenced, "job_fenced", zapcore.InfoLevel, "an older owner of a job is refused from here on"},
 	{JobCancelSeen, "job_cancel_seen", zapcore.DebugLevel, "a job's cancel reached the agent"},
+	{JobCancelLate, "job_cancel_late", zapcore.DebugLevel, "a job's cancel found none of its tasks in progress here"},
 	{EndpointFailed, "endpoint_failed", zapcore.WarnLevel, "the endpoint can't be reached"},
 }
 
--- a/daemon/events/log.go
+++ b/daemon/events/log.go
@@ -46,7 +46,8 @@
 	zap     *zap.Logger
 	clock   Clock
 
-	counts [maxID]atomic.Uint64
+	counts   [maxID]atomic.Uint64
+	received messageCounts
 
 	mu     sync.Mutex
 	buffer []Event
--- a/daemon/ops/ops.go
+++ b/daemon/ops/ops.go
@@ -163,8 +163,14 @@
 
 var eventDesc = prometheus.NewDesc("cicadapulley_events_total", "Events since the start, by catalogue name.", []string{"event"}, nil)
 
+var receivedDesc = prometheus.NewDesc("cicadapulley_requests_received_total",
+	"Requests of other processes since the start, by method; each has one answer.", []string{"method"}, nil)
+
 // Describe implements prometheus.Collector.
-func (c eventCollector) Describe(ch chan<- *prometheus.Desc) { ch <- eventDesc }
+func (c eventCollector) Describe(ch chan<- *prometheus.Desc) {
+	ch <- eventDesc
+	ch <- receivedDesc
+}
 
 // Collect implements prometheus.Collector.
 func (c eventCollector) Collect(ch chan<- prometheus.Metric) {
@@ -172,4 +178,7 @@
 		n := c.log.Count(d.ID)
 		ch <- prometheus.MustNewConstMetric(eventDesc, prometheus.CounterValue, float64(n), d.Name)
 	}
+	c.log.EachReceived(func(method string, n uint64) {
+		ch <- prometheus.MustNewConstMetric(receivedDesc, prometheus.CounterValue, float64(n), method)
+	})
 }
--- a/daemon/transport/recover.go
+++ b/daemon/transport/recover.go
@@ -11,6 +11,7 @@
 
 // Recover reports a handler's panic as an event. The request gets no answer:
 // its connection or stream is reset, so nobody takes a broken part's word.
+// It also counts the requests of other processes by method.
 func Recover(log *events.Log, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		defer func() {
@@ -23,6 +24,7 @@
 			}
 			panic(http.ErrAbortHandler)
 		}()
+		log.Received(r.URL.Path)
 		next.ServeHTTP(w, r)
 	})
 }
