daemon/dev: further kinds, and the worker of each start

Cause: a measurement needs kinds of different run times, since estimates are kept for each kind, and has to tell on which endpoint a task ran.

--- a/daemon/cmd/cicadapulleyd/dev.go
+++ b/daemon/cmd/cicadapulleyd/dev.go
@@ -22,6 +22,7 @@
 	sync     time.Duration
 	lease    time.Duration
 	dispatch string
+	kinds    []string
 	logLevel string
 }
 
@@ -48,6 +49,7 @@
 	flags.DurationVar(&f.sync, "sync", 0, "time added to each sync")
 	flags.DurationVar(&f.lease, "lease", 0, "length of leases (default 4s)")
 	flags.StringVar(&f.dispatch, "dispatch", "", "choice of endpoints: grants, two_choices or random")
+	flags.StringSliceVar(&f.kinds, "kinds", nil, "further repeatable kinds of the service demo that work like sleep")
 	flags.StringVar(&f.logLevel, "log-level", "warn", "debug, info, warn or error")
 	_ = cmd.MarkFlagRequired("data") // fails only for an unknown flag
 	return cmd
@@ -74,6 +76,7 @@
 		SyncDelay: f.sync,
 		LeaseTTL:  f.lease,
 		Dispatch:  f.dispatch,
+		Kinds:     f.kinds,
 		Logger:    logger,
 		Ready:     cmd.OutOrStdout(),
 	})
--- a/daemon/dev/dev.go
+++ b/daemon/dev/dev.go
@@ -51,7 +51,9 @@
 	// LeaseTTL is the length of leases.
 	LeaseTTL time.Duration
 	Dispatch string
-	Logger   *zap.Logger
+	// Kinds are further repeatable kinds that work like sleep.
+	Kinds  []string
+	Logger *zap.Logger
 	// Ready gets the line that says where callers are served.
 	Ready io.Writer
 }
@@ -164,6 +166,7 @@
 		}
 		agentID := fmt.Sprintf("worker-%d", i+1)
 		e := standin.New(l, s.starts, standin.Behaviour{Mode: standin.Normal, Speed: speed})
+		e.Worker = agentID
 		s.endpoints[agentID] = e
 		s.root.Add(supervisor.Child{Name: endpointID, Run: e.Run})
 		if err := s.addAgent(ctx, agentID, endpointID, i/workersPerRack, local); err != nil {
@@ -186,7 +189,7 @@
 		Settings: settings.Agent{
 			Process:     process,
 			Endpoint:    "http://" + address(endpointID) + "/",
-			Serves:      served(),
+			Serves:      s.served(),
 			Slots:       s.opts.Slots,
 			Connections: connectionsPerWorker,
 		},
--- a/daemon/dev/extra.go
+++ b/daemon/dev/extra.go
@@ -21,6 +21,7 @@
 func (s *System) extraRoutes() *http.ServeMux {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /dev/starts", s.showStarts)
+	mux.HandleFunc("GET /dev/workers", s.showWorkers)
 	mux.HandleFunc("GET /dev/endpoints", s.showEndpoints)
 	mux.HandleFunc("PUT /dev/endpoints/{id}", s.setEndpoint)
 	mux.HandleFunc("POST /dev/links", s.setLink)
@@ -50,6 +51,11 @@
 	writeJSON(w, s.starts.Of(key, s.taskCount(key)))
 }
 
+// showWorkers answers the worker of each started task of a caller, by job.
+func (s *System) showWorkers(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, s.starts.WorkersOfCaller(r.URL.Query().Get("caller")))
+}
+
 // taskCount returns the number of tasks of a recorded job, zero if unknown.
 func (s *System) taskCount(k job.Key) int {
 	leader := s.leader()
--- a/daemon/dev/setup.go
+++ b/daemon/dev/setup.go
@@ -18,16 +18,16 @@
 // setupPause is the wait between tries of a step of the set-up.
 const setupPause = 20 * time.Millisecond
 
-func served() []settings.ServedKind {
+func (s *System) served() []settings.ServedKind {
 	var list []settings.ServedKind
-	for _, k := range demoService().Kinds {
+	for _, k := range s.demoService().Kinds {
 		list = append(list, settings.ServedKind{Service: serviceName, Kind: k.Name})
 	}
 	return list
 }
 
-func demoService() state.Service {
-	return state.Service{
+func (s *System) demoService() state.Service {
+	service := state.Service{
 		Name: serviceName,
 		Kinds: []state.Kind{
 			{Name: standin.KindSleep, Repeatable: true},
@@ -35,6 +35,10 @@
 			{Name: standin.KindHold},
 		},
 	}
+	for _, name := range s.opts.Kinds {
+		service.Kinds = append(service.Kinds, state.Kind{Name: name, Repeatable: true})
+	}
+	return service
 }
 
 // setUp forms the group of control VMs, brings the initial configuration into
@@ -96,7 +100,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	ticket := state.Ticket{Author: "dev", Services: []state.Service{demoService()}}
+	ticket := state.Ticket{Author: "dev", Services: []state.Service{s.demoService()}}
 	_, err := leader.service.Propose(ctx, state.Command{ApplyTicket: &state.ApplyTicket{Ticket: ticket}})
 	return err == nil
 }
--- a/daemon/dev/standin/standin.go
+++ b/daemon/dev/standin/standin.go
@@ -54,6 +54,8 @@
 type Endpoint struct {
 	listener net.Listener
 	starts   *Starts
+	// Worker is the id that starts are noted under; set it before Run.
+	Worker string
 
 	mu        sync.Mutex
 	behaviour Behaviour
@@ -94,7 +96,7 @@
 		http.Error(w, "payload: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	if err := e.starts.Add(taskKey(r)); err != nil {
+	if err := e.starts.Add(taskKey(r), e.Worker); err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
--- a/daemon/dev/standin/starts.go
+++ b/daemon/dev/standin/starts.go
@@ -17,7 +17,9 @@
 type Starts struct {
 	mu     sync.Mutex
 	counts map[job.Key][]int
-	file   *os.File
+	// workers holds the worker of each task's last start.
+	workers map[job.Key][]string
+	file    *os.File
 }
 
 // line is one start in the file.
@@ -25,12 +27,13 @@
 	Caller string `json:"caller"`
 	Job    string `json:"job"`
 	Task   int    `json:"task"`
+	Worker string `json:"worker,omitempty"`
 }
 
 // OpenStarts reads the counts of a file and appends further starts to it. An
 // empty name keeps the counts in memory alone.
 func OpenStarts(name string) (*Starts, error) {
-	s := &Starts{counts: map[job.Key][]int{}}
+	s := &Starts{counts: map[job.Key][]int{}, workers: map[job.Key][]string{}}
 	if name == "" {
 		return s, nil
 	}
@@ -49,20 +52,20 @@
 		if err := json.Unmarshal(scanner.Bytes(), &l); err != nil {
 			continue // the last line of a killed process may be partial
 		}
-		s.count(job.TaskKey{Job: job.Key{Caller: l.Caller, ID: l.Job}, Task: l.Task})
+		s.count(job.TaskKey{Job: job.Key{Caller: l.Caller, ID: l.Job}, Task: l.Task}, l.Worker)
 	}
 	return errors.Wrap(scanner.Err(), "read starts")
 }
 
-// Add counts a start.
-func (s *Starts) Add(k job.TaskKey) error {
+// Add counts a start on a worker.
+func (s *Starts) Add(k job.TaskKey, worker string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.count(k)
+	s.count(k, worker)
 	if s.file == nil {
 		return nil
 	}
-	data, err := json.Marshal(line{Caller: k.Job.Caller, Job: k.Job.ID, Task: k.Task})
+	data, err := json.Marshal(line{Caller: k.Job.Caller, Job: k.Job.ID, Task: k.Task, Worker: worker})
 	if err != nil {
 		return err
 	}
@@ -70,13 +73,15 @@
 	return errors.Wrap(err, "write starts")
 }
 
-func (s *Starts) count(k job.TaskKey) {
-	list := s.counts[k.Job]
+func (s *Starts) count(k job.TaskKey, worker string) {
+	list, workers := s.counts[k.Job], s.workers[k.Job]
 	for len(list) <= k.Task {
 		list = append(list, 0)
+		workers = append(workers, "")
 	}
 	list[k.Task]++
-	s.counts[k.Job] = list
+	workers[k.Task] = worker
+	s.counts[k.Job], s.workers[k.Job] = list, workers
 }
 
 // Of returns the starts of a job's tasks, in task order, for at least tasks tasks.
@@ -101,6 +106,20 @@
 	return all
 }
 
+// WorkersOfCaller returns the worker of the last start of each task of a
+// caller's jobs; it is empty for a task that did not start.
+func (s *Starts) WorkersOfCaller(caller string) map[string][]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := map[string][]string{}
+	for k, list := range s.workers {
+		if k.Caller == caller {
+			all[k.ID] = append([]string(nil), list...)
+		}
+	}
+	return all
+}
+
 // Close closes the file.
 func (s *Starts) Close() error {
 	if s.file == nil {
