--- a/client/cmd/cicadapulley/main.go
+++ b/client/cmd/cicadapulley/main.go
@@ -1,4 +1,6 @@
 // Command cicadapulley is the command line for operators and callers.
 package main
 
-func main() {}
+import "github.com/cicadapulley/cicadapulley/client/internal/load"
+
+func main() { load.Main() }
--- /dev/null
+++ b/client/internal/load/counters.go
@@ -0,0 +1,142 @@
+package load
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"strconv"
+)
+
+// Metric names of the daemon.
+const (
+	metricEvents   = "cicadapulley_events_total"
+	metricRequests = "cicadapulley_requests_received_total"
+)
+
+// counters holds sums over all processes: events by name, requests by method.
+type counters struct {
+	events   map[string]float64
+	requests map[string]float64
+}
+
+var sampleLine = regexp.MustCompile(`^(\w+)\{(?:event|method)="([^"]+)"\} ([0-9.e+]+)$`)
+
+// readCounters sums the counters of all processes of a development system.
+func readCounters(ctx context.Context, dev *devClient) (counters, error) {
+	c := counters{events: map[string]float64{}, requests: map[string]float64{}}
+	for _, role := range []string{"control", "entry", "worker"} {
+		for i := 1; ; i++ {
+			err := c.add(ctx, dev, fmt.Sprintf("/dev/processes/%s-%d/metrics", role, i))
+			var status *statusError
+			if errors.As(err, &status) && status.code == http.StatusNotFound {
+				break
+			}
+			if err != nil {
+				return c, err
+			}
+		}
+	}
+	return c, nil
+}
+
+func (c counters) add(ctx context.Context, dev *devClient, path string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, dev.base+path, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return &statusError{path: path, code: resp.StatusCode}
+	}
+	return c.parse(resp.Body)
+}
+
+// parse adds the metrics of one process in the text format of Prometheus.
+func (c counters) parse(text io.Reader) error {
+	scanner := bufio.NewScanner(text)
+	for scanner.Scan() {
+		match := sampleLine.FindStringSubmatch(scanner.Text())
+		if match == nil {
+			continue
+		}
+		value, err := strconv.ParseFloat(match[3], 64)
+		if err != nil {
+			return fmt.Errorf("metric %s: %w", match[1], err)
+		}
+		switch match[1] {
+		case metricEvents:
+			c.events[match[2]] += value
+		case metricRequests:
+			c.requests[match[2]] += value
+		}
+	}
+	return scanner.Err()
+}
+
+// since returns the increase from an earlier reading.
+func (c counters) since(before counters) counters {
+	return counters{events: difference(c.events, before.events), requests: difference(c.requests, before.requests)}
+}
+
+func difference(after, before map[string]float64) map[string]float64 {
+	d := map[string]float64{}
+	for name, n := range after {
+		if n > before[name] {
+			d[name] = n - before[name]
+		}
+	}
+	return d
+}
+
+// perExchange is the number of messages of a request and its answer.
+const perExchange = 2
+
+// Messages are the messages between processes for one started task.
+type Messages struct {
+	// Tasks is the number of starts.
+	Tasks float64 `json:"tasks"`
+	// PerTask counts all messages, ByMethod those of each method.
+	PerTask  float64            `json:"per_task"`
+	ByMethod map[string]float64 `json:"by_method"`
+	// WastedPerTask counts the wasted ones, WastedByCause those of each cause.
+	WastedPerTask float64            `json:"wasted_per_task"`
+	WastedByCause map[string]float64 `json:"wasted_by_cause"`
+}
+
+// messages turns the counters of a run into messages for a task.
+func (c counters) messages() Messages {
+	m := Messages{Tasks: c.events["task_started"], ByMethod: map[string]float64{}, WastedByCause: map[string]float64{}}
+	if m.Tasks == 0 {
+		return m
+	}
+	for method, n := range c.requests {
+		m.ByMethod[method] = n * perExchange / m.Tasks
+		m.PerTask += m.ByMethod[method]
+	}
+	for cause, exchanges := range c.wasted() {
+		m.WastedByCause[cause] = exchanges * perExchange / m.Tasks
+		m.WastedPerTask += m.WastedByCause[cause]
+	}
+	return m
+}
+
+// wasted counts exchanges that carried no start that ran, no answer that was
+// used and no state that the receiver lacked.
+func (c counters) wasted() map[string]float64 {
+	return map[string]float64{
+		"refused_starts":  c.events["task_refused"],
+		"fate_questions":  c.requests["cicadapulley.rpc.Agent/Fate"],
+		"late_cancels":    c.events["job_cancel_late"],
+		"empty_watches":   c.events["watch_unchanged"],
+		"lost_answers":    max(0, c.requests["cicadapulley.rpc.Agent/Run"]-c.events["task_answered"]-c.events["task_refused"]),
+		"repeated_finish": max(0, c.requests["cicadapulley.rpc.Control/FinishJob"]-c.events["job_finished"]),
+	}
+}
--- /dev/null
+++ b/client/internal/load/faults.go
@@ -0,0 +1,122 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// slowFactor divides the speed of a worker with the fault "slow".
+const slowFactor = 10
+
+// Behaviour is how a stand-in endpoint behaves.
+type Behaviour struct {
+	Mode  string  `json:"mode"`
+	Speed float64 `json:"speed"`
+}
+
+// faults are changes of endpoints during a run.
+type faults struct {
+	dev *devClient
+	// changes maps a worker to its behaviour under the fault.
+	changes map[string]Behaviour
+	// before holds the behaviours of all workers before the run.
+	before map[string]Behaviour
+}
+
+// newFaults parses faults of the form "fail=worker-1".
+func newFaults(ctx context.Context, dev *devClient, list []string) (*faults, error) {
+	f := &faults{dev: dev, changes: map[string]Behaviour{}}
+	if err := dev.get(ctx, "/dev/endpoints", &f.before); err != nil {
+		return nil, err
+	}
+	for _, one := range list {
+		kind, worker, _ := strings.Cut(one, "=")
+		b, known := f.before[worker]
+		if !known {
+			return nil, fmt.Errorf("--faults: no worker %q", worker)
+		}
+		switch kind {
+		case "fail", "silent":
+			b.Mode = kind
+		case "slow":
+			b.Speed /= slowFactor
+		default:
+			return nil, fmt.Errorf("--faults: %q is none of fail, slow, silent", kind)
+		}
+		f.changes[worker] = b
+	}
+	return f, nil
+}
+
+// inject makes the changes at a time.
+func (f *faults) inject(ctx context.Context, at time.Time) {
+	if len(f.changes) == 0 || !sleepUntil(ctx, at) {
+		return
+	}
+	for worker, b := range f.changes {
+		f.dev.warn("set fault", f.dev.putEndpoint(ctx, worker, b))
+	}
+}
+
+// undo restores the behaviours from before the run.
+func (f *faults) undo(ctx context.Context) {
+	for worker := range f.changes {
+		f.dev.warn("undo fault", f.dev.putEndpoint(ctx, worker, f.before[worker]))
+	}
+}
+
+// devClient reads and changes a development system.
+type devClient struct {
+	base string
+	// warn reports an error that doesn't end the run; nil errors are ignored.
+	warn func(action string, err error)
+}
+
+func (d *devClient) get(ctx context.Context, path string, into any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.base+path, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return &statusError{path: path, code: resp.StatusCode}
+	}
+	return json.NewDecoder(resp.Body).Decode(into)
+}
+
+// statusError is an answer of a development system other than 200.
+type statusError struct {
+	path string
+	code int
+}
+
+func (e *statusError) Error() string { return fmt.Sprintf("%s: status %d", e.path, e.code) }
+
+func (d *devClient) putEndpoint(ctx context.Context, worker string, b Behaviour) error {
+	body, err := json.Marshal(b)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, d.base+"/dev/endpoints/"+worker, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return &statusError{path: req.URL.Path, code: resp.StatusCode}
+	}
+	return nil
+}
--- /dev/null
+++ b/client/internal/load/figures.go
@@ -0,0 +1,163 @@
+package load
+
+import (
+	"math"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// ratioUnit is the resolution of ratios in histograms.
+	ratioUnit = 1000
+	// maxRatio and maxMicroseconds bound what histograms hold.
+	maxRatio        = 1_000_000
+	maxMicroseconds = int64(10 * time.Minute / time.Microsecond)
+	digits          = 3
+	// shortTaskMS is the length of the tasks with a bar of their own.
+	shortTaskMS = 50
+	// meanSpeedBand is how far from the mean an endpoint of mean speed may be.
+	meanSpeedBand = 0.02
+)
+
+// Quantiles summarise a histogram, in the unit of its values.
+type Quantiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50"`
+	P90   float64 `json:"p90"`
+	P99   float64 `json:"p99"`
+	P999  float64 `json:"p999"`
+	Max   float64 `json:"max"`
+}
+
+func quantiles(h *hdrhistogram.Histogram, unit float64) Quantiles {
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / unit }
+	return Quantiles{
+		Count: h.TotalCount(),
+		P50:   at(50),
+		P90:   at(90),
+		P99:   at(99),
+		P999:  at(99.9),
+		Max:   float64(h.Max()) / unit,
+	}
+}
+
+func newRatios() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxRatio*ratioUnit, digits) }
+func newTimes() *hdrhistogram.Histogram  { return hdrhistogram.New(1, maxMicroseconds, digits) }
+
+// note records a value, bounded by what the histogram holds.
+func note(h *hdrhistogram.Histogram, value float64, times int64) {
+	bounded := min(max(int64(math.Round(value)), 1), h.HighestTrackableValue())
+	_ = h.RecordValues(bounded, times) // the value is within the bounds
+}
+
+// Refusal is what callers got with one code.
+type Refusal struct {
+	State   State     `json:"state"`
+	Code    string    `json:"code"`
+	Verdict string    `json:"verdict"`
+	Millis  Quantiles `json:"latency_ms"`
+}
+
+// recorder gathers the samples after the warm-up.
+type recorder struct {
+	profile *Profile
+	// speeds has the speeds of the workers without faults.
+	speeds map[string]Behaviour
+
+	all, byTask                *hdrhistogram.Histogram
+	short, shortCalls          *hdrhistogram.Histogram
+	shortJobs, checkout, late  *hdrhistogram.Histogram
+	refused                    *hdrhistogram.Histogram
+	streams                    map[string]*hdrhistogram.Histogram
+	refusals                   map[Refusal]*hdrhistogram.Histogram
+	requests, complete, failed int
+}
+
+func newRecorder(p *Profile, speeds map[string]Behaviour) *recorder {
+	return &recorder{
+		profile:    p,
+		speeds:     speeds,
+		all:        newRatios(),
+		byTask:     newRatios(),
+		short:      newRatios(),
+		shortCalls: newRatios(),
+		shortJobs:  newRatios(),
+		checkout:   newTimes(),
+		late:       newTimes(),
+		refused:    newTimes(),
+		streams:    map[string]*hdrhistogram.Histogram{},
+		refusals:   map[Refusal]*hdrhistogram.Histogram{},
+	}
+}
+
+func (c *recorder) add(s *Sample) {
+	c.requests++
+	note(c.late, float64(s.Late.Microseconds()), 1)
+	if s.state != Complete {
+		c.addRefusal(s)
+		return
+	}
+	c.complete++
+	ratio := s.Response.Seconds() / s.Request.Ideal(c.profile) * ratioUnit
+	note(c.all, ratio, 1)
+	note(c.byTask, ratio, int64(len(s.Request.Tasks)))
+	name := s.Request.Stream.Name
+	if c.streams[name] == nil {
+		c.streams[name] = newRatios()
+	}
+	note(c.streams[name], ratio, 1)
+	if s.Request.Stream.Checkout {
+		note(c.checkout, float64(s.Response.Microseconds()), 1)
+	}
+	if c.isShort(s) {
+		c.addShort(s, ratio)
+	}
+}
+
+// isShort reports whether a sample is one 50 ms task that ran on an endpoint
+// of mean speed.
+func (c *recorder) isShort(s *Sample) bool {
+	if len(s.Request.Tasks) != 1 || s.Request.Tasks[0].WorkMS != shortTaskMS {
+		return false
+	}
+	mean := c.profile.MeanSpeed()
+	return math.Abs(c.speeds[s.Worker].Speed-mean) <= meanSpeedBand*mean
+}
+
+func (c *recorder) addShort(s *Sample, ratio float64) {
+	note(c.short, ratio, 1)
+	if s.Request.Stream.Form == FormCall && !s.Request.Stream.Once {
+		note(c.shortCalls, ratio, 1)
+		return
+	}
+	note(c.shortJobs, ratio, 1)
+}
+
+func (c *recorder) addRefusal(s *Sample) {
+	if s.state != Refused {
+		c.failed++
+	}
+	key := Refusal{State: s.state, Code: s.code, Verdict: s.verdict}
+	if c.refusals[key] == nil {
+		c.refusals[key] = newTimes()
+	}
+	micros := float64(s.Response.Microseconds())
+	note(c.refusals[key], micros, 1)
+	if s.state == Refused {
+		note(c.refused, micros, 1)
+	}
+}
+
+// goodput returns the work of complete answers that arrived between two times
+// of the run, relative to the capacity.
+func goodput(p *Profile, samples []*Sample, from, to time.Duration) float64 {
+	work := 0.0
+	for _, s := range samples {
+		end := s.Request.At + s.Response
+		if s.state == Complete && end >= from && end < to {
+			work += s.Request.Work()
+		}
+	}
+	return work / (p.Capacity() * (to - from).Seconds())
+}
--- /dev/null
+++ b/client/internal/load/outcome.go
@@ -0,0 +1,104 @@
+package load
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/cicadapulley/cicadapulley/api/callers"
+)
+
+// State is how a request ended.
+type State string
+
+// States of requests.
+const (
+	// Complete requests have all outputs.
+	Complete State = "complete"
+	// Failed requests were taken in and ended without the outputs.
+	Failed State = "failed"
+	// Refused requests were not taken in.
+	Refused State = "refused"
+	// Unanswered requests got no answer in time.
+	Unanswered State = "unanswered"
+)
+
+// Names in answers.
+const (
+	jobComplete = "complete"
+	taskDone    = "done"
+	notRun      = "not_run"
+	ran         = "ran"
+)
+
+// outcome is an answer as the tool understands it.
+type outcome struct {
+	state   State
+	code    string
+	verdict string
+	// tasks has the verdict of each task of a failed job, if the answer names them.
+	tasks []string
+	// partial marks a complete answer that lacks an output or has a wrong one.
+	partial bool
+}
+
+// read interprets a reply.
+func (out reply) read(r *Request) outcome {
+	switch {
+	case out.err != nil || out.status == http.StatusAccepted:
+		return outcome{state: Unanswered, code: "no_answer"}
+	case out.status >= http.StatusBadRequest:
+		return readRefusal(out.body)
+	case r.Stream.Form == FormCall:
+		return outcome{state: Complete, verdict: ran, partial: !isEcho(out.body, r, 0)}
+	}
+	return readJob(out.body, r)
+}
+
+func readRefusal(body []byte) outcome {
+	var refusal callers.Refusal
+	if err := json.Unmarshal(body, &refusal); err != nil {
+		return outcome{state: Refused, code: "not_json"}
+	}
+	o := outcome{state: Refused, code: refusal.Error.Code, verdict: refusal.Verdict}
+	if refusal.Verdict != notRun {
+		o.state = Failed
+	}
+	return o
+}
+
+func readJob(body []byte, r *Request) outcome {
+	var a callers.Answer
+	if err := json.Unmarshal(body, &a); err != nil {
+		return outcome{state: Complete, partial: true, code: "not_json"}
+	}
+	if a.State == jobComplete {
+		return outcome{state: Complete, verdict: a.Verdict, partial: !whole(a.Results, r)}
+	}
+	o := outcome{state: Failed, verdict: a.Verdict, partial: len(a.Results) > 0}
+	if a.Error != nil {
+		o.code = a.Error.Code
+	}
+	for _, t := range a.Tasks {
+		o.tasks = append(o.tasks, t.Verdict)
+		o.partial = o.partial || len(t.Output) > 0
+	}
+	return o
+}
+
+// whole reports whether each task has its own output, in order.
+func whole(results []callers.TaskResult, r *Request) bool {
+	if len(results) != len(r.Tasks) {
+		return false
+	}
+	for i, result := range results {
+		if result.Task != i || result.State != taskDone || !isEcho(result.Output, r, i) {
+			return false
+		}
+	}
+	return true
+}
+
+func isEcho(output []byte, r *Request, task int) bool {
+	var s string
+	return json.Unmarshal(output, &s) == nil && s == echo(r, task)
+}
--- /dev/null
+++ b/client/internal/load/plan.go
@@ -0,0 +1,128 @@
+package load
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Task is one task of a planned request.
+type Task struct {
+	Kind string
+	// WorkMS is the run time at speed 1, in milliseconds.
+	WorkMS float64
+}
+
+// Request is a planned request.
+type Request struct {
+	// At is the intended send time after the start of the run.
+	At     time.Duration
+	ID     string
+	Stream *Stream
+	Tasks  []Task
+	// Resubmit marks a job that is submitted again to other entries, once
+	// while it runs and once after its answer.
+	Resubmit bool
+}
+
+// Work returns the work of all tasks, in seconds at speed 1.
+func (r *Request) Work() float64 {
+	total := 0.0
+	for _, t := range r.Tasks {
+		total += t.WorkMS / 1000
+	}
+	return total
+}
+
+// Ideal returns the ideal response time in seconds: the larger of the longest
+// task at the mean speed and the total work over all slots.
+func (r *Request) Ideal(p *Profile) float64 {
+	longest := 0.0
+	for _, t := range r.Tasks {
+		longest = max(longest, t.WorkMS/1000)
+	}
+	return max(longest/p.MeanSpeed(), r.Work()/p.Capacity())
+}
+
+// PlanOptions say how much of a profile is sent.
+type PlanOptions struct {
+	// Factor is the offered work relative to the capacity of all slots.
+	Factor   float64
+	Duration time.Duration
+	Seed     uint64
+	// RunID makes the requests' ids unique among runs on one system.
+	RunID string
+	// MaxRequests bounds the plan.
+	MaxRequests int
+	// ResubmitShare is the part of the jobs that are submitted again.
+	ResubmitShare float64
+}
+
+// NewPlan draws the requests of a run, in the order of their send times. The
+// arrivals of a stream are a Poisson process with a given number of events;
+// job sizes are stratified, so that the offered work is close to the factor.
+func NewPlan(p *Profile, o PlanOptions) ([]*Request, error) {
+	random := rand.New(rand.NewPCG(o.Seed, 0x10ad))
+	var plan []*Request
+	for i := range p.Streams {
+		s := &p.Streams[i]
+		work := o.Factor * p.Capacity() * s.Share * o.Duration.Seconds()
+		count := int(math.Round(work / s.meanWork()))
+		if len(plan)+count > o.MaxRequests {
+			return nil, fmt.Errorf("the plan exceeds %d requests; lower the factor or the duration", o.MaxRequests)
+		}
+		plan = append(plan, p.drawStream(s, count, o, random)...)
+	}
+	slices.SortFunc(plan, func(a, b *Request) int { return int(a.At - b.At) })
+	return plan, nil
+}
+
+func (p *Profile) drawStream(s *Stream, count int, o PlanOptions, random *rand.Rand) []*Request {
+	order := random.Perm(count)
+	list := make([]*Request, count)
+	for i := range list {
+		quantile := (float64(order[i]) + random.Float64()) / float64(count)
+		r := &Request{
+			At:     p.Bursts.time(random.Float64(), o.Duration),
+			ID:     fmt.Sprintf("%s-%s-%d", o.RunID, s.Name, i),
+			Stream: s,
+		}
+		for range int(math.Round(s.Tasks.at(quantile))) {
+			r.Tasks = append(r.Tasks, s.pick(random))
+		}
+		r.Resubmit = s.Form == FormJob && random.Float64() < o.ResubmitShare
+		list[i] = r
+	}
+	return list
+}
+
+// time maps a uniform number to a time of arrival whose density is higher by
+// the factor within bursts.
+func (b Bursts) time(u float64, duration time.Duration) time.Duration {
+	if b.EveryMS <= 0 || b.LengthMS <= 0 || b.Factor <= 1 {
+		return time.Duration(u * float64(duration))
+	}
+	whole := float64(duration) / float64(time.Millisecond)
+	target := u * b.mass(whole)
+	low, high := 0.0, whole
+	for range 60 { // bisection down to below a nanosecond
+		middle := (low + high) / 2
+		if b.mass(middle) < target {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	return time.Duration(low * float64(time.Millisecond))
+}
+
+// mass is the integral of the density up to a time in milliseconds. A burst is
+// at the end of each period.
+func (b Bursts) mass(ms float64) float64 {
+	periods := math.Floor(ms / b.EveryMS)
+	quiet := b.EveryMS - b.LengthMS
+	rest := ms - periods*b.EveryMS
+	return periods*(quiet+b.LengthMS*b.Factor) + min(rest, quiet) + max(0, rest-quiet)*b.Factor
+}
