daemon/agent: grant slots through the divider

Cause: each agent granted all its slots to every entry, so entries started tasks on slots that another entry had taken. Change: the executor keeps a slots.Divider under its lock: begin, refusal and end of each task, and the grant on each answer.

--- a/daemon/agent/api.go
+++ b/daemon/agent/api.go
@@ -34,7 +34,7 @@
 	})
 	resp := &rpc.RunResponse{
 		Refusal: codec.FailureToRPC(refusal),
-		Load:    a.load(),
+		Load:    x.load(q.Entry),
 		Clock:   x.log.Clock().Now(),
 	}
 	if refusal == nil {
@@ -44,14 +44,6 @@
 	return resp, nil
 }
 
-func (a *api) load() *rpc.Load {
-	return &rpc.Load{
-		Slots:   uint32(a.executor.slots),
-		Running: uint32(a.executor.running()),
-		Granted: uint32(a.executor.slots),
-	}
-}
-
 // Fate implements rpc.Agent. With max_wait_ms it answers when none of the
 // tasks runs any more, or when the time is over.
 func (a *api) Fate(ctx context.Context, q *rpc.FateRequest) (*rpc.FateResponse, error) {
--- a/daemon/agent/executor.go
+++ b/daemon/agent/executor.go
@@ -5,7 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/cicadapulley/cicadapulley/api/rpc"
 	"github.com/cicadapulley/cicadapulley/core/job"
+	"github.com/cicadapulley/cicadapulley/core/slots"
 	"github.com/cicadapulley/cicadapulley/core/tasktable"
 	"github.com/cicadapulley/cicadapulley/core/verdict"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
@@ -39,6 +41,7 @@
 
 	mu       sync.Mutex
 	table    *tasktable.Table
+	divider  *slots.Divider
 	slots    int
 	draining bool
 	// aborts cancels the endpoint calls of running tasks.
@@ -54,6 +57,7 @@
 		members:  m,
 		endpoint: e,
 		table:    tasktable.New(limits),
+		divider:  slots.New(s.Slots),
 		slots:    s.Slots,
 		aborts:   map[job.TaskKey]context.CancelFunc{},
 		ended:    make(chan struct{}),
@@ -95,8 +99,10 @@
 		return verdict.Errorf(verdict.CodeLeaseLapsed, verdict.NotRun, "the agent's lease has lapsed")
 	}
 	if err := x.table.Begin(r.key, r.attempt, now, now.Add(r.timeout+keepAfterDeadline)); err != nil {
+		x.divider.Refused(r.entry, r.backlog, now)
 		return err
 	}
+	x.divider.Begin(r.entry, r.backlog, now)
 	x.aborts[r.key] = abort
 	return nil
 }
@@ -106,6 +112,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	delete(x.aborts, r.key)
+	x.divider.End(r.entry, time.Now())
 	close(x.ended)
 	x.ended = make(chan struct{})
 	if result.Verdict == verdict.NotRun {
@@ -117,6 +124,18 @@
 	return nil
 }
 
+// load returns the agent's load as an entry is told, with its grant.
+func (x *executor) load(entry string) *rpc.Load {
+	now := time.Now()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return &rpc.Load{
+		Slots:   uint32(x.slots),
+		Running: uint32(x.table.Running()),
+		Granted: uint32(x.divider.Granted(entry, now)),
+	}
+}
+
 // running returns the number of tasks in progress.
 func (x *executor) running() int {
 	x.mu.Lock()
