make bench: a set of measurements and its page

Cause: figures were taken by hand. Change: scripts/bench.sh starts a development system for each run, ends it by its process id and adds a table to docs/measurements.md; reports carry the CPU pressure of the machine; samples can be saved.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GO := go
 SEEDS ?= 20
 
-.PHONY: test build lint fmt generate
+.PHONY: test build lint fmt generate bench
 test: build lint
 	@for m in $(MODULES); do (cd $$m && $(GO) test ./...) || exit 1; done
 
@@ -20,3 +20,7 @@
 
 generate:
 	cd api/rpc && protoc --go_out=paths=source_relative:. --twirp_out=paths=source_relative:. cicadapulley.proto
+
+# bench runs a set of measurements in under 5 minutes; TITLE heads its table.
+bench: build
+	scripts/bench.sh "$(TITLE)"
--- a/client/internal/load/command.go
+++ b/client/internal/load/command.go
@@ -34,8 +34,10 @@
 	seed     uint64
 	resubmit float64
 	faults   []string
+	steady   bool
 	report   string
 	plot     string
+	samples  string
 }
 
 // NewCommand returns the command "load".
@@ -59,8 +61,10 @@
 	o.Uint64Var(&f.seed, "seed", 1, "seed of arrivals, sizes and kinds")
 	o.Float64Var(&f.resubmit, "resubmit", 0.1, "part of the jobs that are submitted again, while they run and after their end")
 	o.StringSliceVar(&f.faults, "faults", nil, "after the warm-up: fail=WORKER, slow=WORKER (10 times slower), silent=WORKER")
+	o.BoolVar(&f.steady, "steady", false, "leave the profile's bursts out")
 	o.StringVar(&f.report, "report", "", "write the report to this JSON file")
 	o.StringVar(&f.plot, "plot", "", "write the distribution to this SVG file")
+	o.StringVar(&f.samples, "samples", "", "write each request to this file of JSON lines")
 	_ = cmd.MarkFlagRequired("profile") // fails only for an unknown flag
 	cmd.AddCommand(newTable())
 	return cmd
@@ -84,6 +88,9 @@
 	if err != nil {
 		return err
 	}
+	if f.steady {
+		profile.Bursts = Bursts{}
+	}
 	if f.name == "" {
 		f.name = fmt.Sprintf("%s at %g", profile.Name, f.factor)
 	}
@@ -107,6 +114,11 @@
 			return err
 		}
 	}
+	if f.samples != "" {
+		if err := writeSamples(f.samples, p, report.Started, samples); err != nil {
+			return err
+		}
+	}
 	if f.plot == "" {
 		return nil
 	}
@@ -137,8 +149,12 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	idle := readMachine()
 	run := &Run{profile: p, client: newClient(f.entries, p.Service), faults: faults, warmup: f.warmup}
 	samples := run.Do(ctx, plan)
+	report.Started = run.started
+	busy := readMachine()
+	report.LoadAvg, report.Pressure = busy.load, busy.pressure(idle)
 	faults.undo(context.WithoutCancel(ctx))
 	sleepUntil(ctx, time.Now().Add(settle))
 	err = report.conclude(ctx, dev, before, p, faults, samples)
@@ -155,7 +171,6 @@
 		Seconds: f.duration.Seconds(),
 		Warmup:  f.warmup.Seconds(),
 		Started: started,
-		LoadAvg: loadAverage(),
 		Sent:    len(plan),
 	}
 	work := 0.0
@@ -186,7 +201,6 @@
 	}
 	r.fill(rec)
 	r.Goodput = goodput(p, samples, warmup, time.Duration(r.Seconds*float64(time.Second)))
-	r.LoadAvg2 = loadAverage()
 	return nil
 }
 
--- /dev/null
+++ b/client/internal/load/dump.go
@@ -0,0 +1,52 @@
+package load
+
+import (
+	"bufio"
+	"encoding/json"
+	"os"
+	"time"
+)
+
+// sampleRecord is one request in a file of samples, one JSON object a line.
+type sampleRecord struct {
+	ID     string `json:"id"`
+	Stream string `json:"stream"`
+	// Sent is the intended send time, in microseconds since 1970.
+	Sent     int64   `json:"sent_us"`
+	Late     int64   `json:"late_us"`
+	Response int64   `json:"response_us"`
+	Ratio    float64 `json:"ratio"`
+	Tasks    int     `json:"tasks"`
+	Worker   string  `json:"worker"`
+	State    State   `json:"state"`
+	Code     string  `json:"code,omitempty"`
+}
+
+// writeSamples saves all samples of a run that began at started.
+func writeSamples(name string, p *Profile, started time.Time, samples []*Sample) error {
+	file, err := os.Create(name)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	buffer := bufio.NewWriter(file)
+	out := json.NewEncoder(buffer)
+	for _, s := range samples {
+		err := out.Encode(sampleRecord{
+			ID:       s.Request.ID,
+			Stream:   s.Request.Stream.Name,
+			Sent:     started.Add(s.Request.At).UnixMicro(),
+			Late:     s.Late.Microseconds(),
+			Response: s.Response.Microseconds(),
+			Ratio:    s.Response.Seconds() / s.Request.Ideal(p),
+			Tasks:    len(s.Request.Tasks),
+			Worker:   s.Worker,
+			State:    s.state,
+			Code:     s.code,
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return buffer.Flush()
+}
--- a/client/internal/load/report.go
+++ b/client/internal/load/report.go
@@ -5,22 +5,23 @@
 	"fmt"
 	"os"
 	"slices"
-	"strings"
 	"time"
 )
 
 // Report is the result of one run. Ratios are response time over ideal.
 type Report struct {
-	Name     string    `json:"name"`
-	Profile  string    `json:"profile"`
-	Factor   float64   `json:"factor"`
-	Faults   []string  `json:"faults,omitempty"`
-	Seed     uint64    `json:"seed"`
-	Seconds  float64   `json:"seconds"`
-	Warmup   float64   `json:"warmup_seconds"`
-	Started  time.Time `json:"started"`
-	LoadAvg  string    `json:"machine_load"`
-	LoadAvg2 string    `json:"machine_load_after"`
+	Name    string    `json:"name"`
+	Profile string    `json:"profile"`
+	Factor  float64   `json:"factor"`
+	Faults  []string  `json:"faults,omitempty"`
+	Seed    uint64    `json:"seed"`
+	Seconds float64   `json:"seconds"`
+	Warmup  float64   `json:"warmup_seconds"`
+	Started time.Time `json:"started"`
+	// LoadAvg is the machine's load average after the run, Pressure the part of
+	// the run in which some thread of the machine waited for a processor.
+	LoadAvg  string  `json:"machine_load"`
+	Pressure float64 `json:"machine_cpu_pressure"`
 
 	// Requests counts those after the warm-up, Sent and Tasks all.
 	Requests int `json:"requests"`
@@ -94,14 +95,3 @@
 	}
 	return r, nil
 }
-
-// loadAverage returns the machine's load over the last minute, as the kernel
-// counts it; empty where it can't be read.
-func loadAverage() string {
-	data, err := os.ReadFile("/proc/loadavg")
-	if err != nil {
-		return ""
-	}
-	first, _, _ := strings.Cut(string(data), " ")
-	return first
-}
--- a/client/internal/load/run.go
+++ b/client/internal/load/run.go
@@ -39,6 +39,9 @@
 	// warmup is the time at the start whose requests are not in the figures.
 	warmup time.Duration
 
+	// started is set by Do.
+	started time.Time
+
 	mu      sync.Mutex
 	samples []*Sample
 }
@@ -47,6 +50,7 @@
 // wait for answers, so a stalled system can't slow the load down.
 func (r *Run) Do(ctx context.Context, plan []*Request) []*Sample {
 	start := time.Now()
+	r.started = start
 	var requests conc.WaitGroup
 	requests.Go(func() { r.faults.inject(ctx, start.Add(r.warmup)) })
 	for i, request := range plan {
--- a/client/internal/load/table.go
+++ b/client/internal/load/table.go
@@ -79,7 +79,7 @@
 	for _, c := range columns {
 		fmt.Fprintf(w, " %s |", c.title)
 	}
-	fmt.Fprint(w, " machine load |\n|---|---|")
+	fmt.Fprint(w, " machine load, CPU pressure |\n|---|---|")
 	for range columns {
 		fmt.Fprint(w, "---|")
 	}
@@ -107,14 +107,14 @@
 	return (list[(len(list)-1)/2] + list[len(list)/2]) / 2
 }
 
-// machineLoad lists the load of the machine after each run.
+// machineLoad lists the load and the CPU pressure of the machine in each run.
 func machineLoad(group []*Report) string {
 	text := ""
 	for i, r := range group {
 		if i > 0 {
 			text += ", "
 		}
-		text += r.LoadAvg2
+		text += fmt.Sprintf("%s %.2f", r.LoadAvg, r.Pressure)
 	}
 	return text
 }
--- a/client/internal/load/text.go
+++ b/client/internal/load/text.go
@@ -11,8 +11,8 @@
 // print writes the report as a table.
 func (r *Report) print(out io.Writer) {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(w, "%s: profile %s, factor %g, %g s, seed %d, faults %v, machine load %s to %s\n",
-		r.Name, r.Profile, r.Factor, r.Seconds, r.Seed, r.Faults, r.LoadAvg, r.LoadAvg2)
+	fmt.Fprintf(w, "%s: profile %s, factor %g, %g s, seed %d, faults %v, machine load %s, CPU pressure %.2f\n",
+		r.Name, r.Profile, r.Factor, r.Seconds, r.Seed, r.Faults, r.LoadAvg, r.Pressure)
 	fmt.Fprintf(w, "requests %d (after %g s of warm-up), complete %d, failed %d; sent %d, tasks %d; offered %.2f, goodput %.3f of capacity\n\n",
 		r.Requests, r.Warmup, r.Complete, r.Failed, r.Sent, r.Tasks, r.Offered, r.Goodput)
 	fmt.Fprintln(w, "response over ideal\tcount\tp50\tp90\tp99\tp99.9\tmax")
--- a/daemon/dev/dev.go
+++ b/daemon/dev/dev.go
@@ -206,7 +206,7 @@
 
 func (s *System) addEntries(ctx context.Context) error {
 	for i, listen := range s.opts.Listen {
-		id := fmt.Sprintf("entry-%d", i+1)
+		id := entryID(i)
 		host := s.net.Host(id)
 		l, err := host.Listen(ctx, address(id))
 		if err != nil {
@@ -222,6 +222,8 @@
 	return nil
 }
 
+func entryID(i int) string { return fmt.Sprintf("entry-%d", i+1) }
+
 func (s *System) addEntry(id string, host transport.Network, l, callers net.Listener) {
 	process := s.process(id)
 	process.Ops = s.opsURL(id)
--- a/daemon/dev/extra.go
+++ b/daemon/dev/extra.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/http/pprof"
 	"strings"
 
 	"github.com/cicadapulley/cicadapulley/core/job"
@@ -26,6 +27,9 @@
 	mux.HandleFunc("PUT /dev/endpoints/{id}", s.setEndpoint)
 	mux.HandleFunc("POST /dev/links", s.setLink)
 	mux.HandleFunc("GET /dev/processes/{id}/", s.showProcess)
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
 	for _, c := range s.controls {
 		if c.Driver().Leading() {
 			operator := c.Operator()
@@ -132,7 +136,14 @@
 		return
 	}
 	prefix := "/dev/processes/" + r.PathValue("id")
-	page := ops.New(ops.Options{Log: log, Ready: func() bool { return true }})
+	options := ops.Options{Log: log, Ready: func() bool { return true }}
+	for i, e := range s.entries {
+		if r.PathValue("id") == entryID(i) {
+			options.Status = func() any { return e.Status() }
+			options.Collectors = e.Collectors()
+		}
+	}
+	page := ops.New(options)
 	http.StripPrefix(strings.TrimSuffix(prefix, "/"), page.Handler()).ServeHTTP(w, r)
 }
 
