daemon/agent: starts wait up to 20 ms for a slot; deadlines are told from losses

Cause: a start that arrived just before a slot freed was refused and sent again. An endpoint call that ran into the task's deadline was reported as endpoint_lost, so overload put healthy endpoints into quarantine. Change: up to half of the slots' number of starts wait in order of arrival, at most 20 ms; the code is deadline_exceeded when the deadline ended the call.

--- a/daemon/agent/endpoint.go
+++ b/daemon/agent/endpoint.go
@@ -43,13 +43,25 @@
 	}
 	resp, err := e.client.Do(req)
 	if err != nil && !written {
-		return failed(verdict.NotRun, verdict.CodeEndpointLost, err)
+		return failed(verdict.NotRun, lossCode(ctx), err)
 	}
 	if err != nil {
-		return failed(verdict.MayHaveRun, verdict.CodeEndpointLost, err)
+		return failed(verdict.MayHaveRun, lossCode(ctx), err)
 	}
 	defer resp.Body.Close()
-	return readAnswer(resp)
+	return readAnswer(ctx, resp)
+}
+
+// lossCode tells a request that ran into its deadline from a lost endpoint:
+// under overload the deadline says nothing about the endpoint's health.
+func lossCode(ctx context.Context) verdict.Code {
+	switch ctx.Err() {
+	case context.DeadlineExceeded:
+		return verdict.CodeDeadline
+	case context.Canceled:
+		return verdict.CodeCancelled
+	}
+	return verdict.CodeEndpointLost
 }
 
 func (e *endpoint) newRequest(ctx context.Context, r request) (*http.Request, error) {
@@ -68,10 +80,10 @@
 	return req, nil
 }
 
-func readAnswer(resp *http.Response) job.TaskResult {
+func readAnswer(ctx context.Context, resp *http.Response) job.TaskResult {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxOutput+1))
 	if err != nil {
-		return failed(verdict.MayHaveRun, verdict.CodeEndpointLost, err)
+		return failed(verdict.MayHaveRun, lossCode(ctx), err)
 	}
 	if len(body) > maxOutput {
 		return failed(verdict.Ran, verdict.CodeTooLarge, fmt.Errorf("the endpoint's answer exceeds %d bytes", maxOutput))
--- a/daemon/agent/executor.go
+++ b/daemon/agent/executor.go
@@ -44,6 +44,10 @@
 	divider  *slots.Divider
 	slots    int
 	draining bool
+	// waiting holds the starts that wait for a slot, in order of arrival;
+	// reserved counts the free slots that are promised to such starts.
+	waiting  []chan struct{}
+	reserved int
 	// aborts cancels the endpoint calls of running tasks.
 	aborts map[job.TaskKey]context.CancelFunc
 	// ended is closed and replaced when a task ends.
@@ -88,16 +92,33 @@
 	return execution{result: result, runTime: taken}, x.end(r, result)
 }
 
+// begin enters a start in the table. If all slots are in use it waits a little.
 func (x *executor) begin(r run, abort context.CancelFunc) *verdict.Error {
-	now := time.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if x.full() && x.mayWait() && !x.draining {
+		x.awaitSlot()
+	}
+	err := x.tryBegin(r, abort)
+	if err != nil {
+		x.wakeNext() // the slot may have been kept for this start
+	}
+	return err
+}
+
+// tryBegin enters a start in the table or refuses it. The caller holds mu.
+func (x *executor) tryBegin(r run, abort context.CancelFunc) *verdict.Error {
+	now := time.Now()
 	if x.draining {
 		return verdict.Errorf(verdict.CodeShuttingDown, verdict.NotRun, "the endpoint is leaving")
 	}
 	if !x.members.LeaseValid() {
 		return verdict.Errorf(verdict.CodeLeaseLapsed, verdict.NotRun, "the agent's lease has lapsed")
 	}
+	if x.reserved > 0 && x.full() {
+		x.divider.Refused(r.entry, r.backlog, now)
+		return verdict.Errorf(verdict.CodeEndpointBusy, verdict.NotRun, "all %d slots are in use", x.slots)
+	}
 	if err := x.table.Begin(r.key, r.attempt, now, now.Add(r.timeout+keepAfterDeadline)); err != nil {
 		x.divider.Refused(r.entry, r.backlog, now)
 		return err
@@ -115,6 +136,7 @@
 	x.divider.End(r.entry, time.Now())
 	close(x.ended)
 	x.ended = make(chan struct{})
+	defer x.wakeNext()
 	if result.Verdict == verdict.NotRun {
 		x.table.Abort(r.key, r.attempt)
 		x.log.Emit(events.Event{ID: events.EndpointFailed, Job: r.key.Job, Task: r.key.Task + 1, Text: result.Message})
