--- a/client/internal/cli/root.go
+++ b/client/internal/cli/root.go
@@ -12,6 +12,7 @@
 
 	"github.com/cicadapulley/cicadapulley/api/rpc"
 	"github.com/cicadapulley/cicadapulley/client/internal/exit"
+	"github.com/cicadapulley/cicadapulley/client/internal/load"
 	"github.com/cicadapulley/cicadapulley/client/internal/output"
 )
 
@@ -67,7 +68,7 @@
 	a.flags.register(root.PersistentFlags(), env)
 	root.AddCommand(
 		a.status(), a.endpoints(), a.jobs(), a.job(), a.call(), a.drain(),
-		a.ticket(), a.group(), a.timeline(), a.version(),
+		a.ticket(), a.group(), a.timeline(), a.version(), load.NewCommand(),
 	)
 	return root
 }
--- a/daemon/agent/executor.go
+++ b/daemon/agent/executor.go
@@ -5,7 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/cicadapulley/cicadapulley/api/rpc"
 	"github.com/cicadapulley/cicadapulley/core/job"
+	"github.com/cicadapulley/cicadapulley/core/slots"
 	"github.com/cicadapulley/cicadapulley/core/tasktable"
 	"github.com/cicadapulley/cicadapulley/core/verdict"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
@@ -41,8 +43,13 @@
 
 	mu       sync.Mutex
 	table    *tasktable.Table
+	divider  *slots.Divider
 	slots    int
 	draining bool
+	// waiting holds the starts that wait for a slot, in order of arrival;
+	// reserved counts the free slots that are promised to such starts.
+	waiting  []chan struct{}
+	reserved int
 	// aborts cancels the endpoint calls of running tasks.
 	aborts map[job.TaskKey]context.CancelFunc
 	// ended is closed and replaced when a task ends.
@@ -56,6 +63,7 @@
 		members:  m,
 		endpoint: e,
 		table:    tasktable.New(limits),
+		divider:  slots.New(s.Slots),
 		slots:    s.Slots,
 		aborts:   map[job.TaskKey]context.CancelFunc{},
 		ended:    make(chan struct{}),
@@ -86,17 +94,38 @@
 	return execution{result: result, runTime: taken}, x.end(r, result)
 }
 
+// begin enters a start in the table. If all slots are in use it waits a little.
 func (x *executor) begin(r run, abort context.CancelFunc) *verdict.Error {
-	now := time.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if x.full() && x.mayWait() && !x.draining {
+		x.awaitSlot()
+	}
+	err := x.tryBegin(r, abort)
+	if err != nil {
+		x.wakeNext() // the slot may have been kept for this start
+	}
+	return err
+}
+
+// tryBegin enters a start in the table or refuses it. A refusal is remembered,
+// so that a late copy of the request can't start the task. The caller holds mu.
+func (x *executor) tryBegin(r run, abort context.CancelFunc) *verdict.Error {
+	now := time.Now()
 	forgetAt := now.Add(r.timeout + keepAfterDeadline)
 	if refusal := x.unavailable(r); refusal != nil {
 		return x.table.Refuse(r.key, r.attempt, now, forgetAt, refusal)
 	}
+	if x.reserved > 0 && x.full() {
+		x.divider.Refused(r.entry, r.backlog, now)
+		busy := verdict.Errorf(verdict.CodeEndpointBusy, verdict.NotRun, "all %d slots are in use", x.slots)
+		return x.table.Refuse(r.key, r.attempt, now, forgetAt, busy)
+	}
 	if err := x.table.Begin(r.key, r.attempt, now, forgetAt); err != nil {
+		x.divider.Refused(r.entry, r.backlog, now)
 		return err
 	}
+	x.divider.Begin(r.entry, r.backlog, now)
 	x.aborts[r.key] = abort
 	return nil
 }
@@ -121,8 +150,10 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	delete(x.aborts, r.key)
+	x.divider.End(r.entry, time.Now())
 	close(x.ended)
 	x.ended = make(chan struct{})
+	defer x.wakeNext()
 	if result.Verdict == verdict.NotRun {
 		x.table.Abort(r.key, r.attempt)
 		x.log.Emit(events.Event{ID: events.EndpointFailed, Job: r.key.Job, Task: r.key.Task + 1, Text: result.Message})
@@ -132,6 +163,18 @@
 	return nil
 }
 
+// load returns the agent's load as an entry is told, with its grant.
+func (x *executor) load(entry string) *rpc.Load {
+	now := time.Now()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return &rpc.Load{
+		Slots:   uint32(x.slots),
+		Running: uint32(x.table.Running()),
+		Granted: uint32(x.divider.Granted(entry, now)),
+	}
+}
+
 // running returns the number of tasks in progress.
 func (x *executor) running() int {
 	x.mu.Lock()
@@ -161,11 +204,16 @@
 	defer x.mu.Unlock()
 	x.log.Emit(events.Event{ID: events.JobCancelSeen, Job: k})
 	x.table.Cancel(k, epoch, now, now.Add(timeout+keepAfterDeadline))
+	found := false
 	for task, abort := range x.aborts {
 		if task.Job == k {
 			abort()
+			found = true
 		}
 	}
+	if !found {
+		x.log.Emit(events.Event{ID: events.JobCancelLate, Job: k})
+	}
 }
 
 // drain refuses new tasks from now on.
--- a/daemon/dev/dev.go
+++ b/daemon/dev/dev.go
@@ -52,7 +52,9 @@
 	// LeaseTTL is the length of leases.
 	LeaseTTL time.Duration
 	Dispatch string
-	Logger   *zap.Logger
+	// Kinds are further repeatable kinds that work like sleep.
+	Kinds  []string
+	Logger *zap.Logger
 	// Ready gets the line that says where callers are served.
 	Ready io.Writer
 }
@@ -165,6 +167,7 @@
 		}
 		agentID := fmt.Sprintf("worker-%d", i+1)
 		e := standin.New(l, s.starts, standin.Behaviour{Mode: standin.Normal, Speed: speed})
+		e.Worker = agentID
 		s.endpoints[agentID] = e
 		s.root.Add(supervisor.Child{Name: endpointID, Run: e.Run})
 		if err := s.addAgent(ctx, agentID, endpointID, i/workersPerRack, local); err != nil {
@@ -187,7 +190,7 @@
 		Settings: settings.Agent{
 			Process:     process,
 			Endpoint:    "http://" + address(endpointID) + "/",
-			Serves:      served(),
+			Serves:      s.served(),
 			Slots:       s.opts.Slots,
 			Connections: connectionsPerWorker,
 		},
@@ -204,7 +207,7 @@
 
 func (s *System) addEntries(ctx context.Context) error {
 	for i, listen := range s.opts.Listen {
-		id := fmt.Sprintf("entry-%d", i+1)
+		id := entryID(i)
 		host := s.net.Host(id)
 		l, err := host.Listen(ctx, address(id))
 		if err != nil {
@@ -220,6 +223,8 @@
 	return nil
 }
 
+func entryID(i int) string { return fmt.Sprintf("entry-%d", i+1) }
+
 func (s *System) addEntry(id string, host transport.Network, l, callers net.Listener) {
 	process := s.process(id)
 	process.Ops = s.opsURL(id)
--- a/daemon/dev/extra.go
+++ b/daemon/dev/extra.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/http/pprof"
 	"strings"
 
 	"github.com/cicadapulley/cicadapulley/core/job"
@@ -21,10 +22,14 @@
 func (s *System) extraRoutes() *http.ServeMux {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /dev/starts", s.showStarts)
+	mux.HandleFunc("GET /dev/workers", s.showWorkers)
 	mux.HandleFunc("GET /dev/endpoints", s.showEndpoints)
 	mux.HandleFunc("PUT /dev/endpoints/{id}", s.setEndpoint)
 	mux.HandleFunc("POST /dev/links", s.setLink)
 	mux.HandleFunc("GET /dev/processes/{id}/", s.showProcess)
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
 	for _, c := range s.controls {
 		if c.Driver().Leading() {
 			operator := c.Operator()
@@ -50,6 +55,11 @@
 	writeJSON(w, s.starts.Of(key, s.taskCount(key)))
 }
 
+// showWorkers answers the worker of each started task of a caller, by job.
+func (s *System) showWorkers(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, s.starts.WorkersOfCaller(r.URL.Query().Get("caller")))
+}
+
 // taskCount returns the number of tasks of a recorded job, zero if unknown.
 func (s *System) taskCount(k job.Key) int {
 	leader := s.leader()
@@ -126,7 +136,14 @@
 		return
 	}
 	prefix := "/dev/processes/" + r.PathValue("id")
-	page := ops.New(ops.Options{Log: log, Ready: func() bool { return true }})
+	options := ops.Options{Log: log, Ready: func() bool { return true }}
+	for i, e := range s.entries {
+		if r.PathValue("id") == entryID(i) {
+			options.Status = func() any { return e.Status() }
+			options.Collectors = e.Collectors()
+		}
+	}
+	page := ops.New(options)
 	http.StripPrefix(strings.TrimSuffix(prefix, "/"), page.Handler()).ServeHTTP(w, r)
 }
 
