daemon/internal/harness: run the daemons in a bubble with faults

Cause: nothing ran several processes of all roles under failures. Change: a package for tests that starts control VMs, entries, agents and stand-in endpoints on the network in memory, with disks that lose unsynced data, and kills, restarts, cuts off, silences and stops them.

--- /dev/null
+++ b/daemon/internal/harness/disk.go
@@ -0,0 +1,133 @@
+package harness
+
+import (
+	"io"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+
+	"github.com/cicadapulley/cicadapulley/daemon/storage"
+)
+
+// Disk is a file system in memory. A power loss keeps an arbitrary part of
+// what was not synced. Package storage has a stricter one in its own tests,
+// which can't be shared: those tests are inside the package that it would import.
+type Disk struct {
+	mu     sync.Mutex
+	names  map[string]*inode
+	synced map[string]*inode
+}
+
+// inode is a file's content; the first synced bytes survive a power loss.
+type inode struct {
+	data   []byte
+	synced int
+}
+
+// NewDisk returns an empty disk.
+func NewDisk() *Disk {
+	return &Disk{names: map[string]*inode{}, synced: map[string]*inode{}}
+}
+
+// PowerLoss drops an arbitrary part of what was not synced. No process may use
+// the disk meanwhile.
+func (d *Disk) PowerLoss(r *rand.Rand) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if r.IntN(2) == 0 {
+		d.names = maps.Clone(d.synced)
+	}
+	d.synced = maps.Clone(d.names)
+	for _, n := range d.names {
+		n.data = n.data[:n.synced+r.IntN(len(n.data)-n.synced+1)]
+		n.synced = len(n.data)
+	}
+}
+
+// MkdirAll implements storage.FS.
+func (d *Disk) MkdirAll(string) error { return nil }
+
+// List implements storage.FS. All files are in one folder.
+func (d *Disk) List(string) ([]string, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var names []string
+	for name := range d.names {
+		names = append(names, filepath.Base(name))
+	}
+	return names, nil
+}
+
+// ReadFile implements storage.FS.
+func (d *Disk) ReadFile(name string) ([]byte, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if n := d.names[name]; n != nil {
+		return slices.Clone(n.data), nil
+	}
+	return nil, os.ErrNotExist
+}
+
+// Create implements storage.FS.
+func (d *Disk) Create(name string) (storage.File, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := &inode{}
+	d.names[name] = n
+	return &diskFile{disk: d, node: n}, nil
+}
+
+// Rename implements storage.FS.
+func (d *Disk) Rename(from, to string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.names[to] = d.names[from]
+	delete(d.names, from)
+	return nil
+}
+
+// Remove implements storage.FS.
+func (d *Disk) Remove(name string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.names, name)
+	return nil
+}
+
+// SyncDir implements storage.FS.
+func (d *Disk) SyncDir(string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.synced = maps.Clone(d.names)
+	return nil
+}
+
+// Lock implements storage.FS. The cluster runs one life of a process at a time.
+func (d *Disk) Lock(string) (io.Closer, error) { return io.NopCloser(nil), nil }
+
+type diskFile struct {
+	disk *Disk
+	node *inode
+}
+
+// Write implements storage.File.
+func (f *diskFile) Write(p []byte) (int, error) {
+	f.disk.mu.Lock()
+	defer f.disk.mu.Unlock()
+	f.node.data = append(f.node.data, p...)
+	return len(p), nil
+}
+
+// Sync implements storage.File.
+func (f *diskFile) Sync() error {
+	f.disk.mu.Lock()
+	defer f.disk.mu.Unlock()
+	f.node.synced = len(f.node.data)
+	return nil
+}
+
+// Close implements storage.File.
+func (f *diskFile) Close() error { return nil }
--- /dev/null
+++ b/daemon/internal/harness/endpoint.go
@@ -0,0 +1,136 @@
+package harness
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/api/callers"
+	"github.com/cicadapulley/cicadapulley/core/job"
+	"github.com/cicadapulley/cicadapulley/daemon/dev/standin"
+	"github.com/cicadapulley/cicadapulley/daemon/settings"
+	"github.com/cicadapulley/cicadapulley/daemon/transport"
+)
+
+// Kinds of the test service beside those of the stand-ins.
+const (
+	ServiceName = "demo"
+	// KindQuote is repeatable, so it is called without a record.
+	KindQuote = "quote"
+	// KindLiar declares a run time that is far from the actual one.
+	KindLiar = "liar"
+	// KindHuge needs more than any worker has.
+	KindHuge = "huge"
+	// KindOrphan is served by nobody.
+	KindOrphan = "orphan"
+)
+
+// Served lists the kinds that the agents announce.
+func Served() []settings.ServedKind {
+	var list []settings.ServedKind
+	for _, k := range []string{standin.KindSleep, standin.KindFail, standin.KindHold, KindQuote, KindLiar, KindHuge} {
+		list = append(list, settings.ServedKind{Service: ServiceName, Kind: k})
+	}
+	return list
+}
+
+// Start is one request that reached an endpoint.
+type Start struct {
+	Key      job.TaskKey
+	Endpoint string
+	At       time.Time
+}
+
+// Starts is the record of all starts, at the endpoints.
+type Starts struct {
+	mu   sync.Mutex
+	list []Start
+	byID map[job.Key][]Start
+}
+
+func newStarts() *Starts { return &Starts{byID: map[job.Key][]Start{}} }
+
+func (s *Starts) add(one Start) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list = append(s.list, one)
+	s.byID[one.Key.Job] = append(s.byID[one.Key.Job], one)
+}
+
+// Of returns the starts of a job.
+func (s *Starts) Of(k job.Key) []Start {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.byID[k])
+}
+
+// Count returns the number of starts of a task.
+func (s *Starts) Count(k job.TaskKey) int {
+	n := 0
+	for _, one := range s.Of(k.Job) {
+		if one.Key == k {
+			n++
+		}
+	}
+	return n
+}
+
+// All returns all starts in order.
+func (s *Starts) All() []Start {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.list)
+}
+
+// Endpoint is a stand-in endpoint that outlives its agent.
+type Endpoint struct {
+	*standin.Endpoint
+	name    string
+	address string
+	starts  *Starts
+	stop    context.CancelFunc
+}
+
+// ServeHTTP records the start and passes the request on.
+func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	task, _ := strconv.Atoi(r.Header.Get(callers.HeaderTask)) // the agent always sends a number
+	e.starts.add(Start{
+		Key: job.TaskKey{
+			Job:  job.Key{Caller: r.Header.Get(callers.HeaderCaller), ID: r.Header.Get(callers.HeaderJob)},
+			Task: task,
+		},
+		Endpoint: e.name,
+		At:       time.Now(),
+	})
+	e.Endpoint.ServeHTTP(w, r)
+}
+
+// endpoint finds or starts the endpoint beside an agent.
+func (c *Cluster) endpoint(agent string) (*Endpoint, error) {
+	if e := c.Endpoints[agent]; e != nil {
+		return e, nil
+	}
+	counts, err := standin.OpenStarts("")
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	e := &Endpoint{name: agent, address: agent + ".endpoint:1", starts: c.Starts, stop: stop}
+	l, err := c.local.Host(agent+".endpoint").Listen(ctx, e.address)
+	if err != nil {
+		stop()
+		return nil, err
+	}
+	e.Endpoint = standin.New(l, counts, standin.Behaviour{Mode: standin.Normal, Speed: 1})
+	c.Endpoints[agent] = e
+	go func() { _ = transport.Serve(ctx, transport.NewServer(e, nil), l, time.Second) }()
+	return e, nil
+}
+
+// clockText prints a hybrid timestamp's physical part.
+func clockText(clock uint64) string {
+	return time.UnixMilli(int64(clock >> 16)).UTC().Format("04:05.000")
+}
--- /dev/null
+++ b/daemon/internal/harness/operator.go
@@ -0,0 +1,156 @@
+package harness
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/api/controlclient"
+	"github.com/cicadapulley/cicadapulley/api/rpc"
+	"github.com/cicadapulley/cicadapulley/daemon/dev/standin"
+)
+
+// operatorPause is the wait between tries of an operator.
+const operatorPause = 50 * time.Millisecond
+
+// Operator is an operators' machine.
+type Operator struct {
+	*controlclient.Client
+	cluster *Cluster
+	close   func()
+}
+
+// Operator returns a client on its own host.
+func (c *Cluster) Operator(host string) *Operator {
+	client, h := c.controlClient(c.Host(host))
+	return &Operator{Client: client, cluster: c, close: h.CloseIdleConnections}
+}
+
+// Close ends the operator's connections.
+func (o *Operator) Close() { o.close() }
+
+// DemoService is the configuration of the test service.
+func DemoService() *rpc.ServiceConfig {
+	return &rpc.ServiceConfig{Name: ServiceName, Kinds: []*rpc.Kind{
+		{Name: standin.KindSleep},
+		{Name: standin.KindFail},
+		{Name: standin.KindHold},
+		{Name: KindQuote, Repeatable: true},
+		{Name: KindLiar, ExpectedMs: 20_000},
+		{Name: KindHuge, Needs: &rpc.Resources{MilliCpu: 1_000_000}},
+		{Name: KindOrphan},
+	}}
+}
+
+// Form starts the control VMs, makes one group of them and applies the first ticket.
+func (c *Cluster) Form(ctx context.Context) error {
+	for i := range c.size.Controls {
+		if err := c.Process(ControlID(i)).Start(); err != nil {
+			return err
+		}
+	}
+	o := c.Operator("operator-setup")
+	defer o.Close()
+	for i := 1; i < c.size.Controls; i++ {
+		if err := o.Join(ctx, ControlID(i)); err != nil {
+			return err
+		}
+	}
+	resp, err := o.ApplyTicket(ctx, &rpc.ApplyTicketRequest{Ticket: &rpc.Ticket{
+		Number: 1, Author: "setup", Services: []*rpc.ServiceConfig{DemoService()},
+	}})
+	if err == nil && resp.Status != 0 {
+		err = fmt.Errorf("first ticket has status %d", resp.Status)
+	}
+	return err
+}
+
+// Join adds a control VM that runs to the group and makes it a voter.
+func (o *Operator) Join(ctx context.Context, id string) error {
+	life := o.cluster.Process(id).Life()
+	if life == nil {
+		return fmt.Errorf("%s is down", id)
+	}
+	identity := string(life.Control.Driver().Status().ID)
+	return o.change(ctx, &rpc.ChangeGroupRequest{Id: identity, Address: address(id)}, func(s *rpc.StatusResponse) bool {
+		for _, vm := range s.Group {
+			if vm.Id == identity && vm.Voter {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// Expel removes an identity from the group.
+func (o *Operator) Expel(ctx context.Context, identity string) error {
+	return o.change(ctx, &rpc.ChangeGroupRequest{Id: identity, Remove: true}, func(s *rpc.StatusResponse) bool {
+		for _, vm := range s.Group {
+			if vm.Id == identity {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// change repeats a request until the group is as wanted.
+func (o *Operator) change(ctx context.Context, q *rpc.ChangeGroupRequest, done func(*rpc.StatusResponse) bool) error {
+	last := "no answer"
+	for ctx.Err() == nil {
+		status, err := o.Status(ctx, &rpc.StatusRequest{})
+		if err == nil && done(status) {
+			return nil
+		}
+		if err == nil {
+			resp, err := o.ChangeGroup(ctx, q)
+			if err == nil {
+				last = resp.Message
+			}
+		}
+		pause(ctx, operatorPause)
+	}
+	return errors.Join(ctx.Err(), errors.New(last))
+}
+
+// Start starts everything and waits until every entry would take a job.
+func (c *Cluster) Start(ctx context.Context) error {
+	if err := c.Form(ctx); err != nil {
+		return fmt.Errorf("form the group: %w", err)
+	}
+	for _, p := range c.procs {
+		if p.role == roleControl {
+			continue
+		}
+		if err := p.Start(); err != nil {
+			return err
+		}
+	}
+	for i := range c.size.Entries {
+		for !c.Ready(EntryID(i)) {
+			if !pause(ctx, operatorPause) {
+				return fmt.Errorf("%s is not ready", EntryID(i))
+			}
+		}
+	}
+	return nil
+}
+
+// Ready reports whether an entry is ready and knows all agents.
+func (c *Cluster) Ready(entry string) bool {
+	life := c.Process(entry).Life()
+	return life != nil && life.Entry.Ready() && len(life.Entry.Status().Endpoints) == c.size.Agents
+}
+
+// pause waits for d and reports whether ctx still runs.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
