--- /dev/null
+++ b/daemon/internal/harness/soak_test.go
@@ -0,0 +1,215 @@
+package harness
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cicadapulley/cicadapulley/api/rpc"
+	"github.com/cicadapulley/cicadapulley/core/job"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
+)
+
+// Environment variables of a longer run; see the target soak of the Makefile.
+const (
+	// envSeeds is the number of seeds, envSeed the first of them.
+	envSeeds = "SOAK_SEEDS"
+	envSeed  = "SOAK_SEED"
+)
+
+const (
+	// shortSeeds is the number of seeds that every run of the tests takes.
+	shortSeeds = 3
+	// stormTime is the time under faults, calmTime the time without them.
+	stormTime = 20 * time.Second
+	calmTime  = 3 * time.Second
+	// answerBound is how long after its deadline an accepted job may stay
+	// without an answer while a majority and an entry are up: two losses in a
+	// row, each with an election (1.5 s) and a fresh lease (4.5 s), and the
+	// questions about the tasks' fates.
+	answerBound = 20 * time.Second
+	// inForceBound is the bound of I8, leavingBound that of I6.
+	inForceBound = 4 * time.Second
+	leavingBound = 3 * time.Second
+)
+
+var soakSize = Size{Controls: 3, Entries: 3, Agents: 5, Slots: 6}
+
+// sizeOf lets odd seeds save snapshots, and even ones sync slowly.
+func sizeOf(seed uint64) Size {
+	s := soakSize
+	if seed%2 == 1 {
+		s.SnapshotEntries = 400
+	} else {
+		s.SyncDelay = 4 * time.Millisecond
+	}
+	return s
+}
+
+// soak is one randomised run.
+type soak struct {
+	t       *testing.T
+	seed    uint64
+	ctx     context.Context
+	cluster *Cluster
+	ledger  *Ledger
+	config  *configWatch
+	faults  *faults
+	work    sync.WaitGroup
+	callers []*Caller
+}
+
+// TestSoak guards the invariants I1 to I8 under a mix of all failures.
+func TestSoak(t *testing.T) {
+	first := number(envSeed, 1)
+	for seed := first; seed < first+number(envSeeds, shortSeeds); seed++ {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { runSoak(t, seed) })
+		})
+	}
+}
+
+func number(name string, fallback uint64) uint64 {
+	n, err := strconv.ParseUint(os.Getenv(name), 10, 64)
+	if err != nil {
+		return fallback
+	}
+	return n
+}
+
+func runSoak(t *testing.T, seed uint64) {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+	defer cancel()
+	c := New(sizeOf(seed))
+	defer c.Close()
+	s := &soak{t: t, seed: seed, ctx: ctx, cluster: c, ledger: NewLedger(c.Starts)}
+	assert.NilError(t, c.Start(ctx))
+	s.config = newConfigWatch(s)
+	s.faults = newFaults(s)
+	s.run()
+	s.report()
+}
+
+// random returns a source of its own for one part of the run.
+func (s *soak) random(part string, i int) *rand.Rand {
+	h := uint64(14695981039346656037)
+	for _, b := range []byte(fmt.Sprintf("%s/%d", part, i)) {
+		h = (h ^ uint64(b)) * 1099511628211
+	}
+	return rand.New(rand.NewPCG(s.seed, h))
+}
+
+func (s *soak) run() {
+	watching, stopWatch := context.WithCancel(s.ctx)
+	var watch sync.WaitGroup
+	watch.Go(func() { s.config.run(watching) })
+	loading, stopLoad := context.WithCancel(s.ctx)
+	s.startLoad(loading)
+	time.Sleep(calmTime)
+	s.faults.storm(stormTime)
+	s.faults.heal()
+	time.Sleep(calmTime)
+	stopLoad()
+	s.work.Wait()
+	time.Sleep(answerBound)
+	s.settle()
+	stopWatch()
+	watch.Wait()
+	for _, c := range s.callers {
+		c.Close()
+	}
+}
+
+// settle checks what must hold once all faults have ended.
+func (s *soak) settle() {
+	s.checkRecords()
+	s.repeatFinished()
+	s.ledger.CheckStarts()
+	s.config.checkFinal()
+	s.faults.checkLeaving()
+	s.checkEvents()
+}
+
+// checkRecords checks that every job has ended and was answered as recorded.
+func (s *soak) checkRecords() {
+	o := s.cluster.Operator("operator-final")
+	defer o.Close()
+	ctx, cancel := context.WithTimeout(s.ctx, 10*time.Second)
+	defer cancel()
+	resp, err := o.ListJobs(ctx, &rpc.ListJobsRequest{})
+	if err != nil {
+		s.ledger.Violate("liveness", "control does not answer after all faults ended: %v", err)
+		return
+	}
+	recorded := map[job.Key]bool{}
+	for _, r := range resp.Jobs {
+		k := job.Key{Caller: r.Key.Caller, ID: r.Key.Id}
+		recorded[k] = true
+		if job.State(r.State) == job.Running {
+			s.ledger.Violate("liveness", "job %s still runs %s after all faults ended", k, answerBound)
+		}
+	}
+	for _, t := range s.ledger.All() {
+		starts := len(s.cluster.Starts.Of(t.Key))
+		if !recorded[t.Key] && (starts > 0 || s.ledger.Accepted(t)) {
+			s.ledger.Violate("durability", "job %s has no record, %d starts, accepted %v", t.Key, starts, s.ledger.Accepted(t))
+		}
+	}
+}
+
+// repeatFinished resubmits jobs after their end: nothing may start, and the
+// answer must be the first one.
+func (s *soak) repeatFinished() {
+	r := s.random("repeat", 0)
+	for _, t := range s.ledger.All() {
+		if s.ledger.Final(t) == nil || isCall(t) {
+			continue
+		}
+		entry := EntryID(r.IntN(soakSize.Entries))
+		s.submitOnce(s.callerOf(t), t, entry, 10*time.Second)
+	}
+}
+
+// checkEvents checks that no process reported a broken invariant or ended by itself.
+func (s *soak) checkEvents() {
+	for _, id := range []events.ID{events.InvariantViolated, events.ChildPanicked, events.HandlerPanicked} {
+		if n := s.cluster.Count(id); n > 0 {
+			s.ledger.Violate("event", "%d times event %d (%s)\n%s", n, id, id.Name(), s.cluster.Find(id))
+		}
+	}
+	for _, p := range s.cluster.procs {
+		for _, l := range p.all {
+			if l.Ended() && !l.Killed() && l.Err() != nil {
+				s.ledger.Violate("process", "%s ended by itself: %v", p.ID, l.Err())
+			}
+		}
+	}
+}
+
+// report fails the test with the violations and the command that repeats them.
+func (s *soak) report() {
+	found := s.ledger.Violations()
+	s.t.Logf("seed %d: %d jobs, %d starts, %d faults, %d tickets", s.seed,
+		len(s.ledger.All()), len(s.cluster.Starts.All()), s.faults.count, s.config.acknowledged())
+	if len(found) == 0 {
+		return
+	}
+	const shown = 8
+	for _, v := range found[:min(len(found), shown)] {
+		s.t.Errorf("%s", v.Text)
+		if v.Job.ID != "" {
+			s.t.Logf("events of %s:\n%s", v.Job, s.cluster.Timeline(v.Job))
+		}
+	}
+	s.t.Logf("faults:\n%s", s.faults.history())
+	s.t.Errorf("%d violations with seed %d; repeat with: make soak SEED=%d SEEDS=1", len(found), s.seed, s.seed)
+}
