daemon/entry: answer a call of an unknown kind from its record first

Change: an unknown kind counts as not repeatable, so the refusal goes through the admission, which asks for the record before it promises not_run.

--- a/daemon/entry/frontcall.go
+++ b/daemon/entry/frontcall.go
@@ -59,16 +59,25 @@
 	if c.payload, err = parsePayload(body); err != nil {
 		return c, err
 	}
-	c.kind, err = f.kindOf(c.service, p.ByName("kind"))
-	return c, err
+	c.kind = f.kindOf(c.service, p.ByName("kind"))
+	return c, nil
 }
 
-func (f *front) kindOf(serviceName, kindName string) (state.Kind, *verdict.Error) {
+// kindOf looks a kind up. An unknown one counts as not repeatable: the call may
+// have a record from before the kind was removed, or this entry may not have
+// the configuration yet, so the refusal is left to the admission, after which
+// the record is asked for.
+func (f *front) kindOf(serviceName, kindName string) state.Kind {
+	unknown := state.Kind{Name: kindName}
 	service, err := findService(f.service.members.Replica(), serviceName)
 	if err != nil {
-		return state.Kind{}, err
+		return unknown
 	}
-	return findKind(service, kindName)
+	kind, err := findKind(service, kindName)
+	if err != nil {
+		return unknown
+	}
+	return kind
 }
 
 func (f *front) callRepeatable(w http.ResponseWriter, q *http.Request, c call) {
