daemon/entry: ask for fates after a takeover also past the deadline

Cause: a takeover comes when the dead entry's lease has lapsed, 4 s later, and most jobs are past their deadline by then. The questions ended at the deadline, so results that the agents had were not used, and a job whose caller had its complete answer was recorded as failed (may_have_run). Change: a takeover asks for at least 6 s. Agents keep results for 30 s past the deadline, and one that does not answer expires within 4.5 s.

--- a/daemon/entry/recover.go
+++ b/daemon/entry/recover.go
@@ -16,6 +16,11 @@
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 )
 
+// recoverTime is how long a takeover asks at least, also when the deadline has
+// passed, as it often has when the lease of the dead entry lapses. Agents keep
+// results well past it; an agent that does not answer expires within this time.
+const recoverTime = 6 * time.Second
+
 // recoverAll takes over jobs whose entry has ended. The membership calls it
 // after the replica has the members of the same revision.
 func (s *Service) recoverAll(records []job.Record) {
@@ -83,7 +88,11 @@
 // returns nil for the tasks that certainly did not start.
 func (m *jobs) learnFates(r job.Record) []*job.TaskResult {
 	f := &findings{results: make([]*job.TaskResult, len(r.Tasks))}
-	ctx, cancel := context.WithDeadline(m.background, r.Deadline.Add(answerGrace))
+	until := r.Deadline.Add(answerGrace)
+	if least := time.Now().Add(recoverTime); until.Before(least) {
+		until = least
+	}
+	ctx, cancel := context.WithDeadline(m.background, until)
 	defer cancel()
 	var asks conc.WaitGroup
 	for _, member := range m.service.members.Replica().Members {
