core/state: a job whose answer was dropped stays known by its key

Cause: finished answers beyond the size bound were forgotten as soon as their deadline had passed, so a later resubmission was accepted as a new job and its tasks started a second time (found by the randomised checks of the state). Change: such a job keeps its key, digest and verdict for the set time; a resubmission is told answer_expired and whether the job ran. The hybrid logical clock of core/hlc, which refuses clocks far ahead, replaces the unbounded one.

--- a/api/codec/job.go
+++ b/api/codec/job.go
@@ -147,6 +147,7 @@
 		Outcome:          OutcomeToRPC(r.Outcome),
 		FinishedUnixMs:   unixMS(r.Finished),
 		Revision:         r.Revision,
+		AnswerDropped:    r.AnswerDropped,
 		Tasks:            make([]*rpc.Task, len(r.Tasks)),
 	}
 	for i, t := range r.Tasks {
@@ -173,6 +174,7 @@
 		Outcome:          OutcomeFromRPC(r.Outcome),
 		Finished:         fromUnixMS(r.FinishedUnixMs),
 		Revision:         r.Revision,
+		AnswerDropped:    r.AnswerDropped,
 		Tasks:            make([]job.Task, len(r.Tasks)),
 	}
 	copy(out.Digest[:], r.Digest)
--- a/core/job/job.go
+++ b/core/job/job.go
@@ -115,6 +115,9 @@
 	// Outcome is nil while the job runs.
 	Outcome  *Outcome
 	Finished time.Time
+	// AnswerDropped marks a finished job whose results are no longer kept. The
+	// record stays for a while, so that a resubmission does not run again.
+	AnswerDropped bool
 	// Revision is the log index of the last change.
 	Revision uint64
 }
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -16,8 +16,11 @@
 	// of its end and its deadline.
 	FinishedJobs time.Duration
 	// FinishedBytes bounds the kept answers' size in bytes. Answers of jobs
-	// whose deadline has not passed are kept beyond it.
+	// whose deadline has not passed are kept beyond it. A job whose answer was
+	// dropped stays known by its key, so that a resubmission does not run.
 	FinishedBytes int64
+	// DroppedJobs bounds the number of jobs known by their key alone.
+	DroppedJobs int
 	// EndedMembers is how long a left or expired member is kept at least. It is
 	// kept longer while a job runs that it may have started tasks of.
 	EndedMembers time.Duration
@@ -31,7 +34,9 @@
 var DefaultRetention = Retention{
 	FinishedJobs:  10 * time.Minute,
 	FinishedBytes: 64 << 20,
-	EndedMembers:  30 * time.Minute,
+	// At about 200 bytes each this takes 20 MB.
+	DroppedJobs:  100_000,
+	EndedMembers: 30 * time.Minute,
 	// At 300 ended members a day this costs each watcher five full views.
 	EndedBatch: 64,
 	Tickets:    1000,
@@ -64,6 +69,8 @@
 	changes       []change
 	finished      finishedJobs
 	finishedBytes int64
+	// dropped are finished jobs whose answers were dropped for lack of room.
+	dropped finishedJobs
 }
 
 // New returns an empty machine.
--- a/core/state/machine_test.go
+++ b/core/state/machine_test.go
@@ -17,6 +17,7 @@
 var testRetention = Retention{
 	FinishedJobs:  10 * time.Second,
 	FinishedBytes: 8 * recordOverhead,
+	DroppedJobs:   3,
 	EndedMembers:  2 * time.Second,
 	EndedBatch:    2,
 	Tickets:       4,
@@ -261,6 +262,9 @@
 		mine := known && owner.Incarnation == r.OwnerIncarnation
 		switch {
 		case r.State.Final():
+			if r.AnswerDropped {
+				break
+			}
 			bytes += recordBytes(&r)
 			released = released || !releaseTime(&r).After(p.now)
 			assert.Assert(t, p.now.Sub(releaseTime(&r)) < testRetention.FinishedJobs, "job kept too long")
--- a/core/state/regression_test.go
+++ b/core/state/regression_test.go
@@ -134,3 +134,20 @@
 		})
 	}
 }
+
+// Guards against a second run of a job whose answer was dropped for lack of
+// room: its key must stay known, also over a snapshot.
+func TestDroppedAnswerKeepsItsKey(t *testing.T) {
+	s := script{New(Retention{FinishedJobs: time.Minute, FinishedBytes: 1, DroppedJobs: 1, Tickets: 1})}
+	s.at(0, register("e", RoleEntry))
+	s.at(0, accept("first", 1))
+	s.at(0, fail("first"))
+	s.at(10, accept("second", 1))
+	assert.Equal(t, s.at(11, accept("first", 1)).Accept, Existing)
+	s.Machine = Restore(s.retention, s.Snapshot())
+	res := s.at(12, accept("first", 1))
+	assert.Equal(t, res.Accept, Existing)
+	assert.Assert(t, res.Record.AnswerDropped)
+	s.at(100, Command{})
+	assert.Equal(t, s.at(101, accept("first", 1)).Accept, Accepted)
+}
--- a/core/state/retention.go
+++ b/core/state/retention.go
@@ -58,13 +58,18 @@
 	return r
 }
 
+// keepFinished files a finished job by what is kept of it.
 func (m *Machine) keepFinished(r *job.Record) {
+	if r.AnswerDropped {
+		heap.Push(&m.dropped, r)
+		return
+	}
 	heap.Push(&m.finished, r)
 	m.finishedBytes += recordBytes(r)
 }
 
-// pruneJobs forgets finished jobs some time after their release, or at once
-// when the kept answers are too large.
+// pruneJobs forgets finished jobs some time after their release, and drops
+// answers earlier when they take too much room.
 func (m *Machine) pruneJobs(now time.Time) {
 	if now.IsZero() {
 		return
@@ -72,14 +77,42 @@
 	for len(m.finished) > 0 {
 		r := m.finished[0]
 		kept := now.Sub(releaseTime(r))
-		if kept < 0 {
-			return
-		}
-		if kept < m.retention.FinishedJobs && m.finishedBytes <= m.retention.FinishedBytes {
-			return
+		full := m.finishedBytes > m.retention.FinishedBytes
+		if kept < 0 || (kept < m.retention.FinishedJobs && !full) {
+			break
 		}
 		heap.Pop(&m.finished)
 		m.finishedBytes -= recordBytes(r)
+		if kept < m.retention.FinishedJobs {
+			m.keepFinished(withoutAnswer(r))
+			continue
+		}
+		delete(m.jobs, r.Key)
+	}
+	m.pruneDropped(now)
+}
+
+// withoutAnswer strips a finished record to what a resubmission is told.
+// Copies that readers hold keep their slices.
+func withoutAnswer(r *job.Record) *job.Record {
+	r.AnswerDropped = true
+	r.Tasks = nil
+	out := *r.Outcome
+	out.Results = nil
+	out.Message = ""
+	r.Outcome = &out
+	return r
+}
+
+// pruneDropped forgets jobs without answers when their time is over, or when
+// there are too many.
+func (m *Machine) pruneDropped(now time.Time) {
+	for len(m.dropped) > 0 {
+		r := m.dropped[0]
+		if now.Sub(releaseTime(r)) < m.retention.FinishedJobs && len(m.dropped) <= m.retention.DroppedJobs {
+			return
+		}
+		heap.Pop(&m.dropped)
 		delete(m.jobs, r.Key)
 	}
 }
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -41,8 +41,10 @@
 			s.Running = append(s.Running, *r)
 		}
 	}
-	for _, r := range m.finished {
-		s.Finished = append(s.Finished, *r)
+	for _, list := range []finishedJobs{m.finished, m.dropped} {
+		for _, r := range list {
+			s.Finished = append(s.Finished, *r)
+		}
 	}
 	slices.SortFunc(s.Running, byRevision)
 	slices.SortFunc(s.Finished, byRevision)
--- a/core/state/ticketcheck.go
+++ b/core/state/ticketcheck.go
@@ -103,6 +103,6 @@
 
 // JobCounts returns the numbers of running and finished jobs.
 func (m *Machine) JobCounts() (running, finished uint64) {
-	finished = uint64(len(m.finished))
+	finished = uint64(len(m.finished) + len(m.dropped))
 	return uint64(len(m.jobs)) - finished, finished
 }
--- a/core/verdict/verdict.go
+++ b/core/verdict/verdict.go
@@ -73,6 +73,7 @@
 	CodeLeaseLapsed      Code = "lease_lapsed"
 	CodeAlreadyStarted   Code = "already_started"
 	CodeRetriesExhausted Code = "retries_exhausted"
+	CodeAnswerExpired    Code = "answer_expired"
 	CodeInternal         Code = "internal"
 )
 
--- a/daemon/agent/api.go
+++ b/daemon/agent/api.go
@@ -19,7 +19,7 @@
 // Run implements rpc.Agent. It does not end early when the connection breaks.
 func (a *api) Run(_ context.Context, q *rpc.RunRequest) (*rpc.RunResponse, error) {
 	x := a.executor
-	x.log.Clock().Observe(q.Clock)
+	x.log.Observe(q.Clock)
 	done, refusal := x.run(run{
 		request: request{
 			key:     job.TaskKey{Job: codec.KeyFromRPC(q.Job), Task: int(q.Task)},
@@ -36,7 +36,7 @@
 	resp := &rpc.RunResponse{
 		Refusal: codec.FailureToRPC(refusal),
 		Load:    x.load(q.Entry),
-		Clock:   x.log.Clock().Now(),
+		Clock:   x.log.Now(),
 	}
 	if refusal == nil {
 		resp.Result = codec.ResultToRPC(done.result)
@@ -48,7 +48,7 @@
 // Fate implements rpc.Agent. With max_wait_ms it answers when none of the
 // tasks runs any more, or when the time is over.
 func (a *api) Fate(ctx context.Context, q *rpc.FateRequest) (*rpc.FateResponse, error) {
-	a.executor.log.Clock().Observe(q.Clock)
+	a.executor.log.Observe(q.Clock)
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(q.MaxWaitMs)*time.Millisecond)
 	defer cancel()
 	for {
@@ -64,7 +64,7 @@
 		return &rpc.FateResponse{
 			Fates:       fates,
 			Incarnation: a.executor.members.Incarnation(),
-			Clock:       a.executor.log.Clock().Now(),
+			Clock:       a.executor.log.Now(),
 		}, nil
 	}
 }
@@ -89,10 +89,10 @@
 
 // Cancel implements rpc.Agent.
 func (a *api) Cancel(_ context.Context, q *rpc.CancelRequest) (*rpc.CancelResponse, error) {
-	a.executor.log.Clock().Observe(q.Clock)
+	a.executor.log.Observe(q.Clock)
 	for _, c := range q.Jobs {
 		timeout := time.Duration(c.TimeoutMs) * time.Millisecond
 		a.executor.cancel(codec.KeyFromRPC(c.Job), c.Epoch, timeout)
 	}
-	return &rpc.CancelResponse{Clock: a.executor.log.Clock().Now()}, nil
+	return &rpc.CancelResponse{Clock: a.executor.log.Now()}, nil
 }
--- a/daemon/app/app.go
+++ b/daemon/app/app.go
@@ -52,7 +52,7 @@
 		return nil, errors.Wrap(err, "log_level")
 	}
 	p := &process{settings: s, network: &transport.Counted{Network: transport.TCP{}}}
-	p.log = events.NewLog(s.ID, z.With(zap.String("process", s.ID)), &events.HybridClock{})
+	p.log = events.NewLog(s.ID, z.With(zap.String("process", s.ID)), events.NewClock())
 	p.log.Emit(events.Event{ID: events.ProcessStarted})
 	if p.security, err = transport.LoadSecurity(s.TLS, p.log); err != nil {
 		return nil, errors.Wrap(err, "tls")
--- a/daemon/control/api.go
+++ b/daemon/control/api.go
@@ -36,11 +36,11 @@
 	return nil, twirp.Unavailable.Error(err.Error())
 }
 
-func (a *api) now() uint64 { return a.log.Clock().Now() }
+func (a *api) now() uint64 { return a.log.Now() }
 
 // AcceptJob implements rpc.Control.
 func (a *api) AcceptJob(ctx context.Context, q *rpc.AcceptJobRequest) (*rpc.AcceptJobResponse, error) {
-	a.log.Clock().Observe(q.Clock)
+	a.log.Observe(q.Clock)
 	record := codec.RecordFromRPC(q.Record)
 	if record == nil {
 		return nil, twirp.RequiredArgumentError("record")
@@ -59,7 +59,7 @@
 
 // FinishJob implements rpc.Control.
 func (a *api) FinishJob(ctx context.Context, q *rpc.FinishJobRequest) (*rpc.FinishJobResponse, error) {
-	a.log.Clock().Observe(q.Clock)
+	a.log.Observe(q.Clock)
 	outcome := codec.OutcomeFromRPC(q.Outcome)
 	if outcome == nil || !outcome.State.Final() {
 		return nil, twirp.InvalidArgumentError("outcome", "must be final")
@@ -97,7 +97,7 @@
 
 // Register implements rpc.Control.
 func (a *api) Register(ctx context.Context, q *rpc.RegisterRequest) (*rpc.RegisterResponse, error) {
-	a.log.Clock().Observe(q.Clock)
+	a.log.Observe(q.Clock)
 	member := codec.MemberFromRPC(q.Member)
 	result, err := a.driver.Propose(ctx, state.Command{Register: &state.RegisterMember{Member: member}})
 	if err != nil {
@@ -116,7 +116,7 @@
 
 // Renew implements rpc.Control.
 func (a *api) Renew(_ context.Context, q *rpc.RenewRequest) (*rpc.RenewResponse, error) {
-	a.log.Clock().Observe(q.Clock)
+	a.log.Observe(q.Clock)
 	known := false
 	err := a.driver.Read(func(m *state.Machine) {
 		member, ok := m.Member(q.Id)
@@ -134,14 +134,14 @@
 
 // Drain implements rpc.Control.
 func (a *api) Drain(ctx context.Context, q *rpc.MemberRequest) (*rpc.MemberResponse, error) {
-	a.log.Clock().Observe(q.Clock)
+	a.log.Observe(q.Clock)
 	command := state.Command{DrainMember: &state.DrainMember{ID: q.Id, Incarnation: q.Incarnation}}
 	return a.endMember(ctx, q, command, events.MemberDrainMarked)
 }
 
 // Leave implements rpc.Control.
 func (a *api) Leave(ctx context.Context, q *rpc.MemberRequest) (*rpc.MemberResponse, error) {
-	a.log.Clock().Observe(q.Clock)
+	a.log.Observe(q.Clock)
 	command := state.Command{EndMember: &state.EndMember{ID: q.Id, Incarnation: q.Incarnation, State: state.MemberLeft}}
 	return a.endMember(ctx, q, command, events.MemberLeft)
 }
@@ -161,7 +161,7 @@
 // Watch implements rpc.Control. The request's revision tells what the member
 // has in force.
 func (a *api) Watch(ctx context.Context, q *rpc.WatchRequest) (*rpc.WatchResponse, error) {
-	a.log.Clock().Observe(q.Clock)
+	a.log.Observe(q.Clock)
 	a.noteRevision(q)
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(q.MaxWaitMs)*time.Millisecond)
 	defer cancel()
--- a/daemon/control/control_bench_test.go
+++ b/daemon/control/control_bench_test.go
@@ -51,7 +51,7 @@
 				SyncDelayMS: modelledSync.Milliseconds(),
 			},
 			Network:  host,
-			Log:      events.NewLog(id, zap.NewNop(), &events.HybridClock{}),
+			Log:      events.NewLog(id, zap.NewNop(), events.NewClock()),
 			Listener: l,
 		})
 		assert.NilError(tb, err)
--- a/daemon/control/raftapi.go
+++ b/daemon/control/raftapi.go
@@ -22,9 +22,9 @@
 
 // Step implements rpc.Raft.
 func (a *raftAPI) Step(_ context.Context, q *rpc.StepRequest) (*rpc.StepResponse, error) {
-	a.log.Clock().Observe(q.Clock)
+	a.log.Observe(q.Clock)
 	a.driver.Receive(raft.ServerID(q.From), q.Address, codec.MessagesFromRPC(q.Messages))
-	return &rpc.StepResponse{Clock: a.log.Clock().Now()}, nil
+	return &rpc.StepResponse{Clock: a.log.Now()}, nil
 }
 
 // raftTransport sends messages to other control VMs by twirp.
@@ -56,12 +56,12 @@
 		From:     string(t.id),
 		Address:  t.address,
 		Messages: codec.MessagesToRPC(messages),
-		Clock:    t.log.Clock().Now(),
+		Clock:    t.log.Now(),
 	})
 	if err != nil {
 		return err
 	}
-	t.log.Clock().Observe(resp.Clock)
+	t.log.Observe(resp.Clock)
 	return nil
 }
 
--- a/daemon/dev/dev.go
+++ b/daemon/dev/dev.go
@@ -99,7 +99,7 @@
 	if l := s.logs[process]; l != nil {
 		return l
 	}
-	l := events.NewLog(process, s.opts.Logger.With(zap.String("process", process)), &events.HybridClock{})
+	l := events.NewLog(process, s.opts.Logger.With(zap.String("process", process)), events.NewClock())
 	s.logs[process] = l
 	return l
 }
--- a/daemon/entry/await.go
+++ b/daemon/entry/await.go
@@ -7,6 +7,7 @@
 	"github.com/cicadapulley/cicadapulley/api/codec"
 	"github.com/cicadapulley/cicadapulley/api/rpc"
 	"github.com/cicadapulley/cicadapulley/core/job"
+	"github.com/cicadapulley/cicadapulley/core/verdict"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 )
 
@@ -39,7 +40,7 @@
 func (m *jobs) awaitRecord(ctx context.Context, r job.Record) *job.Outcome {
 	for {
 		if r.State.Final() {
-			return r.Outcome
+			return outcomeOf(r)
 		}
 		if o := m.askOwner(ctx, r); o != nil {
 			return o
@@ -54,6 +55,20 @@
 	}
 }
 
+// outcomeOf returns a finished job's outcome, nil while it runs. An answer that
+// is no longer kept is a failure that says whether the job ran.
+func outcomeOf(r job.Record) *job.Outcome {
+	if !r.AnswerDropped {
+		return r.Outcome
+	}
+	return &job.Outcome{
+		State:   job.Failed,
+		Verdict: r.Outcome.Verdict,
+		Code:    verdict.CodeAnswerExpired,
+		Message: "the job ended as " + r.Outcome.State.String() + " and its answer is no longer kept",
+	}
+}
+
 // askOwner asks the owning entry for the outcome; nil if it has none.
 func (m *jobs) askOwner(ctx context.Context, r job.Record) *job.Outcome {
 	client := m.entryClient(r)
@@ -65,12 +80,12 @@
 	resp, err := client.Await(ctx, &rpc.AwaitRequest{
 		Key:       codec.KeyToRPC(r.Key),
 		MaxWaitMs: remoteHold.Milliseconds(),
-		Clock:     m.log.Clock().Now(),
+		Clock:     m.log.Now(),
 	})
 	if err != nil || !resp.Known {
 		return nil
 	}
-	m.log.Clock().Observe(resp.Clock)
+	m.log.Observe(resp.Clock)
 	return codec.OutcomeFromRPC(resp.Outcome)
 }
 
@@ -138,8 +153,8 @@
 
 // Await implements rpc.Entry.
 func (a *api) Await(ctx context.Context, q *rpc.AwaitRequest) (*rpc.AwaitResponse, error) {
-	a.jobs.log.Clock().Observe(q.Clock)
-	resp := &rpc.AwaitResponse{Clock: a.jobs.log.Clock().Now()}
+	a.jobs.log.Observe(q.Clock)
+	resp := &rpc.AwaitResponse{Clock: a.jobs.log.Now()}
 	j := a.jobs.find(codec.KeyFromRPC(q.Key))
 	if j == nil {
 		return resp, nil
--- a/daemon/entry/front.go
+++ b/daemon/entry/front.go
@@ -114,7 +114,7 @@
 		refuse(w, err)
 		return
 	}
-	outcome := record.Outcome
+	outcome := outcomeOf(*record)
 	if outcome == nil && hold {
 		outcome = f.jobs.awaitRecord(q.Context(), *record)
 	}
--- a/daemon/entry/frontcall.go
+++ b/daemon/entry/frontcall.go
@@ -111,9 +111,13 @@
 		return
 	}
 	outcome := f.jobs.await(q.Context(), j)
-	if outcome == nil || len(outcome.Results) != 1 {
+	switch {
+	case outcome == nil:
 		refuse(w, verdict.Errorf(verdict.CodeUnavailable, verdict.MayHaveRun, "the request ended before its answer"))
 		return
+	case len(outcome.Results) != 1:
+		refuse(w, &verdict.Error{Code: outcome.Code, Verdict: outcome.Verdict, Message: outcome.Message})
+		return
 	}
 	writeCallResult(w, outcome.Results[0])
 }
--- a/daemon/entry/jobs.go
+++ b/daemon/entry/jobs.go
@@ -205,10 +205,10 @@
 	defer cancel()
 	resp, err := m.service.opts.Control.AcceptJob(ctx, &rpc.AcceptJobRequest{
 		Record: codec.RecordToRPC(&j.record),
-		Clock:  m.log.Clock().Now(),
+		Clock:  m.log.Now(),
 	})
 	if err == nil {
-		m.log.Clock().Observe(resp.Clock)
+		m.log.Observe(resp.Clock)
 	}
 	return resp, err
 }
--- a/daemon/entry/peers.go
+++ b/daemon/entry/peers.go
@@ -69,7 +69,7 @@
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
 	// A cancel that is lost leaves its tasks running to their end, which is allowed.
-	_, _ = p.agent.Cancel(ctx, &rpc.CancelRequest{Jobs: wave, Clock: p.log.Clock().Now()})
+	_, _ = p.agent.Cancel(ctx, &rpc.CancelRequest{Jobs: wave, Clock: p.log.Now()})
 }
 
 // cancel queues a job's cancel for the agent. A full queue drops it.
--- a/daemon/entry/recover.go
+++ b/daemon/entry/recover.go
@@ -158,12 +158,12 @@
 		Epoch:     r.Epoch,
 		TimeoutMs: max(0, time.Until(r.Deadline).Milliseconds()),
 		MaxWaitMs: fateHold.Milliseconds(),
-		Clock:     m.log.Clock().Now(),
+		Clock:     m.log.Now(),
 	})
 	if err != nil || len(resp.Fates) != len(refs) || resp.Incarnation != p.member.Incarnation {
 		return false
 	}
-	m.log.Clock().Observe(resp.Clock)
+	m.log.Observe(resp.Clock)
 	return f.add(resp.Fates)
 }
 
--- a/daemon/entry/run.go
+++ b/daemon/entry/run.go
@@ -218,10 +218,10 @@
 			Key:     codec.KeyToRPC(r.Key),
 			Epoch:   r.Epoch,
 			Outcome: codec.OutcomeToRPC(&o),
-			Clock:   m.log.Clock().Now(),
+			Clock:   m.log.Now(),
 		})
 		if err == nil && resp.Finished {
-			return codec.RecordFromRPC(resp.Record).Outcome
+			return outcomeOf(*codec.RecordFromRPC(resp.Record))
 		}
 		if err == nil || m.superseded(j, r) {
 			return nil
--- a/daemon/entry/sender.go
+++ b/daemon/entry/sender.go
@@ -90,14 +90,14 @@
 		TimeoutMs:   time.Until(a.deadline).Milliseconds(),
 		Entry:       s.entryID,
 		Backlog:     uint32(s.dispatcher.queued()),
-		Clock:       s.log.Clock().Now(),
+		Clock:       s.log.Now(),
 		Incarnation: p.member.Incarnation,
 	})
 	return resp, written.Load(), err
 }
 
 func (s *sender) answered(ctx context.Context, p *peer, a attempt, as dispatch.Assignment, resp *rpc.RunResponse) job.TaskResult {
-	s.log.Clock().Observe(resp.Clock)
+	s.log.Observe(resp.Clock)
 	load := &dispatch.Load{
 		Slots:   int(resp.GetLoad().GetSlots()),
 		Running: int(resp.GetLoad().GetRunning()),
@@ -161,12 +161,12 @@
 		Epoch:     a.epoch,
 		TimeoutMs: time.Until(a.deadline).Milliseconds(),
 		MaxWaitMs: fateHold.Milliseconds(),
-		Clock:     s.log.Clock().Now(),
+		Clock:     s.log.Now(),
 	})
 	if err != nil || len(resp.Fates) != 1 {
 		return tasktable.Fate{}, false, false
 	}
-	s.log.Clock().Observe(resp.Clock)
+	s.log.Observe(resp.Clock)
 	if resp.Fates[0].Refusal != nil {
 		return tasktable.Fate{}, false, true
 	}
--- a/daemon/events/clock.go
+++ b/daemon/events/clock.go
@@ -1,31 +1,27 @@
 package events
 
 import (
-	"sync"
 	"time"
+
+	"github.com/cicadapulley/cicadapulley/core/hlc"
 )
 
-// counterBits is the width of a timestamp's counter below its milliseconds.
-const counterBits = 16
+// maxAhead bounds how far a peer's clock may be ahead. A process with a wrong
+// clock would otherwise move the time line of all others.
+const maxAhead = time.Minute
 
-// HybridClock is a hybrid logical clock on the system's time.
-type HybridClock struct {
-	mu   sync.Mutex
-	last uint64
-}
+// NewClock returns a hybrid logical clock on the system's time.
+func NewClock() *hlc.Clock { return hlc.NewClock(maxAhead) }
 
-// Now implements Clock.
-func (c *HybridClock) Now() uint64 {
-	physical := uint64(time.Now().UnixMilli()) << counterBits
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.last = max(c.last+1, physical)
-	return c.last
-}
+// Now returns a timestamp for a message.
+func (l *Log) Now() uint64 { return uint64(l.clock.Now(time.Now())) }
 
-// Observe implements Clock.
-func (c *HybridClock) Observe(remote uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.last = max(c.last, remote)
+// Observe takes note of the timestamp of a received message; zero is none.
+func (l *Log) Observe(remote uint64) {
+	if remote == 0 {
+		return
+	}
+	if err := l.clock.Observe(time.Now(), hlc.Timestamp(remote)); err != nil {
+		l.Emit(Event{ID: ClockRefused, Err: err})
+	}
 }
--- a/daemon/events/log.go
+++ b/daemon/events/log.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cicadapulley/cicadapulley/core/hlc"
 	"github.com/cicadapulley/cicadapulley/core/job"
 )
 
@@ -32,19 +33,11 @@
 	Err  error
 }
 
-// Clock gives hybrid logical timestamps.
-type Clock interface {
-	// Now returns a timestamp above all that were returned or observed.
-	Now() uint64
-	// Observe takes note of a peer's timestamp; zero is ignored.
-	Observe(remote uint64)
-}
-
 // Log writes events of one process. It is safe for concurrent use.
 type Log struct {
 	process string
 	zap     *zap.Logger
-	clock   Clock
+	clock   *hlc.Clock
 
 	counts   [maxID]atomic.Uint64
 	received messageCounts
@@ -56,19 +49,16 @@
 }
 
 // NewLog returns a log; process names it in the time line.
-func NewLog(process string, z *zap.Logger, clock Clock) *Log {
+func NewLog(process string, z *zap.Logger, clock *hlc.Clock) *Log {
 	return &Log{process: process, zap: z, clock: clock, buffer: make([]Event, BufferSize)}
 }
 
-// Clock returns the process's clock, for stamping messages.
-func (l *Log) Clock() Clock { return l.clock }
-
 // Process returns the name of the process.
 func (l *Log) Process() string { return l.process }
 
 // Emit stamps an event, keeps it for the time line and writes it to the log.
 func (l *Log) Emit(e Event) {
-	e.Clock = l.clock.Now()
+	e.Clock = l.Now()
 	l.counts[e.ID].Add(1)
 	l.keep(e)
 	entry := l.zap.Check(byID[e.ID].Level, e.ID.Name())
--- a/daemon/internal/harness/cluster.go
+++ b/daemon/internal/harness/cluster.go
@@ -130,7 +130,7 @@
 func (c *Cluster) newLog(name string) *events.Log {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	l := events.NewLog(name, zap.NewNop(), &events.HybridClock{})
+	l := events.NewLog(name, zap.NewNop(), events.NewClock())
 	c.logs = append(c.logs, l)
 	return l
 }
--- a/daemon/membership/membership.go
+++ b/daemon/membership/membership.go
@@ -127,9 +127,9 @@
 	for {
 		sent := time.Now()
 		m := s.nextIncarnation(sent)
-		resp, err := s.control.Register(ctx, &rpc.RegisterRequest{Member: codec.MemberToRPC(m), Clock: s.log.Clock().Now()})
+		resp, err := s.control.Register(ctx, &rpc.RegisterRequest{Member: codec.MemberToRPC(m), Clock: s.log.Now()})
 		if err == nil && resp.Registered {
-			s.log.Clock().Observe(resp.Clock)
+			s.log.Observe(resp.Clock)
 			s.extend(m.Incarnation, sent, resp.TtlMs)
 			s.log.Emit(events.Event{ID: events.MemberRegistered, Peer: m.ID})
 			return nil
@@ -181,7 +181,7 @@
 		Id:          s.member.ID,
 		Incarnation: incarnation,
 		Revision:    s.Replica().Revision,
-		Clock:       s.log.Clock().Now(),
+		Clock:       s.log.Now(),
 	})
 	switch {
 	case err != nil:
@@ -190,7 +190,7 @@
 		s.log.Emit(events.Event{ID: events.LeaseLost, Peer: s.member.ID})
 		_ = s.register(ctx)
 	default:
-		s.log.Clock().Observe(resp.Clock)
+		s.log.Observe(resp.Clock)
 		s.extend(incarnation, sent, resp.TtlMs)
 	}
 }
@@ -223,12 +223,12 @@
 		Incarnation: s.Incarnation(),
 		After:       s.Replica().Revision,
 		MaxWaitMs:   watchHold.Milliseconds(),
-		Clock:       s.log.Clock().Now(),
+		Clock:       s.log.Now(),
 	})
 	if err != nil {
 		return err
 	}
-	s.log.Clock().Observe(resp.Clock)
+	s.log.Observe(resp.Clock)
 	s.apply(codec.ViewFromRPC(resp))
 	return nil
 }
@@ -261,7 +261,7 @@
 }
 
 func (s *Service) request() *rpc.MemberRequest {
-	return &rpc.MemberRequest{Id: s.member.ID, Incarnation: s.Incarnation(), Clock: s.log.Clock().Now()}
+	return &rpc.MemberRequest{Id: s.member.ID, Incarnation: s.Incarnation(), Clock: s.log.Now()}
 }
 
 // sleep waits for d and reports whether ctx still runs.
