--- a/daemon/agent/endpoint.go
+++ b/daemon/agent/endpoint.go
@@ -10,6 +10,8 @@
 	"net/http/httptrace"
 	"strconv"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cicadapulley/cicadapulley/api/callers"
 	"github.com/cicadapulley/cicadapulley/core/job"
 	"github.com/cicadapulley/cicadapulley/core/verdict"
@@ -43,25 +45,27 @@
 	}
 	resp, err := e.client.Do(req)
 	if err != nil && !written {
-		return failed(verdict.NotRun, lossCode(ctx), err)
+		return lost(ctx, verdict.NotRun, err)
 	}
 	if err != nil {
-		return failed(verdict.MayHaveRun, lossCode(ctx), err)
+		return lost(ctx, verdict.MayHaveRun, err)
 	}
 	defer resp.Body.Close()
 	return readAnswer(ctx, resp)
 }
 
-// lossCode tells a request that ran into its deadline from a lost endpoint:
-// under overload the deadline says nothing about the endpoint's health.
-func lossCode(ctx context.Context) verdict.Code {
+// lost is the result of a request without an answer. It tells a request that
+// ran into its deadline from a lost endpoint, since under overload the deadline
+// says nothing about the endpoint's health. Callers see the message, so it
+// doesn't show the agent's own URL.
+func lost(ctx context.Context, v verdict.Verdict, err error) job.TaskResult {
 	switch ctx.Err() {
 	case context.DeadlineExceeded:
-		return verdict.CodeDeadline
+		return failed(v, verdict.CodeDeadline, errors.New("the endpoint did not answer before the deadline"))
 	case context.Canceled:
-		return verdict.CodeCancelled
+		return failed(v, verdict.CodeCancelled, errors.New("the task was cancelled"))
 	}
-	return verdict.CodeEndpointLost
+	return failed(v, verdict.CodeEndpointLost, errors.Wrap(err, "endpoint"))
 }
 
 func (e *endpoint) newRequest(ctx context.Context, r request) (*http.Request, error) {
@@ -83,7 +87,7 @@
 func readAnswer(ctx context.Context, resp *http.Response) job.TaskResult {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxOutput+1))
 	if err != nil {
-		return failed(verdict.MayHaveRun, lossCode(ctx), err)
+		return lost(ctx, verdict.MayHaveRun, err)
 	}
 	if len(body) > maxOutput {
 		return failed(verdict.Ran, verdict.CodeTooLarge, fmt.Errorf("the endpoint's answer exceeds %d bytes", maxOutput))
--- a/daemon/control/control_bench_test.go
+++ b/daemon/control/control_bench_test.go
@@ -28,6 +28,7 @@
 // group is a running group of control VMs.
 type group struct {
 	services []*Service
+	network  *memnet.Network
 	stop     context.CancelFunc
 	done     sync.WaitGroup
 }
@@ -35,8 +36,8 @@
 func startGroup(tb testing.TB, vms int) *group {
 	tb.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	g := &group{stop: cancel}
 	network := memnet.New(modelledLink).WithSleep(precise.Sleep)
+	g := &group{stop: cancel, network: network}
 	dir := tb.TempDir()
 	for i := range vms {
 		id := fmt.Sprintf("control-%d", i+1)
