--- a/core/raft/harness_test.go
+++ b/core/raft/harness_test.go
@@ -17,7 +17,7 @@
 	heartbeat       = 20 * time.Millisecond
 	// maxDrift is the largest deviation of a clock's rate that a lease allows.
 	maxDrift = 0.05
-	// maxEvents bounds a run; the longest have a tenth of it.
+	// maxEvents ends a run whose servers answer each other without end.
 	maxEvents = 1_000_000
 )
 
