--- a/daemon/control/consensus/driver.go
+++ b/daemon/control/consensus/driver.go
@@ -30,7 +30,8 @@
 	// tolerates the loss of those that find it full.
 	inboxSize = 4096
 	// heartbeatsPerTimeout is how many heartbeats fit in an election timeout.
-	heartbeatsPerTimeout = 5
+	// Heartbeats are most of what an idle leader sends.
+	heartbeatsPerTimeout = 4
 	// Bounds of one append message.
 	maxEntriesPerMessage = 512
 	maxBytesPerMessage   = 4 << 20
--- a/daemon/entry/run.go
+++ b/daemon/entry/run.go
@@ -178,18 +178,10 @@
 	return j.cancelled
 }
 
-// conclude answers and records an outcome. With a valid lease nobody else can
-// own the job, so the answer goes first; otherwise control decides first.
+// conclude records an outcome, then answers with what is recorded. An answer
+// before its record would differ from that of a resubmission if this entry and
+// an agent with results were lost in between.
 func (m *jobs) conclude(j *activeJob, r job.Record, o job.Outcome) {
-	if m.superseded(j, r) {
-		return
-	}
-	if m.service.members.LeaseValid() && m.service.members.Incarnation() == r.OwnerIncarnation {
-		m.publish(j, o)
-		m.record(j, r, o)
-		m.forget(j)
-		return
-	}
 	recorded := m.record(j, r, o)
 	if m.superseded(j, r) {
 		return
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -12,7 +12,7 @@
 	DefaultLeaseTTL        = 4 * time.Second
 	DefaultDrain           = 30 * time.Second
 	DefaultBalancerWait    = 2 * time.Second
-	DefaultElectionTimeout = 500 * time.Millisecond
+	DefaultElectionTimeout = time.Second
 	DefaultMaxBodyBytes    = 8 << 20
 	DefaultMaxConnections  = 4096
 	DefaultMaxDeadline     = 5 * time.Minute
