core/dispatch/model: queue model of the strategies; fewer refusals and starts on bulk work

Causes: an endpoint that refused a task was asked again at once; the agent granted more than its slots; jobs of longer tasks filled all slots; admitted work waited until its deadline and was then wasted. Change: the queue model; a pause after a refusal; grants without slack that count running tasks; flows ordered by tag plus four times the task's work; a limit on bulk work; admission only up to half of the time to the deadline; no start that cannot end in time.

--- a/core/dispatch/admit.go
+++ b/core/dispatch/admit.go
@@ -11,6 +11,10 @@
 	// asked to wait, before jitter.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 10 * time.Second
+	// admitShare is the part of the time until the deadline that a job may be
+	// expected to wait. The rest covers errors of the estimates and work of
+	// other callers that arrives later.
+	admitShare = 0.5
 )
 
 // Admit decides whether a whole job is taken in. It returns nil or a refusal
@@ -126,9 +130,9 @@
 		longest = max(longest, k.work)
 		total += k.work * float64(part.Count)
 	}
-	wait := s.flowWait(name, service, total)
+	wait := max(s.flowWait(name, service, total), s.oldestWait(now, name, service, kinds))
 	left := deadline.Sub(now).Seconds()
-	if max(wait, longest/s.bestSpeed(), wait+longest/2) <= left {
+	if longest/s.bestSpeed() <= left && wait <= admitShare*left {
 		return nil
 	}
 	err := verdict.Errorf(verdict.CodeDeadline, verdict.NotRun,
--- a/core/dispatch/capacity.go
+++ b/core/dispatch/capacity.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"slices"
+	"time"
 
 	"github.com/cicadapulley/cicadapulley/core/state"
 )
@@ -32,6 +34,23 @@
 	return min(byShare, all/capacity)
 }
 
+// oldestWait returns for how long, in seconds, the oldest item of a flow's
+// kinds has waited. It bounds the queue even where the estimates are wrong.
+func (s *Scheduler) oldestWait(now time.Time, name, service string, kinds []KindCount) float64 {
+	f := s.fair.flows[flowKey{service, name}]
+	if f == nil {
+		return 0
+	}
+	wait := 0.0
+	for _, c := range f.classes {
+		asked := slices.ContainsFunc(kinds, func(k KindCount) bool { return k.Kind == c.key.kind })
+		if asked {
+			wait = max(wait, now.Sub(c.first.item.Enqueued).Seconds())
+		}
+	}
+	return wait
+}
+
 // work returns the estimated work in seconds that is queued in a flow.
 func (f *flow) work() float64 {
 	if f == nil {
@@ -52,11 +71,20 @@
 		if e.Drain || e.health.quarantined {
 			continue
 		}
-		total += float64(max(e.granted, e.inFlight())) * math.Exp(e.logSpeed)
+		total += float64(s.usableSlots(e)) * math.Exp(e.logSpeed)
 	}
 	return max(total, 1)
 }
 
+// usableSlots returns the slots of an endpoint that the entry can expect to use.
+// Only grants say how many; without them half is assumed.
+func (s *Scheduler) usableSlots(e *endpoint) int {
+	if s.opts.Strategy != Grants {
+		return max(e.Slots/2, e.inFlight())
+	}
+	return max(e.granted, e.inFlight())
+}
+
 // bestSpeed returns the speed of the fastest endpoint, at least the mean.
 func (s *Scheduler) bestSpeed() float64 {
 	best := 0.0
--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -16,6 +16,12 @@
 	}
 	set := s.setOf(e)
 	e.pool.place(e, set)
+	free := 0
+	if set == &e.pool.ready {
+		free = max(min(e.granted, e.Slots)-e.inFlight(), 0)
+	}
+	s.free += free - e.free
+	e.free = free
 	if set != &e.pool.ready {
 		s.wakeAt(e.nextChange(s.now), e)
 	}
@@ -36,6 +42,12 @@
 	if e.health.streak >= suspectStreak && busy > 0 {
 		return nil
 	}
+	if s.opts.Strategy == LateBinding {
+		if busy < e.granted {
+			return &e.pool.ready
+		}
+		return nil
+	}
 	if s.opts.Strategy != Grants {
 		if s.now.Before(e.busyUntil) {
 			return nil
@@ -43,10 +55,13 @@
 		return &e.pool.ready
 	}
 	e.expireGrant(s.now)
+	if s.now.Before(e.busyUntil) {
+		return nil
+	}
 	if busy < e.granted {
 		return &e.pool.ready
 	}
-	if busy+e.others < e.Slots && !s.now.Before(e.busyUntil) {
+	if busy+e.others+spareMargin < e.Slots {
 		return &e.pool.spare
 	}
 	return nil
@@ -58,6 +73,9 @@
 	if s.opts.Strategy == Random || s.opts.Strategy == TwoChoices {
 		return s.chooseSampled(k, item), false
 	}
+	if s.opts.Strategy == LateBinding {
+		return s.chooseFrom(k, item, false), false
+	}
 	if e := s.chooseFrom(k, item, false); e != nil && !s.worthWaiting(k, e) {
 		return e, false
 	}
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -10,8 +10,11 @@
 	// reclaim the slots of an entry after slots.EntryLife, which is longer.
 	grantLife = 800 * time.Millisecond
 	// busyPause is how long an endpoint that refused a task gets no other
-	// start beyond its grant.
+	// start, unless a task ends there before.
 	busyPause = 20 * time.Millisecond
+	// spareMargin is the number of slots that stay free of starts beyond the
+	// grant, because they may be granted to other entries.
+	spareMargin = 1
 )
 
 // flight is one start without an end.
@@ -27,6 +30,8 @@
 	// spare marks a start beyond the grant, which took a token.
 	spare bool
 	trial bool
+	// bulk marks a task that counts against the part of bulk work.
+	bulk bool
 }
 
 // endpoint is what an entry knows of one endpoint.
@@ -39,6 +44,8 @@
 
 	flights []*flight
 	granted int
+	// free is the endpoint's part of the scheduler's free granted slots.
+	free int
 	// others is the last known number of tasks of other entries there.
 	others    int
 	reported  time.Time
--- a/core/dispatch/estimate.go
+++ b/core/dispatch/estimate.go
@@ -35,6 +35,16 @@
 
 func (k *kind) learned() bool { return k.samples > 0 }
 
+// latestStart returns the time after which a task is not started, because not
+// even half of its expected run time would be left until its deadline. It is
+// zero without a deadline.
+func (k *kind) latestStart(deadline time.Time) time.Time {
+	if deadline.IsZero() || !k.learned() {
+		return deadline
+	}
+	return deadline.Add(-time.Duration(k.work / 2 * float64(time.Second)))
+}
+
 // observe learns from a successful run on an endpoint with a known speed. The
 // first observation replaces the declared value, which may be 10 times wrong.
 func (k *kind) observe(run time.Duration, e *endpoint) {
--- a/core/dispatch/flow.go
+++ b/core/dispatch/flow.go
@@ -11,6 +11,10 @@
 // goes ahead of any task that arrives later at the same caller.
 const ageingFactor = 2
 
+// shortFirst is how many times its own work a task is set back behind the
+// tasks of other flows.
+const shortFirst = 4
+
 // flowKey identifies a flow of the fair queue.
 type flowKey struct {
 	service string
@@ -80,13 +84,16 @@
 // flow is the queue of one caller at one service. Flows share the endpoints by
 // start-time fair queueing on estimated work.
 type flow struct {
-	key     flowKey
+	id      flowKey
 	caller  *caller
 	classes []*class
 	queued  int
 	// tag is the virtual time, in seconds of work per weight, at which the
 	// flow's next task starts.
 	tag float64
+	// key orders the heap: the tag plus a multiple of the next task's work, so
+	// that short tasks go ahead of long ones by a bounded amount of work.
+	key float64
 	// heapIndex is the position in the flow heap, -1 when nothing is queued.
 	heapIndex int
 }
@@ -120,7 +127,7 @@
 
 func (h flowHeap) Len() int { return len(h) }
 
-func (h flowHeap) Less(i, j int) bool { return h[i].tag < h[j].tag }
+func (h flowHeap) Less(i, j int) bool { return h[i].key < h[j].key }
 
 func (h flowHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
@@ -162,7 +169,7 @@
 	if f != nil {
 		return f
 	}
-	f = &flow{key: key, caller: c, heapIndex: -1}
+	f = &flow{id: key, caller: c, heapIndex: -1}
 	q.flows[key] = f
 	c.flows++
 	return f
@@ -177,14 +184,33 @@
 		return
 	}
 	f.tag = max(f.tag, q.virtual)
+	f.key = f.order()
 	heap.Push(&q.heap, f)
 }
 
+// update moves a flow in the heap after its tag or its next task changed.
+func (q *fairQueue) update(f *flow) {
+	if f.heapIndex < 0 {
+		return
+	}
+	f.key = f.order()
+	heap.Fix(&q.heap, f.heapIndex)
+}
+
+// order returns the position of a flow with queued items.
+func (f *flow) order() float64 {
+	best := f.classes[0]
+	for _, c := range f.classes[1:] {
+		if c.rank().Before(best.rank()) {
+			best = c
+		}
+	}
+	return f.tag + shortFirst*best.kind.work/float64(f.caller.weight)
+}
+
 // charge advances a flow by an amount of work in seconds, which may be
 // negative when an estimate is corrected.
 func (q *fairQueue) charge(f *flow, work float64) {
 	f.tag += work / float64(f.caller.weight)
-	if f.heapIndex >= 0 {
-		heap.Fix(&q.heap, f.heapIndex)
-	}
+	q.update(f)
 }
--- a/core/dispatch/learn.go
+++ b/core/dispatch/learn.go
@@ -8,8 +8,8 @@
 
 const (
 	// speculationShare is the number of starts beyond the grant that each
-	// success allows: it bounds the refusals to 3% of the tasks.
-	speculationShare = 0.03
+	// success allows: it bounds their refusals to 2% of the tasks.
+	speculationShare = 0.02
 	// speculationBurst bounds the saved starts beyond the grant.
 	speculationBurst = 64.0
 )
@@ -35,8 +35,11 @@
 	refused := r.Verdict == verdict.NotRun
 	if refused {
 		s.noteRefusal(now, f, r)
-	} else if f.spare {
-		s.speculation.earn(1)
+	} else {
+		e.busyUntil = time.Time{}
+		if f.spare {
+			s.speculation.earn(1)
+		}
 	}
 	if r.OK {
 		s.budget.success()
--- a/core/dispatch/membership.go
+++ b/core/dispatch/membership.go
@@ -31,7 +31,10 @@
 func (s *Scheduler) setEndpoint(d Endpoint) {
 	e := s.endpoints[d.ID]
 	if e == nil {
-		e = &endpoint{granted: initialGrant(d.Slots)}
+		e = &endpoint{}
+		if s.opts.Strategy == Grants {
+			e.granted = initialGrant(d.Slots)
+		}
 		s.endpoints[d.ID] = e
 	}
 	if e.pool == nil || e.pool.signature != signature(d) {
@@ -47,6 +50,8 @@
 	s.readmit(e)
 	delete(s.endpoints, e.ID)
 	s.leavePool(e)
+	s.free -= e.free
+	e.free = 0
 }
 
 // removed reports whether the endpoint left the membership.
--- /dev/null
+++ b/core/dispatch/model/latebinding.go
@@ -0,0 +1,77 @@
+package model
+
+import (
+	"github.com/cicadapulley/cicadapulley/core/dispatch"
+)
+
+// reservationsPerTask is the number of agents that hold a reservation for
+// each task under late binding.
+const reservationsPerTask = 2
+
+// reserve places reservations for new tasks at random agents (batch sampling).
+func (e *entry) reserve(tasks int) {
+	if e.run.config.Strategy != dispatch.LateBinding {
+		return
+	}
+	for range tasks * reservationsPerTask {
+		a := e.run.list[e.run.sim.random.IntN(len(e.run.list))]
+		e.run.measure.messages++
+		e.run.sim.after(e.run.config.Latency, func() { a.reserved(e) })
+	}
+}
+
+func (a *agent) reserved(e *entry) {
+	if a.fault == Silent {
+		return
+	}
+	a.reservations = append(a.reservations, e)
+	a.pull()
+}
+
+// pull asks the entry of the oldest reservation for a task while slots are
+// free. The slot is held until the entry answers.
+func (a *agent) pull() {
+	for a.running < a.slots && len(a.reservations) > 0 && a.fault != Silent {
+		e := a.reservations[0]
+		a.reservations = a.reservations[1:]
+		a.running++
+		a.run.measure.messages++
+		a.run.sim.after(a.run.config.Latency, func() { e.offered(a) })
+	}
+}
+
+// offered binds the next task to an agent that has a free slot.
+func (e *entry) offered(a *agent) {
+	now := e.run.sim.now
+	e.run.measure.messages++
+	e.scheduler.Offer(now, a.id, dispatch.Load{Slots: a.slots, Granted: len(e.atAgent[a.id]) + 1})
+	as, ok := e.scheduler.Next(now)
+	if !ok {
+		e.scheduler.Offer(now, a.id, dispatch.Load{Slots: a.slots, Granted: 0})
+		// The reservation, the pull and this answer were of no use.
+		e.run.measure.wasted += 3
+		e.run.sim.after(e.run.config.Latency, a.release)
+		return
+	}
+	queued := e.take(as.Item.ID)
+	c := &call{assignment: as, request: queued.request, work: queued.work}
+	target := e.run.agents[as.Endpoint]
+	e.atAgent[target.id][c] = true
+	e.run.measure.sent++
+	e.run.sim.after(e.run.config.Latency, func() { target.bound(e, c) })
+}
+
+// release frees the slot of a pull that got no task.
+func (a *agent) release() {
+	a.running--
+	a.pull()
+}
+
+// bound runs a task on the slot that its pull holds.
+func (a *agent) bound(e *entry, c *call) {
+	if a.fault == Silent {
+		return
+	}
+	a.divider.Begin(e.id, 0, a.run.sim.now)
+	a.execute(e, c)
+}
--- /dev/null
+++ b/core/dispatch/model/run.go
@@ -0,0 +1,131 @@
+package model
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/core/dispatch"
+	"github.com/cicadapulley/cicadapulley/core/slots"
+	"github.com/cicadapulley/cicadapulley/core/state"
+)
+
+// Config describes one run.
+type Config struct {
+	Workload  Workload
+	Strategy  dispatch.Strategy
+	Entries   int
+	Endpoints int
+	Slots     int
+	// Spread is the ratio of the fastest to the slowest endpoint.
+	Spread float64
+	// Load is the offered work relative to the capacity.
+	Load float64
+	// Faults injects one endpoint of each fault when the measured time begins.
+	Faults bool
+	// Latency is the one-way latency between entries and agents.
+	Latency time.Duration
+	Warmup  time.Duration
+	Length  time.Duration
+	Seed    uint64
+}
+
+// run is the state of one run.
+type run struct {
+	config  Config
+	sim     *simulator
+	began   time.Time
+	entries []*entry
+	agents  map[string]*agent
+	list    []*agent
+	measure *measure
+}
+
+// Run simulates a configuration and returns its figures.
+func Run(c Config) Result {
+	r := &run{config: c, sim: newSimulator(c.Seed), agents: map[string]*agent{}}
+	r.began = r.sim.now
+	r.measure = &measure{run: r, from: r.began.Add(c.Warmup), to: r.began.Add(c.Warmup + c.Length)}
+	r.addAgents()
+	r.addEntries()
+	for _, spec := range c.Workload.classes {
+		newSource(r, spec, c.Load*r.capacity()).arrive()
+	}
+	r.sim.runUntil(r.measure.from)
+	r.measure.reset()
+	if c.Faults {
+		r.inject()
+	}
+	r.sim.runUntil(r.measure.to)
+	res := r.measure.result()
+	return res
+}
+
+// addAgents adds endpoints with speeds that are evenly spread on a logarithmic
+// scale and have the mean 1.
+func (r *run) addAgents() {
+	c := r.config
+	sum := 0.0
+	for i := range c.Endpoints {
+		at := 0.5
+		if c.Endpoints > 1 {
+			at = float64(i) / float64(c.Endpoints-1)
+		}
+		a := &agent{
+			run: r, id: fmt.Sprintf("w%04d", i), slots: c.Slots,
+			speed: math.Pow(c.Spread, at-0.5), divider: slots.New(c.Slots),
+		}
+		sum += a.speed
+		r.agents[a.id] = a
+		r.list = append(r.list, a)
+	}
+	for _, a := range r.list {
+		a.speed *= float64(c.Endpoints) / sum
+	}
+}
+
+func (r *run) addEntries() {
+	var endpoints []dispatch.Endpoint
+	for i, a := range r.list {
+		d := dispatch.Endpoint{ID: a.id, Slots: a.slots, DataCentre: dataCentre(i)}
+		for _, spec := range r.config.Workload.classes {
+			d.Serves = append(d.Serves, state.ServedKind{Service: service, Kind: spec.kind.name})
+		}
+		endpoints = append(endpoints, d)
+	}
+	for i := range r.config.Entries {
+		e := &entry{
+			run: r, id: fmt.Sprintf("e%d", i), tasks: map[uint64]*call{},
+			atAgent: map[string]map[*call]bool{},
+		}
+		for _, a := range r.list {
+			e.atAgent[a.id] = map[*call]bool{}
+		}
+		e.scheduler = dispatch.New(dispatch.Options{
+			Strategy: r.config.Strategy, DataCentre: dataCentre(i), Seed: r.config.Seed + uint64(i),
+		})
+		e.scheduler.SetEndpoints(r.sim.now, endpoints)
+		r.entries = append(r.entries, e)
+	}
+}
+
+func dataCentre(i int) string { return fmt.Sprintf("dc%d", i%3) }
+
+// inject gives the three faults to endpoints around the mean speed.
+func (r *run) inject() {
+	middle := len(r.list) / 2
+	r.list[middle-1].fault = FailsAll
+	r.list[middle].fault = Slow
+	silent := r.list[middle+1]
+	silent.fault = Silent
+	r.sim.after(silenceTimeout, func() {
+		for _, e := range r.entries {
+			e.loseAll(silent)
+		}
+	})
+}
+
+// capacity returns the work per second of all slots without faults.
+func (r *run) capacity() float64 { return float64(r.slots()) }
+
+func (r *run) slots() int { return r.config.Endpoints * r.config.Slots }
--- /dev/null
+++ b/core/dispatch/model/workload.go
@@ -0,0 +1,148 @@
+package model
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// kindSpec is a kind of task: its work at the fleet's mean speed, how far
+// single tasks differ from it, and what the operators declared.
+type kindSpec struct {
+	name string
+	// work is in seconds; sigma is the standard deviation of its logarithm.
+	work     float64
+	sigma    float64
+	declared time.Duration
+}
+
+// requestSpec is a class of requests.
+type requestSpec struct {
+	kind kindSpec
+	// share is the part of the offered work.
+	share float64
+	// callers is the number of callers that send this class.
+	callers    int
+	minTasks   int
+	maxTasks   int
+	repeatable bool
+	deadline   time.Duration
+	// burst is the factor of the rate during bursts.
+	burst float64
+}
+
+func (r requestSpec) meanTasks() float64 { return float64(r.minTasks+r.maxTasks) / 2 }
+
+// Workload is a mix of request classes.
+type Workload struct {
+	Name    string
+	classes []requestSpec
+}
+
+const (
+	// burstPeriod and burstLength describe when the rate of bursting classes rises.
+	burstPeriod = 5 * time.Second
+	burstLength = 200 * time.Millisecond
+)
+
+// Dala is a mix of price quotes, order checks, wholesale bookings, long
+// curing-batch checks and order-scheduling jobs of up to 790 tasks. Declared
+// run times are up to 10 times wrong.
+func Dala() Workload {
+	return Workload{Name: "dala", classes: []requestSpec{
+		{kind: kindSpec{"quote", 0.05, 0.02, 500 * time.Millisecond}, share: 0.35, callers: 6,
+			minTasks: 1, maxTasks: 1, repeatable: true, deadline: 2 * time.Second, burst: 2},
+		{kind: kindSpec{"order", 0.15, 0.2, 150 * time.Millisecond}, share: 0.25, callers: 6,
+			minTasks: 1, maxTasks: 1, repeatable: true, deadline: 3 * time.Second, burst: 1},
+		{kind: kindSpec{"wholesale", 0.2, 0.2, 20 * time.Millisecond}, share: 0.1, callers: 2,
+			minTasks: 1, maxTasks: 1, deadline: 5 * time.Second, burst: 1},
+		{kind: kindSpec{"curing", 3, 0.3, 300 * time.Millisecond}, share: 0.1, callers: 2,
+			minTasks: 1, maxTasks: 4, repeatable: true, deadline: 30 * time.Second, burst: 1},
+		{kind: kindSpec{"schedule", 0.12, 0.3, 100 * time.Millisecond}, share: 0.2, callers: 3,
+			minTasks: 20, maxTasks: 790, deadline: 30 * time.Second, burst: 1},
+	}}
+}
+
+// Hsinchu is a mix of price checks at checkout, stock holds and renewal runs.
+func Hsinchu() Workload {
+	return Workload{Name: "hsinchu", classes: []requestSpec{
+		{kind: kindSpec{"price", 0.05, 0.02, 50 * time.Millisecond}, share: 0.45, callers: 3,
+			minTasks: 1, maxTasks: 1, repeatable: true, deadline: time.Second, burst: 2},
+		{kind: kindSpec{"hold", 0.1, 0.1, time.Second}, share: 0.25, callers: 3,
+			minTasks: 1, maxTasks: 1, deadline: 2 * time.Second, burst: 2},
+		{kind: kindSpec{"renewal", 0.4, 0.4, 40 * time.Millisecond}, share: 0.3, callers: 2,
+			minTasks: 10, maxTasks: 400, deadline: 60 * time.Second, burst: 1},
+	}}
+}
+
+// WorkloadNamed returns a workload; an unknown name is an error.
+func WorkloadNamed(name string) (Workload, error) {
+	switch name {
+	case "dala":
+		return Dala(), nil
+	case "hsinchu":
+		return Hsinchu(), nil
+	default:
+		return Workload{}, fmt.Errorf("unknown workload %q", name)
+	}
+}
+
+// source sends the requests of one class to entries at random.
+type source struct {
+	run  *run
+	spec requestSpec
+	// rate is the mean number of requests per second outside bursts.
+	rate float64
+	sent int
+}
+
+func newSource(r *run, spec requestSpec, offered float64) *source {
+	perSecond := offered * spec.share / (spec.kind.work * spec.meanTasks())
+	inBurst := burstLength.Seconds() / burstPeriod.Seconds()
+	return &source{run: r, spec: spec, rate: perSecond / (1 + inBurst*(spec.burst-1))}
+}
+
+// rateNow returns the rate at the current time.
+func (s *source) rateNow() float64 {
+	elapsed := s.run.sim.now.Sub(s.run.began) % burstPeriod
+	if elapsed < burstLength {
+		return s.rate * s.spec.burst
+	}
+	return s.rate
+}
+
+// arrive schedules the next request. Thinning gives the varying rate.
+func (s *source) arrive() {
+	top := s.rate * max(1, s.spec.burst)
+	gap := s.run.sim.random.ExpFloat64() / top
+	s.run.sim.after(time.Duration(gap*float64(time.Second)), func() {
+		if s.run.sim.random.Float64()*top < s.rateNow() {
+			s.send()
+		}
+		s.arrive()
+	})
+}
+
+func (s *source) send() {
+	sim := s.run.sim
+	s.sent++
+	count := s.spec.minTasks + sim.random.IntN(s.spec.maxTasks-s.spec.minTasks+1)
+	req := &request{
+		spec:    s.spec,
+		caller:  fmt.Sprintf("%s%d", s.spec.kind.name, sim.random.IntN(s.spec.callers)),
+		id:      fmt.Sprintf("%s-%d", s.spec.kind.name, s.sent),
+		arrived: sim.now,
+		left:    count,
+	}
+	for range count {
+		req.work = append(req.work, s.work())
+	}
+	e := s.run.entries[sim.random.IntN(len(s.run.entries))]
+	e.receive(req)
+}
+
+// work draws the work of one task, with the mean of the kind.
+func (s *source) work() float64 {
+	sigma := s.spec.kind.sigma
+	return s.spec.kind.work * math.Exp(sigma*s.run.sim.random.NormFloat64()-sigma*sigma/2)
+}
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -19,16 +19,18 @@
 	jobNext *node
 	// heapIndex is the position in the deadline heap, -1 outside.
 	heapIndex int
+	// due is the time after which the item cannot end by its deadline.
+	due time.Time
 	// late marks an item past its deadline, which is out of its class's list
 	// and waits for Expired. Remove clears it.
 	late bool
 }
 
-// deadlineHeap orders nodes by deadline.
+// deadlineHeap orders nodes by due time.
 type deadlineHeap []*node
 
 func (h deadlineHeap) Len() int           { return len(h) }
-func (h deadlineHeap) Less(i, j int) bool { return h[i].item.Deadline.Before(h[j].item.Deadline) }
+func (h deadlineHeap) Less(i, j int) bool { return h[i].due.Before(h[j].due) }
 
 func (h deadlineHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
@@ -98,9 +100,9 @@
 	}
 }
 
-// due returns the node with the earliest deadline if that has passed.
+// due returns the node that is due first if its time has come.
 func (q *queue) due(now time.Time) *node {
-	if len(q.deadlines) == 0 || q.deadlines[0].item.Deadline.After(now) {
+	if len(q.deadlines) == 0 || q.deadlines[0].due.After(now) {
 		return nil
 	}
 	return q.deadlines[0]
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -37,7 +37,10 @@
 	timers      timerHeap
 	budget      budget
 	speculation speculation
-	stats       Counters
+	headroom    headroom
+	// free is the number of granted slots that are free.
+	free  int
+	stats Counters
 
 	// late holds items past their deadline until Expired returns them.
 	late []*node
@@ -88,7 +91,7 @@
 	c := s.caller(item.Caller)
 	k := s.kind(item.Service, item.Kind)
 	f := s.fair.flow(flowKey{item.Service, item.Caller}, c)
-	n := &node{item: item, flow: f}
+	n := &node{item: item, flow: f, due: k.latestStart(item.Deadline)}
 	n.class = f.class(classKey{item.Kind, item.Needs}, k)
 	if first {
 		n.class.prepend(n)
@@ -100,6 +103,7 @@
 	c.queued++
 	k.queued++
 	s.fair.activate(f)
+	s.fair.update(f)
 }
 
 // dequeue takes a node out of all indexes.
@@ -122,6 +126,8 @@
 	n.class.kind.queued--
 	if f.queued == 0 {
 		heap.Remove(&s.fair.heap, f.heapIndex)
+	} else {
+		s.fair.update(f)
 	}
 	s.dropCaller(f.caller)
 }
@@ -179,7 +185,8 @@
 	return items
 }
 
-// Expired takes items past their deadline out of the queue and returns them.
+// Expired takes out of the queue and returns the items that are past their
+// deadline or could not end before it.
 func (s *Scheduler) Expired(now time.Time) []Item {
 	s.expire(now)
 	var items []Item
@@ -260,6 +267,9 @@
 		if best != nil && !c.rank().Before(best.class.rank()) {
 			continue
 		}
+		if s.headroom.isBulk(f, c.kind) && s.headroom.full(s.free+len(s.flights)) {
+			continue
+		}
 		e, spare := s.choose(now, c.kind, &c.first.item)
 		if e != nil {
 			best, chosen, chosenSpare = c.first, e, spare
@@ -274,11 +284,12 @@
 	f := n.flow
 	s.fair.virtual = max(s.fair.virtual, f.tag)
 	s.fair.charge(f, k.work)
+	bulk := s.headroom.isBulk(f, k)
 	f.caller.inFlight++
 	s.dequeue(n)
 	fl := &flight{
 		item: n.item.ID, endpoint: e, kind: k, caller: f.caller, flow: f,
-		started: now, work: k.work, spare: spare, trial: e.health.quarantined,
+		started: now, work: k.work, spare: spare, trial: e.health.quarantined, bulk: bulk,
 	}
 	invariant.Check(s.flights[n.item.ID] == nil, invariant.InternalCounting, "item %d is in flight twice", n.item.ID)
 	s.flights[n.item.ID] = fl
@@ -286,6 +297,7 @@
 	invariant.Check(len(e.flights) <= e.Slots, invariant.SlotBound,
 		"endpoint %s has %d tasks in flight and %d slots", e.ID, len(e.flights), e.Slots)
 	k.inFlight++
+	s.headroom.started(fl)
 	s.stats.Started++
 	if spare {
 		s.speculation.take()
@@ -306,6 +318,7 @@
 	e := f.endpoint
 	e.dropFlight(f)
 	f.kind.inFlight--
+	s.headroom.ended(f)
 	f.caller.inFlight--
 	s.learn(now, f, r)
 	s.noteOutcome(now, f, r)
@@ -313,3 +326,19 @@
 	s.idle = false
 	s.place(e)
 }
+
+// Offer takes over a load that an agent reported without an answer. Under
+// LateBinding it is how a free slot becomes known.
+func (s *Scheduler) Offer(now time.Time, endpoint string, l Load) {
+	s.advance(now)
+	e := s.endpoints[endpoint]
+	if e == nil {
+		return
+	}
+	e.apply(now, l)
+	s.idle = false
+	s.place(e)
+}
+
+// Queued returns the number of queued items, the backlog that a Run message carries.
+func (s *Scheduler) Queued() int { return s.queue.size }
--- a/core/dispatch/status.go
+++ b/core/dispatch/status.go
@@ -73,7 +73,7 @@
 		st.Kinds = append(st.Kinds, k.status())
 	}
 	for _, f := range s.fair.heap {
-		st.Flows = append(st.Flows, FlowStatus{Service: f.key.service, Caller: f.key.caller, Queued: f.queued})
+		st.Flows = append(st.Flows, FlowStatus{Service: f.id.service, Caller: f.id.caller, Queued: f.queued})
 	}
 	slices.SortFunc(st.Endpoints, func(a, b EndpointStatus) int { return strings.Compare(a.ID, b.ID) })
 	slices.SortFunc(st.Kinds, func(a, b KindStatus) int {
--- a/core/dispatch/timers.go
+++ b/core/dispatch/timers.go
@@ -66,7 +66,7 @@
 	}
 	var at time.Time
 	if len(s.queue.deadlines) > 0 {
-		at = s.queue.deadlines[0].item.Deadline
+		at = s.queue.deadlines[0].due
 	}
 	if len(s.timers) > 0 && s.queue.size > 0 && (at.IsZero() || s.timers[0].at.Before(at)) {
 		at = s.timers[0].at
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -76,24 +76,31 @@
 
 // Granted returns how many tasks an entry may have in progress, at least 1.
 // The sum over all entries never exceeds the slots plus the number of entries.
-// A grant rises only as far as the grants that other entries were last told
-// allow, because they may still use them.
+// A grant rises only as far as the grants that other entries were last told and
+// the tasks that they still run allow.
 func (d *Divider) Granted(entry string, now time.Time) int {
 	a := d.touch(entry, now)
 	others := 0
 	for _, other := range d.accounts {
 		if other != a {
-			others += other.told
+			others += max(other.told, other.running)
 		}
 	}
-	share, slack := d.share(a, now)
-	limit := d.slots + slack - others
-	a.told = max(1, min(share, limit, d.slots))
-	invariant.Check(others+a.told <= d.slots+len(d.accounts), invariant.InternalCounting,
-		"grants of %d tasks for %d slots and %d entries", others+a.told, d.slots, len(d.accounts))
+	limit := d.slots - others
+	a.told = max(1, min(d.share(a, now), limit, d.slots))
+	d.checkSum()
 	return a.told
 }
 
+func (d *Divider) checkSum() {
+	sum := 0
+	for _, a := range d.accounts {
+		sum += a.told
+	}
+	invariant.Check(sum <= d.slots+len(d.accounts), invariant.InternalCounting,
+		"grants of %d tasks for %d slots and %d entries", sum, d.slots, len(d.accounts))
+}
+
 // Entries returns the number of entries that were active recently.
 func (d *Divider) Entries(now time.Time) int {
 	d.prune(now)
@@ -121,9 +128,9 @@
 }
 
 // share returns an entry's part of the slots: max-min fair by demand, the rest
-// in equal parts. The slack is how far grants may exceed the slots: one for
-// each entry while there is room, none when the demand fills the slots.
-func (d *Divider) share(a *account, now time.Time) (share, slack int) {
+// in equal parts.
+func (d *Divider) share(a *account, now time.Time) int {
+	share := 0
 	order := slices.Clone(d.accounts)
 	slices.SortStableFunc(order, func(x, y *account) int { return x.demand(now) - y.demand(now) })
 	left := d.slots
@@ -134,9 +141,6 @@
 			share = part
 		}
 	}
-	if left <= 0 {
-		return share, 0
-	}
 	n := len(d.accounts)
-	return share + (left+n-1)/n + 1, n
+	return share + (max(left, 0)+n-1)/n
 }
