core/dispatch: centre speeds; compare logarithms in the speed estimate

Cause: in the model with one entry and equal endpoints all speeds rose to 2 to 4 and the kinds' work with them: the mean of a logarithm is below the logarithm of the mean, and only the quotient of work and speed is observed. Change: a separate mean of the logarithm of the work; speeds are centred on 1 after every 1,024 observations.

--- a/core/dispatch/estimate.go
+++ b/core/dispatch/estimate.go
@@ -24,7 +24,11 @@
 	name    string
 	pools   []*pool
 	// work is the expected run time in seconds at the fleet's mean speed.
-	work    float64
+	work float64
+	// logWork is the mean of the logarithm of the work. Speeds are compared with
+	// it, because the logarithm of the mean work is higher and would make all
+	// endpoints look fast.
+	logWork float64
 	samples int
 	// failures is the moving share of starts that failed.
 	failures  float64
@@ -52,6 +56,7 @@
 	normal := seconds * math.Exp(e.logSpeed)
 	if k.samples == 0 {
 		k.work = normal
+		k.logWork = math.Log(normal)
 	}
 	k.samples++
 	gain := max(1/float64(k.samples), kindGain)
@@ -59,7 +64,9 @@
 	high := k.work * math.Exp(maxLogRatio)
 	k.work += gain * (min(max(normal, low), high) - k.work)
 	k.work = max(k.work, minWork)
-	e.observeSpeed(math.Log(k.work / seconds))
+	ratio := min(max(math.Log(normal)-k.logWork, -maxLogRatio), maxLogRatio)
+	k.logWork += gain * ratio
+	e.observeSpeed(k.logWork - math.Log(seconds))
 }
 
 // observeSpeed moves the endpoint's speed towards an observed logarithm of the
@@ -71,6 +78,37 @@
 	e.logSpeed += gain * (ratio - e.logSpeed)
 }
 
+// centreInterval is the number of observations after which speeds are centred.
+const centreInterval = 1024
+
+// centre scales speeds so that their mean is 1, and the kinds' work to match.
+// Only the quotient of work and speed is observed, so both could drift together.
+func (s *Scheduler) centre() {
+	s.observed++
+	if s.observed%centreInterval != 0 {
+		return
+	}
+	sum, slots := 0.0, 0.0
+	for _, e := range s.endpoints {
+		sum += float64(e.Slots) * math.Exp(e.logSpeed)
+		slots += float64(e.Slots)
+	}
+	if sum == 0 {
+		return
+	}
+	shift := math.Log(sum / slots)
+	for _, e := range s.endpoints {
+		e.logSpeed -= shift
+		s.place(e)
+	}
+	for _, k := range s.kinds {
+		if k.learned() {
+			k.work = max(k.work*math.Exp(-shift), minWork)
+			k.logWork -= shift
+		}
+	}
+}
+
 // expected returns the run time in seconds of a kind on an endpoint.
 func expected(k *kind, e *endpoint) float64 {
 	return k.work * math.Exp(-e.logSpeed)
--- a/core/dispatch/learn.go
+++ b/core/dispatch/learn.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/cicadapulley/cicadapulley/core/verdict"
@@ -45,6 +46,7 @@
 		s.budget.success()
 		s.speculation.earn(speculationShare)
 		f.kind.observe(r.RunTime, e)
+		s.centre()
 	}
 	s.settle(f, r, refused)
 	e.updatePenalty(now)
@@ -72,7 +74,7 @@
 	if refused {
 		actual = 0
 	} else if r.RunTime > 0 {
-		actual = max(minWork, r.RunTime.Seconds())
+		actual = max(minWork, r.RunTime.Seconds()*math.Exp(f.endpoint.logSpeed))
 	}
 	s.fair.charge(f.flow, actual-f.work)
 }
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -38,6 +38,8 @@
 	budget      budget
 	speculation speculation
 	headroom    headroom
+	// observed counts the observations of run times.
+	observed uint64
 	// free is the number of granted slots that are free.
 	free  int
 	stats Counters
