core/dispatch: weigh a slow endpoint against the wait of the task's own flow

Cause: with one endpoint 10 times slower, calls with a short queue of their own were sent there because jobs of other callers waited (99th percentile 10 to 11, the run time on the slow endpoint). Change: the wait is that of the task's flow at an equal share of the slots.

--- a/core/dispatch/admit.go
+++ b/core/dispatch/admit.go
@@ -73,7 +73,7 @@
 	if int64(count) > quota {
 		return err
 	}
-	return err.After(s.retryAfter(s.expectedWait()))
+	return err.After(s.retryAfter(s.queueWait()))
 }
 
 // checkRoom refuses a job for which the queue has no room. When several
@@ -97,7 +97,7 @@
 	if count > s.opts.MaxQueued {
 		return err
 	}
-	return err.After(s.retryAfter(s.expectedWait()))
+	return err.After(s.retryAfter(s.queueWait()))
 }
 
 // declare seeds the estimates of kinds that have not run yet.
--- a/core/dispatch/capacity.go
+++ b/core/dispatch/capacity.go
@@ -93,3 +93,12 @@
 	}
 	return math.Exp(best)
 }
+
+// queueWait returns the time in seconds in which the whole queue is worked off.
+func (s *Scheduler) queueWait() float64 {
+	work := 0.0
+	for _, k := range s.kinds {
+		work += float64(k.queued) * k.work
+	}
+	return work / s.capacity()
+}
--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"slices"
-	"time"
 )
 
 // maxCandidates bounds the endpoints that one choice looks at.
@@ -69,20 +68,20 @@
 
 // choose returns an endpoint on which an item should start now, and whether
 // that start is beyond the grant. It returns nil if the item should wait.
-func (s *Scheduler) choose(now time.Time, k *kind, item *Item) (*endpoint, bool) {
+func (s *Scheduler) choose(f *flow, k *kind, item *Item) (*endpoint, bool) {
 	if s.opts.Strategy == Random || s.opts.Strategy == TwoChoices {
 		return s.chooseSampled(k, item), false
 	}
 	if s.opts.Strategy == LateBinding {
 		return s.chooseFrom(k, item, false), false
 	}
-	if e := s.chooseFrom(k, item, false); e != nil && !s.worthWaiting(k, e) {
+	if e := s.chooseFrom(k, item, false); e != nil && !s.worthWaiting(f, k, e) {
 		return e, false
 	}
 	if !s.speculation.available() {
 		return nil, false
 	}
-	if e := s.chooseFrom(k, item, true); e != nil && !s.worthWaiting(k, e) {
+	if e := s.chooseFrom(k, item, true); e != nil && !s.worthWaiting(f, k, e) {
 		return e, true
 	}
 	return nil, false
@@ -173,7 +172,7 @@
 
 // worthWaiting reports whether a faster endpoint is expected to finish a task
 // of the kind earlier than e, although the task has to wait for it.
-func (s *Scheduler) worthWaiting(k *kind, e *endpoint) bool {
+func (s *Scheduler) worthWaiting(f *flow, k *kind, e *endpoint) bool {
 	speed := math.Exp(e.effectiveSpeed())
 	if speed >= slowRatio || e.health.quarantined {
 		return false
@@ -181,18 +180,14 @@
 	if len(s.flights) <= e.inFlight() {
 		return false
 	}
-	slower := k.work/speed - k.work
-	return slower > s.expectedWait()
+	return k.work/speed-k.work > s.expectedWait(f)
 }
 
-// expectedWait returns the time in seconds in which the queue is worked off by
-// as many slots as are in use now.
-func (s *Scheduler) expectedWait() float64 {
-	work := 0.0
-	for _, k := range s.kinds {
-		work += float64(k.queued) * k.work
-	}
-	return work / float64(max(1, len(s.flights)))
+// expectedWait returns the time in seconds in which the flow's queue is worked
+// off at an equal share of the slots that are in use now.
+func (s *Scheduler) expectedWait(f *flow) float64 {
+	share := float64(max(1, len(s.flights))) / float64(max(1, len(s.fair.heap)+len(s.skipped)))
+	return f.work() / share
 }
 
 // chooseSampled picks one or the less loaded of two endpoints at random.
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -232,7 +232,7 @@
 	if s.idle {
 		return Assignment{}, false
 	}
-	n, e, spare := s.selectNext(now)
+	n, e, spare := s.selectNext()
 	if n == nil {
 		s.idle = true
 		return Assignment{}, false
@@ -243,10 +243,10 @@
 
 // selectNext goes through the flows in fair order and returns the first item
 // that has an endpoint.
-func (s *Scheduler) selectNext(now time.Time) (n *node, e *endpoint, spare bool) {
+func (s *Scheduler) selectNext() (n *node, e *endpoint, spare bool) {
 	for n == nil && len(s.fair.heap) > 0 {
 		f := s.fair.heap[0]
-		n, e, spare = s.startable(now, f)
+		n, e, spare = s.startable(f)
 		if n == nil {
 			heap.Pop(&s.fair.heap)
 			s.skipped = append(s.skipped, f)
@@ -261,7 +261,7 @@
 }
 
 // startable returns a flow's best-ranked head that has an endpoint.
-func (s *Scheduler) startable(now time.Time, f *flow) (*node, *endpoint, bool) {
+func (s *Scheduler) startable(f *flow) (*node, *endpoint, bool) {
 	var best *node
 	var chosen *endpoint
 	var chosenSpare bool
@@ -272,7 +272,7 @@
 		if s.headroom.isBulk(f, c.kind) && s.headroom.full(s.free+len(s.flights)) {
 			continue
 		}
-		e, spare := s.choose(now, c.kind, &c.first.item)
+		e, spare := s.choose(f, c.kind, &c.first.item)
 		if e != nil {
 			best, chosen, chosenSpare = c.first, e, spare
 		}
