core/dispatch: small jobs of a caller before its large ones

Cause: jobs of one caller and kind ran in order of arrival, so a job of 20 tasks waited for one of 790. Change: a flow's classes are also split by the job's size in powers of four, and the rank, which has ageing, contains the job's expected time.

--- a/core/dispatch/flow.go
+++ b/core/dispatch/flow.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math/bits"
 	"time"
 
 	"github.com/cicadapulley/cicadapulley/core/state"
@@ -11,6 +12,10 @@
 // goes ahead of any task that arrives later at the same caller.
 const ageingFactor = 2
 
+// jobParallelism is the assumed number of tasks of a job that run at once. It
+// only orders the jobs of one caller.
+const jobParallelism = 32
+
 // shortFirst is how many times its own work a task is set back behind the
 // tasks of other flows.
 const shortFirst = 4
@@ -26,6 +31,13 @@
 type classKey struct {
 	kind  string
 	needs state.Resources
+	// size is the class of the job's size: sizeClass of its number of tasks.
+	size uint8
+}
+
+// sizeClass returns the logarithm to base 4 of a number of tasks, rounded up.
+func sizeClass(tasks int) uint8 {
+	return uint8(bits.Len(uint(max(tasks, 1)-1))+1) / 2
 }
 
 // class is a first-in first-out list of a flow's items.
@@ -75,10 +87,12 @@
 	n.next = nil
 }
 
-// rank orders the heads of a flow's classes: shortest expected first, with
-// ageing, because the time of enqueueing is part of it.
+// rank orders the heads of a flow's classes: short tasks and small jobs first,
+// with ageing, because the time of enqueueing is part of it.
 func (c *class) rank() time.Time {
-	return c.first.item.Enqueued.Add(time.Duration(ageingFactor * c.kind.work * float64(time.Second)))
+	tasks := float64(uint(1) << (2 * c.key.size))
+	expected := c.kind.work * (1 + (tasks-1)/jobParallelism)
+	return c.first.item.Enqueued.Add(time.Duration(ageingFactor * expected * float64(time.Second)))
 }
 
 // flow is the queue of one caller at one service. Flows share the endpoints by
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -86,15 +86,17 @@
 	}
 }
 
-// Enqueue adds items to the queue. It accepts them all: Admit has bounded them.
+// Enqueue adds the items of one job to the queue. It accepts them all: Admit
+// has bounded them.
 func (s *Scheduler) Enqueue(now time.Time, items []Item) {
+	size := sizeClass(len(items))
 	for _, item := range items {
-		s.enqueue(item, false)
+		s.enqueue(item, size, false)
 	}
 	s.idle = false
 }
 
-func (s *Scheduler) enqueue(item Item, first bool) {
+func (s *Scheduler) enqueue(item Item, size uint8, first bool) {
 	if s.fair.crowded() {
 		s.collectFlows()
 	}
@@ -102,7 +104,7 @@
 	k := s.kind(item.Service, item.Kind)
 	f := s.fair.flow(flowKey{item.Service, item.Caller}, c)
 	n := &node{item: item, flow: f, due: k.latestStart(item.Deadline)}
-	n.class = f.class(classKey{item.Kind, item.Needs}, k)
+	n.class = f.class(classKey{item.Kind, item.Needs, size}, k)
 	if first {
 		n.class.prepend(n)
 	} else {
@@ -229,7 +231,7 @@
 		return false
 	}
 	s.stats.Retries++
-	s.enqueue(item, true)
+	s.enqueue(item, 0, true)
 	s.idle = false
 	return true
 }
