core/dispatch: after a lost connection, repeatable tasks are tried first

Cause: a trial of a silent endpoint loses its answer, which fails a job that cannot be repeated; the marker for this was set but not used. Change: such an endpoint gets a task that cannot be repeated only one interval after its trial was due.

--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -24,6 +24,8 @@
 	s.updateCapacity(e)
 	if set != &e.pool.ready {
 		s.wakeAt(e.nextChange(s.now), e)
+	} else if at := e.health.anyTrial(); e.health.quarantined && at.After(s.now) {
+		s.wakeAt(at, e)
 	}
 }
 
@@ -102,10 +104,10 @@
 		if moved {
 			continue
 		}
-		if e != nil && !slices.Contains(item.Avoid, e.ID) {
+		if e != nil && !slices.Contains(item.Avoid, e.ID) && !e.health.unsafe(item, s.now) {
 			return e
 		}
-		if fallback == nil {
+		if fallback == nil && e != nil && !e.health.unsafe(item, s.now) {
 			fallback = e
 		}
 		limit = bucket
@@ -148,7 +150,7 @@
 		if e.DataCentre == s.opts.DataCentre {
 			score += 1 << 20
 		}
-		if slices.Contains(item.Avoid, e.ID) {
+		if slices.Contains(item.Avoid, e.ID) || e.health.unsafe(item, s.now) {
 			score -= 1 << 30
 		}
 		if score > bestScore {
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -42,6 +42,21 @@
 	since     time.Time
 }
 
+// anyTrial returns when a trial may take any task: one interval after a
+// repeatable one was wanted.
+func (h *health) anyTrial() time.Time {
+	if !h.lost {
+		return h.nextTrial
+	}
+	return h.nextTrial.Add(h.interval)
+}
+
+// unsafe reports whether an item should not be a trial, because its answer may
+// be lost and it cannot be repeated.
+func (h *health) unsafe(item *Item, now time.Time) bool {
+	return h.quarantined && !item.Repeatable && now.Before(h.anyTrial())
+}
+
 // outcome classifies the end of a start for the failure detector.
 type outcome uint8
 
--- a/core/dispatch/rules_test.go
+++ b/core/dispatch/rules_test.go
@@ -301,3 +301,23 @@
 	check(verdict.CodeDeadline, true, "a", quote, start.Add(2*time.Second), 0)
 	check("", false, "b", quote, start.Add(time.Minute), 0)
 }
+
+// Guards against a trial of a lost connection that costs a job which cannot be
+// repeated, although a repeatable task could have been tried.
+func TestTrialAfterLossPrefersRepeatable(t *testing.T) {
+	s := New(Options{})
+	s.SetEndpoints(start, fleet(2, "quote"))
+	e := s.endpoints["w0000"]
+	s.quarantine(start, e, true)
+	now := e.health.nextTrial
+	s.Enqueue(now, tasks("a", "j", "quote", 1, 20, now))
+	for a, ok := s.Next(now); ok; a, ok = s.Next(now) {
+		assert.Equal(t, a.Endpoint, "w0001")
+	}
+	repeatable := tasks("b", "j", "quote", 100, 1, now)
+	repeatable[0].Repeatable = true
+	s.Enqueue(now, repeatable)
+	a, ok := s.Next(now)
+	assert.Assert(t, ok)
+	assert.Equal(t, a.Endpoint, "w0000")
+}
