--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -44,26 +44,25 @@
 	if e.health.streak >= suspectStreak && busy > 0 {
 		return nil
 	}
-	if s.opts.Strategy == LateBinding {
-		if busy < e.granted {
-			return &e.pool.ready
-		}
+	if s.now.Before(e.busyUntil) {
 		return nil
 	}
-	if s.opts.Strategy != Grants {
-		if s.now.Before(e.busyUntil) {
-			return nil
-		}
+	return s.setByStrategy(e)
+}
+
+// setByStrategy returns the set of a healthy endpoint that is not full.
+func (s *Scheduler) setByStrategy(e *endpoint) *bucketSet {
+	busy := e.inFlight()
+	switch s.opts.Strategy {
+	case Random, TwoChoices:
 		return &e.pool.ready
-	}
-	e.expireGrant(s.now)
-	if s.now.Before(e.busyUntil) {
-		return nil
+	case Grants:
+		e.expireGrant(s.now)
 	}
 	if busy < e.granted {
 		return &e.pool.ready
 	}
-	if busy+e.others+spareMargin < e.Slots {
+	if s.opts.Strategy == Grants && busy+e.others+spareMargin < e.Slots {
 		return &e.pool.spare
 	}
 	return nil
