--- a/core/dispatch/admit.go
+++ b/core/dispatch/admit.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/cicadapulley/cicadapulley/core/verdict"
@@ -11,6 +12,10 @@
 	// asked to wait, before jitter.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 10 * time.Second
+	// admitShare is the part of the time until the deadline that a job may be
+	// expected to wait. The rest covers errors of the estimates and work of
+	// other callers that arrives later.
+	admitShare = 0.5
 )
 
 // Admit decides whether a whole job is taken in. It returns nil or a refusal
@@ -69,7 +74,7 @@
 	if int64(count) > quota {
 		return err
 	}
-	return err.After(s.retryAfter(s.expectedWait()))
+	return err.After(s.retryAfter(s.queueWait()))
 }
 
 // checkRoom refuses a job for which the queue has no room. When several
@@ -93,7 +98,7 @@
 	if count > s.opts.MaxQueued {
 		return err
 	}
-	return err.After(s.retryAfter(s.expectedWait()))
+	return err.After(s.retryAfter(s.queueWait()))
 }
 
 // declare seeds the estimates of kinds that have not run yet.
@@ -126,9 +131,9 @@
 		longest = max(longest, k.work)
 		total += k.work * float64(part.Count)
 	}
-	wait := s.flowWait(name, service, total)
+	wait := max(s.flowWait(name, service, total), s.oldestWait(now, name, service, kinds))
 	left := deadline.Sub(now).Seconds()
-	if max(wait, longest/s.bestSpeed(), wait+longest/2) <= left {
+	if longest*math.Exp(-s.fastest) <= left && wait <= admitShare*left {
 		return nil
 	}
 	err := verdict.Errorf(verdict.CodeDeadline, verdict.NotRun,
--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"slices"
-	"time"
 )
 
 // maxCandidates bounds the endpoints that one choice looks at.
@@ -16,8 +15,17 @@
 	}
 	set := s.setOf(e)
 	e.pool.place(e, set)
+	free := 0
+	if set == &e.pool.ready {
+		free = max(min(e.granted, e.Slots)-e.inFlight(), 0)
+	}
+	s.free += free - e.free
+	e.free = free
+	s.updateCapacity(e)
 	if set != &e.pool.ready {
 		s.wakeAt(e.nextChange(s.now), e)
+	} else if at := e.health.anyTrial(); e.health.quarantined && at.After(s.now) {
+		s.wakeAt(at, e)
 	}
 }
 
@@ -36,17 +44,25 @@
 	if e.health.streak >= suspectStreak && busy > 0 {
 		return nil
 	}
-	if s.opts.Strategy != Grants {
-		if s.now.Before(e.busyUntil) {
-			return nil
-		}
+	if s.now.Before(e.busyUntil) {
+		return nil
+	}
+	return s.setByStrategy(e)
+}
+
+// setByStrategy returns the set of a healthy endpoint that is not full.
+func (s *Scheduler) setByStrategy(e *endpoint) *bucketSet {
+	busy := e.inFlight()
+	switch s.opts.Strategy {
+	case Random, TwoChoices:
 		return &e.pool.ready
+	case Grants:
+		e.expireGrant(s.now)
 	}
-	e.expireGrant(s.now)
 	if busy < e.granted {
 		return &e.pool.ready
 	}
-	if busy+e.others < e.Slots && !s.now.Before(e.busyUntil) {
+	if s.opts.Strategy == Grants && busy+e.others+spareMargin < e.Slots {
 		return &e.pool.spare
 	}
 	return nil
@@ -54,17 +70,20 @@
 
 // choose returns an endpoint on which an item should start now, and whether
 // that start is beyond the grant. It returns nil if the item should wait.
-func (s *Scheduler) choose(now time.Time, k *kind, item *Item) (*endpoint, bool) {
+func (s *Scheduler) choose(f *flow, k *kind, item *Item) (*endpoint, bool) {
 	if s.opts.Strategy == Random || s.opts.Strategy == TwoChoices {
 		return s.chooseSampled(k, item), false
 	}
-	if e := s.chooseFrom(k, item, false); e != nil && !s.worthWaiting(k, e) {
+	if s.opts.Strategy == LateBinding {
+		return s.chooseFrom(k, item, false), false
+	}
+	if e := s.chooseFrom(k, item, false); e != nil && !s.worthWaiting(f, k, e) {
 		return e, false
 	}
-	if !s.speculation.available() {
+	if !s.speculation.available(s.headroom.isBulk(f, k)) {
 		return nil, false
 	}
-	if e := s.chooseFrom(k, item, true); e != nil && !s.worthWaiting(k, e) {
+	if e := s.chooseFrom(k, item, true); e != nil && !s.worthWaiting(f, k, e) {
 		return e, true
 	}
 	return nil, false
@@ -84,10 +103,10 @@
 		if moved {
 			continue
 		}
-		if e != nil && !slices.Contains(item.Avoid, e.ID) {
+		if e != nil && !slices.Contains(item.Avoid, e.ID) && !e.health.unsafe(item, s.now) {
 			return e
 		}
-		if fallback == nil {
+		if fallback == nil && e != nil && !e.health.unsafe(item, s.now) {
 			fallback = e
 		}
 		limit = bucket
@@ -130,7 +149,7 @@
 		if e.DataCentre == s.opts.DataCentre {
 			score += 1 << 20
 		}
-		if slices.Contains(item.Avoid, e.ID) {
+		if slices.Contains(item.Avoid, e.ID) || e.health.unsafe(item, s.now) {
 			score -= 1 << 30
 		}
 		if score > bestScore {
@@ -151,11 +170,11 @@
 
 // slowRatio is the part of the mean speed below which a task waits for a
 // faster endpoint if the queue is short.
-const slowRatio = 0.5
+const slowRatio = 0.65
 
 // worthWaiting reports whether a faster endpoint is expected to finish a task
 // of the kind earlier than e, although the task has to wait for it.
-func (s *Scheduler) worthWaiting(k *kind, e *endpoint) bool {
+func (s *Scheduler) worthWaiting(f *flow, k *kind, e *endpoint) bool {
 	speed := math.Exp(e.effectiveSpeed())
 	if speed >= slowRatio || e.health.quarantined {
 		return false
@@ -163,18 +182,14 @@
 	if len(s.flights) <= e.inFlight() {
 		return false
 	}
-	slower := k.work/speed - k.work
-	return slower > s.expectedWait()
+	return k.work/speed-k.work > s.expectedWait(f)
 }
 
-// expectedWait returns the time in seconds in which the queue is worked off by
-// as many slots as are in use now.
-func (s *Scheduler) expectedWait() float64 {
-	work := 0.0
-	for _, k := range s.kinds {
-		work += float64(k.queued) * k.work
-	}
-	return work / float64(max(1, len(s.flights)))
+// expectedWait returns the time in seconds in which the flow's queue is worked
+// off at an equal share of the slots that are in use now.
+func (s *Scheduler) expectedWait(f *flow) float64 {
+	share := float64(max(1, len(s.flights))) / float64(max(1, len(s.fair.heap)+len(s.skipped)))
+	return f.work() / share
 }
 
 // chooseSampled picks one or the less loaded of two endpoints at random.
--- a/core/dispatch/flow.go
+++ b/core/dispatch/flow.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math/bits"
 	"time"
 
 	"github.com/cicadapulley/cicadapulley/core/state"
@@ -11,6 +12,14 @@
 // goes ahead of any task that arrives later at the same caller.
 const ageingFactor = 2
 
+// jobParallelism is the assumed number of tasks of a job that run at once. It
+// only orders the jobs of one caller.
+const jobParallelism = 32
+
+// shortFirst is how many times its own work a task is set back behind the
+// tasks of other flows.
+const shortFirst = 4
+
 // flowKey identifies a flow of the fair queue.
 type flowKey struct {
 	service string
@@ -22,6 +31,13 @@
 type classKey struct {
 	kind  string
 	needs state.Resources
+	// size is the class of the job's size: sizeClass of its number of tasks.
+	size uint8
+}
+
+// sizeClass returns the logarithm to base 4 of a number of tasks, rounded up.
+func sizeClass(tasks int) uint8 {
+	return uint8(bits.Len(uint(max(tasks, 1)-1))+1) / 2
 }
 
 // class is a first-in first-out list of a flow's items.
@@ -71,22 +87,29 @@
 	n.next = nil
 }
 
-// rank orders the heads of a flow's classes: shortest expected first, with
-// ageing, because the time of enqueueing is part of it.
+// rank orders the heads of a flow's classes: short tasks and small jobs first,
+// with ageing, because the time of enqueueing is part of it.
 func (c *class) rank() time.Time {
-	return c.first.item.Enqueued.Add(time.Duration(ageingFactor * c.kind.work * float64(time.Second)))
+	tasks := float64(uint(1) << (2 * c.key.size))
+	expected := c.kind.work * (1 + (tasks-1)/jobParallelism)
+	return c.first.item.Enqueued.Add(time.Duration(ageingFactor * expected * float64(time.Second)))
 }
 
 // flow is the queue of one caller at one service. Flows share the endpoints by
 // start-time fair queueing on estimated work.
 type flow struct {
-	key     flowKey
+	id      flowKey
 	caller  *caller
 	classes []*class
 	queued  int
+	// backlogged is set from bulkQueue queued items on until there are none.
+	backlogged bool
 	// tag is the virtual time, in seconds of work per weight, at which the
 	// flow's next task starts.
 	tag float64
+	// key orders the heap: the tag plus a multiple of the next task's work, so
+	// that short tasks go ahead of long ones by a bounded amount of work.
+	key float64
 	// heapIndex is the position in the flow heap, -1 when nothing is queued.
 	heapIndex int
 }
@@ -120,7 +143,7 @@
 
 func (h flowHeap) Len() int { return len(h) }
 
-func (h flowHeap) Less(i, j int) bool { return h[i].tag < h[j].tag }
+func (h flowHeap) Less(i, j int) bool { return h[i].key < h[j].key }
 
 func (h flowHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
@@ -152,6 +175,8 @@
 	heap  flowHeap
 	// virtual is the tag of the flow that started last.
 	virtual float64
+	// active is the sum of the weights of the flows with queued items.
+	active int64
 }
 
 // minFlowsKept is the number of flows below which idle ones are not collected.
@@ -162,7 +187,7 @@
 	if f != nil {
 		return f
 	}
-	f = &flow{key: key, caller: c, heapIndex: -1}
+	f = &flow{id: key, caller: c, heapIndex: -1}
 	q.flows[key] = f
 	c.flows++
 	return f
@@ -177,14 +202,41 @@
 		return
 	}
 	f.tag = max(f.tag, q.virtual)
+	f.key = f.order()
+	q.active += f.caller.weight
 	heap.Push(&q.heap, f)
 }
 
+// deactivate takes a flow without queued items out of the heap.
+func (q *fairQueue) deactivate(f *flow) {
+	f.backlogged = false
+	q.active -= f.caller.weight
+	heap.Remove(&q.heap, f.heapIndex)
+}
+
+// update moves a flow in the heap after its tag or its next task changed.
+func (q *fairQueue) update(f *flow) {
+	if f.heapIndex < 0 {
+		return
+	}
+	f.key = f.order()
+	heap.Fix(&q.heap, f.heapIndex)
+}
+
+// order returns the position of a flow with queued items.
+func (f *flow) order() float64 {
+	best := f.classes[0]
+	for _, c := range f.classes[1:] {
+		if c.rank().Before(best.rank()) {
+			best = c
+		}
+	}
+	return f.tag + shortFirst*best.kind.work/float64(f.caller.weight)
+}
+
 // charge advances a flow by an amount of work in seconds, which may be
 // negative when an estimate is corrected.
 func (q *fairQueue) charge(f *flow, work float64) {
 	f.tag += work / float64(f.caller.weight)
-	if f.heapIndex >= 0 {
-		heap.Fix(&q.heap, f.heapIndex)
-	}
+	q.update(f)
 }
--- /dev/null
+++ b/core/dispatch/headroom.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import "math"
+
+const (
+	// startGain is the weight of one start in the moving averages.
+	startGain = 1.0 / 64
+	// bulkQueue is the number of queued items from which a flow counts as
+	// backlogged until its queue is empty.
+	bulkQueue = 4
+	// bulkRatio is how many times the mean work a bulk task has. It is above 1,
+	// so that a burst of equal short tasks is not taken for bulk work.
+	bulkRatio = 1.2
+	// headroomSigmas is the number of standard deviations of the number of
+	// interactive tasks in flight for which bulk work leaves slots free.
+	headroomSigmas = 2.0
+	// minBulkShare is the part of the slots that bulk work may always use.
+	minBulkShare = 0.25
+)
+
+// headroom limits the slots that bulk work takes, so that a short call does not
+// wait for the end of a job's longer task. Bulk are tasks longer than the mean
+// from flows that have a queue, also those of kinds that have not run yet; all other tasks are interactive.
+type headroom struct {
+	// logWork is the moving average of the logarithm of the work in seconds of
+	// interactive tasks. Bulk tasks do not raise it, so a job stays bulk while
+	// it runs, and the logarithm keeps a few long calls from raising it.
+	logWork float64
+	samples int
+	// bulk and interactive are numbers of tasks in flight.
+	bulk        int
+	interactive int
+	// meanInteractive is the moving average of interactive at starts.
+	meanInteractive float64
+}
+
+func (h *headroom) isBulk(f *flow, k *kind) bool {
+	if h.samples == 0 || !f.backlogged {
+		return false
+	}
+	return !k.learned() || k.work > bulkRatio*math.Exp(h.logWork)
+}
+
+func (h *headroom) started(f *flight) {
+	if f.bulk {
+		h.bulk++
+	} else {
+		h.interactive++
+		h.observe(f.work)
+	}
+	h.meanInteractive += startGain * (float64(h.interactive) - h.meanInteractive)
+}
+
+func (h *headroom) observe(work float64) {
+	h.samples++
+	gain := max(1/float64(h.samples), startGain)
+	h.logWork += gain * (math.Log(work) - h.logWork)
+}
+
+func (h *headroom) ended(f *flight) {
+	if f.bulk {
+		h.bulk--
+	} else {
+		h.interactive--
+	}
+}
+
+// full reports whether bulk work has its part of the entry's slots.
+func (h *headroom) full(slots int) bool {
+	expected := h.meanInteractive + headroomSigmas*math.Sqrt(h.meanInteractive)
+	return h.bulk > 0 && float64(h.bulk) >= max(minBulkShare*float64(slots), float64(slots)-expected)
+}
--- a/core/dispatch/learn.go
+++ b/core/dispatch/learn.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/cicadapulley/cicadapulley/core/verdict"
@@ -8,8 +9,8 @@
 
 const (
 	// speculationShare is the number of starts beyond the grant that each
-	// success allows: it bounds the refusals to 3% of the tasks.
-	speculationShare = 0.03
+	// success allows: it bounds their refusals to 1.3% of the tasks.
+	speculationShare = 0.013
 	// speculationBurst bounds the saved starts beyond the grant.
 	speculationBurst = 64.0
 )
@@ -21,9 +22,17 @@
 	spent float64
 }
 
-func (s *speculation) available() bool { return s.spent+1 <= speculationBurst }
-func (s *speculation) take()           { s.spent++ }
-func (s *speculation) earn(x float64)  { s.spent = max(0, s.spent-x) }
+// available reports whether a start may take a token. Bulk work leaves half of
+// the tokens to other tasks.
+func (s *speculation) available(bulk bool) bool {
+	if bulk {
+		return s.spent+1 <= speculationBurst/2
+	}
+	return s.spent+1 <= speculationBurst
+}
+
+func (s *speculation) take()          { s.spent++ }
+func (s *speculation) earn(x float64) { s.spent = max(0, s.spent-x) }
 
 // learn takes over the load, the run time and the correction of the flow's
 // charge from a report.
@@ -35,13 +44,17 @@
 	refused := r.Verdict == verdict.NotRun
 	if refused {
 		s.noteRefusal(now, f, r)
-	} else if f.spare {
-		s.speculation.earn(1)
+	} else {
+		e.busyUntil = time.Time{}
+		if f.spare {
+			s.speculation.earn(1)
+		}
 	}
 	if r.OK {
 		s.budget.success()
 		s.speculation.earn(speculationShare)
 		f.kind.observe(r.RunTime, e)
+		s.centre()
 	}
 	s.settle(f, r, refused)
 	e.updatePenalty(now)
@@ -69,7 +82,7 @@
 	if refused {
 		actual = 0
 	} else if r.RunTime > 0 {
-		actual = max(minWork, r.RunTime.Seconds())
+		actual = max(minWork, r.RunTime.Seconds()*math.Exp(f.endpoint.logSpeed))
 	}
 	s.fair.charge(f.flow, actual-f.work)
 }
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -30,6 +30,11 @@
 	weights map[string]int64
 	kinds   map[state.ServedKind]*kind
 
+	// kindList and endpointList have fixed orders, so that sums of floating-point
+	// numbers and thus all decisions depend only on the input and the seed.
+	kindList     []*kind
+	endpointList []*endpoint
+
 	endpoints   map[string]*endpoint
 	pools       map[string]*pool
 	quarantined int
@@ -37,7 +42,16 @@
 	timers      timerHeap
 	budget      budget
 	speculation speculation
-	stats       Counters
+	headroom    headroom
+	// capacity is the expected work per second, fastest the logarithm of the
+	// highest speed.
+	capacity float64
+	fastest  float64
+	// observed counts the observations of run times.
+	observed uint64
+	// free is the number of granted slots that are free.
+	free  int
+	stats Counters
 
 	// late holds items past their deadline until Expired returns them.
 	late []*node
@@ -71,25 +85,31 @@
 	for _, c := range s.callers {
 		c.weight = max(1, weights[c.name])
 	}
+	s.fair.active = 0
+	for _, f := range s.fair.heap {
+		s.fair.active += f.caller.weight
+	}
 }
 
-// Enqueue adds items to the queue. It accepts them all: Admit has bounded them.
+// Enqueue adds the items of one job to the queue. It accepts them all: Admit
+// has bounded them.
 func (s *Scheduler) Enqueue(now time.Time, items []Item) {
+	size := sizeClass(len(items))
 	for _, item := range items {
-		s.enqueue(item, false)
+		s.enqueue(item, size, false)
 	}
 	s.idle = false
 }
 
-func (s *Scheduler) enqueue(item Item, first bool) {
+func (s *Scheduler) enqueue(item Item, size uint8, first bool) {
 	if s.fair.crowded() {
 		s.collectFlows()
 	}
 	c := s.caller(item.Caller)
 	k := s.kind(item.Service, item.Kind)
 	f := s.fair.flow(flowKey{item.Service, item.Caller}, c)
-	n := &node{item: item, flow: f}
-	n.class = f.class(classKey{item.Kind, item.Needs}, k)
+	n := &node{item: item, flow: f, due: k.latestStart(item.Deadline)}
+	n.class = f.class(classKey{item.Kind, item.Needs, size}, k)
 	if first {
 		n.class.prepend(n)
 	} else {
@@ -97,9 +117,11 @@
 	}
 	s.queue.add(n)
 	f.queued++
+	f.backlogged = f.backlogged || f.queued >= bulkQueue
 	c.queued++
 	k.queued++
 	s.fair.activate(f)
+	s.fair.update(f)
 }
 
 // dequeue takes a node out of all indexes.
@@ -121,7 +143,9 @@
 	f.caller.queued--
 	n.class.kind.queued--
 	if f.queued == 0 {
-		heap.Remove(&s.fair.heap, f.heapIndex)
+		s.fair.deactivate(f)
+	} else {
+		s.fair.update(f)
 	}
 	s.dropCaller(f.caller)
 }
@@ -159,6 +183,7 @@
 	if k == nil {
 		k = &kind{service: service, name: name, work: s.opts.DefaultRunTime.Seconds()}
 		s.kinds[key] = k
+		s.kindList = append(s.kindList, k)
 	}
 	return k
 }
@@ -179,7 +204,8 @@
 	return items
 }
 
-// Expired takes items past their deadline out of the queue and returns them.
+// Expired takes out of the queue and returns the items that are past their
+// deadline or could not end before it.
 func (s *Scheduler) Expired(now time.Time) []Item {
 	s.expire(now)
 	var items []Item
@@ -211,7 +237,7 @@
 		return false
 	}
 	s.stats.Retries++
-	s.enqueue(item, true)
+	s.enqueue(item, 0, true)
 	s.idle = false
 	return true
 }
@@ -223,7 +249,7 @@
 	if s.idle {
 		return Assignment{}, false
 	}
-	n, e, spare := s.selectNext(now)
+	n, e, spare := s.selectNext()
 	if n == nil {
 		s.idle = true
 		return Assignment{}, false
@@ -234,10 +260,10 @@
 
 // selectNext goes through the flows in fair order and returns the first item
 // that has an endpoint.
-func (s *Scheduler) selectNext(now time.Time) (n *node, e *endpoint, spare bool) {
+func (s *Scheduler) selectNext() (n *node, e *endpoint, spare bool) {
 	for n == nil && len(s.fair.heap) > 0 {
 		f := s.fair.heap[0]
-		n, e, spare = s.startable(now, f)
+		n, e, spare = s.startable(f)
 		if n == nil {
 			heap.Pop(&s.fair.heap)
 			s.skipped = append(s.skipped, f)
@@ -252,7 +278,7 @@
 }
 
 // startable returns a flow's best-ranked head that has an endpoint.
-func (s *Scheduler) startable(now time.Time, f *flow) (*node, *endpoint, bool) {
+func (s *Scheduler) startable(f *flow) (*node, *endpoint, bool) {
 	var best *node
 	var chosen *endpoint
 	var chosenSpare bool
@@ -260,7 +286,10 @@
 		if best != nil && !c.rank().Before(best.class.rank()) {
 			continue
 		}
-		e, spare := s.choose(now, c.kind, &c.first.item)
+		if s.headroom.isBulk(f, c.kind) && s.headroom.full(s.free+len(s.flights)) {
+			continue
+		}
+		e, spare := s.choose(f, c.kind, &c.first.item)
 		if e != nil {
 			best, chosen, chosenSpare = c.first, e, spare
 		}
@@ -274,11 +303,12 @@
 	f := n.flow
 	s.fair.virtual = max(s.fair.virtual, f.tag)
 	s.fair.charge(f, k.work)
+	bulk := s.headroom.isBulk(f, k)
 	f.caller.inFlight++
 	s.dequeue(n)
 	fl := &flight{
 		item: n.item.ID, endpoint: e, kind: k, caller: f.caller, flow: f,
-		started: now, work: k.work, spare: spare, trial: e.health.quarantined,
+		started: now, work: k.work, spare: spare, trial: e.health.quarantined, bulk: bulk,
 	}
 	invariant.Check(s.flights[n.item.ID] == nil, invariant.InternalCounting, "item %d is in flight twice", n.item.ID)
 	s.flights[n.item.ID] = fl
@@ -286,6 +316,7 @@
 	invariant.Check(len(e.flights) <= e.Slots, invariant.SlotBound,
 		"endpoint %s has %d tasks in flight and %d slots", e.ID, len(e.flights), e.Slots)
 	k.inFlight++
+	s.headroom.started(fl)
 	s.stats.Started++
 	if spare {
 		s.speculation.take()
@@ -306,6 +337,7 @@
 	e := f.endpoint
 	e.dropFlight(f)
 	f.kind.inFlight--
+	s.headroom.ended(f)
 	f.caller.inFlight--
 	s.learn(now, f, r)
 	s.noteOutcome(now, f, r)
@@ -313,3 +345,19 @@
 	s.idle = false
 	s.place(e)
 }
+
+// Offer takes over a load that an agent reported without an answer. Under
+// LateBinding it is how a free slot becomes known.
+func (s *Scheduler) Offer(now time.Time, endpoint string, l Load) {
+	s.advance(now)
+	e := s.endpoints[endpoint]
+	if e == nil {
+		return
+	}
+	e.apply(now, l)
+	s.idle = false
+	s.place(e)
+}
+
+// Queued returns the number of queued items, the backlog that a Run message carries.
+func (s *Scheduler) Queued() int { return s.queue.size }
