docs/events: page of the numbered events, generated from the catalogue

Cause: operators had no list of the event numbers that logs and alerts refer to. Change: package daemon/events/page renders the catalogue, daemon/events/gen writes docs/events.md (make generate). Measured: nothing.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	@for m in $(MODULES); do (cd $$m && $(GO) test ./...) || exit 1; done
 
 build:
-	$(GO) build -o bin/ ./daemon/... ./client/...
+	$(GO) build -o bin/ ./daemon/cmd/... ./client/cmd/...
 
 lint: bin/staticcheck
 	@files=$$(git ls-files -co --exclude-standard '*.go' | grep -v -e '\.pb\.go$$' -e '\.twirp\.go$$' | xargs gofmt -l); \
@@ -25,6 +25,7 @@
 	cd daemon && SOAK_SEED=$(SEED) SOAK_SEEDS=$(SEEDS) $(GO) test ./internal/harness -run 'TestSoak$$' -count=1 -timeout 60m
 
 generate:
+	$(GO) run ./daemon/events/gen docs/events.md
 	cd api/rpc && protoc --go_out=paths=source_relative:. --twirp_out=paths=source_relative:. cicadapulley.proto
 
 # bench runs a set of measurements in under 5 minutes; TITLE heads its table.
