control, agent, membership: metrics that alerts need

Cause: control had no metrics of its own, so neither a missing leader nor a silent control VM could be alerted on. Leases, the configuration in effect and refused starts were not visible on entries and agents either. Change: control shows leadership, term, log indexes, voters, silence of the others, members by role and state, members behind, jobs, revision and ticket; entries and agents show lease, revision and ticket; agents count refused starts by code. Driver.Local reads this VM's copy of the state, for metrics only. A development system shows the metrics of all its processes. Measured: nothing; a test of a running development system reads the metrics. Conclusion: examples/alerts.yml can be written on them.

--- a/daemon/agent/executor.go
+++ b/daemon/agent/executor.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/cicadapulley/cicadapulley/api/rpc"
 	"github.com/cicadapulley/cicadapulley/core/job"
 	"github.com/cicadapulley/cicadapulley/core/slots"
@@ -40,6 +42,7 @@
 	log      *events.Log
 	members  *membership.Service
 	endpoint *endpoint
+	refused  *prometheus.CounterVec
 
 	mu       sync.Mutex
 	table    *tasktable.Table
@@ -62,6 +65,7 @@
 		log:      log,
 		members:  m,
 		endpoint: e,
+		refused:  newRefused(),
 		table:    tasktable.New(limits),
 		divider:  slots.New(s.Slots),
 		slots:    s.Slots,
@@ -83,6 +87,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), r.timeout)
 	defer cancel()
 	if err := x.begin(r, cancel); err != nil {
+		x.refused.WithLabelValues(string(err.Code)).Inc()
 		x.log.Emit(events.Event{ID: events.TaskRefused, Job: r.key.Job, Task: r.key.Task + 1, Peer: r.entry, Text: string(err.Code)})
 		return execution{}, err
 	}
--- a/daemon/app/app.go
+++ b/daemon/app/app.go
@@ -114,7 +114,11 @@
 	if err != nil {
 		return err
 	}
-	err = p.addOps(ctx, ops.Options{Ready: service.Ready, Status: func() any { return service.Driver().Status() }})
+	err = p.addOps(ctx, ops.Options{
+		Ready:      service.Ready,
+		Status:     func() any { return service.Driver().Status() },
+		Collectors: service.Collectors(),
+	})
 	if err != nil {
 		return err
 	}
--- a/daemon/control/consensus/read.go
+++ b/daemon/control/consensus/read.go
@@ -20,6 +20,14 @@
 	return nil
 }
 
+// Local runs fn on this VM's copy of the state, which may be behind the
+// leader's. It is for metrics only; fn must not keep the machine.
+func (d *Driver) Local(fn func(m *state.Machine)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	fn(d.machine)
+}
+
 // notLeader names the leader, unless this VM believes to lead. The caller holds mu.
 func (d *Driver) notLeader() error {
 	leader := d.node.Leader()
--- a/daemon/dev/dev.go
+++ b/daemon/dev/dev.go
@@ -119,7 +119,7 @@
 
 func (s *System) addControls(ctx context.Context) error {
 	for i := range s.opts.Controls {
-		id := fmt.Sprintf("control-%d", i+1)
+		id := controlID(i)
 		host := s.net.Host(id)
 		l, err := host.Listen(ctx, address(id))
 		if err != nil {
@@ -146,12 +146,14 @@
 	return nil
 }
 
+func controlID(i int) string { return fmt.Sprintf("control-%d", i+1) }
+
 // controlClient reaches the control VMs from a host.
 func (s *System) controlClient(host string) *controlclient.Client {
 	client := transport.NewClient(transport.ClientOptions{Network: s.net.Host(host)})
 	addresses := make([]string, s.opts.Controls)
 	for i := range addresses {
-		addresses[i] = address(fmt.Sprintf("control-%d", i+1))
+		addresses[i] = address(controlID(i))
 	}
 	return controlclient.New(client, "http", addresses)
 }
@@ -165,12 +167,12 @@
 		if err != nil {
 			return err
 		}
-		agentID := fmt.Sprintf("worker-%d", i+1)
+		id := agentID(i)
 		e := standin.New(l, s.starts, standin.Behaviour{Mode: standin.Normal, Speed: speed})
-		e.Worker = agentID
-		s.endpoints[agentID] = e
+		e.Worker = id
+		s.endpoints[id] = e
 		s.root.Add(supervisor.Child{Name: endpointID, Run: e.Run})
-		if err := s.addAgent(ctx, agentID, endpointID, i/workersPerRack, local); err != nil {
+		if err := s.addAgent(ctx, id, endpointID, i/workersPerRack, local); err != nil {
 			return err
 		}
 	}
@@ -223,6 +225,8 @@
 	return nil
 }
 
+func agentID(i int) string { return fmt.Sprintf("worker-%d", i+1) }
+
 func entryID(i int) string { return fmt.Sprintf("entry-%d", i+1) }
 
 func (s *System) addEntry(id string, host transport.Network, l, callers net.Listener) {
--- /dev/null
+++ b/daemon/dev/dev_test.go
@@ -0,0 +1,71 @@
+package dev
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+)
+
+// start runs a small system until the test ends.
+func start(t *testing.T) *System {
+	ctx, cancel := context.WithCancel(context.Background())
+	lines, ready := io.Pipe()
+	s, err := New(ctx, Options{
+		Listen:   []string{"127.0.0.1:0"},
+		Data:     t.TempDir(),
+		Controls: 1,
+		Speeds:   []float64{1},
+		Slots:    1,
+		Logger:   zap.NewNop(),
+		Ready:    ready,
+	})
+	assert.NilError(t, err)
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-ended)
+	})
+	line, err := bufio.NewReader(lines).ReadString('\n')
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasPrefix(line, "ready http://"), line)
+	return s
+}
+
+func request(s *System, method, path, body string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	s.serveExtra(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+	return w
+}
+
+// TestRoleMetrics guards against a role whose metrics are missing, or can't be
+// collected, so that its alerts never fire.
+func TestRoleMetrics(t *testing.T) {
+	s := start(t)
+	expected := map[string][]string{
+		"control-1": {
+			"cicadapulley_control_leads 1",
+			"cicadapulley_control_leader_known 1",
+			"cicadapulley_control_voters 1",
+			`cicadapulley_control_members{role="entry",state="live"} 1`,
+			`cicadapulley_control_members{role="agent",state="live"} 1`,
+			`cicadapulley_control_jobs{state="running"} 0`,
+		},
+		"entry-1":  {"cicadapulley_lease_valid 1", "cicadapulley_entry_quarantined_endpoints 0"},
+		"worker-1": {"cicadapulley_lease_valid 1", "cicadapulley_agent_slots 1"},
+	}
+	for id, lines := range expected {
+		w := request(s, http.MethodGet, "/dev/processes/"+id+"/metrics", "")
+		assert.Equal(t, w.Code, http.StatusOK)
+		for _, line := range lines {
+			assert.Assert(t, strings.Contains(w.Body.String(), "\n"+line+"\n"), "%s: %s is missing", id, line)
+		}
+	}
+}
--- a/daemon/dev/extra.go
+++ b/daemon/dev/extra.go
@@ -137,14 +137,30 @@
 	}
 	prefix := "/dev/processes/" + r.PathValue("id")
 	options := ops.Options{Log: log, Ready: func() bool { return true }}
+	s.addRole(r.PathValue("id"), &options)
+	page := ops.New(options)
+	http.StripPrefix(strings.TrimSuffix(prefix, "/"), page.Handler()).ServeHTTP(w, r)
+}
+
+// addRole adds what the role of a process shows.
+func (s *System) addRole(id string, o *ops.Options) {
+	for i, c := range s.controls {
+		if id == controlID(i) {
+			o.Status = func() any { return c.Driver().Status() }
+			o.Collectors = c.Collectors()
+		}
+	}
 	for i, e := range s.entries {
-		if r.PathValue("id") == entryID(i) {
-			options.Status = func() any { return e.Status() }
-			options.Collectors = e.Collectors()
+		if id == entryID(i) {
+			o.Status = func() any { return e.Status() }
+			o.Collectors = e.Collectors()
+		}
+	}
+	for i, a := range s.agents {
+		if id == agentID(i) {
+			o.Collectors = a.Collectors()
 		}
 	}
-	page := ops.New(options)
-	http.StripPrefix(strings.TrimSuffix(prefix, "/"), page.Handler()).ServeHTTP(w, r)
 }
 
 func writeJSON(w http.ResponseWriter, v any) {
--- a/daemon/dev/setup.go
+++ b/daemon/dev/setup.go
@@ -77,7 +77,7 @@
 	}
 	for i, c := range s.controls {
 		id := c.Driver().Status().ID
-		server := raft.Server{ID: id, Address: address(fmt.Sprintf("control-%d", i+1))}
+		server := raft.Server{ID: id, Address: address(controlID(i))}
 		change := raft.GroupChange{Type: raft.AddLearner, Server: server}
 		if known, voter := leader.knows(id); voter {
 			continue
