dev: refuse an unknown mode of an endpoint

Cause: PUT /dev/endpoints/{id} took any mode; a misspelt one behaved as normal, so that an experiment ran without its fault. Change: standin.Behaviour.Valid checks mode and speed; the handler answers 400 and keeps the behaviour. A test sends unknown and known modes. Measured: nothing. Conclusion: a wrong mode is seen at once.

--- a/daemon/dev/dev_test.go
+++ b/daemon/dev/dev_test.go
@@ -11,6 +11,8 @@
 
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
+
+	"github.com/cicadapulley/cicadapulley/daemon/dev/standin"
 )
 
 // start runs a small system until the test ends.
@@ -45,6 +47,22 @@
 	return w
 }
 
+// TestEndpointBehaviour guards against an unknown mode that is taken silently:
+// the experiment would then run without its fault.
+func TestEndpointBehaviour(t *testing.T) {
+	s := start(t)
+	for _, body := range []string{`{"mode":"slow"}`, `{"mode":""}`, `{"speed":0}`, `{"mode":7}`, `{`} {
+		w := request(s, http.MethodPut, "/dev/endpoints/worker-1", body)
+		assert.Equal(t, w.Code, http.StatusBadRequest, body)
+		assert.Equal(t, s.endpoints["worker-1"].Behaviour(), standin.Behaviour{Mode: standin.Normal, Speed: 1}, body)
+	}
+	for _, mode := range []standin.Mode{standin.Fail, standin.Silent, standin.Normal} {
+		w := request(s, http.MethodPut, "/dev/endpoints/worker-1", `{"mode":"`+string(mode)+`"}`)
+		assert.Equal(t, w.Code, http.StatusOK, mode)
+		assert.Equal(t, s.endpoints["worker-1"].Behaviour().Mode, mode)
+	}
+}
+
 // TestRoleMetrics guards against a role whose metrics are missing, or can't be
 // collected, so that its alerts never fire.
 func TestRoleMetrics(t *testing.T) {
--- a/daemon/dev/extra.go
+++ b/daemon/dev/extra.go
@@ -92,7 +92,7 @@
 		return
 	}
 	b := e.Behaviour()
-	if err := json.NewDecoder(r.Body).Decode(&b); err != nil || b.Speed <= 0 {
+	if err := json.NewDecoder(r.Body).Decode(&b); err != nil || !b.Valid() {
 		http.Error(w, "body: mode or speed is not valid", http.StatusBadRequest)
 		return
 	}
--- a/daemon/dev/standin/standin.go
+++ b/daemon/dev/standin/standin.go
@@ -51,6 +51,12 @@
 	Speed float64 `json:"speed"`
 }
 
+// Valid reports whether an endpoint can behave so.
+func (b Behaviour) Valid() bool {
+	known := b.Mode == Normal || b.Mode == Fail || b.Mode == Silent
+	return known && b.Speed > 0
+}
+
 // Endpoint is one stand-in endpoint.
 type Endpoint struct {
 	listener net.Listener
