cicadapulleyd: storage inspect, backup and restore

Cause: Inspect, Backup and Restore of the data folder had no command. Conclusion: an operator can look into and copy a data folder.

--- a/daemon/cmd/cicadapulleyd/main.go
+++ b/daemon/cmd/cicadapulleyd/main.go
@@ -27,6 +27,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newControl(), newEntry(), newAgent(), newDev(), newCheck())
+	root.AddCommand(newControl(), newEntry(), newAgent(), newDev(), newCheck(), newStorage())
 	return root
 }
