--- a/daemon/dev/dev_test.go
+++ b/daemon/dev/dev_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -87,3 +89,23 @@
 		}
 	}
 }
+
+// TestAlertsNameKnownMetrics guards against an example alert on a metric or
+// event that no process exports: it would never fire.
+func TestAlertsNameKnownMetrics(t *testing.T) {
+	s := start(t)
+	rules, err := os.ReadFile("../../examples/alerts.yml")
+	assert.NilError(t, err)
+	exported := ""
+	for _, id := range []string{"control-1", "entry-1", "worker-1"} {
+		exported += request(s, http.MethodGet, "/dev/processes/"+id+"/metrics", "").Body.String()
+	}
+	for _, name := range regexp.MustCompile(`cicadapulley_[a-z_]+`).FindAllString(string(rules), -1) {
+		assert.Assert(t, strings.Contains(exported, "# TYPE "+name+" "), "no process exports %s", name)
+	}
+	for _, label := range regexp.MustCompile(`event=~?"([a-z_|]+)"`).FindAllStringSubmatch(string(rules), -1) {
+		for name := range strings.SplitSeq(label[1], "|") {
+			assert.Assert(t, strings.Contains(exported, `cicadapulley_events_total{event="`+name+`"}`), "no event %s", name)
+		}
+	}
+}
