make: run the tests of pages and examples without the test cache

Cause: go test caches a pass although docs/ or examples/ changed, because they lie outside the modules; an edited docs/events.md passed from the cache. Change: target pages runs these packages with -count=1, as part of make test. Measured: with a line added to docs/events.md, go test passed (cached) and make pages fails. Conclusion: make test sees changes of the pages.

--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,18 @@
-# Targets: test (what CI runs), build, lint, generate, demo, bench, soak, fuzz.
+# Targets: test (what CI runs), pages, build, lint, generate, demo, bench, soak, fuzz.
 MODULES := core api daemon client
 GO := go
 SEEDS ?= 20
 
-.PHONY: test build lint generate bench soak fuzz demo
-test: build lint
+.PHONY: test pages build lint generate bench soak fuzz demo
+test: build lint pages
 	@for m in $(MODULES); do (cd $$m && $(GO) test ./...) || exit 1; done
 
+# Tests that read docs/ and examples/. The cache of go test does not notice a
+# change of files outside the module, so it is not used for them.
+pages:
+	@cd daemon && $(GO) test -count=1 ./events ./settings ./dev
+	@cd client && $(GO) test -count=1 ./internal/ticketfile
+
 build:
 	$(GO) build -o bin/ ./daemon/cmd/... ./client/cmd/...
 
