membership: bound and report each try to register

Cause: an entry or agent that could not reach control waited without a word, since the client repeats the call until its context ends. The try's start also counts for the lease, so a process that had waited longer than the lease began with a lapsed one. Change: a try ends after 5 s, emits event 204 register_failed with the cause, and the next one has a new incarnation and start time. Conclusion: the log says why a process is not ready.

--- a/daemon/events/catalogue.go
+++ b/daemon/events/catalogue.go
@@ -31,6 +31,7 @@
 	LeaseRenewFailed  ID = 201
 	LeaseLapsed       ID = 202
 	LeaseLost         ID = 203
+	RegisterFailed    ID = 204
 	ConfigApplied     ID = 210
 	WatchFailed       ID = 211
 	WatchUnchanged    ID = 212
@@ -114,6 +115,7 @@
 	{LeaseRenewFailed, "lease_renew_failed", zapcore.WarnLevel, "the lease was not renewed and is tried again; if it repeats, look for a control leader and the link to it"},
 	{LeaseLapsed, "lease_lapsed", zapcore.ErrorLevel, "the lease ended on this process's clock; nothing new starts until it registers again; check the link to the control VMs and the load of this VM"},
 	{LeaseLost, "lease_lost", zapcore.WarnLevel, "control no longer knows this incarnation and the process registers anew; nothing to do if it is rare"},
+	{RegisterFailed, "register_failed", zapcore.WarnLevel, "control did not register this process, which is tried again; check `control` in the settings, the link, and that a leader is there"},
 	{ConfigApplied, "config_applied", zapcore.InfoLevel, "a newer configuration is in force in this process"},
 	{WatchFailed, "watch_failed", zapcore.WarnLevel, "the watch of the configuration broke and the present one stays in force; if it repeats, look for a control leader"},
 	{WatchUnchanged, "watch_unchanged", zapcore.DebugLevel, "a watch ended without news; the member asks again"},
--- a/daemon/membership/membership.go
+++ b/daemon/membership/membership.go
@@ -29,6 +29,9 @@
 	watchPause = 100 * time.Millisecond
 	// registerPause is the wait after a failed registration.
 	registerPause = 200 * time.Millisecond
+	// registerTimeout bounds one try, which reports its failure. In a group of
+	// five, two silent control VMs take 2 s each before the third is asked.
+	registerTimeout = 5 * time.Second
 )
 
 // lease is the state of the registration.
@@ -127,19 +130,28 @@
 	for {
 		sent := time.Now()
 		m := s.nextIncarnation(sent)
-		resp, err := s.control.Register(ctx, &rpc.RegisterRequest{Member: codec.MemberToRPC(m), Clock: s.log.Clock().Now()})
+		resp, err := s.tryRegister(ctx, m)
 		if err == nil && resp.Registered {
 			s.log.Clock().Observe(resp.Clock)
 			s.extend(m.Incarnation, sent, resp.TtlMs)
 			s.log.Emit(events.Event{ID: events.MemberRegistered, Peer: m.ID})
 			return nil
 		}
+		if ctx.Err() == nil {
+			s.log.Emit(events.Event{ID: events.RegisterFailed, Peer: m.ID, Err: err})
+		}
 		if !sleep(ctx, registerPause) {
 			return ctx.Err()
 		}
 	}
 }
 
+func (s *Service) tryRegister(ctx context.Context, m state.Member) (*rpc.RegisterResponse, error) {
+	bounded, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	return s.control.Register(bounded, &rpc.RegisterRequest{Member: codec.MemberToRPC(m), Clock: s.log.Clock().Now()})
+}
+
 // nextIncarnation uses the wall clock, so that a restarted process comes after
 // its earlier self without a disk.
 func (s *Service) nextIncarnation(now time.Time) state.Member {
