--- a/Makefile
+++ b/Makefile
@@ -1,14 +1,20 @@
-# Targets: test (what CI runs), build, lint, generate, demo, bench, soak, fuzz.
+# Targets: test (what CI runs), pages, build, lint, generate, demo, bench, soak, fuzz.
 MODULES := core api daemon client
 GO := go
 SEEDS ?= 20
 
-.PHONY: test build lint generate bench soak fuzz demo
-test: build lint
+.PHONY: test pages build lint generate bench soak fuzz demo
+test: build lint pages
 	@for m in $(MODULES); do (cd $$m && $(GO) test ./...) || exit 1; done
 
+# Tests that read docs/ and examples/. The cache of go test does not notice a
+# change of files outside the module, so it is not used for them.
+pages:
+	@cd daemon && $(GO) test -count=1 ./events ./settings ./dev
+	@cd client && $(GO) test -count=1 ./internal/ticketfile
+
 build:
-	$(GO) build -o bin/ ./daemon/... ./client/...
+	$(GO) build -o bin/ ./daemon/cmd/... ./client/cmd/...
 
 lint: bin/staticcheck
 	@files=$$(git ls-files -co --exclude-standard '*.go' | grep -v -e '\.pb\.go$$' -e '\.twirp\.go$$' | xargs gofmt -l); \
@@ -25,6 +31,7 @@
 	cd daemon && SOAK_SEED=$(SEED) SOAK_SEEDS=$(SEEDS) $(GO) test ./internal/harness -run 'TestSoak$$' -count=1 -timeout 60m
 
 generate:
+	$(GO) run ./daemon/events/gen docs/events.md
 	cd api/rpc && protoc --go_out=paths=source_relative:. --twirp_out=paths=source_relative:. cicadapulley.proto
 
 # bench runs a set of measurements in under 5 minutes; TITLE heads its table.
--- a/daemon/events/catalogue.go
+++ b/daemon/events/catalogue.go
@@ -31,6 +31,7 @@
 	LeaseRenewFailed  ID = 201
 	LeaseLapsed       ID = 202
 	LeaseLost         ID = 203
+	RegisterFailed    ID = 204
 	ConfigApplied     ID = 210
 	WatchFailed       ID = 211
 	WatchUnchanged    ID = 212
@@ -95,7 +96,7 @@
 }
 
 // Catalogue lists all events in the order of their numbers. docs/events.md is
-// made from it.
+// generated from it by make generate.
 var Catalogue = []Definition{
 	{ProcessStarted, "process_started", zapcore.InfoLevel, "the process has read its settings and starts its parts"},
 	{ProcessReady, "process_ready", zapcore.InfoLevel, "the process serves requests"},
@@ -108,37 +109,38 @@
 	{HandlerPanicked, "handler_panicked", zapcore.ErrorLevel, "a request's handler panicked; the request got no answer; report it with the stack"},
 	{ClockRefused, "clock_refused", zapcore.WarnLevel, "a message carried a clock too far ahead; check the time of the sender"},
 	{CertificateReread, "certificate_reread", zapcore.InfoLevel, "a changed certificate file is in use"},
-	{CertificateRefused, "certificate_refused", zapcore.WarnLevel, "a changed certificate file can't be used; the earlier one stays"},
-	{PeerForbidden, "peer_forbidden", zapcore.WarnLevel, "a peer's certificate does not allow the request"},
+	{CertificateRefused, "certificate_refused", zapcore.WarnLevel, "a changed certificate file can't be used; the earlier one stays; replace the file before the earlier one runs out"},
+	{PeerForbidden, "peer_forbidden", zapcore.WarnLevel, "a peer's certificate does not allow the request; check its organizational unit, and who asks"},
 	{MemberRegistered, "member_registered", zapcore.InfoLevel, "the process has a lease under a new incarnation"},
-	{LeaseRenewFailed, "lease_renew_failed", zapcore.WarnLevel, "the lease was not renewed; it is tried again"},
-	{LeaseLapsed, "lease_lapsed", zapcore.ErrorLevel, "the lease ended on this process's clock; nothing new starts until it registers again"},
-	{LeaseLost, "lease_lost", zapcore.WarnLevel, "control no longer knows this incarnation; the process registers anew"},
+	{LeaseRenewFailed, "lease_renew_failed", zapcore.WarnLevel, "the lease was not renewed and is tried again; if it repeats, look for a control leader and the link to it"},
+	{LeaseLapsed, "lease_lapsed", zapcore.ErrorLevel, "the lease ended on this process's clock; nothing new starts until it registers again; check the link to the control VMs and the load of this VM"},
+	{LeaseLost, "lease_lost", zapcore.WarnLevel, "control no longer knows this incarnation and the process registers anew; nothing to do if it is rare"},
+	{RegisterFailed, "register_failed", zapcore.WarnLevel, "control did not register this process, which is tried again; check `control` in the settings, the link, and that a leader is there"},
 	{ConfigApplied, "config_applied", zapcore.InfoLevel, "a newer configuration is in force in this process"},
-	{WatchFailed, "watch_failed", zapcore.WarnLevel, "the watch of the configuration broke; the present one stays in force"},
+	{WatchFailed, "watch_failed", zapcore.WarnLevel, "the watch of the configuration broke and the present one stays in force; if it repeats, look for a control leader"},
 	{WatchUnchanged, "watch_unchanged", zapcore.DebugLevel, "a watch ended without news; the member asks again"},
-	{MemberExpired, "member_expired", zapcore.WarnLevel, "a member's lease lapsed: it crashed or was cut off"},
+	{MemberExpired, "member_expired", zapcore.WarnLevel, "a member's lease lapsed: it crashed or was cut off; restart it or replace its VM"},
 	{MemberLeft, "member_left", zapcore.InfoLevel, "a member ended its planned stop"},
 	{MemberDrainMarked, "member_draining", zapcore.InfoLevel, "a member began its planned stop"},
 	{StorageOpened, "storage_opened", zapcore.InfoLevel, "the data folder is open and its log is replayed"},
-	{StorageTornTail, "storage_torn_tail", zapcore.WarnLevel, "the log ended in a partial record, as after a crash; it was cut"},
-	{StorageFailed, "storage_failed", zapcore.ErrorLevel, "a write or sync failed; the daemon stops; check the disk"},
+	{StorageTornTail, "storage_torn_tail", zapcore.WarnLevel, "the log ended in a partial record, as after a crash, and was cut; nothing to do"},
+	{StorageFailed, "storage_failed", zapcore.ErrorLevel, "a write or sync failed and the daemon stops; check the disk, and replace the VM if it fails again"},
 	{SnapshotSaved, "snapshot_saved", zapcore.InfoLevel, "a snapshot is saved and older log is removed"},
 	{SnapshotInstalled, "snapshot_installed", zapcore.InfoLevel, "this control VM caught up from the leader's snapshot"},
 	{LeaderElected, "leader_elected", zapcore.InfoLevel, "this control VM leads"},
-	{LeaderLost, "leader_lost", zapcore.WarnLevel, "this control VM no longer leads"},
-	{PeerUnreachable, "peer_unreachable", zapcore.WarnLevel, "messages to another control VM fail"},
+	{LeaderLost, "leader_lost", zapcore.WarnLevel, "this control VM no longer leads; if it repeats, check its disk, its load and the links between control VMs"},
+	{PeerUnreachable, "peer_unreachable", zapcore.WarnLevel, "messages to another control VM fail; check that VM and the link"},
 	{GroupChanged, "group_changed", zapcore.InfoLevel, "the group of control VMs changed"},
 	{TicketApplied, "ticket_applied", zapcore.InfoLevel, "a ticket is committed"},
 	{TicketRefused, "ticket_refused", zapcore.InfoLevel, "a ticket lost to another"},
-	{JobTakenOver, "job_taken_over", zapcore.WarnLevel, "a job got another owner after its entry ended"},
+	{JobTakenOver, "job_taken_over", zapcore.WarnLevel, "a job got another owner after its entry ended; look for why the entry ended"},
 	{JobAccepted, "job_accepted", zapcore.DebugLevel, "a job is recorded; its tasks may start"},
 	{JobJoined, "job_joined", zapcore.DebugLevel, "a resubmission joined its job"},
 	{JobRefused, "job_refused", zapcore.DebugLevel, "a job was refused whole; none of its tasks ran"},
 	{JobFinished, "job_finished", zapcore.DebugLevel, "a job has its outcome"},
 	{JobCancelled, "job_cancelled", zapcore.DebugLevel, "a caller cancelled a job"},
 	{JobRecovered, "job_recovered", zapcore.InfoLevel, "a job of an ended entry continues here"},
-	{FinishFailed, "finish_failed", zapcore.WarnLevel, "a job's outcome could not be recorded yet; it is tried again"},
+	{FinishFailed, "finish_failed", zapcore.WarnLevel, "a job's outcome could not be recorded yet and is tried again; if it repeats, look for a control leader"},
 	{CallFinished, "call_finished", zapcore.DebugLevel, "a repeatable call has its answer"},
 	{TaskSent, "task_sent", zapcore.DebugLevel, "a task was sent to an agent"},
 	{TaskAnswered, "task_answered", zapcore.DebugLevel, "an agent answered a task"},
@@ -146,14 +148,14 @@
 	{TaskFateAsked, "task_fate_asked", zapcore.DebugLevel, "a connection broke under a task; its fate is asked on another"},
 	{TaskFateLearned, "task_fate_learned", zapcore.DebugLevel, "the fate of a task is known"},
 	{PeerConnected, "peer_connected", zapcore.InfoLevel, "an agent can be reached"},
-	{PeerLost, "peer_lost", zapcore.WarnLevel, "an agent ended or its connection broke"},
+	{PeerLost, "peer_lost", zapcore.WarnLevel, "an agent ended or its connection broke; if it repeats, check the agent and the link"},
 	{TaskStarted, "task_started", zapcore.DebugLevel, "a task started at the endpoint"},
 	{TaskEnded, "task_ended", zapcore.DebugLevel, "a task ended at the endpoint"},
 	{TaskRefused, "task_refused", zapcore.DebugLevel, "a task was refused; it did not run here"},
 	{JobFenced, "job_fenced", zapcore.InfoLevel, "an older owner of a job is refused from here on"},
 	{JobCancelSeen, "job_cancel_seen", zapcore.DebugLevel, "a job's cancel reached the agent"},
 	{JobCancelLate, "job_cancel_late", zapcore.DebugLevel, "a job's cancel found none of its tasks in progress here"},
-	{EndpointFailed, "endpoint_failed", zapcore.WarnLevel, "the endpoint can't be reached"},
+	{EndpointFailed, "endpoint_failed", zapcore.WarnLevel, "the endpoint can't be reached; check the endpoint beside this agent"},
 }
 
 var byID = index(Catalogue)
