daemon/agent: refuse new work under a drain mark

Cause: only entries acted on a drain mark. Change: the agent, which watches the configuration too, refuses with not_run. Measured: TestDrainMark, entry cut off: starts up to 5 s past the bound before, none after. Conclusion: fixed while the agent reaches control.

--- a/daemon/agent/executor.go
+++ b/daemon/agent/executor.go
@@ -91,6 +91,10 @@
 	if x.draining {
 		return verdict.Errorf(verdict.CodeShuttingDown, verdict.NotRun, "the endpoint is leaving")
 	}
+	if x.members.Replica().Config.Drains[x.members.ID()].Drain {
+		// An entry that is cut off from control doesn't know of the mark.
+		return verdict.Errorf(verdict.CodeShuttingDown, verdict.NotRun, "the endpoint is drained")
+	}
 	if !x.members.LeaseValid() {
 		return verdict.Errorf(verdict.CodeLeaseLapsed, verdict.NotRun, "the agent's lease has lapsed")
 	}
