daemon/entry, daemon/agent: serve while the balancer is waited for, and calls without a lease

Change: admission asks for the lease, not for readiness. Calls without a record need no lease; they carry epoch zero, which no record has, and the agent starts that epoch without a lease. Readiness itself still ends with the lease.

--- a/daemon/agent/executor.go
+++ b/daemon/agent/executor.go
@@ -95,7 +95,9 @@
 		// An entry that is cut off from control doesn't know of the mark.
 		return verdict.Errorf(verdict.CodeShuttingDown, verdict.NotRun, "the endpoint is drained")
 	}
-	if !x.members.LeaseValid() {
+	// A call without a record has epoch zero. It may start twice, so it needs
+	// no lease and goes on while control has no majority.
+	if r.attempt.Epoch > 0 && !x.members.LeaseValid() {
 		return verdict.Errorf(verdict.CodeLeaseLapsed, verdict.NotRun, "the agent's lease has lapsed")
 	}
 	if err := x.table.Begin(r.key, r.attempt, now, now.Add(r.timeout+keepAfterDeadline)); err != nil {
--- a/daemon/entry/admission.go
+++ b/daemon/entry/admission.go
@@ -9,11 +9,21 @@
 	"github.com/cicadapulley/cicadapulley/core/verdict"
 )
 
-// admit checks a job against the configuration and the room at this entry.
+// admit checks a job against the configuration and the room at this entry. A
+// job that still comes while the balancer is waited for is taken.
 func (s *Service) admit(r job.Record) *verdict.Error {
+	if !s.members.LeaseValid() {
+		return verdict.Errorf(verdict.CodeUnavailable, verdict.NotRun, "the entry's lease has lapsed").After(time.Second)
+	}
+	return s.admitCall(r)
+}
+
+// admitCall checks a call that needs no record. It needs no lease either, so
+// that such calls continue while control has no majority.
+func (s *Service) admitCall(r job.Record) *verdict.Error {
 	replica := s.members.Replica()
-	if !s.Ready() {
-		return verdict.Errorf(verdict.CodeUnavailable, verdict.NotRun, "the entry is not ready").After(time.Second)
+	if replica.Revision == 0 {
+		return verdict.Errorf(verdict.CodeUnavailable, verdict.NotRun, "the entry has no configuration yet").After(time.Second)
 	}
 	service, err := findService(replica, r.Service)
 	if err != nil {
--- a/daemon/entry/calls.go
+++ b/daemon/entry/calls.go
@@ -110,13 +110,14 @@
 }
 
 // attempt gives each try a task number of its own, since a repeatable call may
-// start again at an endpoint that started it before.
+// start again at an endpoint that started it before. Epoch zero, which no
+// record has, tells the agent that no lease guards the start.
 func (c call) attempt(try int) attempt {
 	return attempt{
 		key:        job.TaskKey{Job: c.key, Task: try - 1},
 		service:    c.service,
 		task:       job.Task{Kind: c.kind.Name, Payload: c.payload},
-		epoch:      1,
+		epoch:      0,
 		number:     1,
 		deadline:   c.deadline,
 		repeatable: true,
--- a/daemon/entry/frontcall.go
+++ b/daemon/entry/frontcall.go
@@ -82,7 +82,7 @@
 
 func (f *front) callRepeatable(w http.ResponseWriter, q *http.Request, c call) {
 	record := c.record()
-	result, err := f.jobs.call(q.Context(), c, func() *verdict.Error { return f.service.admit(record) })
+	result, err := f.jobs.call(q.Context(), c, func() *verdict.Error { return f.service.admitCall(record) })
 	if err != nil {
 		refuse(w, err)
 		return
