--- a/daemon/internal/harness/cluster.go
+++ b/daemon/internal/harness/cluster.go
@@ -19,6 +19,7 @@
 	"github.com/cicadapulley/cicadapulley/core/job"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 	"github.com/cicadapulley/cicadapulley/daemon/memnet"
+	"github.com/cicadapulley/cicadapulley/daemon/settings"
 	"github.com/cicadapulley/cicadapulley/daemon/transport"
 )
 
@@ -240,4 +241,6 @@
 	for _, p := range c.procs {
 		p.wait()
 	}
+	// Goroutines of a dead entry may wait for the deadline of a task.
+	time.Sleep(settings.DefaultMaxDeadline + time.Minute)
 }
--- a/daemon/internal/harness/disk.go
+++ b/daemon/internal/harness/disk.go
@@ -1,6 +1,7 @@
 package harness
 
 import (
+	"errors"
 	"io"
 	"maps"
 	"math/rand/v2"
@@ -19,6 +20,16 @@
 	mu     sync.Mutex
 	names  map[string]*inode
 	synced map[string]*inode
+	failed bool
+}
+
+var errDisk = errors.New("injected failure of the disk")
+
+// Fail makes all later syncs fail.
+func (d *Disk) Fail() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.failed = true
 }
 
 // inode is a file's content; the first synced bytes survive a power loss.
@@ -125,6 +136,9 @@
 func (f *diskFile) Sync() error {
 	f.disk.mu.Lock()
 	defer f.disk.mu.Unlock()
+	if f.disk.failed {
+		return errDisk
+	}
 	f.node.synced = len(f.node.data)
 	return nil
 }
--- /dev/null
+++ b/daemon/internal/harness/failure_test.go
@@ -0,0 +1,348 @@
+package harness
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cicadapulley/cicadapulley/api/callers"
+	"github.com/cicadapulley/cicadapulley/api/rpc"
+	"github.com/cicadapulley/cicadapulley/core/job"
+	"github.com/cicadapulley/cicadapulley/core/verdict"
+	"github.com/cicadapulley/cicadapulley/daemon/dev/standin"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
+	"github.com/cicadapulley/cicadapulley/daemon/transport"
+)
+
+// scene is a cluster with one caller and one job in progress.
+type scene struct {
+	*testing.T
+	ctx    context.Context
+	c      *Cluster
+	caller *Caller
+	ledger *Ledger
+}
+
+func play(t *testing.T, fn func(s *scene)) {
+	t.Helper()
+	t.Parallel()
+	run(t, smallSize, func(t *testing.T, ctx context.Context, c *Cluster) {
+		s := &scene{t, ctx, c, c.Caller("a"), NewLedger(c.Starts)}
+		defer s.caller.Close()
+		fn(s)
+		s.ledger.CheckStarts()
+		for _, v := range s.ledger.Violations() {
+			t.Errorf("%s\n%s", v.Text, c.Timeline(v.Job))
+		}
+	})
+}
+
+// begin submits a job at an entry and returns once its tasks run.
+func (s *scene) begin(entry string, sub callers.Submission) *Tracked {
+	t := &Tracked{Key: s.caller.Key(sub.ID), Tasks: sub.Tasks, Deadline: time.Duration(sub.DeadlineMS) * time.Millisecond}
+	s.ledger.Track(t)
+	reply := s.submit(entry, t, false)
+	assert.Equal(s, reply.Status, http.StatusAccepted)
+	time.Sleep(50 * time.Millisecond)
+	assert.Assert(s, len(s.c.Starts.Of(t.Key)) > 0, "nothing runs")
+	return t
+}
+
+// submit sends a job once and records the answer.
+func (s *scene) submit(entry string, t *Tracked, wait bool) *Reply {
+	before := s.ledger.Sending(t)
+	reply, err := s.caller.Submit(s.ctx, entry, callers.Submission{
+		ID: t.Key.ID, Caller: t.Key.Caller, Service: ServiceName, DeadlineMS: t.Deadline.Milliseconds(), Tasks: t.Tasks,
+	}, wait)
+	assert.NilError(s, err)
+	s.ledger.Reply(t, reply, before)
+	return reply
+}
+
+// final resubmits a job until its answer is final, and checks the time limit
+// and that every entry that is up repeats the answer.
+func (s *scene) final(t *Tracked, within time.Duration) *callers.Answer {
+	began := time.Now()
+	var answer *callers.Answer
+	for i := range s.c.size.Entries {
+		if s.c.Process(EntryID(i)).Life() == nil {
+			continue
+		}
+		for {
+			reply := s.submit(EntryID(i), t, true)
+			if reply.Final() {
+				answer = reply.Answer
+				break
+			}
+			assert.Assert(s, time.Since(began) < within, "no answer after %s: %+v", within, reply)
+			time.Sleep(50 * time.Millisecond)
+		}
+		assert.Assert(s, time.Since(began) < within, "the answer took %s", time.Since(began))
+	}
+	return answer
+}
+
+func (s *scene) kill(ids ...string) {
+	for _, id := range ids {
+		s.c.Process(id).Kill()
+	}
+}
+
+// leader returns the id of the leading control VM.
+func (s *scene) leader() string {
+	for {
+		for i := range s.c.size.Controls {
+			if life := s.c.Process(ControlID(i)).Life(); life != nil && life.Control.Driver().Leading() {
+				return ControlID(i)
+			}
+		}
+		assert.Assert(s, pause(s.ctx, operatorPause))
+	}
+}
+
+func (s *scene) others(id string) []string {
+	var list []string
+	for i := range s.c.size.Controls {
+		if ControlID(i) != id {
+			list = append(list, ControlID(i))
+		}
+	}
+	return list
+}
+
+// TestKilledProcessIsMute guards the other tests against a killed process that
+// still sends, answers or writes.
+func TestKilledProcessIsMute(t *testing.T) {
+	play(t, func(s *scene) {
+		s.kill(EntryID(1))
+		s.begin(EntryID(0), sleepJob("a", "1", 100, 200, 30*time.Second))
+		s.kill(EntryID(0))
+		time.Sleep(2 * LinkDelay)
+		before := len(s.c.Starts.All())
+		time.Sleep(time.Minute)
+		assert.Equal(s, len(s.c.Starts.All()), before)
+	})
+}
+
+// TestEntryDies guards against a takeover that starts a task twice, or that
+// loses results that the agents have, before and after the job's deadline.
+func TestEntryDies(t *testing.T) {
+	for _, deadline := range []time.Duration{time.Second, 30 * time.Second} {
+		t.Run(deadline.String(), func(t *testing.T) {
+			play(t, func(s *scene) {
+				j := s.begin(EntryID(0), sleepJob("a", "1", 12, 300, deadline))
+				s.kill(EntryID(0))
+				assert.Equal(s, s.final(j, answerBound).State, "complete")
+			})
+		})
+	}
+}
+
+// TestEntryDiesWithQueue guards against tasks that are lost with their entry's queue.
+func TestEntryDiesWithQueue(t *testing.T) {
+	play(t, func(s *scene) {
+		j := s.begin(EntryID(0), sleepJob("a", "1", 60, 300, 30*time.Second))
+		s.kill(EntryID(0))
+		assert.Equal(s, s.final(j, answerBound).State, "complete")
+		assert.Equal(s, len(s.c.Starts.Of(j.Key)), 60)
+	})
+}
+
+// TestAgentDies guards against a task that starts again after its agent died,
+// and against a resubmission that gets another answer.
+func TestAgentDies(t *testing.T) {
+	for name, restart := range map[string]bool{"dead": false, "restarted on the same address": true} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(s *scene) {
+				j := s.begin(EntryID(0), sleepJob("a", "1", 20, 700, 10*time.Second))
+				s.kill(AgentID(0))
+				if restart {
+					assert.NilError(s, s.c.Process(AgentID(0)).Start())
+				}
+				answer := s.final(j, answerBound)
+				assert.Equal(s, answer.State, "failed")
+				assert.Equal(s, answer.Verdict, verdict.MayHaveRun.String())
+			})
+		})
+	}
+}
+
+// TestSilentAgentRestarts guards against an agent without its table that
+// denies the starts of its earlier life.
+func TestSilentAgentRestarts(t *testing.T) {
+	play(t, func(s *scene) {
+		j := s.begin(EntryID(0), sleepJob("a", "1", 12, 3000, 20*time.Second))
+		s.c.Silence(EntryID(0), AgentID(0))
+		s.kill(AgentID(0))
+		assert.NilError(s, s.c.Process(AgentID(0)).Start())
+		assert.Equal(s, s.final(j, answerBound).State, "failed")
+	})
+}
+
+// TestEntryAndAnother guards the losses of two processes at once.
+func TestEntryAndAnother(t *testing.T) {
+	for name, want := range map[string]string{"agent": "failed", "leader": "complete"} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(s *scene) {
+				j := s.begin(EntryID(0), sleepJob("a", "1", 12, 400, 20*time.Second))
+				other := AgentID(1)
+				if name == "leader" {
+					other = s.leader()
+				}
+				s.kill(EntryID(0), other)
+				assert.Equal(s, s.final(j, 20*time.Second+answerBound).State, want)
+			})
+		})
+	}
+}
+
+// TestLeaderDies guards against jobs that stop with the control leader, and
+// against an acceptance that takes longer than an election.
+func TestLeaderDies(t *testing.T) {
+	for name, agent := range map[string]bool{"alone": false, "with an agent": true} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(s *scene) {
+				j := s.begin(EntryID(0), sleepJob("a", "1", 20, 400, 10*time.Second))
+				s.kill(s.leader())
+				want := "complete"
+				if agent {
+					s.kill(AgentID(2))
+					want = "failed"
+				}
+				assert.Equal(s, s.final(j, answerBound).State, want)
+				next := &Tracked{Key: s.caller.Key("2"), Tasks: sleepJob("a", "2", 2, 50, 0).Tasks, Deadline: 5 * time.Second}
+				s.ledger.Track(next)
+				assert.Equal(s, s.final(next, 8*time.Second).State, "complete")
+			})
+		})
+	}
+}
+
+// TestSilentConnection guards against a late answer that is lost with its
+// connection, and against a second start in its place.
+func TestSilentConnection(t *testing.T) {
+	play(t, func(s *scene) {
+		j := s.begin(EntryID(0), sleepJob("a", "1", 12, 2500, 20*time.Second))
+		for i := range s.c.size.Agents {
+			s.c.Silence(EntryID(0), AgentID(i))
+		}
+		began := time.Now()
+		assert.Equal(s, s.final(j, answerBound).State, "complete")
+		assert.Assert(s, time.Since(began) < 4*time.Second, "the late answers took %s", time.Since(began))
+		assert.Assert(s, s.c.Count(events.TaskFateLearned) >= 12)
+	})
+}
+
+// TestLapsedAgent guards against a start after the agent's lease has lapsed on
+// its own clock, when control may have told others that it is gone.
+func TestLapsedAgent(t *testing.T) {
+	play(t, func(s *scene) {
+		for i := range s.c.size.Controls {
+			s.c.Cut(AgentID(0), ControlID(i))
+		}
+		time.Sleep(4100 * time.Millisecond)
+		h := transport.NewClient(transport.ClientOptions{Network: s.c.Host("probe")})
+		defer h.CloseIdleConnections()
+		resp, err := rpc.NewAgentProtobufClient("http://"+address(AgentID(0)), h).Run(s.ctx, &rpc.RunRequest{
+			Job: &rpc.JobKey{Caller: "a", Id: "1"}, Epoch: 1, Attempt: 1, Service: ServiceName,
+			Kind: standin.KindSleep, Payload: []byte(`{"ms":1}`), TimeoutMs: 1000,
+		})
+		assert.NilError(s, err)
+		assert.Equal(s, resp.Refusal.GetCode(), string(verdict.CodeLeaseLapsed))
+		assert.Equal(s, len(s.c.Starts.All()), 0)
+	})
+}
+
+// TestNoMajority guards against a job that is accepted without a majority, and
+// against running jobs that stop with it.
+func TestNoMajority(t *testing.T) {
+	play(t, func(s *scene) {
+		j := s.begin(EntryID(0), sleepJob("a", "1", 4, 2000, 10*time.Second))
+		s.kill(ControlID(0), ControlID(1))
+		reply := s.submit(EntryID(0), j, true)
+		assert.Equal(s, reply.Answer.State, "complete")
+		fresh := &Tracked{Key: s.caller.Key("2"), Tasks: sleepJob("a", "2", 2, 50, 0).Tasks, Deadline: 5 * time.Second}
+		s.ledger.Track(fresh)
+		reply = s.submit(EntryID(0), fresh, true)
+		assert.Equal(s, reply.Status, http.StatusServiceUnavailable)
+		assert.Assert(s, reply.RetryAfter > 0)
+		assert.Equal(s, len(s.c.Starts.Of(fresh.Key)), 0)
+		for _, id := range []string{ControlID(0), ControlID(1)} {
+			assert.NilError(s, s.c.Process(id).Start())
+		}
+		time.Sleep(10 * time.Second)
+		assert.Equal(s, s.final(fresh, answerBound).State, "failed")
+		assert.Equal(s, len(s.c.Starts.Of(fresh.Key)), 0)
+	})
+}
+
+// TestRepeatableCallWithoutMajority guards against price checks that stop
+// while control has no majority.
+func TestRepeatableCallWithoutMajority(t *testing.T) {
+	play(t, func(s *scene) {
+		s.kill(ControlID(0), ControlID(1))
+		for i := range 20 {
+			payload := echoTask(KindQuote, 20, "x").Payload
+			reply, err := s.caller.Call(s.ctx, EntryID(0), KindQuote, fmt.Sprint(i), payload, 2*time.Second)
+			assert.NilError(s, err)
+			assert.Equal(s, reply.Status, http.StatusOK, "call %d after %d s: %+v", i, i, reply.Refusal)
+			time.Sleep(time.Second)
+		}
+	})
+}
+
+// TestSilentControl guards against an isolated leader that still answers, and
+// against one that deposes its successor when it comes back.
+func TestSilentControl(t *testing.T) {
+	play(t, func(s *scene) {
+		old := s.leader()
+		s.c.Freeze(old)
+		time.Sleep(2 * time.Second)
+		assert.Assert(s, !s.c.Process(old).Life().Control.Driver().Leading())
+		next := s.leader()
+		assert.Assert(s, slices.Contains(s.others(old), next))
+		time.Sleep(time.Minute)
+		term := s.c.Process(next).Life().Control.Driver().Term()
+		s.c.Thaw(old)
+		time.Sleep(20 * time.Second)
+		assert.Equal(s, s.leader(), next)
+		assert.Equal(s, s.c.Process(next).Life().Control.Driver().Term(), term)
+	})
+}
+
+// TestFailedDisk guards against a control VM that goes on after a failed sync.
+func TestFailedDisk(t *testing.T) {
+	play(t, func(s *scene) {
+		leader := s.leader()
+		p := s.c.Process(leader)
+		life := p.Life()
+		p.disk.Fail()
+		j := &Tracked{Key: s.caller.Key("1"), Tasks: sleepJob("a", "1", 4, 50, 0).Tasks, Deadline: 10 * time.Second}
+		s.ledger.Track(j)
+		assert.Equal(s, s.final(j, answerBound).State, "complete")
+		time.Sleep(DrainBound + 5*time.Second)
+		assert.Assert(s, life.Ended() && life.Err() != nil, "the VM with the failed disk runs on")
+		assert.Assert(s, s.leader() != leader)
+	})
+}
+
+// TestResubmission guards against a second run of a job that comes again while
+// it runs or after its end, and against a mix-up of two jobs with one id.
+func TestResubmission(t *testing.T) {
+	play(t, func(s *scene) {
+		j := s.begin(EntryID(0), sleepJob("a", "1", 6, 500, 10*time.Second))
+		assert.Equal(s, s.final(j, 3*time.Second).State, "complete")
+		assert.Equal(s, s.final(j, 3*time.Second).State, "complete")
+		for _, entry := range []string{EntryID(0), EntryID(1)} {
+			reply, err := s.caller.Submit(s.ctx, entry, sleepJob("a", "1", 5, 500, 10*time.Second), true)
+			assert.NilError(s, err)
+			assert.Equal(s, reply.Status, http.StatusConflict)
+		}
+		assert.Equal(s, len(s.c.Starts.Of(job.Key{Caller: "a", ID: "1"})), 6)
+	})
+}
--- /dev/null
+++ b/daemon/internal/harness/stop_test.go
@@ -0,0 +1,252 @@
+package harness
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cicadapulley/cicadapulley/api/callers"
+	"github.com/cicadapulley/cicadapulley/api/codec"
+	"github.com/cicadapulley/cicadapulley/api/rpc"
+	"github.com/cicadapulley/cicadapulley/core/job"
+	"github.com/cicadapulley/cicadapulley/core/state"
+	"github.com/cicadapulley/cicadapulley/core/verdict"
+	"github.com/cicadapulley/cicadapulley/daemon/dev/standin"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
+	"github.com/cicadapulley/cicadapulley/daemon/membership"
+	"github.com/cicadapulley/cicadapulley/daemon/transport"
+)
+
+// steadyLoad submits jobs and calls to all entries that a balancer would use,
+// until ctx ends. Every one of them must succeed.
+func (s *scene) steadyLoad(ctx context.Context) *sync.WaitGroup {
+	var work sync.WaitGroup
+	work.Go(func() {
+		for i := 0; pause(ctx, 70*time.Millisecond); i++ {
+			work.Go(func() { s.mustServe(i) })
+		}
+	})
+	return &work
+}
+
+// mustServe makes one request at an entry that the balancer still uses: the
+// balancer sees the loss of readiness late, within its bound.
+func (s *scene) mustServe(i int) {
+	entry := EntryID(i % s.c.size.Entries)
+	if !s.balanced(entry) {
+		entry = EntryID((i + 1) % s.c.size.Entries)
+	}
+	id := fmt.Sprintf("load-%d", i)
+	t := &Tracked{Key: s.caller.Key(id), Tasks: sleepJob("a", id, 3, 100, 0).Tasks, Deadline: 8 * time.Second}
+	s.ledger.Track(t)
+	reply, err := s.caller.Submit(s.ctx, entry, callers.Submission{
+		ID: id, Caller: "a", Service: ServiceName, DeadlineMS: 8000, Tasks: t.Tasks}, true)
+	if err != nil || !reply.Final() || reply.Answer.State != "complete" {
+		s.ledger.Violate("I7", "job %s at %s: %+v, %v", t.Key, entry, reply, err)
+	}
+	call, err := s.caller.Call(s.ctx, entry, KindQuote, id, echoTask(KindQuote, 30, id).Payload, 4*time.Second)
+	if (err != nil || call.Status != http.StatusOK) && s.balanced(entry) {
+		s.ledger.Violate("I7", "call %s at %s: %+v, %v", t.Key, entry, call, err)
+	}
+}
+
+// balanced reports whether the balancer sends callers to an entry.
+func (s *scene) balanced(id string) bool {
+	life := s.c.Process(id).Life()
+	if life == nil || life.Ended() {
+		return false
+	}
+	if life.stopped.IsZero() {
+		return life.Entry.Ready()
+	}
+	return time.Since(life.stopped) < BalancerWait/2
+}
+
+// TestPlannedStop guards against a planned stop of any role that fails a
+// request (I7) or sends new work to a leaving endpoint (I6).
+func TestPlannedStop(t *testing.T) {
+	for _, role := range []string{"entry", "agent", "leader", "follower"} {
+		t.Run(role, func(t *testing.T) {
+			play(t, func(s *scene) { s.plannedStop(role) })
+		})
+	}
+}
+
+func (s *scene) plannedStop(role string) {
+	ctx, stop := context.WithCancel(s.ctx)
+	load := s.steadyLoad(ctx)
+	time.Sleep(time.Second)
+	leader := s.leader()
+	id := map[string]string{"entry": EntryID(0), "agent": AgentID(0), "leader": leader, "follower": s.others(leader)[0]}[role]
+	p := s.c.Process(id)
+	life := p.Stop()
+	<-life.ended
+	assert.NilError(s, life.Err())
+	if role == "agent" {
+		s.quiet(id, life.stopped.Add(leavingBound))
+	}
+	p.Clear()
+	time.Sleep(2 * time.Second)
+	assert.NilError(s, p.Start())
+	time.Sleep(2 * time.Second)
+	stop()
+	load.Wait()
+	assert.Equal(s, s.c.Count(events.ChildStuck), uint64(0))
+}
+
+// quiet checks that an endpoint got no new work after a time.
+func (s *scene) quiet(endpoint string, from time.Time) {
+	for _, one := range s.c.Starts.All() {
+		if one.Endpoint == endpoint && one.At.After(from) {
+			s.ledger.Violate("I6", "%s started %s %s after the bound", endpoint, one.Key.Job, one.At.Sub(from))
+		}
+	}
+}
+
+// TestDrainMark guards against new work for an endpoint that a ticket drains
+// (I6), also when the entry is cut off from control.
+func TestDrainMark(t *testing.T) {
+	for name, cut := range map[string]bool{"connected": false, "entry cut off": true} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(s *scene) { s.drainMark(cut) })
+		})
+	}
+}
+
+func (s *scene) drainMark(cut bool) {
+	ctx, stop := context.WithTimeout(s.ctx, 9*time.Second)
+	defer stop()
+	var load sync.WaitGroup
+	load.Go(func() {
+		for i := 0; pause(ctx, 20*time.Millisecond); i++ {
+			load.Go(func() {
+				// Without control, calls may be refused; what counts is where they start.
+				_, _ = s.caller.Call(s.ctx, EntryID(0), KindQuote, fmt.Sprint(i), echoTask(KindQuote, 40, "x").Payload, time.Second)
+			})
+		}
+	})
+	time.Sleep(time.Second)
+	for i := range s.c.size.Controls {
+		if cut {
+			s.c.Cut(EntryID(0), ControlID(i))
+		}
+	}
+	o := s.c.Operator("operator")
+	defer o.Close()
+	resp, err := o.ApplyTicket(ctx, &rpc.ApplyTicketRequest{Ticket: &rpc.Ticket{
+		Number: 2, Author: "o", Drains: []*rpc.DrainMark{{Endpoint: AgentID(0), Drain: true}},
+	}})
+	assert.NilError(s, err)
+	assert.Equal(s, state.TicketStatus(resp.Status), state.TicketApplied)
+	acked := time.Now()
+	load.Wait()
+	s.quiet(AgentID(0), acked.Add(leavingBound))
+}
+
+// countingAgent is an agent whose tasks run until they are cancelled.
+type countingAgent struct {
+	mu        sync.Mutex
+	messages  int
+	runs      int
+	jobs      map[string]bool
+	cancelled chan struct{}
+}
+
+// Run implements rpc.Agent.
+func (a *countingAgent) Run(ctx context.Context, _ *rpc.RunRequest) (*rpc.RunResponse, error) {
+	a.mu.Lock()
+	a.runs++
+	a.mu.Unlock()
+	select {
+	case <-a.cancelled:
+	case <-ctx.Done():
+	}
+	return &rpc.RunResponse{Result: codec.ResultToRPC(job.TaskResult{State: job.TaskCancelled, Verdict: verdict.MayHaveRun})}, nil
+}
+
+// Fate implements rpc.Agent.
+func (a *countingAgent) Fate(context.Context, *rpc.FateRequest) (*rpc.FateResponse, error) {
+	return &rpc.FateResponse{}, nil
+}
+
+// Cancel implements rpc.Agent.
+func (a *countingAgent) Cancel(_ context.Context, q *rpc.CancelRequest) (*rpc.CancelResponse, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.messages++
+	for _, j := range q.Jobs {
+		a.jobs[j.Job.Id] = true
+	}
+	return &rpc.CancelResponse{}, nil
+}
+
+// TestCancelWave guards against a message for each job of a wave of cancels.
+func TestCancelWave(t *testing.T) {
+	const jobs = 100
+	play(t, func(s *scene) {
+		for i := range s.c.size.Agents {
+			s.c.Process(AgentID(i)).Kill()
+		}
+		a := &countingAgent{jobs: map[string]bool{}, cancelled: make(chan struct{})}
+		stop := s.serveAgent(a, jobs)
+		defer stop()
+		for i := range jobs {
+			s.begin2(fmt.Sprint(i))
+		}
+		time.Sleep(200 * time.Millisecond)
+		var wave sync.WaitGroup
+		for i := range jobs {
+			wave.Go(func() { _, _ = s.caller.Cancel(s.ctx, EntryID(0), fmt.Sprint(i)) })
+		}
+		time.Sleep(200 * time.Millisecond)
+		close(a.cancelled)
+		wave.Wait()
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		// A job whose task is still queued at the entry needs no message.
+		assert.Assert(s, a.runs > jobs/2)
+		assert.Equal(s, len(a.jobs), a.runs)
+		assert.Assert(s, a.messages <= 2, "%d messages for one wave", a.messages)
+	})
+}
+
+// begin2 submits a job of one task without waiting for its start.
+func (s *scene) begin2(id string) {
+	sub := sleepJob("a", id, 1, 1, 30*time.Second)
+	reply, err := s.caller.Submit(s.ctx, EntryID(0), sub, false)
+	assert.NilError(s, err)
+	assert.Equal(s, reply.Status, http.StatusAccepted)
+}
+
+// serveAgent registers a stand-in agent once all others have expired.
+func (s *scene) serveAgent(a *countingAgent, slots int) (stop func()) {
+	const id = "counting"
+	n := s.c.Host(id)
+	l, err := n.Listen(s.ctx, address(id))
+	assert.NilError(s, err)
+	ctx, cancel := context.WithCancel(s.ctx)
+	client, h := s.c.controlClient(n)
+	m := membership.New(client, s.c.newLog(id), state.Member{
+		ID: id, Role: state.RoleAgent, Address: address(id), Slots: slots,
+		Serves: []state.ServedKind{{Service: ServiceName, Kind: standin.KindSleep}},
+	}, nil)
+	var running sync.WaitGroup
+	running.Go(func() { _ = m.Run(ctx) })
+	running.Go(func() { s.serveOn(ctx, l, rpc.NewAgentServer(a)) })
+	time.Sleep(8 * time.Second)
+	return func() {
+		cancel()
+		running.Wait()
+		h.CloseIdleConnections()
+	}
+}
+
+func (s *scene) serveOn(ctx context.Context, l net.Listener, h http.Handler) {
+	_ = transport.Serve(ctx, transport.NewServer(h, nil), l, time.Second)
+}
