--- a/daemon/internal/harness/cluster.go
+++ b/daemon/internal/harness/cluster.go
@@ -37,7 +37,7 @@
 	Controls, Entries, Agents, Slots int
 	// SnapshotEntries is the number of log entries between snapshots.
 	SnapshotEntries uint64
-	// SyncDelay is added to each sync. It must be zero if snapshots are saved:
+	// SyncDelay is the time that each sync takes. It must be zero if snapshots are saved:
 	// the store holds a mutex over a sync, and virtual time stands still while
 	// the snapshot's goroutine waits for it.
 	SyncDelay time.Duration
--- a/daemon/internal/harness/gate.go
+++ b/daemon/internal/harness/gate.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/cicadapulley/cicadapulley/daemon/storage"
 	"github.com/cicadapulley/cicadapulley/daemon/transport"
@@ -129,6 +130,8 @@
 type gatedFS struct {
 	storage.FS
 	gate *gate
+	// delay is the time that each sync of a file takes.
+	delay time.Duration
 }
 
 func (f gatedFS) check() error {
@@ -184,8 +187,9 @@
 	return f.File.Write(p)
 }
 
-// Sync implements storage.File.
+// Sync implements storage.File. A process that dies meanwhile has not synced.
 func (f gatedFile) Sync() error {
+	time.Sleep(f.fs.delay)
 	if err := f.fs.check(); err != nil {
 		return err
 	}
--- a/daemon/internal/harness/harness_test.go
+++ b/daemon/internal/harness/harness_test.go
@@ -20,7 +20,7 @@
 func run(t *testing.T, s Size, fn func(t *testing.T, ctx context.Context, c *Cluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Minute)
 		defer cancel()
 		c := New(s)
 		defer c.Close()
--- a/daemon/internal/harness/process.go
+++ b/daemon/internal/harness/process.go
@@ -158,13 +158,12 @@
 			Process:         p.settings(),
 			DataDir:         "/data",
 			Bootstrap:       p.bootstrap,
-			SyncDelayMS:     p.cluster.size.SyncDelay.Milliseconds(),
 			SnapshotEntries: p.cluster.size.SnapshotEntries,
 		},
 		Network:  network,
 		Log:      l.log,
 		Listener: listener,
-		FS:       gatedFS{p.disk, l.gate},
+		FS:       gatedFS{p.disk, l.gate, p.cluster.size.SyncDelay},
 	})
 	if err != nil {
 		return nil, err
--- a/daemon/memnet/memnet.go
+++ b/daemon/memnet/memnet.go
@@ -155,8 +155,10 @@
 	case l.incoming <- far:
 		return near, nil
 	case <-l.closed:
+		near.Close()
 		return nil, dialError(address, fmt.Errorf("connection refused"))
 	case <-ctx.Done():
+		near.Close()
 		return nil, dialError(address, ctx.Err())
 	}
 }
