--- a/daemon/agent/executor.go
+++ b/daemon/agent/executor.go
@@ -144,7 +144,13 @@
 	if x.draining {
 		return verdict.Errorf(verdict.CodeShuttingDown, verdict.NotRun, "the endpoint is leaving")
 	}
-	if !x.members.LeaseValid() {
+	if x.members.Replica().Config.Drains[x.members.ID()].Drain {
+		// An entry that is cut off from control doesn't know of the mark.
+		return verdict.Errorf(verdict.CodeShuttingDown, verdict.NotRun, "the endpoint is drained")
+	}
+	// A call without a record has epoch zero. It may start twice, so it needs
+	// no lease and goes on while control has no majority.
+	if r.attempt.Epoch > 0 && !x.members.LeaseValid() {
 		return verdict.Errorf(verdict.CodeLeaseLapsed, verdict.NotRun, "the agent's lease has lapsed")
 	}
 	return nil
--- a/daemon/internal/harness/cluster.go
+++ b/daemon/internal/harness/cluster.go
@@ -19,6 +19,7 @@
 	"github.com/cicadapulley/cicadapulley/core/job"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 	"github.com/cicadapulley/cicadapulley/daemon/memnet"
+	"github.com/cicadapulley/cicadapulley/daemon/settings"
 	"github.com/cicadapulley/cicadapulley/daemon/transport"
 )
 
@@ -36,7 +37,7 @@
 	Controls, Entries, Agents, Slots int
 	// SnapshotEntries is the number of log entries between snapshots.
 	SnapshotEntries uint64
-	// SyncDelay is added to each sync. It must be zero if snapshots are saved:
+	// SyncDelay is the time that each sync takes. It must be zero if snapshots are saved:
 	// the store holds a mutex over a sync, and virtual time stands still while
 	// the snapshot's goroutine waits for it.
 	SyncDelay time.Duration
@@ -240,4 +241,6 @@
 	for _, p := range c.procs {
 		p.wait()
 	}
+	// Goroutines of a dead entry may wait for the deadline of a task.
+	time.Sleep(settings.DefaultMaxDeadline + time.Minute)
 }
