daemon/agent: fewer starts wait, each for up to 40 ms

Cause: of four starts that waited 20 ms for a slot the last ones were refused. Change: a quarter of the slots' number of starts wait, at most 40 ms.

--- a/daemon/agent/waiting.go
+++ b/daemon/agent/waiting.go
@@ -8,14 +8,14 @@
 // slotPatience is how long a start waits for a slot before it is refused.
 // Eight slots with tasks of 50 ms free one every 6 ms, so most starts that
 // arrive just too early get one; a refusal would cost two wasted messages.
-const slotPatience = 20 * time.Millisecond
+const slotPatience = 40 * time.Millisecond
 
 // full reports whether a new start has to wait. The caller holds mu.
 func (x *executor) full() bool { return x.table.Running()+x.reserved >= x.slots }
 
 // mayWait bounds the starts that wait: half of the slots, so that each has a
 // fair chance within its patience. The caller holds mu.
-func (x *executor) mayWait() bool { return len(x.waiting) < max(1, x.slots/2) }
+func (x *executor) mayWait() bool { return len(x.waiting) < max(1, x.slots/4) }
 
 // awaitSlot blocks until a slot is free for this start, in order of arrival, or
 // its patience ends. The caller holds mu, which is released meanwhile. On true
