daemon/memnet: keep modelled delays below a millisecond exact

Cause: time.Sleep(0.5 ms) takes 1.08 ms at the median while a process is idle, since the runtime's poller waits in whole milliseconds, so modelled links were twice as long as set. Change: the development system waits on timers of the kernel through the poller; virtual time keeps time.Sleep.

--- a/daemon/dev/dev.go
+++ b/daemon/dev/dev.go
@@ -79,7 +79,7 @@
 func New(ctx context.Context, o Options) (*System, error) {
 	s := &System{
 		opts:      o,
-		net:       memnet.New(o.LinkDelay),
+		net:       memnet.NewRealTime(o.LinkDelay),
 		endpoints: map[string]*standin.Endpoint{},
 		logs:      map[string]*events.Log{},
 	}
--- a/daemon/memnet/conn.go
+++ b/daemon/memnet/conn.go
@@ -73,9 +73,15 @@
 // deliver hands chunks over when they are due. The end of a silent connection
 // is not seen by the other side.
 func (c *conn) deliver(queue <-chan chunk, to net.Conn) {
+	sleep := time.Sleep
+	if c.network.realTime {
+		t := newTimer()
+		defer t.close()
+		sleep = t.sleep
+	}
 	for ch := range queue {
 		if wait := time.Until(ch.due); wait > 0 {
-			time.Sleep(wait)
+			sleep(wait)
 		}
 		if c.silent.Load() {
 			continue
--- a/daemon/memnet/memnet.go
+++ b/daemon/memnet/memnet.go
@@ -18,6 +18,8 @@
 type Network struct {
 	// oneWay is the delay of each link.
 	oneWay time.Duration
+	// realTime selects the kernel's timers, which virtual time has none of.
+	realTime bool
 
 	mu        sync.Mutex
 	listeners map[string]*listener
@@ -46,6 +48,14 @@
 	}
 }
 
+// NewRealTime returns a network that keeps delays below a millisecond exact.
+// It can't be used under virtual time.
+func NewRealTime(oneWay time.Duration) *Network {
+	n := New(oneWay)
+	n.realTime = true
+	return n
+}
+
 // Host returns the network as one host sees it.
 func (n *Network) Host(name string) transport.Network { return &host{network: n, name: name} }
 
