--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GO := go
 SEEDS ?= 20
 
-.PHONY: test build lint fmt generate bench
+.PHONY: test build lint generate bench soak fuzz demo
 test: build lint
 	@for m in $(MODULES); do (cd $$m && $(GO) test ./...) || exit 1; done
 
@@ -18,9 +18,25 @@
 bin/staticcheck: tools/go.mod
 	cd tools && GOWORK=off $(GO) build -o ../bin/staticcheck honnef.co/go/tools/cmd/staticcheck
 
+# SEEDS randomised runs under failures, from SEED on; a failing one prints the
+# command that repeats it.
+SEED ?= 1
+soak:
+	cd daemon && SOAK_SEED=$(SEED) SOAK_SEEDS=$(SEEDS) $(GO) test ./internal/harness -run 'TestSoak$$' -count=1 -timeout 60m
+
 generate:
 	cd api/rpc && protoc --go_out=paths=source_relative:. --twirp_out=paths=source_relative:. cicadapulley.proto
 
 # bench runs a set of measurements in under 5 minutes; TITLE heads its table.
 bench: build
 	scripts/bench.sh "$(TITLE)"
+
+# Each fuzz target for FUZZTIME.
+FUZZTIME ?= 30s
+fuzz:
+	cd daemon && $(GO) test ./storage -run '^$$' -fuzz FuzzReadLog -fuzztime $(FUZZTIME)
+	cd client && $(GO) test ./internal/ticketfile -run '^$$' -fuzz FuzzParseTicket -fuzztime $(FUZZTIME)
+
+# A development system on loopback and a job sent to it.
+demo: build
+	scripts/demo.sh
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -16,10 +16,16 @@
 	// of its end and its deadline.
 	FinishedJobs time.Duration
 	// FinishedBytes bounds the kept answers' size in bytes. Answers of jobs
-	// whose deadline has not passed are kept beyond it.
+	// whose deadline has not passed are kept beyond it. A job whose answer was
+	// dropped stays known by its key, so that a resubmission does not run.
 	FinishedBytes int64
-	// EndedMembers is how long a left or expired member is kept.
+	// DroppedJobs bounds the number of jobs known by their key alone.
+	DroppedJobs int
+	// EndedMembers is how long a left or expired member is kept at least. It is
+	// kept longer while a job runs that it may have started tasks of.
 	EndedMembers time.Duration
+	// EndedBatch is the number of members that are forgotten at once.
+	EndedBatch int
 	// Tickets is the number of tickets kept in the history.
 	Tickets int
 }
@@ -28,8 +34,12 @@
 var DefaultRetention = Retention{
 	FinishedJobs:  10 * time.Minute,
 	FinishedBytes: 64 << 20,
-	EndedMembers:  30 * time.Minute,
-	Tickets:       1000,
+	// At about 200 bytes each this takes 20 MB.
+	DroppedJobs:  100_000,
+	EndedMembers: 30 * time.Minute,
+	// At 300 ended members a day this costs each watcher five full views.
+	EndedBatch: 64,
+	Tickets:    1000,
 }
 
 // Machine is the replicated state.
@@ -39,8 +49,8 @@
 	config    Config
 	// configRevision is the index of the last change of configuration or members.
 	configRevision uint64
-	// prunedRevision is the newest change that pruning has forgotten; a reader
-	// older than it needs a full view.
+	// prunedRevision is the index of the last pruning of members; a reader older
+	// than it needs a full view.
 	prunedRevision uint64
 	tickets        map[uint64]AppliedTicket
 	ticketOrder    []uint64
@@ -50,13 +60,17 @@
 	// is above zero only after maxTicketRanges was exceeded.
 	forgottenTicket uint64
 	members         map[string]Member
-	jobs            map[job.Key]*job.Record
+	// ended lists the ids of left and expired members in order of their end.
+	ended []string
+	jobs  map[job.Key]*job.Record
 	// running indexes the running jobs of jobs.
 	running jobIndex
 	// changes lists the changes of watched objects in order of their revision.
 	changes       []change
 	finished      finishedJobs
 	finishedBytes int64
+	// dropped are finished jobs whose answers were dropped for lack of room.
+	dropped finishedJobs
 }
 
 // New returns an empty machine.
@@ -110,13 +124,3 @@
 
 // touch records a change that watchers must see.
 func (m *Machine) touch(index uint64) { m.configRevision = index }
-
-func (m *Machine) pruneMembers(now time.Time) {
-	for id, member := range m.members {
-		if member.Active() || now.Sub(member.Ended) < m.retention.EndedMembers {
-			continue
-		}
-		delete(m.members, id)
-		m.prunedRevision = max(m.prunedRevision, member.Revision)
-	}
-}
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -24,7 +24,7 @@
 	Finished []job.Record
 }
 
-// Snapshot returns the machine's whole state.
+// Snapshot returns the machine's whole state. Equal machines return equal snapshots.
 func (m *Machine) Snapshot() Snapshot {
 	s := Snapshot{
 		Applied:          m.applied,
@@ -41,8 +41,10 @@
 			s.Running = append(s.Running, *r)
 		}
 	}
-	for _, r := range m.finished {
-		s.Finished = append(s.Finished, *r)
+	for _, list := range []finishedJobs{m.finished, m.dropped} {
+		for _, r := range list {
+			s.Finished = append(s.Finished, *r)
+		}
 	}
 	slices.SortFunc(s.Running, byRevision)
 	slices.SortFunc(s.Finished, byRevision)
@@ -56,9 +58,9 @@
 	m.configRevision = s.ConfigRevision
 	m.prunedRevision = s.PrunedRevision
 	m.forgottenTicket = s.ForgottenTicket
+	m.forgottenTickets = slices.Clone(s.ForgottenTickets)
 	m.config = s.Config.Clone()
 	for _, t := range s.Tickets {
-	m.forgottenTickets = slices.Clone(s.ForgottenTickets)
 		m.tickets[t.Ticket.Number] = t
 		m.ticketOrder = append(m.ticketOrder, t.Ticket.Number)
 	}
@@ -66,6 +68,7 @@
 		m.members[member.ID] = member
 	}
 	m.rebuildChanges()
+	m.rebuildEnded()
 	for _, r := range s.Running {
 		m.jobs[r.Key] = &r
 		m.running.add(&r)
--- a/daemon/agent/executor.go
+++ b/daemon/agent/executor.go
@@ -30,7 +30,9 @@
 	attempt tasktable.Attempt
 	timeout time.Duration
 	entry   string
-	backlog int
+	// incarnation is the agent's incarnation that the entry knows.
+	incarnation uint64
+	backlog     int
 }
 
 // executor starts tasks at the endpoint. Its methods are safe for concurrent use.
@@ -106,20 +108,20 @@
 	return err
 }
 
-// tryBegin enters a start in the table or refuses it. The caller holds mu.
+// tryBegin enters a start in the table or refuses it. A refusal is remembered,
+// so that a late copy of the request can't start the task. The caller holds mu.
 func (x *executor) tryBegin(r run, abort context.CancelFunc) *verdict.Error {
 	now := time.Now()
-	if x.draining {
-		return verdict.Errorf(verdict.CodeShuttingDown, verdict.NotRun, "the endpoint is leaving")
-	}
-	if !x.members.LeaseValid() {
-		return verdict.Errorf(verdict.CodeLeaseLapsed, verdict.NotRun, "the agent's lease has lapsed")
+	forgetAt := now.Add(r.timeout + keepAfterDeadline)
+	if refusal := x.unavailable(r); refusal != nil {
+		return x.table.Refuse(r.key, r.attempt, now, forgetAt, refusal)
 	}
 	if x.reserved > 0 && x.full() {
 		x.divider.Refused(r.entry, r.backlog, now)
-		return verdict.Errorf(verdict.CodeEndpointBusy, verdict.NotRun, "all %d slots are in use", x.slots)
+		busy := verdict.Errorf(verdict.CodeEndpointBusy, verdict.NotRun, "all %d slots are in use", x.slots)
+		return x.table.Refuse(r.key, r.attempt, now, forgetAt, busy)
 	}
-	if err := x.table.Begin(r.key, r.attempt, now, now.Add(r.timeout+keepAfterDeadline)); err != nil {
+	if err := x.table.Begin(r.key, r.attempt, now, forgetAt); err != nil {
 		x.divider.Refused(r.entry, r.backlog, now)
 		return err
 	}
@@ -128,6 +130,21 @@
 	return nil
 }
 
+// unavailable says why the agent starts nothing now, nil if it may. The caller
+// holds mu.
+func (x *executor) unavailable(r run) *verdict.Error {
+	if own := x.members.Incarnation(); r.incarnation != own {
+		return verdict.Errorf(verdict.CodeLeaseLapsed, verdict.NotRun, "the agent has incarnation %d, the request is for %d", own, r.incarnation)
+	}
+	if x.draining {
+		return verdict.Errorf(verdict.CodeShuttingDown, verdict.NotRun, "the endpoint is leaving")
+	}
+	if !x.members.LeaseValid() {
+		return verdict.Errorf(verdict.CodeLeaseLapsed, verdict.NotRun, "the agent's lease has lapsed")
+	}
+	return nil
+}
+
 // end records the result. A task that never reached the endpoint is a refusal.
 func (x *executor) end(r run, result job.TaskResult) *verdict.Error {
 	x.mu.Lock()
--- a/daemon/dev/dev.go
+++ b/daemon/dev/dev.go
@@ -18,6 +18,7 @@
 	"github.com/cicadapulley/cicadapulley/api/controlclient"
 	"github.com/cicadapulley/cicadapulley/daemon/agent"
 	"github.com/cicadapulley/cicadapulley/daemon/control"
+	"github.com/cicadapulley/cicadapulley/daemon/dev/precise"
 	"github.com/cicadapulley/cicadapulley/daemon/dev/standin"
 	"github.com/cicadapulley/cicadapulley/daemon/entry"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
@@ -79,7 +80,7 @@
 func New(ctx context.Context, o Options) (*System, error) {
 	s := &System{
 		opts:      o,
-		net:       memnet.NewRealTime(o.LinkDelay),
+		net:       memnet.New(o.LinkDelay).WithSleep(precise.Sleep),
 		endpoints: map[string]*standin.Endpoint{},
 		logs:      map[string]*events.Log{},
 	}
@@ -98,7 +99,7 @@
 	if l := s.logs[process]; l != nil {
 		return l
 	}
-	l := events.NewLog(process, s.opts.Logger.With(zap.String("process", process)), &events.HybridClock{})
+	l := events.NewLog(process, s.opts.Logger.With(zap.String("process", process)), events.NewClock())
 	s.logs[process] = l
 	return l
 }
--- a/daemon/memnet/memnet.go
+++ b/daemon/memnet/memnet.go
@@ -18,8 +18,8 @@
 type Network struct {
 	// oneWay is the delay of each link.
 	oneWay time.Duration
-	// realTime selects the kernel's timers, which virtual time has none of.
-	realTime bool
+	// sleep waits for a chunk to be due.
+	sleep func(time.Duration)
 
 	mu        sync.Mutex
 	listeners map[string]*listener
@@ -42,17 +42,17 @@
 func New(oneWay time.Duration) *Network {
 	return &Network{
 		oneWay:    oneWay,
+		sleep:     time.Sleep,
 		listeners: map[string]*listener{},
 		conns:     map[*conn]struct{}{},
 		cut:       map[pair]bool{},
 	}
 }
 
-// NewRealTime returns a network that keeps delays below a millisecond exact.
-// It can't be used under virtual time.
-func NewRealTime(oneWay time.Duration) *Network {
-	n := New(oneWay)
-	n.realTime = true
+// WithSleep replaces the wait for delays, as by a more precise one, before the
+// network is used. Tests in virtual time keep time.Sleep.
+func (n *Network) WithSleep(sleep func(time.Duration)) *Network {
+	n.sleep = sleep
 	return n
 }
 
