daemon/entry: record outcomes without a common tick again

Cause: the tick was to make outcomes share syncs with each other and new jobs wait less. Conclusion: no gain that outweighs a longer time in which the loss of an entry and an agent loses an answer; removed.

--- a/daemon/entry/jobs.go
+++ b/daemon/entry/jobs.go
@@ -22,10 +22,6 @@
 	// acceptTimeout bounds the wait for the record of a job. An election takes
 	// less than this.
 	acceptTimeout = 5 * time.Second
-	// finishTick is the time between moments at which outcomes are recorded.
-	// A resubmission after the loss of this entry and of an agent within it may
-	// get may_have_run instead of the answer, so it is short.
-	finishTick = 25 * time.Millisecond
 	// finishPause is the wait before an outcome is offered to control again.
 	finishPause = 500 * time.Millisecond
 )
--- a/daemon/entry/run.go
+++ b/daemon/entry/run.go
@@ -186,7 +186,6 @@
 	}
 	if m.service.members.LeaseValid() && m.service.members.Incarnation() == r.OwnerIncarnation {
 		m.publish(j, o)
-		wait(m.background, untilFinishTick(time.Now()))
 		m.record(j, r, o)
 		m.forget(j)
 		return
@@ -203,13 +202,6 @@
 	m.forget(j)
 }
 
-// untilFinishTick returns the time to the next common moment at which outcomes
-// are recorded. The callers have their answers already, so outcomes may wait;
-// together they share one sync, and the syncs of new jobs wait less.
-func untilFinishTick(now time.Time) time.Duration {
-	return finishTick - time.Duration(now.UnixNano()%int64(finishTick))
-}
-
 // superseded reports whether this entry runs the job again under a higher epoch.
 func (m *jobs) superseded(j *activeJob, r job.Record) bool {
 	j.mu.Lock()
