--- a/client/internal/load/text.go
+++ b/client/internal/load/text.go
@@ -47,6 +47,9 @@
 	fmt.Fprintf(w, "\nmust be zero\tfalse not_run %d\tstarted twice %d\tnever started %d\tpartial answers %d\tresubmissions with another end %d\n",
 		t.FalseNotRun, t.StartedTwice, t.NeverStarted, t.Partial, t.ResubmitDiffers)
 	fmt.Fprintf(w, "checked\tnot_run of tasks %d\tresubmissions %d\tfurther starts of repeatable calls %d\n", t.NotRun, t.Resubmitted, t.RepeatedCalls)
+	for _, line := range t.Differing {
+		fmt.Fprintf(w, "  %s\n", line)
+	}
 	m := r.Messages
 	fmt.Fprintf(w, "\nmessages a task\tall %.3f\twasted %.4f\t(%.0f starts)\n", m.PerTask, m.WastedPerTask, m.Tasks)
 	printCosts(w, "all", m.ByMethod)
