--- a/daemon/entry/jobs.go
+++ b/daemon/entry/jobs.go
@@ -10,7 +10,6 @@
 	"github.com/cicadapulley/cicadapulley/api/codec"
 	"github.com/cicadapulley/cicadapulley/api/controlclient"
 	"github.com/cicadapulley/cicadapulley/api/rpc"
-	"github.com/cicadapulley/cicadapulley/core/invariant"
 	"github.com/cicadapulley/cicadapulley/core/job"
 	"github.com/cicadapulley/cicadapulley/core/state"
 	"github.com/cicadapulley/cicadapulley/core/verdict"
@@ -293,11 +292,14 @@
 	return m.active[k]
 }
 
-// publish sets the outcome once and lets everyone read it.
+// publish sets the outcome once and lets everyone read it. A job that was
+// answered at its deadline keeps that answer.
 func (m *jobs) publish(j *activeJob, o job.Outcome) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	invariant.Check(j.outcome == nil, invariant.WholeAnswer, "job %s has two outcomes", j.record.Key)
+	if j.outcome != nil {
+		return
+	}
 	j.outcome = &o
 	close(j.done)
 	m.log.Emit(events.Event{ID: events.JobFinished, Job: j.record.Key, Text: o.State.String()})
--- a/daemon/entry/run.go
+++ b/daemon/entry/run.go
@@ -178,20 +178,59 @@
 	return j.cancelled
 }
 
+// recordGrace is how long a record may take past the deadline before the answer
+// goes without it. A commit takes about 6 ms, and more under load.
+const recordGrace = 250 * time.Millisecond
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // conclude records an outcome, then answers with what is recorded. An answer
 // before its record would differ from that of a resubmission if this entry and
 // an agent with results were lost in between.
 func (m *jobs) conclude(j *activeJob, r job.Record, o job.Outcome) {
-	recorded := m.record(j, r, o)
-	if m.superseded(j, r) {
-		return
-	}
-	if recorded == nil {
+	recording, recorded := context.WithCancel(m.background)
+	due := later(r.Deadline, time.Now().Add(recordGrace))
+	m.spawn("due", func() { m.answerWhenDue(recording, j, r, o, due) })
+	kept := m.record(j, r, o)
+	recorded()
+	switch {
+	case m.superseded(j, r):
+	case kept != nil:
+		m.publish(j, *kept)
+		m.forget(j)
+	case j.published() != nil:
+		m.forget(j)
+	default:
 		m.move(j)
-		return
 	}
-	m.publish(j, *recorded)
-	m.forget(j)
+}
+
+// answerWhenDue answers without a record if control can't make one in time: at
+// the job's deadline, or shortly before the lease lapses, since afterwards
+// another entry may own the job. The answer is true either way.
+func (m *jobs) answerWhenDue(recording context.Context, j *activeJob, r job.Record, o job.Outcome, due time.Time) {
+	for recording.Err() == nil {
+		lapse := m.service.members.LeaseEnd().Add(-answerGrace)
+		left := min(time.Until(due), time.Until(lapse))
+		if left <= 0 {
+			m.answerUnrecorded(j, r, o)
+			return
+		}
+		wait(recording, left)
+	}
+}
+
+// answerUnrecorded publishes an outcome while this entry certainly owns the job.
+func (m *jobs) answerUnrecorded(j *activeJob, r job.Record, o job.Outcome) {
+	mine := m.service.members.LeaseValid() && m.service.members.Incarnation() == r.OwnerIncarnation
+	if mine && !m.superseded(j, r) {
+		m.publish(j, o)
+	}
 }
 
 // superseded reports whether this entry runs the job again under a higher epoch.
--- a/daemon/membership/membership.go
+++ b/daemon/membership/membership.go
@@ -110,6 +110,13 @@
 	return time.Now().Before(s.lease.lapses)
 }
 
+// LeaseEnd returns when the lease ends on this process's clock.
+func (s *Service) LeaseEnd() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lease.lapses
+}
+
 // WaitReady blocks until the process has a lease and a replica.
 func (s *Service) WaitReady(ctx context.Context) error {
 	for {
--- a/daemon/memnet/conn.go
+++ b/daemon/memnet/conn.go
@@ -7,12 +7,8 @@
 	"time"
 )
 
-const (
-	// chunkBytes is the size of one read from a sender.
-	chunkBytes = 32 << 10
-	// queueChunks bounds the chunks under way in one direction.
-	queueChunks = 256
-)
+// chunkBytes is the size of one read from a sender.
+const chunkBytes = 32 << 10
 
 // conn is a connection between two hosts: a pipe at each end and a forwarder
 // in each direction that delays what passes, or drops it once silent.
@@ -43,26 +39,64 @@
 	return nearOuter, farOuter
 }
 
+// queue holds the chunks under way in one direction. It has no bound: a sender
+// that waits for room under a lock of its own would stop a test's virtual time.
+type queue struct {
+	mu     sync.Mutex
+	chunks []chunk
+	closed bool
+	// ready has room for one signal that there is something to take.
+	ready chan struct{}
+}
+
+func newQueue() *queue { return &queue{ready: make(chan struct{}, 1)} }
+
+func (q *queue) push(c chunk) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.chunks = append(q.chunks, c)
+	q.signal()
+}
+
+func (q *queue) close() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.closed = true
+	q.signal()
+}
+
+// signal wakes the receiver. The caller holds mu.
+func (q *queue) signal() {
+	select {
+	case q.ready <- struct{}{}:
+	default:
+	}
+}
+
+// take returns all waiting chunks, and false once the queue is closed and empty.
+func (q *queue) take() ([]chunk, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	taken := q.chunks
+	q.chunks = nil
+	return taken, len(taken) > 0 || !q.closed
+}
+
 // forward starts the two goroutines of one direction.
 func (c *conn) forward(from, to net.Conn) {
-	queue := make(chan chunk, queueChunks)
-	go c.receive(from, queue)
-	go c.deliver(queue, to)
+	q := newQueue()
+	go c.receive(from, q)
+	go c.deliver(q, to)
 }
 
-// receive takes what an end wrote. It never blocks on a silent connection, as
-// a sender's kernel would not for a while.
-func (c *conn) receive(from net.Conn, queue chan<- chunk) {
-	defer close(queue)
+// receive takes what an end wrote, at once, as the sender's kernel would.
+func (c *conn) receive(from net.Conn, q *queue) {
+	defer q.close()
 	for {
 		buf := make([]byte, chunkBytes)
 		n, err := from.Read(buf)
 		if n > 0 && !c.silent.Load() {
-			select {
-			case queue <- chunk{data: buf[:n], due: time.Now().Add(c.network.oneWay)}:
-			case <-c.done:
-				return
-			}
+			q.push(chunk{data: buf[:n], due: time.Now().Add(c.network.oneWay)})
 		}
 		if err != nil {
 			return
@@ -72,8 +106,24 @@
 
 // deliver hands chunks over when they are due. The end of a silent connection
 // is not seen by the other side.
-func (c *conn) deliver(queue <-chan chunk, to net.Conn) {
-	for ch := range queue {
+func (c *conn) deliver(q *queue, to net.Conn) {
+	for c.deliverTaken(q, to) {
+		select {
+		case <-q.ready:
+		case <-c.done:
+			return
+		}
+	}
+	if c.silent.Load() {
+		return
+	}
+	c.reset()
+}
+
+// deliverTaken hands over what waits; it reports whether more may come.
+func (c *conn) deliverTaken(q *queue, to net.Conn) bool {
+	chunks, open := q.take()
+	for _, ch := range chunks {
 		if wait := time.Until(ch.due); wait > 0 {
 			c.network.sleep(wait)
 		}
@@ -81,13 +131,10 @@
 			continue
 		}
 		if _, err := to.Write(ch.data); err != nil {
-			break
+			return false
 		}
 	}
-	if c.silent.Load() {
-		return
-	}
-	c.reset()
+	return open
 }
 
 // reset ends the connection on both sides.
