daemon/entry: an unrecorded answer counts only while the entry owns the job

Change: such an outcome is served only while the lease holds under the job's incarnation; afterwards the recorded one is read.

--- a/daemon/entry/await.go
+++ b/daemon/entry/await.go
@@ -28,7 +28,10 @@
 	}
 	select {
 	case <-j.done:
-		return j.published()
+		if o := m.binding(j); o != nil {
+			return o
+		}
+		return m.awaitRecord(ctx, j.record)
 	case <-j.moved:
 		return m.awaitRecord(ctx, j.record)
 	case <-ctx.Done():
@@ -36,6 +39,18 @@
 	}
 }
 
+// binding returns the published outcome, or nil if it is not recorded and
+// another entry may have decided otherwise since.
+func (m *jobs) binding(j *activeJob) *job.Outcome {
+	j.mu.Lock()
+	outcome, unrecorded, record := j.outcome, j.unrecorded, j.record
+	j.mu.Unlock()
+	if unrecorded && !m.owns(record) {
+		return nil
+	}
+	return outcome
+}
+
 // awaitRecord waits for the outcome of a job that another entry owns.
 func (m *jobs) awaitRecord(ctx context.Context, r job.Record) *job.Outcome {
 	for {
@@ -163,8 +178,9 @@
 	defer cancel()
 	select {
 	case <-j.done:
-		resp.Known = true
-		resp.Outcome = codec.OutcomeToRPC(j.published())
+		outcome := a.jobs.binding(j)
+		resp.Known = outcome != nil
+		resp.Outcome = codec.OutcomeToRPC(outcome)
 	case <-j.moved:
 	case <-ctx.Done():
 		resp.Known = true
--- a/daemon/entry/jobs.go
+++ b/daemon/entry/jobs.go
@@ -43,6 +43,9 @@
 	epoch     uint64
 	cancelled bool
 	outcome   *job.Outcome
+	// unrecorded marks an outcome that was answered before its record. It counts
+	// only while this entry certainly owns the job.
+	unrecorded bool
 	// sent counts the tasks in flight at each endpoint.
 	sent map[string]int
 }
--- a/daemon/entry/run.go
+++ b/daemon/entry/run.go
@@ -202,6 +202,7 @@
 	case m.superseded(j, r):
 	case kept != nil:
 		m.publish(j, *kept)
+		j.setUnrecorded(false)
 		m.forget(j)
 	case j.published() != nil:
 		m.forget(j)
@@ -227,12 +228,24 @@
 
 // answerUnrecorded publishes an outcome while this entry certainly owns the job.
 func (m *jobs) answerUnrecorded(j *activeJob, r job.Record, o job.Outcome) {
-	mine := m.service.members.LeaseValid() && m.service.members.Incarnation() == r.OwnerIncarnation
-	if mine && !m.superseded(j, r) {
+	if m.owns(r) && !m.superseded(j, r) {
+		j.setUnrecorded(true)
 		m.publish(j, o)
 	}
 }
 
+// owns reports whether no other entry can own a job of this one.
+func (m *jobs) owns(r job.Record) bool {
+	members := m.service.members
+	return members.LeaseValid() && members.Incarnation() == r.OwnerIncarnation
+}
+
+func (j *activeJob) setUnrecorded(v bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.unrecorded = v
+}
+
 // superseded reports whether this entry runs the job again under a higher epoch.
 func (m *jobs) superseded(j *activeJob, r job.Record) bool {
 	j.mu.Lock()
