daemon: agents hear of configuration only; unrecorded answers are named and narrow

Beside it, each change of a member went to every agent, which costs the square of the fleet when it restarts. An agent's watch answers on configuration alone.

--- a/core/state/ticketcheck.go
+++ b/core/state/ticketcheck.go
@@ -106,3 +106,19 @@
 	finished = uint64(len(m.finished) + len(m.dropped))
 	return uint64(len(m.jobs)) - finished, finished
 }
+
+// LastChange returns the log index of the last change of the configuration,
+// members apart.
+func (c Config) LastChange() uint64 {
+	last := c.Limits.Revision
+	for _, s := range c.Services {
+		last = max(last, s.Revision)
+	}
+	for _, q := range c.Quotas {
+		last = max(last, q.Revision)
+	}
+	for _, d := range c.Drains {
+		last = max(last, d.Revision)
+	}
+	return last
+}
--- a/core/state/view.go
+++ b/core/state/view.go
@@ -36,6 +36,15 @@
 	return v
 }
 
+// ForAgent reduces a view to what an agent needs, the configuration, and
+// reports whether it has any that is newer than a revision. Members are most of
+// the changes, and sending each to every agent would cost the square of the fleet.
+func (v View) ForAgent(after uint64) (View, bool) {
+	v.Members = nil
+	objects := len(v.Services) + len(v.Quotas) + len(v.Drains)
+	return v, v.Full || objects > 0 || v.Limits.Revision > after
+}
+
 func (m *Machine) addToView(v *View, c change) {
 	switch c.kind {
 	case serviceObject:
--- a/daemon/control/api.go
+++ b/daemon/control/api.go
@@ -167,12 +167,12 @@
 	defer cancel()
 	for {
 		changed := a.driver.Changed()
-		view, err := a.view(q)
+		view, news, err := a.view(q)
 		if err != nil {
 			redirect, err := a.redirect(err)
 			return &rpc.WatchResponse{NotLeader: redirect}, err
 		}
-		if view.Revision > q.After || ctx.Err() != nil || a.stopping.Err() != nil {
+		if news || ctx.Err() != nil || a.stopping.Err() != nil {
 			if view.Revision <= q.After {
 				a.log.Emit(events.Event{ID: events.WatchUnchanged, Peer: q.Id})
 			}
@@ -188,17 +188,20 @@
 	}
 }
 
-func (a *api) view(q *rpc.WatchRequest) (state.View, error) {
-	var view state.View
-	err := a.driver.Read(func(m *state.Machine) {
+// view returns what the watcher lacks and whether it has to hear of it now.
+func (a *api) view(q *rpc.WatchRequest) (view state.View, news bool, err error) {
+	err = a.driver.Read(func(m *state.Machine) {
 		if m.ConfigRevision() <= q.After {
 			// Nothing new; a full view would only cost bytes.
 			view = state.View{Revision: m.ConfigRevision()}
 			return
 		}
-		view = m.View(q.After, q.Id)
+		view, news = m.View(q.After, q.Id), true
+		if member, ok := m.Member(q.Id); ok && member.Role == state.RoleAgent {
+			view, news = view.ForAgent(q.After)
+		}
 	})
-	return view, err
+	return view, news, err
 }
 
 // noteRevision records the revision that a member has in force.
--- a/daemon/control/operator.go
+++ b/daemon/control/operator.go
@@ -114,7 +114,11 @@
 		changed := a.driver.Changed()
 		reported := a.leases.nextReport()
 		var behind []string
-		err := a.driver.Read(func(m *state.Machine) { behind = a.leases.behind(m.Members(), q.Revision) })
+		err := a.driver.Read(func(m *state.Machine) {
+			// Agents don't hear of members, so they may never reach a later revision.
+			wanted := min(q.Revision, m.Config().LastChange())
+			behind = a.leases.behind(m.Members(), wanted)
+		})
 		if err != nil {
 			redirect, err := a.redirect(err)
 			return &rpc.WaitTicketResponse{NotLeader: redirect}, err
--- a/daemon/entry/run.go
+++ b/daemon/entry/run.go
@@ -228,10 +228,13 @@
 
 // answerUnrecorded publishes an outcome while this entry certainly owns the job.
 func (m *jobs) answerUnrecorded(j *activeJob, r job.Record, o job.Outcome) {
-	if m.owns(r) && !m.superseded(j, r) {
-		j.setUnrecorded(true)
-		m.publish(j, o)
+	if o.State == job.Cancelled || !m.owns(r) || m.superseded(j, r) {
+		// Nobody waits for the outputs of a cancelled job, so its answer keeps.
+		return
 	}
+	m.log.Emit(events.Event{ID: events.AnsweredEarly, Job: r.Key})
+	j.setUnrecorded(true)
+	m.publish(j, o)
 }
 
 // owns reports whether no other entry can own a job of this one.
--- a/daemon/events/catalogue.go
+++ b/daemon/events/catalogue.go
@@ -65,6 +65,7 @@
 	JobCancelled    ID = 404
 	JobRecovered    ID = 405
 	FinishFailed    ID = 406
+	AnsweredEarly   ID = 407
 	CallFinished    ID = 410
 	TaskSent        ID = 420
 	TaskAnswered    ID = 421
@@ -141,6 +142,7 @@
 	{JobCancelled, "job_cancelled", zapcore.DebugLevel, "a caller cancelled a job"},
 	{JobRecovered, "job_recovered", zapcore.InfoLevel, "a job of an ended entry continues here"},
 	{FinishFailed, "finish_failed", zapcore.WarnLevel, "a job's outcome could not be recorded yet and is tried again; if it repeats, look for a control leader"},
+	{AnsweredEarly, "answered_unrecorded", zapcore.WarnLevel, "control could not record a job's outcome in time, and the job was answered without it; if this entry is lost before the record, a resubmission may be told may_have_run; bring a majority of the control VMs back"},
 	{CallFinished, "call_finished", zapcore.DebugLevel, "a repeatable call has its answer"},
 	{TaskSent, "task_sent", zapcore.DebugLevel, "a task was sent to an agent"},
 	{TaskAnswered, "task_answered", zapcore.DebugLevel, "an agent answered a task"},
--- a/daemon/internal/harness/cluster.go
+++ b/daemon/internal/harness/cluster.go
@@ -191,6 +191,20 @@
 	return b.String()
 }
 
+// Saw reports whether any process emitted an event about a job.
+func (c *Cluster) Saw(id events.ID, k job.Key) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, l := range c.logs {
+		for _, e := range l.Select(events.Filter{Job: k}) {
+			if e.ID == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Cut makes two hosts unreachable to each other, in silence.
 func (c *Cluster) Cut(a, b string) { c.net.Cut(a, b) }
 
