--- a/daemon/entry/run.go
+++ b/daemon/entry/run.go
@@ -228,8 +228,9 @@
 
 // answerUnrecorded publishes an outcome while this entry certainly owns the job.
 func (m *jobs) answerUnrecorded(j *activeJob, r job.Record, o job.Outcome) {
-	if o.State == job.Cancelled || !m.owns(r) || m.superseded(j, r) {
-		// Nobody waits for the outputs of a cancelled job, so its answer keeps.
+	if o.State != job.Complete || !m.owns(r) || m.superseded(j, r) {
+		// A job that failed may be found complete by its next owner, and nobody
+		// waits for the outputs of a cancelled one, so those answers wait.
 		return
 	}
 	m.log.Emit(events.Event{ID: events.AnsweredEarly, Job: r.Key})
