--- a/daemon/memnet/conn.go
+++ b/daemon/memnet/conn.go
@@ -1,6 +1,7 @@
 package memnet
 
 import (
+	"bytes"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -92,11 +93,11 @@
 // receive takes what an end wrote, at once, as the sender's kernel would.
 func (c *conn) receive(from net.Conn, q *queue) {
 	defer q.close()
+	buf := make([]byte, chunkBytes)
 	for {
-		buf := make([]byte, chunkBytes)
 		n, err := from.Read(buf)
 		if n > 0 && !c.silent.Load() {
-			q.push(chunk{data: buf[:n], due: time.Now().Add(c.network.oneWay)})
+			q.push(chunk{data: bytes.Clone(buf[:n]), due: time.Now().Add(c.network.oneWay)})
 		}
 		if err != nil {
 			return
