client: one adapter for commands that ask control

Cause: five commands repeated the same lines to bound the time and reach control. Change: query takes them over. Conclusion: behaviour is unchanged.

--- a/client/internal/cli/endpoints.go
+++ b/client/internal/cli/endpoints.go
@@ -40,10 +40,8 @@
 		Short:   "List the endpoints that announced themselves",
 		Example: "  cicadapulley endpoints\n  cicadapulley endpoints --output json",
 		Args:    cobra.NoArgs,
-		RunE: a.run(func(ctx context.Context, _ []string) error {
-			ctx, cancel := a.bound(ctx)
-			defer cancel()
-			view, err := a.readEndpoints(ctx)
+		RunE: a.query(func(ctx context.Context, client *operator.Client) error {
+			view, err := readEndpoints(ctx, client)
 			if err != nil {
 				return err
 			}
@@ -52,11 +50,7 @@
 	}
 }
 
-func (a *app) readEndpoints(ctx context.Context) (*endpointsView, error) {
-	client, err := a.operator()
-	if err != nil {
-		return nil, err
-	}
+func readEndpoints(ctx context.Context, client *operator.Client) (*endpointsView, error) {
 	config, err := client.Config(ctx)
 	if err != nil {
 		return nil, err
--- a/client/internal/cli/group.go
+++ b/client/internal/cli/group.go
@@ -34,13 +34,7 @@
 		Short:   "List the control VMs",
 		Example: "  cicadapulley group list",
 		Args:    cobra.NoArgs,
-		RunE: a.run(func(ctx context.Context, _ []string) error {
-			ctx, cancel := a.bound(ctx)
-			defer cancel()
-			client, err := a.operator()
-			if err != nil {
-				return err
-			}
+		RunE: a.query(func(ctx context.Context, client *operator.Client) error {
 			return a.printGroup(ctx, client)
 		}),
 	}
--- a/client/internal/cli/jobs.go
+++ b/client/internal/cli/jobs.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/cicadapulley/cicadapulley/api/rpc"
+	"github.com/cicadapulley/cicadapulley/client/internal/operator"
 	"github.com/cicadapulley/cicadapulley/client/internal/output"
 	"github.com/cicadapulley/cicadapulley/core/job"
 )
@@ -37,13 +38,7 @@
 		Short:   "List the recorded jobs, running and finished",
 		Example: "  cicadapulley jobs\n  cicadapulley jobs --output json",
 		Args:    cobra.NoArgs,
-		RunE: a.run(func(ctx context.Context, _ []string) error {
-			ctx, cancel := a.bound(ctx)
-			defer cancel()
-			client, err := a.operator()
-			if err != nil {
-				return err
-			}
+		RunE: a.query(func(ctx context.Context, client *operator.Client) error {
 			records, err := client.Jobs(ctx)
 			if err != nil {
 				return err
--- a/client/internal/cli/root.go
+++ b/client/internal/cli/root.go
@@ -13,6 +13,7 @@
 	"github.com/cicadapulley/cicadapulley/api/rpc"
 	"github.com/cicadapulley/cicadapulley/client/internal/exit"
 	"github.com/cicadapulley/cicadapulley/client/internal/load"
+	"github.com/cicadapulley/cicadapulley/client/internal/operator"
 	"github.com/cicadapulley/cicadapulley/client/internal/output"
 )
 
@@ -105,6 +106,20 @@
 	return cmd
 }
 
+// query adapts a command without arguments that asks control, within the bound
+// of time.
+func (a *app) query(ask func(ctx context.Context, client *operator.Client) error) func(*cobra.Command, []string) error {
+	return a.run(func(ctx context.Context, _ []string) error {
+		ctx, cancel := a.bound(ctx)
+		defer cancel()
+		client, err := a.operator()
+		if err != nil {
+			return err
+		}
+		return ask(ctx, client)
+	})
+}
+
 // print writes an answer in the chosen format.
 func (a *app) print(v output.Printable) error {
 	return output.Write(a.streams.Out, a.flags.output, v)
--- a/client/internal/cli/status.go
+++ b/client/internal/cli/status.go
@@ -59,10 +59,8 @@
 		Short:   "Show control VMs, members and what is wrong now",
 		Example: "  cicadapulley status --control 10.0.0.1:7000,10.0.0.2:7000\n  cicadapulley status --output json",
 		Args:    cobra.NoArgs,
-		RunE: a.run(func(ctx context.Context, _ []string) error {
-			ctx, cancel := a.bound(ctx)
-			defer cancel()
-			view, err := a.readStatus(ctx)
+		RunE: a.query(func(ctx context.Context, client *operator.Client) error {
+			view, err := readStatus(ctx, client)
 			if err != nil {
 				return err
 			}
@@ -71,11 +69,7 @@
 	}
 }
 
-func (a *app) readStatus(ctx context.Context) (*statusView, error) {
-	client, err := a.operator()
-	if err != nil {
-		return nil, err
-	}
+func readStatus(ctx context.Context, client *operator.Client) (*statusView, error) {
 	config, err := client.Config(ctx)
 	if err != nil {
 		return nil, err
--- a/client/internal/cli/ticket.go
+++ b/client/internal/cli/ticket.go
@@ -85,13 +85,7 @@
 		Short:   "List the kept tickets in the order in which they were applied",
 		Example: "  cicadapulley ticket list",
 		Args:    cobra.NoArgs,
-		RunE: a.run(func(ctx context.Context, _ []string) error {
-			ctx, cancel := a.bound(ctx)
-			defer cancel()
-			client, err := a.operator()
-			if err != nil {
-				return err
-			}
+		RunE: a.query(func(ctx context.Context, client *operator.Client) error {
 			tickets, err := client.Tickets(ctx)
 			if err != nil {
 				return err
