daemon/internal/harness: draw the second entry before the goroutine starts

Cause: the race detector found the soak's random source shared by two goroutines. Change: the entry is drawn first. Measured: the package passes with -race (49 s) and without (12 s); the daemons' own code showed no race.

--- a/daemon/internal/harness/soakload_test.go
+++ b/daemon/internal/harness/soakload_test.go
@@ -96,7 +96,8 @@
 	s.ledger.Track(t)
 	if r.IntN(8) == 0 {
 		// The same submission comes at the same time through another entry.
-		s.work.Go(func() { s.submitOnce(c, t, s.entry(r.IntN(soakSize.Entries)), 3*time.Second) })
+		other := s.entry(r.IntN(soakSize.Entries))
+		s.work.Go(func() { s.submitOnce(c, t, other, 3*time.Second) })
 	}
 	for s.ctx.Err() == nil {
 		patience := time.Duration(200+r.IntN(6000)) * time.Millisecond
