daemon/entry: read a job's record under its lock

Cause: reading for the read-through showed three reads of a record that a takeover to the same entry may replace at that moment; a comment of the agent named half of the slots where the code has a quarter. Change: the record is read under the job's lock; the comment says a quarter.

--- a/daemon/agent/waiting.go
+++ b/daemon/agent/waiting.go
@@ -13,8 +13,8 @@
 // full reports whether a new start has to wait. The caller holds mu.
 func (x *executor) full() bool { return x.table.Running()+x.reserved >= x.slots }
 
-// mayWait bounds the starts that wait: half of the slots, so that each has a
-// fair chance within its patience. The caller holds mu.
+// mayWait bounds the starts that wait: a quarter of the slots, so that each has
+// a fair chance within its patience. The caller holds mu.
 func (x *executor) mayWait() bool { return len(x.waiting) < max(1, x.slots/4) }
 
 // awaitSlot blocks until a slot is free for this start, in order of arrival, or
--- a/daemon/entry/await.go
+++ b/daemon/entry/await.go
@@ -31,14 +31,21 @@
 		if o := m.binding(j); o != nil {
 			return o
 		}
-		return m.awaitRecord(ctx, j.record)
+		return m.awaitRecord(ctx, j.current())
 	case <-j.moved:
-		return m.awaitRecord(ctx, j.record)
+		return m.awaitRecord(ctx, j.current())
 	case <-ctx.Done():
 		return nil
 	}
 }
 
+// current returns the job's record under its present owner's epoch.
+func (j *activeJob) current() job.Record {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.record
+}
+
 // binding returns the published outcome, or nil if it is not recorded and
 // another entry may have decided otherwise since.
 func (m *jobs) binding(j *activeJob) *job.Outcome {
@@ -128,11 +135,12 @@
 	if !first {
 		return
 	}
-	m.log.Emit(events.Event{ID: events.JobCancelled, Job: j.record.Key})
-	m.service.dispatcher.remove(j.record.Key, cancelledError())
+	r := j.current()
+	m.log.Emit(events.Event{ID: events.JobCancelled, Job: r.Key})
+	m.service.dispatcher.remove(r.Key, cancelledError())
 	for _, id := range endpoints {
 		if p := m.service.peers.get(id); p != nil {
-			p.cancel(j.record.Key, j.record.Epoch, time.Until(j.record.Deadline))
+			p.cancel(r.Key, r.Epoch, time.Until(r.Deadline))
 		}
 	}
 }
