client/load: one function that reads a page of the development system

Cause: reading metrics repeated the request and the status check of reading JSON. Change: fetch hands the body to either reader. Measured: the client's tests pass. Conclusion: behaviour is unchanged.

--- a/client/internal/load/counters.go
+++ b/client/internal/load/counters.go
@@ -44,19 +44,7 @@
 }
 
 func (c counters) add(ctx context.Context, dev *devClient, path string) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, dev.base+path, nil)
-	if err != nil {
-		return err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return &statusError{path: path, code: resp.StatusCode}
-	}
-	return c.parse(resp.Body)
+	return dev.fetch(ctx, path, c.parse)
 }
 
 // parse adds the metrics of one process in the text format of Prometheus.
--- a/client/internal/load/faults.go
+++ b/client/internal/load/faults.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -78,6 +79,11 @@
 }
 
 func (d *devClient) get(ctx context.Context, path string, into any) error {
+	return d.fetch(ctx, path, func(body io.Reader) error { return json.NewDecoder(body).Decode(into) })
+}
+
+// fetch hands the body of an answer to read; another status than 200 is a *statusError.
+func (d *devClient) fetch(ctx context.Context, path string, read func(body io.Reader) error) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.base+path, nil)
 	if err != nil {
 		return err
@@ -90,7 +96,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return &statusError{path: path, code: resp.StatusCode}
 	}
-	return json.NewDecoder(resp.Body).Decode(into)
+	return read(resp.Body)
 }
 
 // statusError is an answer of a development system other than 200.
