daemon: a log for any replicated state, and folders named by their VM

Cause: the platform path replicates jobs with steps and a configuration by version; the log's driver knew the tickets' state machine only, and a group could only start from one VM, since the identity of a new folder was random. Change: consensus drives a Machine interface; control keeps its typed calls in Replica. Storage takes the identity of a new folder from its options. Conclusion: behaviour of the present roles is unchanged.

--- a/daemon/control/api.go
+++ b/daemon/control/api.go
@@ -12,14 +12,13 @@
 	"github.com/cicadapulley/cicadapulley/core/job"
 	"github.com/cicadapulley/cicadapulley/core/raft"
 	"github.com/cicadapulley/cicadapulley/core/state"
-	"github.com/cicadapulley/cicadapulley/daemon/control/consensus"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 )
 
 // api serves members and operators. Each call runs in the goroutine of its
 // HTTP/2 stream.
 type api struct {
-	driver *consensus.Driver
+	driver *Replica
 	leases *leases
 	log    *events.Log
 	// stopping ends held calls at a planned stop.
--- a/daemon/control/consensus/driver.go
+++ b/daemon/control/consensus/driver.go
@@ -15,9 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
-	"github.com/cicadapulley/cicadapulley/api/codec"
 	"github.com/cicadapulley/cicadapulley/core/raft"
-	"github.com/cicadapulley/cicadapulley/core/state"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 	"github.com/cicadapulley/cicadapulley/daemon/storage"
 	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
@@ -44,8 +42,27 @@
 // not come into force.
 var ErrUncertain = errors.New("the proposal lost its leader")
 
+// Machine is the replicated state that the log drives. Apply and Restore must
+// be deterministic. The driver serialises all calls but that of the function
+// returned by Freeze.
+type Machine interface {
+	// Apply brings a committed command into force; empty data is a no-op. An
+	// error is fatal to the daemon.
+	Apply(index uint64, data []byte) (any, error)
+	// Applied is the index of the last applied command.
+	Applied() uint64
+	// Revision differs after a change that watchers wait for.
+	Revision() uint64
+	// Restore replaces the state by that of a snapshot.
+	Restore(data []byte) error
+	// Freeze returns a function that encodes the present state. It may run
+	// beside later calls of Apply.
+	Freeze() func() ([]byte, error)
+}
+
 // Options configure a driver.
 type Options struct {
+	Machine   Machine
 	Store     *storage.Store
 	Recovered storage.Recovered
 	// Address is this VM's address, as others reach it.
@@ -53,7 +70,6 @@
 	ElectionTimeout time.Duration
 	// SnapshotEntries is the number of applied entries between snapshots.
 	SnapshotEntries uint64
-	Retention       state.Retention
 	Transport       Transport
 	Log             *events.Log
 	Seed            uint64
@@ -83,7 +99,7 @@
 	base context.Context
 	// node, machine and everything below are guarded by mu.
 	node    *raft.Node
-	machine *state.Machine
+	machine Machine
 	// waiting maps a log index to the proposal that was appended there.
 	waiting map[uint64]*proposal
 	leading bool
@@ -108,7 +124,7 @@
 		saved:     make(chan raft.Ready, 1),
 		snapshots: make(chan raft.Snapshot, 1),
 		group:     supervisor.NewGroup("control/consensus", o.Log),
-		machine:   state.New(o.Retention),
+		machine:   o.Machine,
 		waiting:   map[uint64]*proposal{},
 		changed:   make(chan struct{}),
 		peers:     map[raft.ServerID]*peer{},
@@ -143,11 +159,9 @@
 	if s.Index == 0 {
 		return nil
 	}
-	content, err := codec.DecodeSnapshot(s.Data)
-	if err != nil {
+	if err := d.machine.Restore(s.Data); err != nil {
 		return errors.Wrapf(err, "snapshot at index %d", s.Index)
 	}
-	d.machine = state.Restore(d.opts.Retention, content)
 	d.snapshotIndex = s.Index
 	return nil
 }
--- a/daemon/control/consensus/propose.go
+++ b/daemon/control/consensus/propose.go
@@ -6,9 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cicadapulley/cicadapulley/api/codec"
 	"github.com/cicadapulley/cicadapulley/core/raft"
-	"github.com/cicadapulley/cicadapulley/core/state"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 )
 
@@ -21,30 +19,25 @@
 }
 
 type answer struct {
-	result state.Result
+	result any
 	err    error
 }
 
-// Propose replicates a command and returns the result of its application. It
-// stamps the command's time. The error is a *raft.NotLeaderError, which means
-// that nothing happened, or ErrUncertain, or that of ctx.
-func (d *Driver) Propose(ctx context.Context, c state.Command) (state.Result, error) {
-	c.Now = time.Now()
-	data, err := codec.EncodeCommand(c)
-	if err != nil {
-		return state.Result{}, err
-	}
+// Propose replicates an encoded command and returns the result of its
+// application. The error is a *raft.NotLeaderError, which means that nothing
+// happened, or ErrUncertain, or that of ctx.
+func (d *Driver) Propose(ctx context.Context, data []byte) (any, error) {
 	p := &proposal{data: data, answer: make(chan answer, 1)}
 	select {
 	case d.proposals <- p:
 	case <-ctx.Done():
-		return state.Result{}, ctx.Err()
+		return nil, ctx.Err()
 	}
 	select {
 	case a := <-p.answer:
 		return a.result, a.err
 	case <-ctx.Done():
-		return state.Result{}, ctx.Err()
+		return nil, ctx.Err()
 	}
 }
 
@@ -89,7 +82,7 @@
 		d.opts.Log.Emit(events.Event{ID: events.SnapshotInstalled})
 		d.failWaiting()
 	}
-	before := d.machine.ConfigRevision()
+	before := d.machine.Revision()
 	for _, e := range rd.CommittedEntries {
 		if err := d.applyEntry(e); err != nil {
 			return err
@@ -98,23 +91,21 @@
 	if len(rd.CommittedEntries) > 0 {
 		d.startSnapshot()
 	}
-	if rd.Snapshot != nil || d.machine.ConfigRevision() != before {
+	if rd.Snapshot != nil || d.machine.Revision() != before {
 		d.notify()
 	}
 	return nil
 }
 
 func (d *Driver) applyEntry(e raft.Entry) error {
-	var command state.Command
-	if e.Type == raft.EntryCommand {
-		var err error
-		if command, err = codec.DecodeCommand(e.Data); err != nil {
-			return errors.Wrapf(err, "log index %d", e.Index)
-		}
-	} else {
+	if e.Type == raft.EntryGroup {
 		d.opts.Log.Emit(events.Event{ID: events.GroupChanged})
+		e.Data = nil
+	}
+	result, err := d.machine.Apply(e.Index, e.Data)
+	if err != nil {
+		return errors.Wrapf(err, "log index %d", e.Index)
 	}
-	result := d.machine.Apply(e.Index, command)
 	p, ok := d.waiting[e.Index]
 	if !ok {
 		return nil
--- a/daemon/control/consensus/read.go
+++ b/daemon/control/consensus/read.go
@@ -4,28 +4,27 @@
 	"time"
 
 	"github.com/cicadapulley/cicadapulley/core/raft"
-	"github.com/cicadapulley/cicadapulley/core/state"
 )
 
 // Read runs fn on the state if this VM may serve reads now: it leads, its
-// lease holds, and everything committed is applied. fn must not keep the
-// machine. It returns a *raft.NotLeaderError otherwise.
-func (d *Driver) Read(fn func(m *state.Machine)) error {
+// lease holds, and everything committed is applied. fn may read the machine and
+// must not keep what belongs to it. It returns a *raft.NotLeaderError otherwise.
+func (d *Driver) Read(fn func()) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.node.LeaseValid(time.Now()) || d.machine.Applied() < d.node.ReadIndex() {
 		return d.notLeader()
 	}
-	fn(d.machine)
+	fn()
 	return nil
 }
 
 // Local runs fn on this VM's copy of the state, which may be behind the
-// leader's. It is for metrics only; fn must not keep the machine.
-func (d *Driver) Local(fn func(m *state.Machine)) {
+// leader's. It is for metrics only.
+func (d *Driver) Local(fn func()) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	fn(d.machine)
+	fn()
 }
 
 // notLeader names the leader, unless this VM believes to lead. The caller holds mu.
@@ -46,7 +45,7 @@
 }
 
 // Leading reports whether this VM leads and may serve reads now.
-func (d *Driver) Leading() bool { return d.Read(func(*state.Machine) {}) == nil }
+func (d *Driver) Leading() bool { return d.Read(func() {}) == nil }
 
 // Term returns the present term.
 func (d *Driver) Term() uint64 {
--- a/daemon/control/consensus/snapshot.go
+++ b/daemon/control/consensus/snapshot.go
@@ -1,9 +1,7 @@
 package consensus
 
 import (
-	"github.com/cicadapulley/cicadapulley/api/codec"
 	"github.com/cicadapulley/cicadapulley/core/raft"
-	"github.com/cicadapulley/cicadapulley/core/state"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
 )
@@ -20,18 +18,18 @@
 		return // not applied in the core's view yet; the next entry tries again
 	}
 	d.snapshotIndex = applied
-	content := d.machine.Snapshot()
+	encode := d.machine.Freeze()
 	go func() {
 		_ = supervisor.Guard(d.opts.Log, "control/consensus/snapshot", func() error {
-			return d.saveSnapshot(head, content)
+			return d.saveSnapshot(head, encode)
 		})
 	}()
 }
 
 // saveSnapshot encodes and saves a snapshot. A failed write makes the store
 // fail, and the next save of the log stops the daemon.
-func (d *Driver) saveSnapshot(s raft.Snapshot, content state.Snapshot) error {
-	data, err := codec.EncodeSnapshot(content)
+func (d *Driver) saveSnapshot(s raft.Snapshot, encode func() ([]byte, error)) error {
+	data, err := encode()
 	if err != nil {
 		return err
 	}
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -50,7 +50,7 @@
 type Service struct {
 	opts     Options
 	store    *storage.Store
-	driver   *consensus.Driver
+	driver   *Replica
 	leases   *leases
 	draining atomic.Bool
 }
@@ -87,17 +87,16 @@
 			return errors.Wrap(err, "start a new group")
 		}
 	}
-	driver, err := consensus.New(consensus.Options{
+	driver, err := newReplica(consensus.Options{
 		Store:           s.store,
 		Recovered:       recovered,
 		Address:         s.address(),
 		ElectionTimeout: s.opts.Settings.ElectionTimeout(),
 		SnapshotEntries: s.snapshotEntries(),
-		Retention:       s.opts.Retention,
 		Transport:       newRaftTransport(s.opts, recovered.Identity, s.address()),
 		Log:             s.opts.Log,
 		Seed:            seed(string(recovered.Identity)),
-	})
+	}, s.opts.Retention)
 	if err != nil {
 		return err
 	}
@@ -139,7 +138,7 @@
 }
 
 // Driver returns the replicated log, for the operations page.
-func (s *Service) Driver() *consensus.Driver { return s.driver }
+func (s *Service) Driver() *Replica { return s.driver }
 
 // Ready reports whether this VM knows a leader.
 func (s *Service) Ready() bool {
@@ -190,7 +189,7 @@
 	mux.Handle(control.PathPrefix(), sec.RequireAny([]transport.Role{transport.RoleEntry, transport.RoleAgent}, control))
 	operator := rpc.NewOperatorServer(api)
 	mux.Handle(operator.PathPrefix(), sec.Require(transport.RoleOperator, operator))
-	raftServer := rpc.NewRaftServer(&raftAPI{driver: s.driver, log: s.opts.Log, id: s.driver.Status().ID})
+	raftServer := rpc.NewRaftServer(&raftAPI{driver: s.driver.Driver, log: s.opts.Log, id: s.driver.Status().ID})
 	mux.Handle(raftServer.PathPrefix(), sec.Require(transport.RoleControl, raftServer))
 	srv := transport.NewServer(transport.Recover(s.opts.Log, mux), sec.ServerConfig())
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/daemon/control/leases.go
+++ b/daemon/control/leases.go
@@ -7,7 +7,6 @@
 
 	"github.com/cicadapulley/cicadapulley/core/job"
 	"github.com/cicadapulley/cicadapulley/core/state"
-	"github.com/cicadapulley/cicadapulley/daemon/control/consensus"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 )
 
@@ -31,7 +30,7 @@
 // this VM leads. Renewals live in its memory only; a new leader gives every
 // member a fresh lease.
 type leases struct {
-	driver *consensus.Driver
+	driver *Replica
 	ttl    time.Duration
 	log    *events.Log
 
@@ -43,7 +42,7 @@
 	caughtUp chan struct{}
 }
 
-func newLeases(d *consensus.Driver, ttl time.Duration, log *events.Log) *leases {
+func newLeases(d *Replica, ttl time.Duration, log *events.Log) *leases {
 	return &leases{driver: d, ttl: ttl, log: log, members: map[string]tracked{}, caughtUp: make(chan struct{})}
 }
 
--- a/daemon/dev/leader.go
+++ b/daemon/dev/leader.go
@@ -2,12 +2,12 @@
 
 import (
 	"github.com/cicadapulley/cicadapulley/core/raft"
-	"github.com/cicadapulley/cicadapulley/daemon/control/consensus"
+	"github.com/cicadapulley/cicadapulley/daemon/control"
 )
 
 // leaderView is the leading control VM and the group as it sees it.
 type leaderView struct {
-	service *consensus.Driver
+	service *control.Replica
 	status  raft.Status
 }
 
--- a/daemon/storage/header.go
+++ b/daemon/storage/header.go
@@ -4,10 +4,8 @@
 	"bytes"
 	"crypto/rand"
 	"encoding/binary"
-	"encoding/hex"
 	"hash/crc32"
 
-	"github.com/cicadapulley/cicadapulley/core/raft"
 	"github.com/cockroachdb/errors"
 )
 
@@ -45,12 +43,8 @@
 	kindSnapshot
 )
 
-type identity [16]byte
-
-func (id identity) serverID() raft.ServerID { return raft.ServerID(hex.EncodeToString(id[:])) }
-
-func newIdentity() identity {
-	var id identity
+func newIdentity() Identity {
+	var id Identity
 	_, _ = rand.Read(id[:]) // crypto/rand never fails; it ends the program instead
 	return id
 }
@@ -70,7 +64,7 @@
 	// reset is set on a snapshot that replaces the log, and on the segment
 	// that follows it.
 	reset    bool
-	identity identity
+	identity Identity
 	// sequence numbers a segment. On a snapshot, it is the number of a segment
 	// that existed when the snapshot was written.
 	sequence uint64
--- a/daemon/storage/inspect.go
+++ b/daemon/storage/inspect.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return err
 	}
-	l.Identity = id.serverID()
+	l.Identity = id.ServerID()
 	state, err := load(d, id, f)
 	if err != nil {
 		return err
--- a/daemon/storage/load.go
+++ b/daemon/storage/load.go
@@ -17,7 +17,7 @@
 }
 
 // load reads snapshots and segments of a folder that has an identity.
-func load(d *disk, id identity, f folder) (*loaded, error) {
+func load(d *disk, id Identity, f folder) (*loaded, error) {
 	if len(f.segments) == 0 {
 		return nil, errors.Newf("folder %s holds no log segment", d.dir)
 	}
@@ -83,8 +83,8 @@
 }
 
 // recovered returns the state for the caller.
-func (l *loaded) recovered(id identity) Recovered {
-	r := Recovered{Identity: id.serverID(), HardState: l.log.hard, Cut: l.log.cut}
+func (l *loaded) recovered(id Identity) Recovered {
+	r := Recovered{Identity: id.ServerID(), HardState: l.log.hard, Cut: l.log.cut}
 	for i := range l.snapshots {
 		if err := l.snapshots[i].err; err != nil {
 			r.Damaged = append(r.Damaged, err)
--- a/daemon/storage/open.go
+++ b/daemon/storage/open.go
@@ -19,7 +19,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{disk: d, lock: lock, segmentBytes: o.SegmentBytes}
+	s := &Store{disk: d, lock: lock, segmentBytes: o.SegmentBytes, identity: o.Identity}
 	if err := s.open(); err != nil {
 		s.abandon()
 		return nil, errors.Wrapf(err, "open data folder %s", dir)
@@ -68,7 +68,10 @@
 	if err := s.disk.syncDir(filepath.Dir(s.disk.dir)); err != nil {
 		return folder{}, err
 	}
-	id := newIdentity()
+	id := s.identity
+	if id == (Identity{}) {
+		id = newIdentity()
+	}
 	h := header{kind: kindSegment, identity: id, sequence: 1, marker: newMarker()}
 	file, _, _, err := createSegment(s.disk, h, checkpoint{})
 	if err != nil {
@@ -106,7 +109,7 @@
 	return nil
 }
 
-func createIdentity(d *disk, id identity) error {
+func createIdentity(d *disk, id Identity) error {
 	h := header{kind: kindIdentity, identity: id, marker: newMarker()}
 	file, err := d.create(identityName, h.encode())
 	if err != nil {
@@ -115,17 +118,17 @@
 	return errors.Wrap(file.Close(), "close identity")
 }
 
-func readIdentity(d *disk) (identity, error) {
+func readIdentity(d *disk) (Identity, error) {
 	data, err := d.read(identityName)
 	if err != nil {
-		return identity{}, err
+		return Identity{}, err
 	}
 	h, err := decodeHeader(data, kindIdentity)
 	if err == nil && len(data) != headerBytes {
 		err = errors.Newf("%d bytes instead of %d", len(data), headerBytes)
 	}
 	if err != nil {
-		return identity{}, corrupt(d.path(identityName), 0, "%v", err)
+		return Identity{}, corrupt(d.path(identityName), 0, "%v", err)
 	}
 	return h.identity, nil
 }
--- a/daemon/storage/replay.go
+++ b/daemon/storage/replay.go
@@ -30,7 +30,7 @@
 }
 
 // replaySegments reads all segments and checks that they form one chain.
-func replaySegments(d *disk, id identity, sequences []uint64) (*replay, error) {
+func replaySegments(d *disk, id Identity, sequences []uint64) (*replay, error) {
 	r := &replay{}
 	for i, sequence := range sequences {
 		data, err := d.read(segmentName(sequence))
@@ -52,11 +52,11 @@
 }
 
 // connect checks that a segment belongs to the folder and follows the one before it.
-func (r *replay) connect(s *segmentReader, id identity, sequence uint64) error {
+func (r *replay) connect(s *segmentReader, id Identity, sequence uint64) error {
 	h := s.header
 	c := s.checkpoint
 	if h.identity != id {
-		return corrupt(s.file, 0, "segment of another data folder, %s", h.identity.serverID())
+		return corrupt(s.file, 0, "segment of another data folder, %s", h.identity.ServerID())
 	}
 	if h.sequence != sequence {
 		return corrupt(s.file, 0, "segment has number %d", h.sequence)
--- a/daemon/storage/snapshot.go
+++ b/daemon/storage/snapshot.go
@@ -33,7 +33,7 @@
 
 // readSnapshots reads all snapshot files in the given order. Its error is one
 // of I/O; damage is reported in each file's err.
-func readSnapshots(d *disk, id identity, indexes []uint64) ([]snapshotFile, error) {
+func readSnapshots(d *disk, id Identity, indexes []uint64) ([]snapshotFile, error) {
 	var files []snapshotFile
 	for _, index := range indexes {
 		name := snapshotName(index)
@@ -51,9 +51,9 @@
 	return files, nil
 }
 
-func (f *snapshotFile) check(file string, id identity) *CorruptError {
+func (f *snapshotFile) check(file string, id Identity) *CorruptError {
 	if f.header.identity != id {
-		return corrupt(file, 0, "snapshot of another data folder, %s", f.header.identity.serverID())
+		return corrupt(file, 0, "snapshot of another data folder, %s", f.header.identity.ServerID())
 	}
 	if f.snapshot.Index != f.index {
 		return corrupt(file, 0, "snapshot has index %d", f.snapshot.Index)
--- a/daemon/storage/storage.go
+++ b/daemon/storage/storage.go
@@ -11,6 +11,7 @@
 package storage
 
 import (
+	"encoding/hex"
 	"time"
 
 	"github.com/cicadapulley/cicadapulley/core/raft"
@@ -30,8 +31,18 @@
 	SyncDelay time.Duration
 	// FS is the file system; nil means the operating system's.
 	FS FS
+	// Identity names a new folder; the zero value draws one at random. A VM of a
+	// group's first start has one that the others can derive from its address.
+	Identity Identity
 }
 
+// Identity is the name of a data folder. A folder that was lost must come back
+// under another one.
+type Identity [16]byte
+
+// ServerID returns the identity as the group writes it.
+func (id Identity) ServerID() raft.ServerID { return raft.ServerID(hex.EncodeToString(id[:])) }
+
 // Recovered is what Open found in the data folder.
 type Recovered struct {
 	// Identity is the random identity of the folder.
--- a/daemon/storage/store.go
+++ b/daemon/storage/store.go
@@ -17,7 +17,7 @@
 type Store struct {
 	disk         *disk
 	lock         io.Closer
-	identity     identity
+	identity     Identity
 	segmentBytes int64
 
 	// snapshotting serialises SaveSnapshot and Backup, and keeps Close from
