core: jobs of steps, their ledger, leases and placement

Cause: the users' platform runs tasks under leases on endpoints with capacity; the product knew slots only, and its jobs had one step. Change: core/work (types), core/ledger (replicated state), core/lease (deadlines on the endpoint's clock), core/placement (queue, room, health, admission). Conclusion: decisions take typed values and times and know no messages.

--- /dev/null
+++ b/core/placement/admit.go
@@ -0,0 +1,69 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/core/work"
+)
+
+const (
+	// admitWithin is the multiple of the objective within which a job must be
+	// expected to complete. Later results are worth a fifth, and their work
+	// would make other jobs late too.
+	admitWithin = 1.6
+	// overhead is the time for acceptance, messages and the record of the ends.
+	overhead = 40 * time.Millisecond
+	// Bounds of the time after which a refused caller may come back.
+	retryLeast = time.Second
+	retryMost  = 10 * time.Second
+)
+
+// Admission tells whether a job is accepted.
+type Admission struct {
+	Accepted bool
+	// RetryAfter is when a refused caller may come back.
+	RetryAfter time.Duration
+	// Expected is the estimated time to completion.
+	Expected time.Duration
+}
+
+// Admit estimates when a job would complete behind the work that comes before
+// it, and refuses one that would come too late.
+func (b *Board) Admit(now time.Time, j *work.Job) Admission {
+	if b.holding(now) {
+		return Admission{Accepted: true}
+	}
+	wait := b.waitFor(now, j)
+	expected := wait + j.Chain() + overhead
+	limit := time.Duration(admitWithin * float64(j.Objective()))
+	if expected <= limit {
+		return Admission{Accepted: true, Expected: expected}
+	}
+	return Admission{Expected: expected, RetryAfter: min(max(expected-limit, retryLeast), retryMost)}
+}
+
+// waitFor estimates the time until all queued work of the same or a higher
+// priority has been placed.
+func (b *Board) waitFor(now time.Time, j *work.Job) time.Duration {
+	var queued float64 // core-seconds at nominal speed
+	for _, g := range b.queue.groups {
+		if g.late || g.job.spec.Priority > j.Priority || g.job.spec.Pool != j.Pool {
+			continue
+		}
+		step := g.job.spec.Steps[g.step]
+		queued += float64(len(g.tasks)) * float64(step.Need.CPU) / 1000 * step.Estimate.Seconds()
+	}
+	if queued == 0 {
+		return 0
+	}
+	var rate float64 // core-seconds of nominal work a second
+	for _, e := range b.order {
+		if e.Pool == j.Pool && !e.Draining && e.goneAt.IsZero() && e.health.available(now) {
+			rate += float64(e.Capacity.CPU) / 1000 / e.speed.ratio
+		}
+	}
+	if rate == 0 {
+		return retryMost
+	}
+	return time.Duration(queued / rate * float64(time.Second))
+}
--- /dev/null
+++ b/core/placement/assign.go
@@ -0,0 +1,138 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/core/work"
+)
+
+const (
+	// refusedPause holds starts back from an endpoint that denied having room
+	// although the leader's account shows some.
+	refusedPause = 100 * time.Millisecond
+	// maxMisfits bounds how many groups in a row are tried in vain. Later groups
+	// need about the same room, so looking at all of a long queue is wasted.
+	maxMisfits = 16
+	// penaltyRetry is the factor by which an endpoint looks slower for a task
+	// that has already failed there.
+	penaltyRetry = 8
+)
+
+// Assign places waiting tasks in order while there is room, and adds the
+// orders.
+func (b *Board) Assign(now time.Time) {
+	misfits := 0
+	for i := 0; i < len(b.queue.groups) && misfits < maxMisfits; {
+		g := b.queue.groups[i]
+		b.placeGroup(now, g)
+		if len(g.tasks) == 0 {
+			g.job.groups[g.step] = nil
+			b.queue.groups = slices.Delete(b.queue.groups, i, i+1)
+			continue
+		}
+		misfits++
+		i++
+	}
+}
+
+// placeGroup places the group's tasks until one finds no room.
+func (b *Board) placeGroup(now time.Time, g *group) {
+	placedCount := 0
+	for _, index := range g.tasks {
+		e := b.choose(now, g.job, g.step, index)
+		if e == nil {
+			break
+		}
+		b.start(now, g.job, work.TaskID{Job: g.job.spec.ID, Step: g.step, Index: index}, e)
+		placedCount++
+	}
+	g.tasks = slices.Delete(g.tasks, 0, placedCount)
+}
+
+// choose returns the endpoint that would finish the task first, nil if none
+// has room.
+func (b *Board) choose(now time.Time, j *job, step, index int) *endpoint {
+	s := j.spec.Steps[step]
+	t := &j.tasks[step][index]
+	var best *endpoint
+	var bestTime time.Duration
+	for _, e := range b.order {
+		if !e.accepts(now, j, step) {
+			continue
+		}
+		time := e.expect(s)
+		if slices.Contains(t.failedOn, e.VM) {
+			time *= penaltyRetry
+		}
+		time = e.health.weigh(now, time)
+		if best == nil || time < bestTime || (time == bestTime && e.free.CPU > best.free.CPU) {
+			best, bestTime = e, time
+		}
+	}
+	return best
+}
+
+// accepts tells whether the endpoint may run a task of the step now.
+func (e *endpoint) accepts(now time.Time, j *job, step int) bool {
+	s := &j.spec.Steps[step]
+	if e.Draining || e.unreachable || !e.goneAt.IsZero() || e.Pool != j.spec.Pool || !s.Need.Fits(e.free) {
+		return false
+	}
+	if len(e.unknown) > 0 || now.Before(e.fullUntil) || !e.health.available(now) {
+		return false
+	}
+	if s.RequiredLabel != "" && !slices.Contains(e.Labels, s.RequiredLabel) {
+		return false
+	}
+	return s.MaxPerEndpoint == 0 || e.countStep(j, step) < s.MaxPerEndpoint
+}
+
+func (e *endpoint) countStep(j *job, step int) int {
+	count := 0
+	for _, r := range e.runs {
+		if r.job == j && r.Task.Step == step {
+			count++
+		}
+	}
+	return count
+}
+
+func (b *Board) start(now time.Time, j *job, id work.TaskID, e *endpoint) {
+	t := j.task(id)
+	t.phase = placed
+	t.lastRun = max(t.lastRun, b.runBase) + 1
+	step := j.spec.Steps[id.Step]
+	r := &run{
+		Run:      work.Run{Task: id, Run: t.lastRun},
+		job:      j,
+		need:     step.Need,
+		at:       e,
+		since:    now,
+		expected: e.expect(step),
+	}
+	e.add(r)
+	e.health.started(now)
+	b.begin(j)
+	b.Stats.Starts++
+	b.orders = append(b.orders, Order{Session: e.Session, Run: r.Run, Spec: j.spec.Spec, Checkpoint: t.checkpoint})
+}
+
+// Tick does what is due: runs of lost endpoints end, held jobs are released,
+// worthless work goes behind the rest, and runs that stand still are moved.
+func (b *Board) Tick(now time.Time) {
+	for _, e := range slices.Clone(b.order) {
+		if !e.goneAt.IsZero() && !now.Before(e.goneAt) {
+			b.drop(now, e)
+		}
+	}
+	if len(b.held) > 0 && !b.holding(now) {
+		for _, j := range b.held {
+			b.release(j)
+		}
+		b.held = nil
+	}
+	b.dropStrangers(now)
+	b.queue.demote(now)
+	b.moveStalled(now)
+}
--- /dev/null
+++ b/core/placement/besteffort.go
@@ -0,0 +1,122 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/core/work"
+)
+
+const (
+	// strangerPatience is how long a run of no known job goes on. Entries submit
+	// open jobs again as soon as they have found a new leader.
+	strangerPatience = 400 * time.Millisecond
+	// lateEndLife is how long ends of unknown jobs are kept. A caller without an
+	// answer submits its job again after about 1.3 s.
+	lateEndLife = 3 * time.Second
+	// maxLateEnds bounds the jobs with kept ends.
+	maxLateEnds = 4096
+)
+
+// lateEnds are the ends of an unknown job.
+type lateEnds struct {
+	at   time.Time
+	ends []work.End
+}
+
+// claim gives a job the runs and ends that endpoints listed before it was known.
+func (b *Board) claim(now time.Time, j *job) {
+	if late := b.lateEnds[j.spec.ID]; late != nil {
+		delete(b.lateEnds, j.spec.ID)
+		for _, end := range late.ends {
+			b.endedUnseen(now, end)
+		}
+	}
+	if b.jobs[j.spec.ID] != j {
+		return // the ends settled it
+	}
+	for _, e := range b.order {
+		for r, s := range e.unknown {
+			if r.Task.Job == j.spec.ID && !s.stopping {
+				delete(e.unknown, r)
+				b.adopt(now, e, nil, s.listed)
+			}
+		}
+	}
+}
+
+// keepLate keeps the end of an unknown job.
+func (b *Board) keepLate(now time.Time, end work.End) {
+	late := b.lateEnds[end.Task.Job]
+	if late == nil {
+		if len(b.lateEnds) >= maxLateEnds {
+			return
+		}
+		late = &lateEnds{at: now}
+		b.lateEnds[end.Task.Job] = late
+	}
+	late.ends = append(late.ends, end)
+}
+
+// dropStrangers stops runs that no job has claimed, and forgets old ends.
+func (b *Board) dropStrangers(now time.Time) {
+	for _, e := range b.order {
+		for r, s := range e.unknown {
+			if !s.stopping && now.Sub(s.since) > strangerPatience {
+				s.stopping = true
+				b.orders = append(b.orders, Order{Session: e.Session, Run: r, Stop: true})
+			}
+		}
+	}
+	for id, late := range b.lateEnds {
+		if now.Sub(late.at) > lateEndLife {
+			delete(b.lateEnds, id)
+		}
+	}
+}
+
+// settle ends a best-effort job.
+func (b *Board) settle(j *job, state work.State) {
+	b.settled = append(b.settled, Settled{ID: j.spec.ID, State: state})
+	b.Close(j.spec.ID)
+}
+
+// settleIfOver ends a best-effort job whose last task is done, or a task of
+// which has used up its attempts.
+func (b *Board) settleIfOver(j *job, t *task, id work.TaskID) {
+	if !j.spec.BestEffort || b.jobs[j.spec.ID] != j {
+		return
+	}
+	if t.phase == ended && !t.recorded {
+		b.recorded(j, t, id.Step)
+	}
+	if t.failures >= j.spec.MaxAttempts {
+		b.settle(j, work.JobFailed)
+		return
+	}
+	for _, undone := range j.undone {
+		if undone > 0 {
+			return
+		}
+	}
+	b.settle(j, work.Completed)
+}
+
+// TakeSettled returns the best-effort jobs that have ended since the last call.
+func (b *Board) TakeSettled() []Settled {
+	settled := b.settled
+	b.settled = nil
+	return settled
+}
+
+// Abandon notes that nobody waits for a best-effort job any more: what hasn't
+// started never does, and what runs gives way to other work.
+func (b *Board) Abandon(id work.JobID) {
+	j := b.jobs[id]
+	if j == nil || !j.spec.BestEffort {
+		return
+	}
+	b.Close(id)
+}
+
+// Knows tells whether the job is on the board.
+func (b *Board) Knows(id work.JobID) bool { return b.jobs[id] != nil }
--- /dev/null
+++ b/core/placement/speed.go
@@ -0,0 +1,78 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/core/work"
+)
+
+const (
+	// learnRate is the weight of one run in an endpoint's speed, and kindRate in
+	// that of its kind. Estimates are off by 40%, so single runs tell little.
+	learnRate = 0.1
+	kindRate  = 0.02
+	// Bounds of one observed ratio, against estimates that are far off.
+	slowestRatio = 20.0
+	fastestRatio = 0.1
+	// defaultEstimate stands in for a missing estimate.
+	defaultEstimate = 100 * time.Millisecond
+)
+
+// speed is the learned run time of an endpoint over the estimates.
+type speed struct {
+	// ratio is the run time over the estimate.
+	ratio float64
+	kind  *float64
+}
+
+// speeds keeps what was learned of each VM and each kind of endpoint.
+type speeds struct {
+	vms   map[string]*speed
+	kinds map[string]*float64
+}
+
+func newSpeeds() speeds {
+	return speeds{vms: map[string]*speed{}, kinds: map[string]*float64{}}
+}
+
+// of returns the speed of an endpoint; a new one starts as others of its kind.
+func (s speeds) of(e Endpoint) *speed {
+	name := e.VM + "/" + e.Instance
+	if known := s.vms[name]; known != nil {
+		return known
+	}
+	kind := ""
+	if len(e.Labels) > 0 {
+		kind = e.Labels[0]
+	}
+	if s.kinds[kind] == nil {
+		one := 1.0
+		s.kinds[kind] = &one
+	}
+	v := &speed{ratio: *s.kinds[kind], kind: s.kinds[kind]}
+	s.vms[name] = v
+	return v
+}
+
+func (s *speed) observe(estimate, took time.Duration) {
+	if estimate <= 0 || took <= 0 {
+		return
+	}
+	ratio := min(max(float64(took)/float64(estimate), fastestRatio), slowestRatio)
+	s.ratio += learnRate * (ratio - s.ratio)
+	*s.kind += kindRate * (ratio - *s.kind)
+}
+
+// expect returns the expected run time of a task of the step.
+func (e *endpoint) expect(s work.Step) time.Duration {
+	estimate := s.Estimate
+	if estimate <= 0 {
+		estimate = defaultEstimate
+	}
+	expected := time.Duration(float64(estimate) * e.speed.ratio)
+	if s.PreferredRack != "" && !slices.Contains(e.Labels, s.PreferredRack) {
+		expected += expected / 2
+	}
+	return expected
+}
--- /dev/null
+++ b/core/placement/types.go
@@ -0,0 +1,175 @@
+// Package placement decides on the leader which endpoint runs which task, and
+// when. It keeps the exact room of every endpoint, the runs that may exist, and
+// the queue of tasks whose turn has come. It takes typed values and times and
+// returns orders; it reads no clock and sends nothing. The caller serialises
+// all methods.
+package placement
+
+import (
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/core/work"
+)
+
+// SessionID names one session of an agent with the leader. It is also the
+// fencing token that the agent's endpoint sees, so it rises with each session.
+type SessionID uint64
+
+// Endpoint is what an agent says of its endpoint when a session begins.
+type Endpoint struct {
+	Session SessionID
+	// VM names the agent's machine, and Instance the life of its endpoint.
+	VM       string
+	Instance string
+	Pool     string
+	// Labels are the endpoint's kind, its rack, and what else jobs may require.
+	Labels   []string
+	Capacity work.Resources
+	// Draining endpoints get no new runs.
+	Draining bool
+}
+
+// Order is what an agent must do.
+type Order struct {
+	Session SessionID
+	Run     work.Run
+	// Stop ends the run; otherwise it starts.
+	Stop bool
+	// Spec and Checkpoint go with a start.
+	Spec       string
+	Checkpoint string
+}
+
+// Refusal is the reason for which a start didn't happen.
+type Refusal uint8
+
+// Reasons of refused starts.
+const (
+	// RefusedRoom means that the endpoint has no room for the task.
+	RefusedRoom Refusal = iota + 1
+	// RefusedUnhealthy means that the endpoint turned work away.
+	RefusedUnhealthy
+	// RefusedStale means that the endpoint knows this or a later run.
+	RefusedStale
+	// RefusedLease means that the agent's lease or session is over.
+	RefusedLease
+	// RefusedDraining means that the endpoint leaves.
+	RefusedDraining
+	// RefusedUnanswered means that the endpoint gave no answer, and that the run
+	// has since been stopped, so that it can't begin any more.
+	RefusedUnanswered
+	// RefusedInvalid means that the endpoint can't read the order.
+	RefusedInvalid
+)
+
+var refusalNames = [...]string{"", "room", "unhealthy", "stale", "lease", "draining", "unanswered", "invalid"}
+
+// String returns the reason's name.
+func (r Refusal) String() string {
+	if int(r) < len(refusalNames) {
+		return refusalNames[r]
+	}
+	return "unknown"
+}
+
+// ListedRun is a run that an endpoint lists as running.
+type ListedRun struct {
+	work.Run
+	// Percent is the progress, 0 to 100.
+	Percent int
+	// Checkpoint resumes the task.
+	Checkpoint string
+}
+
+// phase is how far a task has come.
+type phase uint8
+
+const (
+	// blocked tasks wait for an earlier step.
+	blocked phase = iota
+	// waiting tasks are in the queue.
+	waiting
+	// placed tasks have a run that may exist.
+	placed
+	// ended tasks have a reported end Done.
+	ended
+)
+
+// task is the leader's view of one task.
+type task struct {
+	phase phase
+	// recorded is set once the end Done is durable.
+	recorded bool
+	// moves counts how often the task was stopped to restart elsewhere.
+	moves int
+	// lastRun is the highest run number known.
+	lastRun uint64
+	// failures counts reported runs that failed, recorded or not.
+	failures int
+	// failedOn lists the VMs of failed runs; others are preferred.
+	failedOn   []string
+	checkpoint string
+}
+
+// job is the leader's view of an open job.
+type job struct {
+	spec    *work.Job
+	arrived time.Time
+	// abandoned is set once nobody waits for a best-effort job any more.
+	abandoned bool
+	// due is when the objective is reached; expired is when a result is worth
+	// nothing any more.
+	due     time.Time
+	expired time.Time
+	begun   bool
+	tasks   [][]task
+	// undone counts the tasks of each step whose end isn't recorded as Done.
+	undone []int
+	// groups holds the queued group of each step, nil if none waits.
+	groups []*group
+}
+
+// run is a run that may exist.
+type run struct {
+	work.Run
+	job  *job
+	need work.Resources
+	at   *endpoint
+	// since is when it was ordered or found.
+	since time.Time
+	// expected is how long it should take.
+	expected time.Duration
+	stopping bool
+	percent  int
+}
+
+// stranger is a listed run of no known job.
+type stranger struct {
+	listed   ListedRun
+	since    time.Time
+	stopping bool
+}
+
+// Settled is a best-effort job that has ended.
+type Settled struct {
+	ID    work.JobID
+	State work.State
+}
+
+// endpoint is the leader's view of an endpoint.
+type endpoint struct {
+	Endpoint
+	free work.Resources
+	runs map[work.Run]*run
+	// unknown are runs of no known job. They are stopped unless the job is
+	// submitted again first.
+	unknown map[work.Run]*stranger
+	// goneAt is when nothing can run there any more; zero while in contact.
+	goneAt time.Time
+	// unreachable is set while the endpoint doesn't answer its agent.
+	unreachable bool
+	speed       *speed
+	health      health
+	// fullUntil holds starts back after the endpoint denied having room.
+	fullUntil time.Time
+}
--- /dev/null
+++ b/core/work/queues.go
@@ -0,0 +1,84 @@
+package work
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Queue is a place where callers hand jobs in.
+type Queue struct {
+	Name string
+	// Host and Prefix select the queue; the longest prefix wins.
+	Host   string
+	Prefix string
+	// Pool names the endpoints that run the queue's jobs.
+	Pool        string
+	Priority    int
+	MaxAttempts int
+	// Timeout bounds a caller's request.
+	Timeout time.Duration
+	Stretch float64
+	Target  time.Duration
+}
+
+// Configuration is one version of what operators set.
+type Configuration struct {
+	Version uint64
+	Queues  []Queue
+	Pools   []string
+	// Document is the text that the operator sent, for reading it back.
+	Document []byte
+}
+
+// Validate reports what makes a configuration unusable.
+func (c *Configuration) Validate() error {
+	pools := map[string]bool{}
+	for _, p := range c.Pools {
+		pools[p] = true
+	}
+	places := map[string]string{}
+	for _, q := range c.Queues {
+		place := q.Host + " " + q.Prefix
+		switch other, taken := places[place]; {
+		case !pools[q.Pool]:
+			return fmt.Errorf("queue %q: unknown pool %q", q.Name, q.Pool)
+		case q.Timeout <= 0:
+			return fmt.Errorf("queue %q: timeout must be positive", q.Name)
+		case taken:
+			return fmt.Errorf("queue %q: host and prefix belong to queue %q", q.Name, other)
+		}
+		places[place] = q.Name
+	}
+	return nil
+}
+
+// Routes finds queues by host and path.
+type Routes struct {
+	byHost map[string][]*Queue
+}
+
+// NewRoutes indexes the queues of a configuration.
+func NewRoutes(c *Configuration) *Routes {
+	r := &Routes{byHost: map[string][]*Queue{}}
+	for i := range c.Queues {
+		q := &c.Queues[i]
+		r.byHost[q.Host] = append(r.byHost[q.Host], q)
+	}
+	return r
+}
+
+// Match returns the queue with the longest prefix of path and the rest of the
+// path, or nil.
+func (r *Routes) Match(host, path string) (*Queue, string) {
+	var best *Queue
+	for _, q := range r.byHost[host] {
+		if strings.HasPrefix(path, q.Prefix) && (best == nil || len(q.Prefix) > len(best.Prefix)) {
+			best = q
+		}
+	}
+	if best == nil {
+		return nil, ""
+	}
+	return best, path[len(best.Prefix):]
+}
