daemon: coordinator, gateway and runner for jobs of steps

Change: api/mesh (messages in CBOR), daemon/link (one connection), finder (the leader from seeds), coordinator (control VMs), gateway (entries), runner (agents), boottime (a clock that counts suspension), and their events. Conclusion: one goroutine reads each connection and one writes it; each child is named in its package comment.

--- /dev/null
+++ b/api/mesh/mesh.go
@@ -0,0 +1,336 @@
+// Package mesh has the messages between entries, agents and control VMs on the
+// path of jobs with steps, and their encoding. Messages are CBOR maps with the
+// names of their fields, so that a process passes over fields it doesn't know.
+package mesh
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/cicadapulley/cicadapulley/core/ledger"
+	"github.com/cicadapulley/cicadapulley/core/placement"
+	"github.com/cicadapulley/cicadapulley/core/raft"
+	"github.com/cicadapulley/cicadapulley/core/work"
+)
+
+// MaxMessageBytes bounds one message. Snapshots are the largest: the target's
+// open jobs and 120 s of final ones take about 40 MB.
+const MaxMessageBytes = 64 << 20
+
+// Role tells what the process at the other end of a connection does.
+type Role uint8
+
+// Roles of processes.
+const (
+	RoleEntry Role = iota + 1
+	RoleAgent
+	RoleControl
+)
+
+// Hello is the first message of whoever opens a connection.
+type Hello struct {
+	Role Role
+	// VM names the sender's machine.
+	VM string
+	// Agent is set by agents.
+	Agent *placement.Endpoint
+	// Server is set by control VMs: the identity and address of the sender.
+	Server *raft.Server
+}
+
+// Welcome answers Hello.
+type Welcome struct {
+	// Leading is set if the receiver of Hello leads; otherwise the connection ends.
+	Leading bool
+	// Leader is the address of the leader, empty if unknown.
+	Leader string
+	// Members are the addresses of all control VMs.
+	Members []string
+	// Session is the fencing token of an agent's session.
+	Session placement.SessionID
+}
+
+// Ping keeps a connection and an agent's lease alive.
+type Ping struct {
+	Sequence uint64
+	// Running is the progress of an agent's runs.
+	Running []placement.ListedRun
+}
+
+// Pong answers Ping, and only while the sender leads.
+type Pong struct {
+	Sequence uint64
+}
+
+// Operation is what a caller asks for.
+type Operation uint8
+
+// Operations of callers.
+const (
+	Submit Operation = iota + 1
+	Inspect
+	Cancel
+)
+
+// Request is one caller's request, passed on by an entry.
+type Request struct {
+	Sequence  uint64
+	Operation Operation
+	Host      string
+	Path      string
+	// Job is set for Submit; the policy of the queue is filled in by the leader.
+	Job *work.Job
+}
+
+// Abandon tells that nobody waits for the answer to a request any more.
+type Abandon struct {
+	Sequence uint64
+}
+
+// Outcome is the answer's kind.
+type Outcome uint8
+
+// Outcomes of requests.
+const (
+	// Accepted: the job is stored. Also for a cancelled job.
+	Accepted Outcome = iota + 1
+	// Found: State or Pending is set.
+	Found
+	// NoQueue: no queue has the place.
+	NoQueue
+	// NoJob: the job is unknown.
+	NoJob
+	// NotReady: there is no configuration yet; the job was not accepted.
+	NotReady
+	// Overloaded: the job was not accepted; RetryAfterMS is set.
+	Overloaded
+	// Uncertain: the job may or may not have been accepted.
+	Uncertain
+	// Invalid: the job can't be read.
+	Invalid
+)
+
+// Response answers a Request.
+type Response struct {
+	Sequence uint64
+	Outcome  Outcome
+	State    work.State
+	// Pending counts the queue's jobs that haven't begun; Counted tells that it
+	// was asked for.
+	Pending      int
+	Counted      bool
+	RetryAfterMS int
+	Detail       string
+}
+
+// NumberedEnd is an end with its number in the endpoint's list.
+type NumberedEnd struct {
+	Number uint64
+	End    work.End
+	// Durable is set by the leader for ends that must be recorded.
+	Durable bool `cbor:"-"`
+}
+
+// Inventory is all that an endpoint lists at the start of a session.
+type Inventory struct {
+	Running []placement.ListedRun
+	Ends    []NumberedEnd
+}
+
+// Orders are starts and stops for an agent.
+type Orders struct {
+	Orders []placement.Order
+}
+
+// RefusedStart is a start that didn't happen.
+type RefusedStart struct {
+	Run work.Run
+	Why placement.Refusal
+}
+
+// Report is news of an agent's endpoint.
+type Report struct {
+	Ends    []NumberedEnd
+	Refused []RefusedStart
+	// Vanished lists runs that the endpoint neither runs nor lists as ended.
+	Vanished []work.Run
+	// Draining is set once the endpoint or its agent takes no more work.
+	Draining bool
+	// Reach tells a change of the endpoint's reachability by its agent.
+	Reach Reach
+}
+
+// Reach is a change of an endpoint's reachability.
+type Reach uint8
+
+// Changes of reachability.
+const (
+	// Unchanged says nothing.
+	Unchanged Reach = iota
+	// Unreachable endpoints get no new runs.
+	Unreachable
+	// Reachable endpoints answer again.
+	Reachable
+	// Lapsed endpoints were unreachable for so long that nothing runs there.
+	Lapsed
+)
+
+// Acknowledge lets an agent's endpoint forget its ends up to a number.
+type Acknowledge struct {
+	UpTo uint64
+}
+
+// Agreement carries messages of the replicated log.
+type Agreement struct {
+	Messages []raft.Message
+}
+
+// Join asks the leader to take the sender into the group.
+type Join struct {
+	Server raft.Server
+}
+
+// Message is one of the messages of this package.
+type Message any
+
+const (
+	kindHello = iota + 1
+	kindWelcome
+	kindPing
+	kindPong
+	kindRequest
+	kindResponse
+	kindInventory
+	kindOrders
+	kindReport
+	kindAcknowledge
+	kindAgreement
+	kindJoin
+	kindAbandon
+)
+
+func kindOf(m Message) byte {
+	switch m.(type) {
+	case *Hello:
+		return kindHello
+	case *Welcome:
+		return kindWelcome
+	case *Ping:
+		return kindPing
+	case *Pong:
+		return kindPong
+	case *Request:
+		return kindRequest
+	case *Response:
+		return kindResponse
+	case *Inventory:
+		return kindInventory
+	case *Orders:
+		return kindOrders
+	case *Report:
+		return kindReport
+	case *Acknowledge:
+		return kindAcknowledge
+	case *Agreement:
+		return kindAgreement
+	case *Join:
+		return kindJoin
+	case *Abandon:
+		return kindAbandon
+	}
+	return 0
+}
+
+func empty(kind byte) Message {
+	switch kind {
+	case kindHello:
+		return &Hello{}
+	case kindWelcome:
+		return &Welcome{}
+	case kindPing:
+		return &Ping{}
+	case kindPong:
+		return &Pong{}
+	case kindRequest:
+		return &Request{}
+	case kindResponse:
+		return &Response{}
+	case kindInventory:
+		return &Inventory{}
+	case kindOrders:
+		return &Orders{}
+	case kindReport:
+		return &Report{}
+	case kindAcknowledge:
+		return &Acknowledge{}
+	case kindAgreement:
+		return &Agreement{}
+	case kindJoin:
+		return &Join{}
+	case kindAbandon:
+		return &Abandon{}
+	}
+	return nil
+}
+
+// headerBytes are the length of the body, 4 bytes big-endian, and the kind.
+const headerBytes = 5
+
+// Encode returns a message with its header.
+func Encode(m Message) ([]byte, error) {
+	body, err := cbor.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("encode %T: %w", m, err)
+	}
+	if len(body) > MaxMessageBytes {
+		return nil, fmt.Errorf("encode %T: %d bytes, must be at most %d", m, len(body), MaxMessageBytes)
+	}
+	data := make([]byte, headerBytes, headerBytes+len(body))
+	binary.BigEndian.PutUint32(data, uint32(len(body)))
+	data[4] = kindOf(m)
+	return append(data, body...), nil
+}
+
+// Read reads one message.
+func Read(r io.Reader) (Message, error) {
+	var header [headerBytes]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return nil, err
+	}
+	size := binary.BigEndian.Uint32(header[:])
+	m := empty(header[4])
+	if m == nil || size > MaxMessageBytes {
+		return nil, fmt.Errorf("message of kind %d with %d bytes is not valid", header[4], size)
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return nil, err
+	}
+	if err := cbor.Unmarshal(body, m); err != nil {
+		return nil, fmt.Errorf("decode %T: %w", m, err)
+	}
+	return m, nil
+}
+
+// EncodeCommand returns a command for the log.
+func EncodeCommand(c ledger.Command) ([]byte, error) { return cbor.Marshal(c) }
+
+// DecodeCommand reads a command of the log.
+func DecodeCommand(data []byte) (ledger.Command, error) {
+	var c ledger.Command
+	err := cbor.Unmarshal(data, &c)
+	return c, err
+}
+
+// EncodeSnapshot returns the content of a snapshot.
+func EncodeSnapshot(s ledger.Snapshot) ([]byte, error) { return cbor.Marshal(s) }
+
+// DecodeSnapshot reads the content of a snapshot.
+func DecodeSnapshot(data []byte) (ledger.Snapshot, error) {
+	var s ledger.Snapshot
+	err := cbor.Unmarshal(data, &s)
+	return s, err
+}
--- a/daemon/control/consensus/driver.go
+++ b/daemon/control/consensus/driver.go
@@ -73,6 +73,8 @@
 	Transport       Transport
 	Log             *events.Log
 	Seed            uint64
+	// Now is the clock of leases and elections; nil is the monotonic clock.
+	Now func() time.Time
 }
 
 // Transport sends messages to another control VM.
@@ -116,6 +118,9 @@
 
 // New returns a driver on recovered state.
 func New(o Options) (*Driver, error) {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
 	d := &Driver{
 		opts:      o,
 		proposals: make(chan *proposal, maxBatch),
@@ -136,10 +141,10 @@
 	}
 	node, err := raft.New(raft.Config{
 		ID:                   o.Recovered.Identity,
-		Now:                  time.Now(),
+		Now:                  o.Now(),
 		ElectionTimeout:      o.ElectionTimeout,
 		HeartbeatInterval:    o.ElectionTimeout / heartbeatsPerTimeout,
-		Rand:                 rand.New(rand.NewPCG(o.Seed, uint64(time.Now().UnixNano()))),
+		Rand:                 rand.New(rand.NewPCG(o.Seed, uint64(o.Now().UnixNano()))),
 		MaxEntriesPerMessage: maxEntriesPerMessage,
 		MaxBytesPerMessage:   maxBytesPerMessage,
 		MaxInflight:          maxInflight,
@@ -217,7 +222,7 @@
 func (d *Driver) locked(fn func(now time.Time)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	fn(time.Now())
+	fn(d.opts.Now())
 }
 
 // receive steps a message and those that wait behind it.
@@ -240,7 +245,7 @@
 	if deadline.IsZero() {
 		return
 	}
-	timer.Reset(time.Until(deadline))
+	timer.Reset(deadline.Sub(d.opts.Now()))
 }
 
 // act does what the core asks for until nothing is left but a save in progress.
--- a/daemon/control/consensus/read.go
+++ b/daemon/control/consensus/read.go
@@ -1,8 +1,6 @@
 package consensus
 
 import (
-	"time"
-
 	"github.com/cicadapulley/cicadapulley/core/raft"
 )
 
@@ -12,7 +10,7 @@
 func (d *Driver) Read(fn func()) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.node.LeaseValid(time.Now()) || d.machine.Applied() < d.node.ReadIndex() {
+	if !d.node.LeaseValid(d.opts.Now()) || d.machine.Applied() < d.node.ReadIndex() {
 		return d.notLeader()
 	}
 	fn()
@@ -76,7 +74,7 @@
 func (d *Driver) ChangeGroup(c raft.GroupChange) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	_, err := d.node.ProposeGroup(time.Now(), c)
+	_, err := d.node.ProposeGroup(d.opts.Now(), c)
 	d.wake()
 	return err
 }
@@ -96,7 +94,7 @@
 	if best.Server.ID == "" {
 		return false
 	}
-	err := d.node.TransferLeadership(time.Now(), best.Server.ID)
+	err := d.node.TransferLeadership(d.opts.Now(), best.Server.ID)
 	d.wake()
 	return err == nil
 }
--- /dev/null
+++ b/daemon/coordinator/machine.go
@@ -0,0 +1,52 @@
+package coordinator
+
+import (
+	"context"
+
+	"github.com/cicadapulley/cicadapulley/api/mesh"
+	"github.com/cicadapulley/cicadapulley/core/ledger"
+)
+
+// Apply implements consensus.Machine.
+func (m *machine) Apply(index uint64, data []byte) (any, error) {
+	var command ledger.Command
+	if len(data) > 0 {
+		var err error
+		if command, err = mesh.DecodeCommand(data); err != nil {
+			return nil, err
+		}
+	}
+	return m.Machine.Apply(index, command), nil
+}
+
+// Revision implements consensus.Machine. Nothing waits for changes of the ledger.
+func (m *machine) Revision() uint64 { return 0 }
+
+// Restore implements consensus.Machine.
+func (m *machine) Restore(data []byte) error {
+	content, err := mesh.DecodeSnapshot(data)
+	if err != nil {
+		return err
+	}
+	m.Machine.Restore(content)
+	return nil
+}
+
+// Freeze implements consensus.Machine.
+func (m *machine) Freeze() func() ([]byte, error) {
+	content := m.Snapshot()
+	return func() ([]byte, error) { return mesh.EncodeSnapshot(content) }
+}
+
+// propose replicates a command. Errors are those of consensus.Driver.Propose.
+func (s *Service) propose(ctx context.Context, c ledger.Command) (ledger.Result, error) {
+	data, err := mesh.EncodeCommand(c)
+	if err != nil {
+		return ledger.Result{}, err
+	}
+	result, err := s.driver.Propose(ctx, data)
+	if err != nil {
+		return ledger.Result{}, err
+	}
+	return result.(ledger.Result), nil
+}
--- /dev/null
+++ b/daemon/coordinator/operator.go
@@ -0,0 +1,60 @@
+package coordinator
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cicadapulley/cicadapulley/core/ledger"
+	"github.com/cicadapulley/cicadapulley/core/raft"
+	"github.com/cicadapulley/cicadapulley/core/work"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
+)
+
+// ErrNotLeading is returned by a control VM that can't be sure of the newest
+// state.
+var ErrNotLeading = errors.New("this control VM does not lead")
+
+// configureTimeout bounds the record of a configuration.
+const configureTimeout = 900 * time.Millisecond
+
+// Configure brings a valid configuration into force, unless its version isn't
+// higher than the present one. It returns once the configuration, or a higher
+// one, is durable. The error is ErrNotLeading, or another one if the outcome is
+// not known.
+func (s *Service) Configure(ctx context.Context, c *work.Configuration) error {
+	if !s.driver.Leading() {
+		return ErrNotLeading
+	}
+	bounded, cancel := context.WithTimeout(ctx, configureTimeout)
+	defer cancel()
+	result, err := s.propose(bounded, ledger.Command{Configure: c})
+	var notLeader *raft.NotLeaderError
+	switch {
+	case errors.As(err, &notLeader):
+		return ErrNotLeading
+	case err != nil:
+		return errors.Wrap(err, "record configuration")
+	}
+	s.opts.Log.Emit(events.Event{ID: events.ConfigurationTaken, Ticket: c.Version, Text: "in force " + strconv.FormatBool(result.New)})
+	return nil
+}
+
+// Configuration returns the document in force, nil before the first. The error
+// is ErrNotLeading.
+func (s *Service) Configuration() ([]byte, error) {
+	var document []byte
+	err := s.driver.Read(func() {
+		if c := s.machine.Configuration(); c != nil {
+			document = c.Document
+		}
+	})
+	if err != nil {
+		return nil, ErrNotLeading
+	}
+	return document, nil
+}
+
+func countText(what string, n int) string { return what + " " + strconv.Itoa(n) }
--- /dev/null
+++ b/daemon/coordinator/peers.go
@@ -0,0 +1,129 @@
+package coordinator
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/api/mesh"
+	"github.com/cicadapulley/cicadapulley/core/raft"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
+	"github.com/cicadapulley/cicadapulley/daemon/link"
+	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection between VMs, which takes a
+	// round trip of at most a few milliseconds.
+	dialTimeout = 250 * time.Millisecond
+	// peerPing is the pause between pings to another control VM, and peerSilence
+	// the time without an answer after which the connection counts as dead.
+	peerPing    = 200 * time.Millisecond
+	peerSilence = 600 * time.Millisecond
+)
+
+// peerTransport sends the log's messages over one connection to each other
+// control VM. It implements consensus.Transport.
+type peerTransport struct {
+	self  raft.Server
+	vm    string
+	log   *events.Log
+	group *supervisor.Group
+
+	mu    sync.Mutex
+	base  context.Context
+	conns map[string]*link.Conn
+}
+
+func newPeerTransport(self raft.Server, vm string, log *events.Log) *peerTransport {
+	return &peerTransport{
+		self:  self,
+		vm:    vm,
+		log:   log,
+		group: supervisor.NewGroup("coordinator/peers", log),
+		conns: map[string]*link.Conn{},
+	}
+}
+
+// Run keeps the connections until ctx ends.
+func (t *peerTransport) Run(ctx context.Context) error {
+	t.mu.Lock()
+	t.base = ctx
+	t.mu.Unlock()
+	<-ctx.Done()
+	t.mu.Lock()
+	for _, c := range t.conns {
+		c.Close()
+	}
+	t.mu.Unlock()
+	t.group.StopAll()
+	return nil
+}
+
+// Send implements consensus.Transport.
+func (t *peerTransport) Send(ctx context.Context, address string, messages []raft.Message) error {
+	c, err := t.connect(ctx, address)
+	if err != nil {
+		return err
+	}
+	c.Send(&mesh.Agreement{Messages: messages})
+	return nil
+}
+
+func (t *peerTransport) find(address string) *link.Conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.conns[address]
+	if c == nil {
+		return nil
+	}
+	select {
+	case <-c.Closed():
+		return nil
+	default:
+		return c
+	}
+}
+
+// connect returns the open connection to an address, or opens one.
+func (t *peerTransport) connect(ctx context.Context, address string) (*link.Conn, error) {
+	if c := t.find(address); c != nil {
+		return c, nil
+	}
+	c, err := link.Dial(ctx, address, dialTimeout)
+	if err != nil {
+		return nil, err
+	}
+	c.Send(&mesh.Hello{Role: mesh.RoleControl, VM: t.vm, Server: &t.self})
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if old := t.conns[address]; old != nil {
+		old.Close()
+	}
+	t.conns[address] = c
+	if t.base != nil {
+		go func() {
+			_ = supervisor.Guard(t.log, "coordinator/peers/"+address, func() error { return keepAlive(t.base, c) })
+		}()
+	}
+	return c, nil
+}
+
+// keepAlive closes a connection that has gone silent: it may stay open for good
+// while new ones work.
+func keepAlive(ctx context.Context, c *link.Conn) error {
+	defer c.Close()
+	for ctx.Err() == nil {
+		c.Send(&mesh.Ping{})
+		if _, err := c.Receive(peerSilence); err != nil {
+			return nil // the next message opens another connection
+		}
+		select {
+		case <-ctx.Done():
+		case <-c.Closed():
+			return nil
+		case <-time.After(peerPing):
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/coordinator/service.go
@@ -0,0 +1,236 @@
+// Package coordinator is a control VM on the path of jobs with steps. Parent:
+// the root of its process. Children, rest-for-one in this order: consensus (the
+// replicated log), peers (one connection to each other control VM), group
+// (joins and replacements), leader (the placement of tasks while this VM leads),
+// server (connections of entries, agents and control VMs). Its failures are
+// fatal to the daemon. State: the data folder and, on the leader, the board of
+// package placement.
+package coordinator
+
+import (
+	"context"
+	"crypto/sha256"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cicadapulley/cicadapulley/core/ledger"
+	"github.com/cicadapulley/cicadapulley/core/raft"
+	"github.com/cicadapulley/cicadapulley/daemon/boottime"
+	"github.com/cicadapulley/cicadapulley/daemon/control/consensus"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
+	"github.com/cicadapulley/cicadapulley/daemon/storage"
+	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
+)
+
+const (
+	// electionTimeout is the least time without a leader after which one is
+	// elected. It covers a sync of 9 ms many times, and a quota that stops the
+	// processor for the rest of a tenth of a second.
+	electionTimeout = 400 * time.Millisecond
+	// snapshotEntries is the number of log entries between snapshots.
+	snapshotEntries = 20_000
+	// transferWait is how long a leader waits for its successor at a planned stop.
+	transferWait = 500 * time.Millisecond
+	// stopTimeout bounds the stop of one child.
+	stopTimeout = 2 * time.Second
+)
+
+// Options are what a coordinator needs from its daemon.
+type Options struct {
+	// VM names the machine.
+	VM string
+	// Address is where other processes reach this one.
+	Address string
+	// Listener accepts their connections.
+	Listener net.Listener
+	DataDir  string
+	// Bootstrap is set when the whole system starts for the first time. The
+	// group then consists of Founders.
+	Bootstrap bool
+	// Founders are the addresses of control VMs known from the settings.
+	Founders []string
+	// Voters is the wanted number of voting control VMs.
+	Voters int
+	// KeepFinal is how long the state of a final job is kept.
+	KeepFinal time.Duration
+	Log       *events.Log
+}
+
+// Service is a control VM.
+type Service struct {
+	opts     Options
+	store    *storage.Store
+	driver   *consensus.Driver
+	machine  *machine
+	self     raft.Server
+	peers    *peerTransport
+	group    *groupKeeper
+	draining atomic.Bool
+
+	// mu guards the fields below. It is taken before the driver's lock.
+	mu sync.Mutex
+	// term is the leader's state; nil while this VM doesn't lead.
+	term *term
+}
+
+// founderIdentity derives the identity that a founder's data folder gets, so
+// that all founders write the same first entry.
+func founderIdentity(address string) storage.Identity {
+	sum := sha256.Sum256([]byte("founder " + address))
+	return storage.Identity(sum[:16])
+}
+
+// Open opens the data folder and returns the control VM; Run starts it.
+func Open(o Options) (*Service, error) {
+	founder := o.Bootstrap && contains(o.Founders, o.Address)
+	storeOptions := storage.Options{}
+	if founder {
+		storeOptions.Identity = founderIdentity(o.Address)
+	}
+	store, err := storage.Open(o.DataDir, storeOptions)
+	if err != nil {
+		return nil, errors.Wrap(err, "open data folder")
+	}
+	s := &Service{opts: o, store: store, machine: &machine{Machine: ledger.New()}}
+	if err := s.init(founder); err != nil {
+		return nil, errors.CombineErrors(err, store.Close())
+	}
+	return s, nil
+}
+
+func contains(list []string, s string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Service) init(founder bool) error {
+	recovered := s.store.Recovered()
+	s.opts.Log.Emit(events.Event{ID: events.StorageOpened, Text: string(recovered.Identity)})
+	if recovered.Cut != nil {
+		s.opts.Log.Emit(events.Event{ID: events.StorageTornTail, Text: recovered.Cut.File})
+	}
+	if founder && string(recovered.Identity) == string(founderIdentity(s.opts.Address).ServerID()) {
+		if err := s.found(&recovered); err != nil {
+			return errors.Wrap(err, "start a new group")
+		}
+	}
+	s.self = raft.Server{ID: recovered.Identity, Address: s.opts.Address}
+	s.peers = newPeerTransport(s.self, s.opts.VM, s.opts.Log)
+	driver, err := consensus.New(consensus.Options{
+		Machine:         s.machine,
+		Store:           s.store,
+		Recovered:       recovered,
+		Address:         s.opts.Address,
+		ElectionTimeout: electionTimeout,
+		SnapshotEntries: snapshotEntries,
+		Transport:       s.peers,
+		Log:             s.opts.Log,
+		Seed:            seedOf(recovered.Identity),
+		Now:             boottime.Now,
+	})
+	if err != nil {
+		return err
+	}
+	s.driver = driver
+	s.group = newGroupKeeper(s)
+	return nil
+}
+
+func seedOf(id raft.ServerID) uint64 {
+	var seed uint64
+	for _, c := range []byte(id) {
+		seed = seed*131 + uint64(c)
+	}
+	return seed
+}
+
+// found writes the first entry of a new group, the same on all founders, unless
+// the folder has a log already.
+func (s *Service) found(r *storage.Recovered) error {
+	if r.Snapshot.Index > 0 || len(r.Entries) > 0 || r.HardState.Term > 0 {
+		return nil
+	}
+	var group raft.Group
+	for _, address := range s.opts.Founders {
+		id := founderIdentity(address).ServerID()
+		group.Servers = append(group.Servers, raft.Server{ID: id, Address: address, Voter: true})
+	}
+	r.Entries = []raft.Entry{{Term: 1, Index: 1, Type: raft.EntryGroup, Group: &group}}
+	r.HardState = raft.HardState{Term: 1, Commit: 1}
+	return s.store.Save(&r.HardState, 0, r.Entries)
+}
+
+// Run serves until ctx ends, then hands leadership over and stops.
+func (s *Service) Run(ctx context.Context) error {
+	defer s.store.Close()
+	tree := supervisor.New("coordinator", supervisor.Options{
+		Strategy:    supervisor.RestForOne,
+		Observer:    s.opts.Log,
+		StopTimeout: stopTimeout,
+	})
+	tree.Add(supervisor.Child{Name: "consensus", Run: s.driver.Run})
+	tree.Add(supervisor.Child{Name: "peers", Run: s.peers.Run})
+	tree.Add(supervisor.Child{Name: "group", Run: s.group.Run})
+	tree.Add(supervisor.Child{Name: "leader", Run: s.lead})
+	tree.Add(supervisor.Child{Name: "server", Run: s.serve})
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go func() {
+		<-ctx.Done()
+		s.handOver()
+		stop()
+	}()
+	return tree.Run(running)
+}
+
+// handOver gives the leadership to another VM before a planned stop.
+func (s *Service) handOver() {
+	s.draining.Store(true)
+	s.opts.Log.Emit(events.Event{ID: events.ProcessDraining})
+	if !s.driver.Leading() || !s.driver.TransferLeadership() {
+		return
+	}
+	deadline := time.After(transferWait)
+	for s.driver.Leading() {
+		changed := s.driver.Changed()
+		select {
+		case <-changed:
+		case <-deadline:
+			return
+		}
+	}
+}
+
+// members returns the addresses of the group.
+func (s *Service) members() []string {
+	var list []string
+	for _, server := range s.driver.Status().Group.Servers {
+		list = append(list, server.Address)
+	}
+	return list
+}
+
+// LeaderAddress returns the address of the leader, empty if unknown.
+func (s *Service) LeaderAddress() string {
+	status := s.driver.Status()
+	if status.Leader == "" || status.Leader == status.ID && !s.driver.Leading() {
+		return ""
+	}
+	return s.driver.AddressOf(status.Leader)
+}
+
+// machine adapts the ledger and its encoding to the log.
+type machine struct {
+	*ledger.Machine
+}
+
+// Leads reports whether this VM leads and may serve reads now.
+func (s *Service) Leads() bool { return s.driver.Leading() }
--- a/daemon/events/catalogue.go
+++ b/daemon/events/catalogue.go
@@ -23,6 +23,8 @@
 	CertificateReread  ID = 130
 	CertificateRefused ID = 131
 	PeerForbidden      ID = 132
+	ConnectionRefused  ID = 133
+	SettingsReread     ID = 134
 )
 
 // Events of membership.
@@ -54,6 +56,24 @@
 	TicketApplied     ID = 320
 	TicketRefused     ID = 321
 	JobTakenOver      ID = 330
+	// Events of coordinators.
+	GroupChangeProposed ID = 340
+	TermBegan           ID = 341
+	TermEnded           ID = 342
+	ConfigurationTaken  ID = 343
+	ConfigurationWrong  ID = 344
+	WorkAccepted        ID = 350
+	WorkRefused         ID = 351
+	WorkUncertain       ID = 352
+	WorkCancelled       ID = 353
+	WorkClosed          ID = 354
+	ForgetFailed        ID = 355
+	RunOrdered          ID = 356
+	RunEnded            ID = 357
+	EndpointJoined      ID = 360
+	ClientLost          ID = 361
+	StartRefused        ID = 362
+	EndsUncertain       ID = 363
 )
 
 // Events of entries.
@@ -74,6 +94,10 @@
 	TaskFateLearned ID = 424
 	PeerConnected   ID = 430
 	PeerLost        ID = 431
+	LeaderFound     ID = 440
+	LeaderGone      ID = 441
+	RequestFailed   ID = 442
+	RequestRefused  ID = 443
 )
 
 // Events of agents.
@@ -84,6 +108,17 @@
 	JobCancelSeen  ID = 504
 	JobCancelLate  ID = 505
 	EndpointFailed ID = 510
+
+	EndpointRegistered ID = 520
+	EndpointDraining   ID = 521
+	EndpointLeft       ID = 522
+	SessionBegan       ID = 523
+	SessionEnded       ID = 524
+	StartUnanswered    ID = 525
+	EndpointSilent     ID = 526
+	EndpointAnswers    ID = 527
+	EndpointLapsed     ID = 528
+	RegistrationWrong  ID = 529
 )
 
 // Definition describes an event for operators.
@@ -111,6 +146,8 @@
 	{CertificateReread, "certificate_reread", zapcore.InfoLevel, "a changed certificate file is in use"},
 	{CertificateRefused, "certificate_refused", zapcore.WarnLevel, "a changed certificate file can't be used; the earlier one stays; replace the file before the earlier one runs out"},
 	{PeerForbidden, "peer_forbidden", zapcore.WarnLevel, "a peer's certificate does not allow the request; check its organizational unit, and who asks"},
+	{ConnectionRefused, "connection_refused", zapcore.WarnLevel, "a connection was closed because too many are open; look for who opens them"},
+	{SettingsReread, "settings_reread", zapcore.InfoLevel, "the settings file was read again after a signal"},
 	{MemberRegistered, "member_registered", zapcore.InfoLevel, "the process has a lease under a new incarnation"},
 	{LeaseRenewFailed, "lease_renew_failed", zapcore.WarnLevel, "the lease was not renewed and is tried again; if it repeats, look for a control leader and the link to it"},
 	{LeaseLapsed, "lease_lapsed", zapcore.ErrorLevel, "the lease ended on this process's clock; nothing new starts until it registers again; check the link to the control VMs and the load of this VM"},
@@ -134,6 +171,23 @@
 	{TicketApplied, "ticket_applied", zapcore.InfoLevel, "a ticket is committed"},
 	{TicketRefused, "ticket_refused", zapcore.InfoLevel, "a ticket lost to another"},
 	{JobTakenOver, "job_taken_over", zapcore.WarnLevel, "a job got another owner after its entry ended; look for why the entry ended"},
+	{GroupChangeProposed, "group_change_proposed", zapcore.InfoLevel, "the leader adds, promotes or removes a control VM"},
+	{TermBegan, "term_began", zapcore.InfoLevel, "this control VM leads and has restored the open jobs"},
+	{TermEnded, "term_ended", zapcore.WarnLevel, "this control VM no longer places tasks; another one takes over"},
+	{ConfigurationTaken, "configuration_taken", zapcore.InfoLevel, "a configuration is recorded; the detail tells whether it came into force or a higher version had"},
+	{ConfigurationWrong, "configuration_wrong", zapcore.WarnLevel, "an operator sent a configuration that is not valid; the error names the fault"},
+	{WorkAccepted, "work_accepted", zapcore.InfoLevel, "a job with steps is recorded; its tasks may start"},
+	{WorkRefused, "work_refused", zapcore.InfoLevel, "a job was refused because it would complete too late; none of its tasks ran"},
+	{WorkUncertain, "work_uncertain", zapcore.WarnLevel, "the leadership was lost while a job was recorded; its caller was not told whether it is accepted"},
+	{WorkCancelled, "work_cancelled", zapcore.InfoLevel, "a caller cancelled a job; its runs are stopped"},
+	{WorkClosed, "work_closed", zapcore.InfoLevel, "a job is completed or failed"},
+	{ForgetFailed, "forget_failed", zapcore.WarnLevel, "final jobs could not be forgotten yet; it is tried again"},
+	{RunOrdered, "run_ordered", zapcore.InfoLevel, "a run was ordered from an agent"},
+	{RunEnded, "run_ended", zapcore.InfoLevel, "a run ended"},
+	{EndpointJoined, "endpoint_joined", zapcore.InfoLevel, "an agent began a session; the detail has what its endpoint lists"},
+	{ClientLost, "client_lost", zapcore.WarnLevel, "the connection of an entry or agent ended; if it repeats, check that VM and the link"},
+	{StartRefused, "start_refused", zapcore.InfoLevel, "an endpoint did not start a run; the task waits again"},
+	{EndsUncertain, "ends_uncertain", zapcore.WarnLevel, "ends could not be recorded; the endpoint lists them again to the next leader"},
 	{JobAccepted, "job_accepted", zapcore.DebugLevel, "a job is recorded; its tasks may start"},
 	{JobJoined, "job_joined", zapcore.DebugLevel, "a resubmission joined its job"},
 	{JobRefused, "job_refused", zapcore.DebugLevel, "a job was refused whole; none of its tasks ran"},
@@ -150,12 +204,26 @@
 	{TaskFateLearned, "task_fate_learned", zapcore.DebugLevel, "the fate of a task is known"},
 	{PeerConnected, "peer_connected", zapcore.InfoLevel, "an agent can be reached"},
 	{PeerLost, "peer_lost", zapcore.WarnLevel, "an agent ended or its connection broke; if it repeats, check the agent and the link"},
+	{LeaderFound, "leader_found", zapcore.InfoLevel, "this process is connected to the leading control VM"},
+	{LeaderGone, "leader_gone", zapcore.WarnLevel, "the connection to the leading control VM ended; another is looked for"},
+	{RequestFailed, "request_failed", zapcore.WarnLevel, "a caller got no certain answer because no leader answered in time"},
+	{RequestRefused, "request_refused", zapcore.InfoLevel, "a caller was refused; the detail has the reason"},
 	{TaskStarted, "task_started", zapcore.DebugLevel, "a task started at the endpoint"},
 	{TaskEnded, "task_ended", zapcore.DebugLevel, "a task ended at the endpoint"},
 	{TaskRefused, "task_refused", zapcore.DebugLevel, "a task was refused; it did not run here"},
 	{JobCancelSeen, "job_cancel_seen", zapcore.DebugLevel, "a job's cancel reached the agent"},
 	{JobCancelLate, "job_cancel_late", zapcore.DebugLevel, "a job's cancel found none of its tasks in progress here"},
 	{EndpointFailed, "endpoint_failed", zapcore.WarnLevel, "the endpoint can't be reached; check the endpoint beside this agent"},
+	{EndpointRegistered, "endpoint_registered", zapcore.InfoLevel, "the endpoint beside this agent announced a new life"},
+	{EndpointDraining, "endpoint_draining", zapcore.InfoLevel, "the endpoint is leaving and gets no new runs"},
+	{EndpointLeft, "endpoint_left", zapcore.InfoLevel, "the endpoint said that it ends"},
+	{SessionBegan, "session_began", zapcore.InfoLevel, "the agent has a fencing token and has told the leader what its endpoint lists"},
+	{SessionEnded, "session_ended", zapcore.InfoLevel, "the session with the leader or the endpoint ended; another begins"},
+	{StartUnanswered, "start_unanswered", zapcore.WarnLevel, "a start got no answer; it is stopped before the task may start elsewhere"},
+	{EndpointSilent, "endpoint_silent", zapcore.WarnLevel, "the endpoint does not answer its agent"},
+	{EndpointAnswers, "endpoint_answers", zapcore.InfoLevel, "the endpoint answers again"},
+	{EndpointLapsed, "endpoint_lapsed", zapcore.WarnLevel, "the endpoint was silent until all its runs had lapsed"},
+	{RegistrationWrong, "registration_wrong", zapcore.WarnLevel, "a message about an endpoint could not be read and was ignored"},
 }
 
 var byID = index(Catalogue)
--- /dev/null
+++ b/daemon/link/link.go
@@ -0,0 +1,145 @@
+// Package link carries messages between two processes over one TCP connection.
+// Parent: whoever opened or accepted the connection. Children: one writer, which
+// sends all messages that wait in one write. Restart rule: none; a failed
+// connection is closed and its owner opens another. State: the messages that
+// wait to be written.
+package link
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cicadapulley/cicadapulley/api/mesh"
+)
+
+const (
+	// queueSize bounds the messages that wait for the writer. A peer that is
+	// that far behind is cut off.
+	queueSize = 8192
+	// writeTimeout bounds one write; a peer that reads nothing for so long is
+	// treated as gone.
+	writeTimeout = time.Second
+	// bufferSize is the size in bytes of the read and write buffers.
+	bufferSize = 16 << 10
+)
+
+// ErrClosed is returned after the connection has been closed or has failed.
+var ErrClosed = errors.New("connection closed")
+
+// Conn is a connection. Send and Close are safe for concurrent use; one
+// goroutine receives.
+type Conn struct {
+	conn   net.Conn
+	reader *bufio.Reader
+	queue  chan mesh.Message
+	closed chan struct{}
+	once   sync.Once
+	writer sync.WaitGroup
+}
+
+// New takes over a TCP connection and starts its writer.
+func New(c net.Conn) *Conn {
+	l := &Conn{
+		conn:   c,
+		reader: bufio.NewReaderSize(c, bufferSize),
+		queue:  make(chan mesh.Message, queueSize),
+		closed: make(chan struct{}),
+	}
+	l.writer.Go(l.write)
+	return l
+}
+
+// Dial opens a connection within a time.
+func Dial(ctx context.Context, address string, timeout time.Duration) (*Conn, error) {
+	d := net.Dialer{Timeout: timeout}
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "dial %s", address)
+	}
+	return New(c), nil
+}
+
+// Remote returns the IP address of the other end.
+func (l *Conn) Remote() string {
+	host, _, err := net.SplitHostPort(l.conn.RemoteAddr().String())
+	if err != nil {
+		return l.conn.RemoteAddr().String()
+	}
+	return host
+}
+
+// Send queues a message. A full queue closes the connection.
+func (l *Conn) Send(m mesh.Message) {
+	select {
+	case l.queue <- m:
+	default:
+		l.Close()
+	}
+}
+
+// Receive returns the next message, or fails if none comes within a time.
+func (l *Conn) Receive(within time.Duration) (mesh.Message, error) {
+	if err := l.conn.SetReadDeadline(time.Now().Add(within)); err != nil {
+		return nil, errors.Wrap(err, "set read deadline")
+	}
+	return mesh.Read(l.reader)
+}
+
+// Buffered tells whether more data has already arrived.
+func (l *Conn) Buffered() bool { return l.reader.Buffered() > 0 }
+
+// Closed returns a channel that closes with the connection.
+func (l *Conn) Closed() <-chan struct{} { return l.closed }
+
+// Close ends the connection at once.
+func (l *Conn) Close() {
+	l.once.Do(func() {
+		close(l.closed)
+		_ = l.conn.Close() // nothing depends on the outcome
+	})
+}
+
+// Wait blocks until the writer has ended.
+func (l *Conn) Wait() { l.writer.Wait() }
+
+// write sends queued messages until the connection fails.
+func (l *Conn) write() {
+	defer l.Close()
+	w := bufio.NewWriterSize(l.conn, bufferSize)
+	for {
+		select {
+		case <-l.closed:
+			return
+		case m := <-l.queue:
+			if err := l.writeBatch(w, m); err != nil {
+				return // the reader's error tells the owner
+			}
+		}
+	}
+}
+
+// writeBatch writes a message and all that wait behind it.
+func (l *Conn) writeBatch(w *bufio.Writer, m mesh.Message) error {
+	if err := l.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	for {
+		data, err := mesh.Encode(m)
+		if err != nil {
+			return err
+		}
+		if _, err := w.Write(data); err != nil {
+			return err
+		}
+		select {
+		case m = <-l.queue:
+		default:
+			return w.Flush()
+		}
+	}
+}
--- /dev/null
+++ b/daemon/runner/hold.go
@@ -0,0 +1,159 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/api/mesh"
+	"github.com/cicadapulley/cicadapulley/core/placement"
+	"github.com/cicadapulley/cicadapulley/core/work"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
+)
+
+// hold renews the endpoint's lease and reports what it lists, until the session
+// ends.
+func (s *session) hold(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.awaitRecord(ctx)
+		q := s.nextHold()
+		bounded, cancel := context.WithTimeout(ctx, q.Wait+callTimeout)
+		listing, err := s.service.opts.Endpoint.Hold(bounded, s.reg.Instance, q)
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			s.missed(ctx, err)
+			continue
+		}
+		if err := s.check(listing); err != nil {
+			s.end(err)
+			return
+		}
+		s.take(ctx, listing)
+	}
+}
+
+// awaitRecord waits a moment for the record of reported ends, so that the next
+// hold doesn't come back at once with the same ends.
+func (s *session) awaitRecord(ctx context.Context) {
+	s.mu.Lock()
+	open := s.reported > s.acked
+	s.mu.Unlock()
+	if !open {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-s.ackedChanged:
+	case <-time.After(ackPatience):
+	}
+}
+
+// nextHold returns the next call. It waits only if nothing else is open.
+func (s *session) nextHold() Hold {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.holds++
+	q := Hold{Fence: s.fence, Deadline: max(s.keeper.Deadline(now()), 1), Seen: s.acked, Wait: holdWait}
+	s.latest = max(s.latest, q.Deadline)
+	for _, r := range s.runs {
+		if r.state == unanswered || r.state == stopped {
+			q.Wait = stopPause / 2
+		}
+	}
+	return q
+}
+
+// missed handles a hold without an answer. Once the latest deadline has passed
+// on the endpoint's clock, nothing runs there any more.
+func (s *session) missed(ctx context.Context, err error) {
+	s.mu.Lock()
+	first := !s.silent
+	s.silent = true
+	lapsed := s.keeper.Clock(now()) > s.latest+holdPause
+	s.mu.Unlock()
+	if first {
+		s.service.opts.Log.Emit(events.Event{ID: events.EndpointSilent, Peer: s.reg.Instance, Err: err})
+		s.conn.Send(&mesh.Report{Reach: mesh.Unreachable})
+	}
+	if lapsed {
+		s.service.opts.Log.Emit(events.Event{ID: events.EndpointLapsed, Peer: s.reg.Instance})
+		s.conn.Send(&mesh.Report{Reach: mesh.Lapsed})
+		s.service.forget(&s.reg)
+		s.waitThen(ctx, holdPause)
+		s.end(errLapsed)
+		return
+	}
+	s.waitThen(ctx, holdPause)
+}
+
+func (s *session) waitThen(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// take reports what a listing shows.
+func (s *session) take(ctx context.Context, l Listing) {
+	report, stops := s.compare(l)
+	for _, r := range stops {
+		s.tasks.Go(func() { s.stop(ctx, r) })
+	}
+	if report != nil {
+		s.conn.Send(report)
+	}
+}
+
+// compare finds the news in a listing: ends, runs that are gone, and runs whose
+// start stayed unanswered and that must be stopped before they begin late.
+func (s *session) compare(l Listing) (*mesh.Report, []work.Run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keeper.Observe(l.Clock, now())
+	report := &mesh.Report{Ends: s.newEnds(l.Ends)}
+	if s.silent {
+		s.silent = false
+		report.Reach = mesh.Reachable
+		s.service.opts.Log.Emit(events.Event{ID: events.EndpointAnswers, Peer: s.reg.Instance})
+	}
+	s.running = l.Running
+	listed := make(map[work.Run]bool, len(l.Running))
+	for _, r := range l.Running {
+		listed[r.Run] = true
+	}
+	var stops []work.Run
+	for r, state := range s.runs {
+		if state.since >= s.holds {
+			continue
+		}
+		if stop := s.settle(r, state, listed[r], report); stop {
+			stops = append(stops, r)
+		}
+	}
+	s.service.setBusy(len(s.runs) > 0 || len(l.Running) > 0 || s.reported > s.acked)
+	if len(report.Ends)+len(report.Refused)+len(report.Vanished) == 0 && report.Reach == mesh.Unchanged {
+		return nil, stops
+	}
+	return report, stops
+}
+
+// settle decides about one run; it tells whether the run must be stopped.
+func (s *session) settle(r work.Run, state *localRun, listed bool, report *mesh.Report) bool {
+	switch {
+	case listed && state.state == unanswered:
+		state.state = confirmed
+	case listed, state.state == ordered:
+	case state.state == unanswered:
+		state.since = ^uint64(0) // the stop sets it
+		return true
+	case state.state == stopped:
+		delete(s.runs, r)
+		report.Refused = append(report.Refused, mesh.RefusedStart{Run: r, Why: placement.RefusedUnanswered})
+	case state.state == confirmed:
+		delete(s.runs, r)
+		report.Vanished = append(report.Vanished, r)
+	}
+	return false
+}
