--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets: test (what CI runs), pages, build, lint, generate, demo, bench, soak, fuzz.
-MODULES := core api daemon client
+MODULES := core api daemon client platform
 GO := go
 SEEDS ?= 20
 
