daemon: every entry and agent stays connected to all control VMs

Change: package follow keeps a connection to each control VM, with a goroutine each; a new leader tells its clients at once, and sessions are asked for on the open connection. The shortest election wait is 300 ms in place of 400.

--- a/api/mesh/mesh.go
+++ b/api/mesh/mesh.go
@@ -35,34 +35,39 @@
 	Role Role
 	// VM names the sender's machine.
 	VM string
-	// Agent is set by agents.
-	Agent *placement.Endpoint
 	// Server is set by control VMs: the identity and address of the sender.
 	Server *raft.Server
 }
 
-// Welcome answers Hello.
+// Welcome answers Hello, and follows each change of the sender's leadership.
 type Welcome struct {
-	// Leading is set if the receiver of Hello leads; otherwise the connection ends.
+	// Leading is set while the sender leads Term.
 	Leading bool
-	// Leader is the address of the leader, empty if unknown.
-	Leader string
+	Term    uint64
 	// Members are the addresses of all control VMs.
 	Members []string
-	// Session is the fencing token of an agent's session.
+	// Session is the fencing token for an agent's next session.
 	Session placement.SessionID
 }
 
+// NewSession asks the leader for another session, as when the endpoint began
+// another life. Welcome answers it.
+type NewSession struct{}
+
 // Ping keeps a connection and an agent's lease alive.
 type Ping struct {
 	Sequence uint64
+	// Session is the session whose lease is to be renewed; 0 for none.
+	Session placement.SessionID
 	// Running is the progress of an agent's runs.
 	Running []placement.ListedRun
 }
 
-// Pong answers Ping, and only while the sender leads.
+// Pong answers Ping.
 type Pong struct {
 	Sequence uint64
+	// Renewed tells that the sender leads and has renewed the session's lease.
+	Renewed bool
 }
 
 // Operation is what a caller asks for.
@@ -136,8 +141,9 @@
 
 // Inventory is all that an endpoint lists at the start of a session.
 type Inventory struct {
-	Running []placement.ListedRun
-	Ends    []NumberedEnd
+	Endpoint placement.Endpoint
+	Running  []placement.ListedRun
+	Ends     []NumberedEnd
 }
 
 // Orders are starts and stops for an agent.
@@ -153,6 +159,7 @@
 
 // Report is news of an agent's endpoint.
 type Report struct {
+	Session placement.SessionID
 	Ends    []NumberedEnd
 	Refused []RefusedStart
 	// Vanished lists runs that the endpoint neither runs nor lists as ended.
@@ -180,7 +187,8 @@
 
 // Acknowledge lets an agent's endpoint forget its ends up to a number.
 type Acknowledge struct {
-	UpTo uint64
+	Session placement.SessionID
+	UpTo    uint64
 }
 
 // Agreement carries messages of the replicated log.
@@ -210,6 +218,7 @@
 	kindAgreement
 	kindJoin
 	kindAbandon
+	kindNewSession
 )
 
 func kindOf(m Message) byte {
@@ -240,6 +249,8 @@
 		return kindJoin
 	case *Abandon:
 		return kindAbandon
+	case *NewSession:
+		return kindNewSession
 	}
 	return 0
 }
@@ -272,6 +283,8 @@
 		return &Join{}
 	case kindAbandon:
 		return &Abandon{}
+	case kindNewSession:
+		return &NewSession{}
 	}
 	return nil
 }
--- /dev/null
+++ b/daemon/coordinator/clients.go
@@ -0,0 +1,135 @@
+package coordinator
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cicadapulley/cicadapulley/api/mesh"
+	"github.com/cicadapulley/cicadapulley/core/placement"
+	"github.com/cicadapulley/cicadapulley/core/work"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
+	"github.com/cicadapulley/cicadapulley/daemon/link"
+)
+
+// client is the connection of an entry or agent. It stays open over changes of
+// the leadership, so that a new leader can tell all clients at once.
+type client struct {
+	service *Service
+	conn    *link.Conn
+	role    mesh.Role
+	vm      string
+	// session is an agent's present one; nil without a term. Guarded by the
+	// service's lock.
+	session *agentSession
+	// told is set once the client knows that this VM leads. Guarded by the
+	// service's lock.
+	told bool
+	// waiting maps an entry's requests to the best-effort jobs that they wait
+	// for. Only the connection's goroutine uses it.
+	waiting map[uint64]work.JobID
+	tasks   sync.WaitGroup
+}
+
+// serveClient reads an entry's or agent's connection until it fails.
+func (s *Service) serveClient(ctx context.Context, c *link.Conn, hello *mesh.Hello) error {
+	cl := &client{service: s, conn: c, role: hello.Role, vm: hello.VM, waiting: map[uint64]work.JobID{}}
+	s.mu.Lock()
+	s.clients[cl] = true
+	s.welcome(cl)
+	s.mu.Unlock()
+	defer cl.tasks.Wait()
+	defer s.leave(cl)
+	for {
+		m, err := c.Receive(clientSilence)
+		if err != nil {
+			s.opts.Log.Emit(events.Event{ID: events.ClientLost, Peer: hello.VM, Err: err})
+			return err
+		}
+		cl.handle(ctx, m)
+	}
+}
+
+// welcome tells a client whether this VM leads. An agent gets another session.
+// The caller holds mu.
+func (s *Service) welcome(cl *client) {
+	w := &mesh.Welcome{Members: s.members()}
+	cl.told = false
+	if s.term != nil && s.driver.Leading() {
+		cl.told = true
+		w.Leading = true
+		w.Term = s.term.number
+		if cl.role == mesh.RoleAgent {
+			s.endSession(cl)
+			cl.session = s.newSession(cl)
+			w.Session = cl.session.id
+		}
+	}
+	cl.conn.Send(w)
+}
+
+// leave forgets a client whose connection has ended.
+func (s *Service) leave(cl *client) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endSession(cl)
+	delete(s.clients, cl)
+}
+
+// newSession begins an agent's session in the present term. The caller holds mu.
+func (s *Service) newSession(cl *client) *agentSession {
+	s.term.issued++
+	return &agentSession{
+		client:   cl,
+		term:     s.term,
+		id:       placement.SessionID(s.term.number<<sessionBits | s.term.issued),
+		lastPong: now(),
+	}
+}
+
+// handle acts on one message.
+func (cl *client) handle(ctx context.Context, m mesh.Message) {
+	switch m := m.(type) {
+	case *mesh.Ping:
+		cl.ping(m)
+	case *mesh.Request:
+		cl.request(ctx, m)
+	case *mesh.Abandon:
+		cl.service.abandon(cl.conn, m.Sequence, cl.waiting[m.Sequence])
+		delete(cl.waiting, m.Sequence)
+	case *mesh.NewSession:
+		cl.service.mu.Lock()
+		cl.service.welcome(cl)
+		cl.service.mu.Unlock()
+	case *mesh.Inventory:
+		if a := cl.current(m.Endpoint.Session); a != nil {
+			a.join(ctx, m)
+		}
+	case *mesh.Report:
+		if a := cl.current(m.Session); a != nil {
+			a.report(ctx, m)
+		}
+	}
+}
+
+// ping answers a ping, and renews a session's lease unless another VM may lead
+// by now.
+func (cl *client) ping(m *mesh.Ping) {
+	pong := &mesh.Pong{Sequence: m.Sequence}
+	if a := cl.current(m.Session); a != nil {
+		pong.Renewed = a.renew(m)
+	}
+	cl.conn.Send(pong)
+}
+
+// current returns the present session if it has the given id.
+func (cl *client) current(id placement.SessionID) *agentSession {
+	if id == 0 {
+		return nil
+	}
+	cl.service.mu.Lock()
+	defer cl.service.mu.Unlock()
+	if cl.session == nil || cl.session.id != id {
+		return nil
+	}
+	return cl.session
+}
--- a/daemon/coordinator/entries.go
+++ b/daemon/coordinator/entries.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
@@ -14,52 +13,18 @@
 	"github.com/cicadapulley/cicadapulley/daemon/link"
 )
 
-// serveEntry answers an entry's requests while this VM leads.
-func (s *Service) serveEntry(ctx context.Context, c *link.Conn, hello *mesh.Hello) error {
-	joined := s.current(func(t *term, _ time.Time) { t.clients[c] = true })
-	if !joined {
-		s.turnAway(c)
-		return nil
-	}
-	c.Send(&mesh.Welcome{Leading: true, Members: s.members()})
-	defer s.leave(c)
-	// waiting maps requests to the best-effort jobs that they wait for.
-	waiting := map[uint64]work.JobID{}
-	var requests sync.WaitGroup
-	defer requests.Wait()
-	for {
-		m, err := c.Receive(clientSilence)
-		if err != nil {
-			s.opts.Log.Emit(events.Event{ID: events.ClientLost, Peer: hello.VM, Err: err})
-			return err
-		}
-		switch m := m.(type) {
-		case *mesh.Ping:
-			if s.driver.Leading() {
-				c.Send(&mesh.Pong{Sequence: m.Sequence})
-			}
-		case *mesh.Abandon:
-			s.abandon(c, m.Sequence, waiting[m.Sequence])
-			delete(waiting, m.Sequence)
-		case *mesh.Request:
-			if m.Operation == mesh.Inspect {
-				c.Send(s.inspect(m))
-				continue
-			}
-			if m.Operation == mesh.Submit && m.Job != nil && m.Job.BestEffort {
-				waiting[m.Sequence] = s.attempt(c, m)
-				continue
-			}
-			requests.Go(func() { c.Send(s.change(ctx, m)) })
+// request answers a caller's request, passed on by an entry. What needs the log
+// is done beside the connection.
+func (cl *client) request(ctx context.Context, q *mesh.Request) {
+	switch {
+	case q.Operation == mesh.Inspect:
+		cl.conn.Send(cl.service.inspect(q))
+	case q.Operation == mesh.Submit && q.Job != nil && q.Job.BestEffort:
+		if id := cl.service.attempt(cl.conn, q); id != "" {
+			cl.waiting[q.Sequence] = id
 		}
-	}
-}
-
-func (s *Service) leave(c *link.Conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.term != nil {
-		delete(s.term.clients, c)
+	default:
+		cl.tasks.Go(func() { cl.conn.Send(cl.service.change(ctx, q)) })
 	}
 }
 
--- a/daemon/coordinator/server.go
+++ b/daemon/coordinator/server.go
@@ -74,10 +74,8 @@
 	switch {
 	case hello.Role == mesh.RoleControl && hello.Server != nil:
 		return s.servePeer(c, *hello.Server)
-	case hello.Role == mesh.RoleEntry:
-		return s.serveEntry(ctx, c, hello)
-	case hello.Role == mesh.RoleAgent && hello.Agent != nil:
-		return s.serveAgent(ctx, c, hello)
+	case hello.Role == mesh.RoleEntry || hello.Role == mesh.RoleAgent:
+		return s.serveClient(ctx, c, hello)
 	}
 	return errors.Newf("hello of role %d is not valid", hello.Role)
 }
@@ -99,10 +97,3 @@
 		}
 	}
 }
-
-// turnAway tells a client where the leader is.
-func (s *Service) turnAway(c *link.Conn) {
-	c.Send(&mesh.Welcome{Leader: s.LeaderAddress(), Members: s.members()})
-	// The client closes the connection after it has read the answer.
-	_, _ = c.Receive(helloTimeout)
-}
--- a/daemon/coordinator/service.go
+++ b/daemon/coordinator/service.go
@@ -30,7 +30,7 @@
 	// electionTimeout is the least time without a leader after which one is
 	// elected. It covers a sync of 9 ms many times, and a quota that stops the
 	// processor for the rest of a tenth of a second.
-	electionTimeout = 400 * time.Millisecond
+	electionTimeout = 300 * time.Millisecond
 	// snapshotEntries is the number of log entries between snapshots.
 	snapshotEntries = 20_000
 	// transferWait is how long a leader waits for its successor at a planned stop.
@@ -75,6 +75,8 @@
 	mu sync.Mutex
 	// term is the leader's state; nil while this VM doesn't lead.
 	term *term
+	// clients are the connected entries and agents.
+	clients map[*client]bool
 }
 
 // founderIdentity derives the identity that a founder's data folder gets, so
@@ -95,7 +97,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "open data folder")
 	}
-	s := &Service{opts: o, store: store, machine: &machine{Machine: ledger.New()}}
+	s := &Service{opts: o, store: store, machine: &machine{Machine: ledger.New()}, clients: map[*client]bool{}}
 	if err := s.init(founder); err != nil {
 		return nil, errors.CombineErrors(err, store.Close())
 	}
--- a/daemon/coordinator/term.go
+++ b/daemon/coordinator/term.go
@@ -29,9 +29,7 @@
 	number   uint64
 	board    *placement.Board
 	sessions map[placement.SessionID]*link.Conn
-	// clients are all connections of entries and agents, closed with the term.
-	clients map[*link.Conn]bool
-	issued  uint64
+	issued   uint64
 	// submitting counts the proposals under way for a job.
 	submitting map[work.JobID]int
 	// waiters are the requests that wait for the end of a best-effort job.
@@ -41,7 +39,6 @@
 	results map[work.JobID]result
 	// final lists final jobs with the time at which they were seen so.
 	final []finalJob
-	ended bool
 }
 
 // waiter is a request that waits for an end.
@@ -110,7 +107,6 @@
 	t := &term{
 		number:     number,
 		sessions:   map[placement.SessionID]*link.Conn{},
-		clients:    map[*link.Conn]bool{},
 		submitting: map[work.JobID]int{},
 		waiters:    map[work.JobID][]waiter{},
 		results:    map[work.JobID]result{},
@@ -133,6 +129,9 @@
 	}
 	s.term = t
 	s.opts.Log.Emit(events.Event{ID: events.TermBegan, Ticket: number, Text: countText("open jobs", open)})
+	for cl := range s.clients {
+		s.welcome(cl)
+	}
 }
 
 func progress(r *ledger.Record) []placement.Progress {
@@ -143,19 +142,19 @@
 	return list
 }
 
-// endTerm drops the board and the connections that belong to the term.
+// endTerm drops the board and tells all clients.
 func (s *Service) endTerm() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.term == nil {
 		return
 	}
-	s.term.ended = true
-	for c := range s.term.clients {
-		c.Close()
-	}
 	s.opts.Log.Emit(events.Event{ID: events.TermEnded, Ticket: s.term.number})
 	s.term = nil
+	for cl := range s.clients {
+		cl.session = nil
+		s.welcome(cl)
+	}
 }
 
 // tick does what is due and forgets final jobs that nobody may ask for any more.
@@ -164,6 +163,11 @@
 	s.mu.Lock()
 	t.board.Tick(now)
 	t.forgetResults(now)
+	for cl := range s.clients {
+		if !cl.told {
+			s.welcome(cl)
+		}
+	}
 	s.place(t, now)
 	var forget []work.JobID
 	for len(t.final) > 0 && now.Sub(t.final[0].at) > s.opts.KeepFinal && len(forget) < forgetBatch {
@@ -179,10 +183,14 @@
 	}
 }
 
-// place assigns waiting tasks and sends the orders. The caller holds mu.
+// place answers for ended jobs and, while the leader's lease holds, assigns
+// waiting tasks and sends the orders. The caller holds mu.
 func (s *Service) place(t *term, now time.Time) {
-	t.board.Assign(now)
 	s.answerSettled(t, now)
+	if !s.driver.Leading() {
+		return // the next tick places what waits
+	}
+	t.board.Assign(now)
 	orders := t.board.TakeOrders()
 	if len(orders) == 0 {
 		return
--- /dev/null
+++ b/daemon/follow/follow.go
@@ -0,0 +1,214 @@
+// Package follow keeps an entry or agent connected to all control VMs, so that a
+// new leader can tell it at once. Parent: the root of the process. Children: one
+// goroutine for each known control VM, which dials, reads, and serves the
+// connection while that VM leads. Restart rule: a connection that ends is opened
+// again. State: the known addresses and the term that is served.
+package follow
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cicadapulley/cicadapulley/api/mesh"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
+	"github.com/cicadapulley/cicadapulley/daemon/link"
+	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection, which takes a round trip of
+	// a few milliseconds.
+	dialTimeout = 250 * time.Millisecond
+	// Silence is the time without a message after which a connection counts as
+	// dead, and PingInterval the pause between pings.
+	Silence      = 600 * time.Millisecond
+	PingInterval = 150 * time.Millisecond
+	// pauseLeast and pauseMost bound the wait before another attempt to connect;
+	// it doubles while attempts fail.
+	pauseLeast = 50 * time.Millisecond
+	pauseMost  = 400 * time.Millisecond
+	// maxKnown bounds the known addresses.
+	maxKnown = 16
+)
+
+// ErrNoLongerLeads ends the service of a connection whose VM lost its term.
+var ErrNoLongerLeads = errors.New("the control VM no longer leads")
+
+// Leader is the connection to a leader.
+type Leader struct {
+	*link.Conn
+	// Welcome is the leader's latest.
+	Welcome *mesh.Welcome
+}
+
+// Receive returns the leader's next message. It fails with ErrNoLongerLeads if
+// the leader has lost its term.
+func (l *Leader) Receive() (mesh.Message, error) {
+	m, err := l.Conn.Receive(Silence)
+	if err != nil {
+		return nil, err
+	}
+	if w, ok := m.(*mesh.Welcome); ok {
+		if !w.Leading {
+			return nil, ErrNoLongerLeads
+		}
+		l.Welcome = w
+	}
+	return m, nil
+}
+
+// Options are what a follower needs.
+type Options struct {
+	Hello *mesh.Hello
+	// Addresses are control VMs known from the settings.
+	Addresses []string
+	// Serve uses the connection while its VM leads. It returns when the
+	// connection fails, the leader loses its term, or ctx ends because a leader
+	// of a later term is there.
+	Serve func(ctx context.Context, l *Leader) error
+	Log   *events.Log
+}
+
+// Follower keeps the connections. It is safe for concurrent use.
+type Follower struct {
+	opts  Options
+	group *supervisor.Group
+
+	mu    sync.Mutex
+	base  context.Context
+	known []string
+	// term is the latest that is served, and replaced ends its service.
+	term     uint64
+	replaced context.CancelFunc
+}
+
+// New returns a follower; Run connects it.
+func New(o Options) *Follower {
+	return &Follower{opts: o, group: supervisor.NewGroup("follow", o.Log), known: slices.Clone(o.Addresses)}
+}
+
+// Run keeps the connections until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	f.mu.Lock()
+	f.base = ctx
+	for _, address := range f.known {
+		f.start(address)
+	}
+	f.mu.Unlock()
+	<-ctx.Done()
+	f.group.StopAll()
+	return nil
+}
+
+// Add makes more control VMs known.
+func (f *Follower) Add(addresses []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, address := range addresses {
+		if slices.Contains(f.known, address) || len(f.known) >= maxKnown {
+			continue
+		}
+		f.known = append(f.known, address)
+		if f.base != nil {
+			f.start(address)
+		}
+	}
+}
+
+// start begins to follow one control VM. The caller holds mu.
+func (f *Follower) start(address string) {
+	f.group.Start(f.base, address, func(ctx context.Context) error { return f.follow(ctx, address) })
+}
+
+// follow keeps the connection to one control VM.
+func (f *Follower) follow(ctx context.Context, address string) error {
+	pause := pauseLeast
+	for ctx.Err() == nil {
+		c, err := link.Dial(ctx, address, dialTimeout)
+		if err == nil {
+			pause = pauseLeast
+			f.attend(ctx, c)
+			c.Close()
+			c.Wait()
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, pauseMost)
+	}
+	return nil
+}
+
+// attend reads a connection until it fails, and serves it while its VM leads.
+func (f *Follower) attend(ctx context.Context, c *link.Conn) {
+	stop := context.AfterFunc(ctx, c.Close)
+	defer stop()
+	c.Send(f.opts.Hello)
+	pinging, end := context.WithCancel(ctx)
+	defer end()
+	go ping(pinging, c)
+	for {
+		m, err := c.Receive(Silence)
+		if err != nil {
+			return // the connection is opened again
+		}
+		w, ok := m.(*mesh.Welcome)
+		if !ok {
+			continue
+		}
+		f.Add(w.Members)
+		if w.Leading && !f.lead(ctx, &Leader{Conn: c, Welcome: w}) {
+			return
+		}
+	}
+}
+
+// lead serves a leader's connection. It tells whether the connection is still
+// in use afterwards.
+func (f *Follower) lead(ctx context.Context, l *Leader) bool {
+	serving, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if !f.claim(l.Welcome.Term, cancel) {
+		return true // a leader of a later term is known
+	}
+	f.opts.Log.Emit(events.Event{ID: events.LeaderFound, Peer: l.Remote(), Ticket: l.Welcome.Term})
+	err := f.opts.Serve(serving, l)
+	f.opts.Log.Emit(events.Event{ID: events.LeaderGone, Peer: l.Remote(), Ticket: l.Welcome.Term, Err: err})
+	return errors.Is(err, ErrNoLongerLeads)
+}
+
+// claim ends the service of an earlier term; false if a later one is served.
+func (f *Follower) claim(term uint64, cancel context.CancelFunc) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if term < f.term {
+		return false
+	}
+	if f.replaced != nil {
+		f.replaced()
+	}
+	f.term = term
+	f.replaced = cancel
+	return true
+}
+
+// ping keeps a connection alive.
+func ping(ctx context.Context, c *link.Conn) {
+	ticker := time.NewTicker(PingInterval)
+	defer ticker.Stop()
+	for {
+		c.Send(&mesh.Ping{})
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.Closed():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -1,7 +1,6 @@
 // Package gateway is an entry VM's way to the leader on the path of jobs with
-// steps. Parent: the root of its process. Children: one connection to the
-// leader. Restart rule: the connection is opened again until the process stops.
-// State: the requests that wait for an answer. It decides nothing about jobs;
+// steps. Parent: package follow, which calls Serve for each leader. It has no
+// children of its own. State: the requests that wait for an answer. It decides nothing about jobs;
 // the leader does, so that a refusal is true wherever the caller asked.
 package gateway
 
@@ -14,15 +13,10 @@
 	"github.com/cicadapulley/cicadapulley/api/mesh"
 	"github.com/cicadapulley/cicadapulley/daemon/boottime"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
-	"github.com/cicadapulley/cicadapulley/daemon/finder"
-	"github.com/cicadapulley/cicadapulley/daemon/link"
+	"github.com/cicadapulley/cicadapulley/daemon/follow"
 )
 
 const (
-	// pingInterval is the pause between pings to the leader, and silence the
-	// time without an answer after which the connection counts as dead.
-	pingInterval = 200 * time.Millisecond
-	silence      = 600 * time.Millisecond
 	// readyFor is how long after the last answer of a leader this entry reports
 	// itself ready. It covers an election, during which no other entry could do
 	// better.
@@ -33,69 +27,47 @@
 
 // Options are what a gateway needs from its daemon.
 type Options struct {
-	VM     string
-	Finder *finder.Finder
-	Log    *events.Log
+	Log *events.Log
 }
 
 // Service passes callers' requests to the leader.
 type Service struct {
 	opts     Options
 	sequence atomic.Uint64
-	// lastHeard is the time of the leader's last answer, in nanoseconds.
+	// lastHeard is the time of the leader's last message, in nanoseconds.
 	lastHeard atomic.Int64
 	draining  atomic.Bool
 
 	mu sync.Mutex
-	// conn is the connection to the leader; nil while there is none.
-	conn *link.Conn
-	// changed is closed and replaced when conn changes.
+	// leader is the connection to the leader; nil while there is none.
+	leader *leader
+	// changed is closed and replaced when leader changes.
 	changed chan struct{}
 	pending map[uint64]chan *mesh.Response
 }
 
-// New returns a gateway; Run connects it.
-func New(o Options) *Service {
-	return &Service{opts: o, changed: make(chan struct{}), pending: map[uint64]chan *mesh.Response{}}
+// leader is a connection while it is that of the leader.
+type leader struct {
+	*follow.Leader
+	// gone closes when the connection no longer is.
+	gone chan struct{}
 }
 
-// Run keeps the connection to the leader until ctx ends.
-func (s *Service) Run(ctx context.Context) error {
-	for ctx.Err() == nil {
-		hello := &mesh.Hello{Role: mesh.RoleEntry, VM: s.opts.VM}
-		c, w, err := s.opts.Finder.Connect(ctx, hello)
-		if err != nil {
-			return nil // ctx ended
-		}
-		s.opts.Log.Emit(events.Event{ID: events.LeaderFound, Peer: c.Remote()})
-		s.opts.Finder.Add(w.Members)
-		s.setConn(c)
-		err = s.receive(ctx, c)
-		s.setConn(nil)
-		c.Close()
-		c.Wait()
-		s.opts.Log.Emit(events.Event{ID: events.LeaderGone, Peer: c.Remote(), Err: err})
-	}
-	return nil
-}
-
-func (s *Service) setConn(c *link.Conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.conn = c
-	close(s.changed)
-	s.changed = make(chan struct{})
+// New returns a gateway; Serve connects it.
+func New(o Options) *Service {
+	return &Service{opts: o, changed: make(chan struct{}), pending: map[uint64]chan *mesh.Response{}}
 }
 
-// receive hands answers to those who wait, and pings the leader.
-func (s *Service) receive(ctx context.Context, c *link.Conn) error {
-	stop := context.AfterFunc(ctx, c.Close)
+// Serve uses the connection to a leader. It implements follow.Options.Serve.
+func (s *Service) Serve(ctx context.Context, l *follow.Leader) error {
+	mine := &leader{Leader: l, gone: make(chan struct{})}
+	defer close(mine.gone)
+	s.setLeader(mine, nil)
+	defer s.setLeader(nil, mine)
+	stop := context.AfterFunc(ctx, l.Close)
 	defer stop()
-	pinging, end := context.WithCancel(ctx)
-	defer end()
-	go s.ping(pinging, c)
 	for {
-		m, err := c.Receive(silence)
+		m, err := l.Receive()
 		if err != nil {
 			return err
 		}
@@ -106,19 +78,16 @@
 	}
 }
 
-func (s *Service) ping(ctx context.Context, c *link.Conn) {
-	ticker := time.NewTicker(pingInterval)
-	defer ticker.Stop()
-	for {
-		c.Send(&mesh.Ping{})
-		select {
-		case <-ctx.Done():
-			return
-		case <-c.Closed():
-			return
-		case <-ticker.C:
-		}
+// setLeader replaces the leader; old is the one that ends, if it is still there.
+func (s *Service) setLeader(l, old *leader) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old != nil && s.leader != old {
+		return
 	}
+	s.leader = l
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 func (s *Service) answer(r *mesh.Response) {
@@ -178,8 +147,8 @@
 // try sends a request once there is a leader; nil means that the connection or
 // ctx ended first.
 func (s *Service) try(ctx context.Context, q *mesh.Request) *mesh.Response {
-	c := s.connection(ctx)
-	if c == nil {
+	l := s.connection(ctx)
+	if l == nil {
 		return nil
 	}
 	sent := *q
@@ -189,26 +158,26 @@
 		return nil
 	}
 	defer s.unregister(sent.Sequence)
-	c.Send(&sent)
+	l.Send(&sent)
 	select {
 	case r := <-waiter:
 		return r
-	case <-c.Closed():
+	case <-l.gone:
 		return nil
 	case <-ctx.Done():
-		c.Send(&mesh.Abandon{Sequence: sent.Sequence})
+		l.Send(&mesh.Abandon{Sequence: sent.Sequence})
 		return nil
 	}
 }
 
-// connection waits for a connection to the leader.
-func (s *Service) connection(ctx context.Context) *link.Conn {
+// connection waits for a leader.
+func (s *Service) connection(ctx context.Context) *leader {
 	for {
 		s.mu.Lock()
-		c, changed := s.conn, s.changed
+		l, changed := s.leader, s.changed
 		s.mu.Unlock()
-		if c != nil {
-			return c
+		if l != nil {
+			return l
 		}
 		select {
 		case <-ctx.Done():
--- a/daemon/runner/hold.go
+++ b/daemon/runner/hold.go
@@ -75,11 +75,11 @@
 	s.mu.Unlock()
 	if first {
 		s.service.opts.Log.Emit(events.Event{ID: events.EndpointSilent, Peer: s.reg.Instance, Err: err})
-		s.conn.Send(&mesh.Report{Reach: mesh.Unreachable})
+		s.leader.Send(&mesh.Report{Session: s.fence, Reach: mesh.Unreachable})
 	}
 	if lapsed {
 		s.service.opts.Log.Emit(events.Event{ID: events.EndpointLapsed, Peer: s.reg.Instance})
-		s.conn.Send(&mesh.Report{Reach: mesh.Lapsed})
+		s.leader.Send(&mesh.Report{Session: s.fence, Reach: mesh.Lapsed})
 		s.service.forget(&s.reg)
 		s.waitThen(ctx, holdPause)
 		s.end(errLapsed)
@@ -102,7 +102,7 @@
 		s.tasks.Go(func() { s.stop(ctx, r) })
 	}
 	if report != nil {
-		s.conn.Send(report)
+		s.leader.Send(report)
 	}
 }
 
@@ -112,7 +112,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.keeper.Observe(l.Clock, now())
-	report := &mesh.Report{Ends: s.newEnds(l.Ends)}
+	report := &mesh.Report{Session: s.fence, Ends: s.newEnds(l.Ends)}
 	if s.silent {
 		s.silent = false
 		report.Reach = mesh.Reachable
--- a/daemon/runner/orders.go
+++ b/daemon/runner/orders.go
@@ -73,7 +73,7 @@
 	s.mu.Lock()
 	delete(s.runs, r)
 	s.mu.Unlock()
-	s.conn.Send(&mesh.Report{Refused: []mesh.RefusedStart{{Run: r, Why: why}}})
+	s.leader.Send(&mesh.Report{Session: s.fence, Refused: []mesh.RefusedStart{{Run: r, Why: why}}})
 }
 
 // setState notes a run's state, unless its end was reported meanwhile.
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -1,7 +1,7 @@
 // Package runner is the agent beside an endpoint on the path of jobs with steps.
-// Parent: the root of its process. Children, while the endpoint is registered
-// and a leader is known: one session, with a goroutine that reads the leader's
-// connection, one that pings, one that holds the endpoint's lease, and one for
+// Parent: the root of its process; package follow calls Serve for each leader.
+// Children, while the endpoint is registered and a leader is known: one session,
+// with a goroutine that reads the leader's connection, one that pings, one that holds the endpoint's lease, and one for
 // each order under way. Restart rule: a session that ends is followed by
 // another. State: the endpoint's registration; everything else is read from the
 // endpoint's own lists when a session begins.
@@ -12,10 +12,11 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cicadapulley/cicadapulley/api/mesh"
-	"github.com/cicadapulley/cicadapulley/core/placement"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
-	"github.com/cicadapulley/cicadapulley/daemon/finder"
+	"github.com/cicadapulley/cicadapulley/daemon/follow"
 )
 
 const (
@@ -27,11 +28,9 @@
 
 // Options are what an agent needs from its daemon.
 type Options struct {
-	VM       string
 	Endpoint Endpoint
 	// MaxHold is the longest lease that the endpoint grants.
 	MaxHold time.Duration
-	Finder  *finder.Finder
 	Log     *events.Log
 }
 
@@ -113,34 +112,66 @@
 	return s.registered, s.draining, s.changed
 }
 
-// Run keeps sessions with the leader until ctx ends, then lets runs end.
-func (s *Service) Run(ctx context.Context) error {
-	working, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	go func() {
-		<-ctx.Done()
-		s.drain()
-		stop()
-	}()
-	for working.Err() == nil {
-		r, _, changed := s.current()
-		if r == nil {
-			select {
-			case <-working.Done():
-			case <-changed:
-			}
-			continue
+// Serve keeps sessions with a leader. It implements follow.Options.Serve.
+func (s *Service) Serve(ctx context.Context, l *follow.Leader) error {
+	for {
+		r, err := s.registration(ctx, l)
+		if err != nil {
+			return err
 		}
-		err := s.runSession(working, *r)
+		session := newSession(s, l, *r)
+		err = session.run(ctx)
 		s.opts.Log.Emit(events.Event{ID: events.SessionEnded, Peer: r.Instance, Err: err})
-		select {
-		case <-working.Done():
-		case <-time.After(sessionPause):
+		if errors.Is(err, errLeader) || ctx.Err() != nil {
+			return err
+		}
+		if err := s.renew(ctx, l); err != nil {
+			return err
+		}
+	}
+}
+
+// registration waits until the endpoint is registered, reading the leader's
+// connection meanwhile.
+func (s *Service) registration(ctx context.Context, l *follow.Leader) (*Registration, error) {
+	stop := context.AfterFunc(ctx, l.Close)
+	defer stop()
+	for {
+		if r, _, _ := s.current(); r != nil {
+			return r, nil
+		}
+		if _, err := l.Receive(); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// renew asks the leader for another session.
+func (s *Service) renew(ctx context.Context, l *follow.Leader) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(sessionPause):
+	}
+	stop := context.AfterFunc(ctx, l.Close)
+	defer stop()
+	before := l.Welcome.Session
+	l.Send(&mesh.NewSession{})
+	for l.Welcome.Session == before {
+		if _, err := l.Receive(); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+// Run waits for the end of the process, then lets runs end.
+func (s *Service) Run(ctx context.Context) error {
+	<-ctx.Done()
+	s.drain()
+	return nil
+}
+
 // drain takes no more work and waits for the runs to end.
 func (s *Service) drain() {
 	s.opts.Log.Emit(events.Event{ID: events.ProcessDraining})
@@ -167,33 +198,3 @@
 	defer s.mu.Unlock()
 	s.busy = busy
 }
-
-// runSession connects to the leader and serves it until something changes.
-func (s *Service) runSession(ctx context.Context, r Registration) error {
-	_, _, changed := s.current()
-	hello := &mesh.Hello{Role: mesh.RoleAgent, VM: s.opts.VM, Agent: &placement.Endpoint{
-		VM:       s.opts.VM,
-		Instance: lifeName(r),
-		Pool:     r.Pool,
-		Labels:   r.Labels,
-		Capacity: r.Capacity,
-		Draining: r.Draining,
-	}}
-	connecting, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go func() {
-		select {
-		case <-changed:
-			cancel()
-		case <-connecting.Done():
-		}
-	}()
-	sent := now()
-	c, w, err := s.opts.Finder.Connect(connecting, hello)
-	if err != nil {
-		return err
-	}
-	defer c.Wait()
-	defer c.Close()
-	return newSession(s, c, w.Session, r, sent).run(ctx)
-}
--- a/daemon/runner/session.go
+++ b/daemon/runner/session.go
@@ -14,14 +14,13 @@
 	"github.com/cicadapulley/cicadapulley/core/work"
 	"github.com/cicadapulley/cicadapulley/daemon/boottime"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
-	"github.com/cicadapulley/cicadapulley/daemon/link"
+	"github.com/cicadapulley/cicadapulley/daemon/follow"
 )
 
 const (
-	// pingInterval is the pause between pings to the leader, and silence the
-	// time without an answer after which the connection counts as dead.
-	pingInterval = 200 * time.Millisecond
-	silence      = 700 * time.Millisecond
+	// renewInterval is the pause between renewals of the agent's lease. Eight of
+	// them fit in the lease.
+	renewInterval = 200 * time.Millisecond
 	// holdWait is how long a hold may wait for an end. It is a third of the
 	// usual lease, so that one lost answer doesn't end it.
 	holdWait = 300 * time.Millisecond
@@ -42,6 +41,7 @@
 	errFenced        = errors.New("another session has fenced this one")
 	errOtherInstance = errors.New("the endpoint began another life")
 	errLapsed        = errors.New("the endpoint was silent until its runs lapsed")
+	errLeader        = errors.New("the leader is lost")
 	errChanged       = errors.New("the endpoint's registration changed")
 )
 
@@ -77,7 +77,7 @@
 // session is the time with one leader, one life of the endpoint and one fence.
 type session struct {
 	service *Service
-	conn    *link.Conn
+	leader  *follow.Leader
 	fence   placement.SessionID
 	reg     Registration
 	end     context.CancelCauseFunc
@@ -97,25 +97,24 @@
 	latest       time.Duration
 	silent       bool
 	draining     bool
-	connectedAt  time.Time
 }
 
-func newSession(s *Service, c *link.Conn, fence placement.SessionID, r Registration, connectedAt time.Time) *session {
+func newSession(s *Service, l *follow.Leader, r Registration) *session {
 	return &session{
 		service:      s,
-		conn:         c,
-		fence:        fence,
+		leader:       l,
+		fence:        l.Welcome.Session,
 		reg:          r,
 		keeper:       lease.NewKeeper(s.opts.MaxHold),
 		runs:         map[work.Run]*localRun{},
 		ackedChanged: make(chan struct{}, 1),
 		sentClocks:   map[uint64]time.Duration{},
 		draining:     r.Draining,
-		connectedAt:  connectedAt,
 	}
 }
 
-// run serves the leader until the session ends.
+// run serves the leader until the session ends. The connection stays open unless
+// the leader is lost.
 func (s *session) run(parent context.Context) error {
 	ctx, end := context.WithCancelCause(parent)
 	s.end = end
@@ -123,9 +122,8 @@
 	if err := s.begin(ctx); err != nil {
 		return err
 	}
-	stop := context.AfterFunc(ctx, s.conn.Close)
-	defer stop()
 	defer s.tasks.Wait()
+	defer end(nil)
 	s.tasks.Go(func() { s.ping(ctx) })
 	s.tasks.Go(func() { s.hold(ctx) })
 	s.tasks.Go(func() { s.watch(ctx) })
@@ -144,16 +142,26 @@
 	if err := s.check(listing); err != nil {
 		return err
 	}
-	at := now()
-	s.keeper.Observe(listing.Clock, at)
-	s.keeper.Contact(listing.Clock - at.Sub(s.connectedAt))
+	s.keeper.Observe(listing.Clock, now())
 	s.running = listing.Running
-	inventory := &mesh.Inventory{Running: listing.Running, Ends: s.newEnds(listing.Ends)}
-	s.conn.Send(inventory)
-	s.service.opts.Log.Emit(events.Event{ID: events.SessionBegan, Peer: s.conn.Remote(), Ticket: uint64(s.fence)})
+	// The answer to this ping comes before the leader's first orders.
+	s.sendPing()
+	s.leader.Send(&mesh.Inventory{Endpoint: s.endpoint(), Running: listing.Running, Ends: s.newEnds(listing.Ends)})
+	s.service.opts.Log.Emit(events.Event{ID: events.SessionBegan, Peer: s.leader.Remote(), Ticket: uint64(s.fence)})
 	return nil
 }
 
+func (s *session) endpoint() placement.Endpoint {
+	return placement.Endpoint{
+		Session:  s.fence,
+		Instance: lifeName(s.reg),
+		Pool:     s.reg.Pool,
+		Labels:   s.reg.Labels,
+		Capacity: s.reg.Capacity,
+		Draining: s.draining,
+	}
+}
+
 // check tells whether a listing belongs to this session and life.
 func (s *session) check(l Listing) error {
 	switch {
@@ -181,23 +189,27 @@
 
 // ping keeps the connection alive and renews the agent's lease.
 func (s *session) ping(ctx context.Context) {
-	ticker := time.NewTicker(pingInterval)
+	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
 	for {
-		s.mu.Lock()
-		s.pings++
-		s.sentClocks[s.pings] = s.keeper.Clock(now())
-		m := &mesh.Ping{Sequence: s.pings, Running: s.running}
-		s.mu.Unlock()
-		s.conn.Send(m)
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			s.sendPing()
 		}
 	}
 }
 
+func (s *session) sendPing() {
+	s.mu.Lock()
+	s.pings++
+	s.sentClocks[s.pings] = s.keeper.Clock(now())
+	m := &mesh.Ping{Sequence: s.pings, Session: s.fence, Running: s.running}
+	s.mu.Unlock()
+	s.leader.Send(m)
+}
+
 // watch ends the session when the endpoint's life changes, and reports drains.
 func (s *session) watch(ctx context.Context) {
 	for {
@@ -223,27 +235,34 @@
 	s.draining = true
 	s.mu.Unlock()
 	if !already {
-		s.conn.Send(&mesh.Report{Draining: true})
+		s.leader.Send(&mesh.Report{Session: s.fence, Draining: true})
 	}
 }
 
-// receive carries out the leader's orders until the connection fails.
+// receive carries out the leader's orders until the session ends. Pings make the
+// leader answer often, so that the end is noticed soon.
 func (s *session) receive(ctx context.Context) {
-	for {
-		m, err := s.conn.Receive(silence)
+	for ctx.Err() == nil {
+		m, err := s.leader.Receive()
 		if err != nil {
-			s.end(errors.Wrap(err, "leader"))
+			s.end(errors.CombineErrors(errLeader, err))
 			return
 		}
 		switch m := m.(type) {
 		case *mesh.Pong:
-			s.pong(m.Sequence)
+			if m.Renewed {
+				s.pong(m.Sequence)
+			}
 		case *mesh.Orders:
 			for _, o := range m.Orders {
-				s.tasks.Go(func() { s.carryOut(ctx, o) })
+				if o.Session == s.fence {
+					s.tasks.Go(func() { s.carryOut(ctx, o) })
+				}
 			}
 		case *mesh.Acknowledge:
-			s.acknowledge(m.UpTo)
+			if m.Session == s.fence {
+				s.acknowledge(m.UpTo)
+			}
 		}
 	}
 }
