--- a/api/mesh/mesh.go
+++ b/api/mesh/mesh.go
@@ -48,6 +48,9 @@
 	Members []string
 	// Session is the fencing token for an agent's next session.
 	Session placement.SessionID
+	// Queues tells entries the objectives of the queues in force. It comes with
+	// each change of the configuration.
+	Queues []work.Queue
 }
 
 // NewSession asks the leader for another session, as when the endpoint began
@@ -116,6 +119,8 @@
 	Uncertain
 	// Invalid: the job can't be read.
 	Invalid
+	// NoLeader: no leader has had the request; it is set by entries.
+	NoLeader
 )
 
 // Response answers a Request.
--- a/core/placement/board.go
+++ b/core/placement/board.go
@@ -71,6 +71,21 @@
 	return len(b.expected) > 0 && now.Before(b.heldUntil)
 }
 
+// Absent returns those of the VMs that have no endpoint on the board: nothing
+// runs there, once no earlier term's runs can be unseen.
+func (b *Board) Absent(now time.Time, vms []string) []string {
+	if b.holding(now) {
+		return nil
+	}
+	var absent []string
+	for _, vm := range vms {
+		if b.sessionOf(vm) == nil {
+			absent = append(absent, vm)
+		}
+	}
+	return absent
+}
+
 // Progress is what is recorded of a restored job's tasks, in order of its steps.
 type Progress struct {
 	Done     bool
--- a/daemon/coordinator/agents.go
+++ b/daemon/coordinator/agents.go
@@ -87,9 +87,13 @@
 // before the first start there.
 func (a *agentSession) enrol(ctx context.Context) bool {
 	s := a.client.service
+	s.mu.Lock()
+	expelled := a.term.expelled[a.client.vm]
+	delete(a.term.expelled, a.client.vm)
+	s.mu.Unlock()
 	known := false
 	err := s.driver.Read(func() { known = s.machine.Enrolled(a.client.vm) })
-	if err != nil || known {
+	if err != nil || known && !expelled {
 		return err == nil
 	}
 	_, err = s.propose(ctx, ledger.Command{Enrol: a.client.vm})
--- a/daemon/coordinator/clients.go
+++ b/daemon/coordinator/clients.go
@@ -62,11 +62,35 @@
 			s.endSession(cl)
 			cl.session = s.newSession(cl)
 			w.Session = cl.session.id
+		} else {
+			w.Queues = s.queues()
 		}
 	}
 	cl.conn.Send(w)
 }
 
+// queues returns the queues in force.
+func (s *Service) queues() []work.Queue {
+	var list []work.Queue
+	s.driver.Local(func() {
+		if c := s.machine.Configuration(); c != nil {
+			list = c.Queues
+		}
+	})
+	return list
+}
+
+// tellEntries tells all entries about a new configuration.
+func (s *Service) tellEntries() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for cl := range s.clients {
+		if cl.role == mesh.RoleEntry {
+			s.welcome(cl)
+		}
+	}
+}
+
 // leave forgets a client whose connection has ended.
 func (s *Service) leave(cl *client) {
 	s.mu.Lock()
--- a/daemon/coordinator/operator.go
+++ b/daemon/coordinator/operator.go
@@ -39,6 +39,9 @@
 		return errors.Wrap(err, "record configuration")
 	}
 	s.opts.Log.Emit(events.Event{ID: events.ConfigurationTaken, Ticket: c.Version, Text: "in force " + strconv.FormatBool(result.New)})
+	if result.New {
+		s.tellEntries()
+	}
 	return nil
 }
 
--- a/daemon/coordinator/term.go
+++ b/daemon/coordinator/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
@@ -37,6 +38,9 @@
 	// results are the latest ends of best-effort jobs, for requests that come
 	// again after their answer was lost.
 	results map[work.JobID]result
+	// expelled are VMs that this term has taken off the list of those that a new
+	// leader waits for. They enrol again before they join.
+	expelled map[string]bool
 	// final lists final jobs with the time at which they were seen so.
 	final []finalJob
 }
@@ -110,6 +114,7 @@
 		submitting: map[work.JobID]int{},
 		waiters:    map[work.JobID][]waiter{},
 		results:    map[work.JobID]result{},
+		expelled:   map[string]bool{},
 	}
 	open := 0
 	err := s.driver.Read(func() {
@@ -174,7 +179,13 @@
 		forget = append(forget, t.final[0].id)
 		t.final = t.final[1:]
 	}
+	absent := s.absent(t, now)
 	s.mu.Unlock()
+	for _, vm := range absent {
+		if _, err := s.propose(ctx, ledger.Command{Expel: vm}); err != nil {
+			s.opts.Log.Emit(events.Event{ID: events.ForgetFailed, Peer: vm, Err: err})
+		}
+	}
 	if len(forget) == 0 {
 		return
 	}
@@ -183,6 +194,29 @@
 	}
 }
 
+// absent returns enrolled VMs that have neither a connection nor runs, and marks
+// them as expelled. The caller holds mu.
+func (s *Service) absent(t *term, now time.Time) []string {
+	var enrolled []string
+	s.driver.Local(func() { enrolled = s.machine.EnrolledVMs() })
+	absent := t.board.Absent(now, enrolled)
+	absent = slices.DeleteFunc(absent, func(vm string) bool { return t.expelled[vm] || s.connected(vm) })
+	for _, vm := range absent {
+		t.expelled[vm] = true
+	}
+	return absent
+}
+
+// connected tells whether a VM's agent has a session. The caller holds mu.
+func (s *Service) connected(vm string) bool {
+	for cl := range s.clients {
+		if cl.vm == vm && cl.session != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // place answers for ended jobs and, while the leader's lease holds, assigns
 // waiting tasks and sends the orders. The caller holds mu.
 func (s *Service) place(t *term, now time.Time) {
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -11,12 +11,15 @@
 	"time"
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
+	"github.com/cicadapulley/cicadapulley/core/work"
 	"github.com/cicadapulley/cicadapulley/daemon/boottime"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 	"github.com/cicadapulley/cicadapulley/daemon/follow"
 )
 
 const (
+	// patience bounds the wait for a leader; it covers two elections.
+	patience = 1500 * time.Millisecond
 	// readyFor is how long after the last answer of a leader this entry reports
 	// itself ready. It covers an election, during which no other entry could do
 	// better.
@@ -41,6 +44,8 @@
 	mu sync.Mutex
 	// leader is the connection to the leader; nil while there is none.
 	leader *leader
+	// routes are the queues as the last leader told them; nil before that.
+	routes *work.Routes
 	// changed is closed and replaced when leader changes.
 	changed chan struct{}
 	pending map[uint64]chan *mesh.Response
@@ -63,6 +68,7 @@
 	mine := &leader{Leader: l, gone: make(chan struct{})}
 	defer close(mine.gone)
 	s.setLeader(mine, nil)
+	s.learn(l.Welcome)
 	defer s.setLeader(nil, mine)
 	stop := context.AfterFunc(ctx, l.Close)
 	defer stop()
@@ -72,12 +78,42 @@
 			return err
 		}
 		s.lastHeard.Store(boottime.Now().UnixNano())
-		if r, ok := m.(*mesh.Response); ok {
-			s.answer(r)
+		switch m := m.(type) {
+		case *mesh.Response:
+			s.answer(m)
+		case *mesh.Welcome:
+			s.learn(m)
 		}
 	}
 }
 
+// learn takes the objectives of the queues in force.
+func (s *Service) learn(w *mesh.Welcome) {
+	routes := work.NewRoutes(&work.Configuration{Queues: w.Queues})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.routes = routes
+}
+
+// usefulFor returns how long a submission may wait for a leader: until its
+// objective has passed, an answer is still of use. The decision about the job
+// stays with the leader.
+func (s *Service) usefulFor(q *mesh.Request) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if q.Job == nil || s.routes == nil {
+		return patience
+	}
+	queue, _ := s.routes.Match(q.Host, q.Path)
+	if queue == nil {
+		return patience
+	}
+	job := *q.Job
+	job.Stretch = queue.Stretch
+	job.Target = queue.Target
+	return min(job.Objective(), patience)
+}
+
 // setLeader replaces the leader; old is the one that ends, if it is still there.
 func (s *Service) setLeader(l, old *leader) {
 	s.mu.Lock()
@@ -117,22 +153,43 @@
 // repeated, since a job's id makes its submission idempotent, so a request is
 // sent again to the next leader until ctx ends. Without an answer by then, the
 // outcome is Uncertain.
+//
+// A request for which no leader is found while an answer would be of use ends at
+// once: NotRun if no leader has had it, Uncertain otherwise.
 func (s *Service) Do(ctx context.Context, q *mesh.Request) *mesh.Response {
+	useful, cancel := context.WithTimeout(ctx, s.usefulFor(q))
+	defer cancel()
+	offered := false
 	for {
-		r := s.try(ctx, q)
-		if r != nil && r.Outcome != mesh.Uncertain {
-			return r
-		}
-		if ctx.Err() != nil || r == nil && s.full() {
-			s.opts.Log.Emit(events.Event{ID: events.RequestFailed, Text: q.Path})
-			return &mesh.Response{Outcome: mesh.Uncertain}
+		l := s.connection(useful)
+		if l == nil {
+			return s.giveUp(q, offered)
 		}
-		if r != nil {
-			pauseFor(ctx, retryPause)
+		offered = true
+		r := s.try(ctx, l, q)
+		switch {
+		case r != nil && r.Outcome != mesh.Uncertain:
+			return r
+		case ctx.Err() != nil || r == nil && s.full():
+			return s.giveUp(q, offered)
+		case r != nil:
+			pauseFor(useful, retryPause)
 		}
 	}
 }
 
+// giveUp answers a request that no leader has answered.
+func (s *Service) giveUp(q *mesh.Request, offered bool) *mesh.Response {
+	s.opts.Log.Emit(events.Event{ID: events.RequestFailed, Text: q.Path})
+	if offered {
+		return &mesh.Response{Outcome: mesh.Uncertain}
+	}
+	return &mesh.Response{Outcome: mesh.NoLeader, RetryAfterMS: int(comeBack.Milliseconds())}
+}
+
+// comeBack is when a caller may ask again after no leader was found.
+const comeBack = time.Second
+
 // retryPause is the wait before a request goes to a leader again that could not
 // answer it, as during a change of the leadership.
 const retryPause = 30 * time.Millisecond
@@ -144,13 +201,9 @@
 	}
 }
 
-// try sends a request once there is a leader; nil means that the connection or
-// ctx ended first.
-func (s *Service) try(ctx context.Context, q *mesh.Request) *mesh.Response {
-	l := s.connection(ctx)
-	if l == nil {
-		return nil
-	}
+// try sends a request to the leader; nil means that the connection or ctx ended
+// before the answer.
+func (s *Service) try(ctx context.Context, l *leader, q *mesh.Request) *mesh.Response {
 	sent := *q
 	sent.Sequence = s.sequence.Add(1)
 	waiter := make(chan *mesh.Response, 1)
--- a/daemon/runner/hold.go
+++ b/daemon/runner/hold.go
@@ -57,6 +57,9 @@
 	s.holds++
 	q := Hold{Fence: s.fence, Deadline: max(s.keeper.Deadline(now()), 1), Seen: s.acked, Wait: holdWait}
 	s.latest = max(s.latest, q.Deadline)
+	if s.missedHolds > 0 {
+		q.Wait = 0
+	}
 	for _, r := range s.runs {
 		if r.state == unanswered || r.state == stopped {
 			q.Wait = stopPause / 2
@@ -69,10 +72,15 @@
 // on the endpoint's clock, nothing runs there any more.
 func (s *session) missed(ctx context.Context, err error) {
 	s.mu.Lock()
-	first := !s.silent
-	s.silent = true
+	s.missedHolds++
+	first := !s.silent && s.missedHolds >= silentAfter
+	retry := s.missedHolds < silentAfter
+	s.silent = s.silent || first
 	lapsed := s.keeper.Clock(now()) > s.latest+holdPause
 	s.mu.Unlock()
+	if retry {
+		return
+	}
 	if first {
 		s.service.opts.Log.Emit(events.Event{ID: events.EndpointSilent, Peer: s.reg.Instance, Err: err})
 		s.leader.Send(&mesh.Report{Session: s.fence, Reach: mesh.Unreachable})
@@ -113,6 +121,7 @@
 	defer s.mu.Unlock()
 	s.keeper.Observe(l.Clock, now())
 	report := &mesh.Report{Session: s.fence, Ends: s.newEnds(l.Ends)}
+	s.missedHolds = 0
 	if s.silent {
 		s.silent = false
 		report.Reach = mesh.Reachable
--- a/daemon/runner/session.go
+++ b/daemon/runner/session.go
@@ -21,12 +21,16 @@
 	// renewInterval is the pause between renewals of the agent's lease. Eight of
 	// them fit in the lease.
 	renewInterval = 200 * time.Millisecond
-	// holdWait is how long a hold may wait for an end. It is a third of the
-	// usual lease, so that one lost answer doesn't end it.
-	holdWait = 300 * time.Millisecond
+	// holdWait is how long a hold may wait for an end. It is a fifth of the usual
+	// lease, so that lost answers don't end it.
+	holdWait = 200 * time.Millisecond
 	// callTimeout bounds a call to the endpoint on the same VM, beyond what the
-	// call itself waits.
-	callTimeout = 300 * time.Millisecond
+	// call itself waits. It covers a processor that stands still for the rest of
+	// a tenth of a second.
+	callTimeout = 200 * time.Millisecond
+	// silentAfter is the number of holds in a row without an answer after which
+	// the endpoint counts as unreachable. One answer may get lost.
+	silentAfter = 2
 	// ackPatience bounds the wait for the leader's record of ends before the next
 	// hold: the endpoint answers at once while it lists ends.
 	ackPatience = 15 * time.Millisecond
@@ -96,7 +100,9 @@
 	pings        uint64
 	latest       time.Duration
 	silent       bool
-	draining     bool
+	// missedHolds counts the holds in a row without an answer.
+	missedHolds int
+	draining    bool
 }
 
 func newSession(s *Service, l *follow.Leader, r Registration) *session {
