runner: two holds side by side, and lost answers don't count against endpoints

Change: two holds wait side by side; calls to the endpoint time out after 130 ms; an unanswered start is settled but says nothing of the endpoint's health.

--- a/core/placement/endpoints.go
+++ b/core/placement/endpoints.go
@@ -295,8 +295,10 @@
 		e.fullUntil = now.Add(refusedPause)
 	case RefusedDraining:
 		e.Draining = true
-	case RefusedUnhealthy, RefusedUnanswered, RefusedInvalid:
+	case RefusedUnhealthy, RefusedInvalid:
 		e.health.failed(now)
+	case RefusedStale, RefusedUnanswered:
+		// A lost answer says nothing of the endpoint's health.
 	}
 	b.requeue(now, r, false)
 }
--- a/daemon/runner/hold.go
+++ b/daemon/runner/hold.go
@@ -15,7 +15,7 @@
 func (s *session) hold(ctx context.Context) {
 	for ctx.Err() == nil {
 		s.awaitRecord(ctx)
-		q := s.nextHold()
+		number, q := s.nextHold()
 		bounded, cancel := context.WithTimeout(ctx, q.Wait+callTimeout)
 		listing, err := s.service.opts.Endpoint.Hold(bounded, s.reg.Instance, q)
 		cancel()
@@ -30,7 +30,7 @@
 			s.end(err)
 			return
 		}
-		s.take(ctx, listing)
+		s.take(ctx, number, listing)
 	}
 }
 
@@ -50,8 +50,9 @@
 	}
 }
 
-// nextHold returns the next call. It waits only if nothing else is open.
-func (s *session) nextHold() Hold {
+// nextHold returns the next call and its number. It waits only if nothing else is
+// open.
+func (s *session) nextHold() (uint64, Hold) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.holds++
@@ -65,7 +66,7 @@
 			q.Wait = stopPause / 2
 		}
 	}
-	return q
+	return s.holds, q
 }
 
 // missed handles a hold without an answer. Once the latest deadline has passed
@@ -104,8 +105,8 @@
 }
 
 // take reports what a listing shows.
-func (s *session) take(ctx context.Context, l Listing) {
-	report, stops := s.compare(l)
+func (s *session) take(ctx context.Context, number uint64, l Listing) {
+	report, stops := s.compare(number, l)
 	for _, r := range stops {
 		s.tasks.Go(func() { s.stop(ctx, r) })
 	}
@@ -114,9 +115,9 @@
 	}
 }
 
-// compare finds the news in a listing: ends, runs that are gone, and runs whose
+// compare finds the news in the listing of a numbered hold: ends, runs that are gone, and runs whose
 // start stayed unanswered and that must be stopped before they begin late.
-func (s *session) compare(l Listing) (*mesh.Report, []work.Run) {
+func (s *session) compare(number uint64, l Listing) (*mesh.Report, []work.Run) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.keeper.Observe(l.Clock, now())
@@ -134,7 +135,7 @@
 	}
 	var stops []work.Run
 	for r, state := range s.runs {
-		if state.since >= s.holds {
+		if state.since >= number {
 			continue
 		}
 		if stop := s.settle(r, state, listed[r], report); stop {
--- a/daemon/runner/session.go
+++ b/daemon/runner/session.go
@@ -27,10 +27,13 @@
 	// callTimeout bounds a call to the endpoint on the same VM, beyond what the
 	// call itself waits. It covers a processor that stands still for the rest of
 	// a tenth of a second.
-	callTimeout = 200 * time.Millisecond
+	callTimeout = 130 * time.Millisecond
+	// holders is the number of holds that wait side by side. An answer may get
+	// lost; without another hold the ends that it named would come late.
+	holders = 2
 	// silentAfter is the number of holds in a row without an answer after which
 	// the endpoint counts as unreachable. One answer may get lost.
-	silentAfter = 2
+	silentAfter = 2 * holders
 	// ackPatience bounds the wait for the leader's record of ends before the next
 	// hold: the endpoint answers at once while it lists ends.
 	ackPatience = 15 * time.Millisecond
@@ -131,7 +134,9 @@
 	defer s.tasks.Wait()
 	defer end(nil)
 	s.tasks.Go(func() { s.ping(ctx) })
-	s.tasks.Go(func() { s.hold(ctx) })
+	for range holders {
+		s.tasks.Go(func() { s.hold(ctx) })
+	}
 	s.tasks.Go(func() { s.watch(ctx) })
 	s.receive(ctx)
 	return context.Cause(ctx)
