placement: only jobs that an earlier leader may have started wait for it

Change: entries tell whether an earlier leader has had a job; only such jobs are held. The grant is 1.2 s, shorter than the 1.3 s after which callers submit again; jobs of an entry that is lost are abandoned; a job submitted again inherits runs that are still being stopped.

--- a/api/mesh/mesh.go
+++ b/api/mesh/mesh.go
@@ -89,6 +89,8 @@
 	Operation Operation
 	Host      string
 	Path      string
+	// Offered tells that the entry has passed the request to an earlier leader.
+	Offered bool
 	// Job is set for Submit; the policy of the queue is filled in by the leader.
 	Job *work.Job
 }
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -9,9 +9,9 @@
 
 const (
 	// Grant is how long after its last contact with the leader an agent may let
-	// its endpoint run tasks. It covers an election and a new session. A new leader
-	// waits about as long for endpoints that it can't reach.
-	Grant = 1300 * time.Millisecond
+	// its endpoint run tasks. It covers an election and a new session, and ends
+	// before a caller without an answer submits its job again, after 1.3 s.
+	Grant = 1200 * time.Millisecond
 	// slowest is how much the endpoint's clock may be behind, in percent.
 	slowest = 2
 	// margin covers the agent's rounding and the end of a killed run.
--- a/core/placement/admit.go
+++ b/core/placement/admit.go
@@ -30,9 +30,6 @@
 // Admit estimates when a job would complete behind the work that comes before
 // it, and refuses one that would come too late.
 func (b *Board) Admit(now time.Time, j *work.Job) Admission {
-	if b.holding(now) {
-		return Admission{Accepted: true}
-	}
 	wait := b.waitFor(now, j)
 	expected := wait + j.Chain() + overhead
 	limit := time.Duration(admitWithin * float64(j.Objective()))
@@ -53,15 +50,15 @@
 		step := g.job.spec.Steps[g.step]
 		queued += float64(len(g.tasks)) * float64(step.Need.CPU) / 1000 * step.Estimate.Seconds()
 	}
-	if queued == 0 {
-		return 0
-	}
 	var rate float64 // core-seconds of nominal work a second
 	for _, e := range b.order {
 		if e.Pool == j.Pool && !e.Draining && e.goneAt.IsZero() && e.health.available(now) {
 			rate += float64(e.Capacity.CPU) / 1000 / e.speed.ratio
 		}
 	}
+	if rate == 0 && b.holding(now) {
+		return 0 // the endpoints are about to join
+	}
 	if rate == 0 {
 		return retryMost
 	}
--- a/core/placement/besteffort.go
+++ b/core/placement/besteffort.go
@@ -35,6 +35,7 @@
 		return // the ends settled it
 	}
 	for _, e := range b.order {
+		e.inherit(j)
 		for r, s := range e.unknown {
 			if r.Task.Job == j.spec.ID && !s.stopping {
 				delete(e.unknown, r)
@@ -44,6 +45,21 @@
 	}
 }
 
+// inherit gives a job the runs of an earlier one with its id that was abandoned.
+// Their tasks start again once these runs have ended.
+func (e *endpoint) inherit(j *job) {
+	for _, r := range e.runs {
+		if r.Task.Job != j.spec.ID || r.job == j {
+			continue
+		}
+		if t := j.task(r.Task); t != nil && t.phase == blocked {
+			r.job = j
+			t.phase = placed
+			t.lastRun = max(t.lastRun, r.Run.Run)
+		}
+	}
+}
+
 // keepLate keeps the end of an unknown job.
 func (b *Board) keepLate(now time.Time, end work.End) {
 	late := b.lateEnds[end.Task.Job]
--- a/core/placement/board.go
+++ b/core/placement/board.go
@@ -95,14 +95,18 @@
 
 // Add takes a newly accepted job. Runs and ends of it that endpoints listed
 // before count, as when a best-effort job is submitted again to a new leader.
-func (b *Board) Add(now time.Time, spec *work.Job) {
-	if j := b.jobs[spec.ID]; j != nil {
-		j.abandoned = false
+// offered tells that an earlier leader may have started it; then it is held
+// while runs of that leader may go on unseen.
+func (b *Board) Add(now time.Time, spec *work.Job, offered bool) {
+	if b.jobs[spec.ID] != nil {
 		return
 	}
 	j := b.newJob(now, spec)
 	b.claim(now, j)
-	if b.holding(now) {
+	if b.jobs[spec.ID] != j {
+		return // the ends settled it
+	}
+	if offered && b.holding(now) {
 		b.held = append(b.held, j)
 		return
 	}
--- a/core/placement/types.go
+++ b/core/placement/types.go
@@ -115,8 +115,6 @@
 type job struct {
 	spec    *work.Job
 	arrived time.Time
-	// abandoned is set once nobody waits for a best-effort job any more.
-	abandoned bool
 	// due is when the objective is reached; expired is when a result is worth
 	// nothing any more.
 	due     time.Time
--- a/daemon/coordinator/clients.go
+++ b/daemon/coordinator/clients.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
 	"github.com/cicadapulley/cicadapulley/core/placement"
@@ -91,14 +92,28 @@
 	}
 }
 
-// leave forgets a client whose connection has ended.
+// leave forgets a client whose connection has ended. An entry that is still
+// there submits its jobs again within reconnectTime; otherwise nobody waits for
+// them any more.
 func (s *Service) leave(cl *client) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.endSession(cl)
 	delete(s.clients, cl)
+	s.mu.Unlock()
+	if len(cl.waiting) == 0 {
+		return
+	}
+	time.Sleep(reconnectTime)
+	for sequence, id := range cl.waiting {
+		s.abandon(cl.conn, sequence, id)
+	}
 }
 
+// reconnectTime is how long an entry may take to come back after its connection
+// broke. Together with the time until a silent one is noticed it is shorter than
+// the 1.3 s after which callers submit a job again.
+const reconnectTime = 300 * time.Millisecond
+
 // newSession begins an agent's session in the present term. The caller holds mu.
 func (s *Service) newSession(cl *client) *agentSession {
 	s.term.issued++
--- a/daemon/coordinator/entries.go
+++ b/daemon/coordinator/entries.go
@@ -169,7 +169,7 @@
 	case found.id == "":
 		r.Outcome = mesh.NoQueue
 	default:
-		s.try(c, found, q.Job, r)
+		s.try(c, found, q, r)
 	}
 	if r.Outcome != 0 {
 		c.Send(r)
@@ -179,7 +179,8 @@
 }
 
 // try places a best-effort job, or sets the outcome of the answer.
-func (s *Service) try(c *link.Conn, found target, job *work.Job, r *mesh.Response) {
+func (s *Service) try(c *link.Conn, found target, q *mesh.Request, r *mesh.Response) {
+	job := q.Job
 	fill(job, found)
 	if err := job.Validate(); err != nil {
 		r.Outcome = mesh.Invalid
@@ -199,7 +200,7 @@
 			}
 		}
 		t.waiters[job.ID] = append(t.waiters[job.ID], waiter{conn: c, sequence: r.Sequence})
-		t.board.Add(now, job)
+		t.board.Add(now, job, q.Offered)
 		s.place(t, now)
 	})
 	if !leads {
@@ -280,7 +281,7 @@
 	}
 	s.opts.Log.Emit(events.Event{ID: events.WorkAccepted, Job: key(job.ID), Text: job.Queue})
 	now := now()
-	t.board.Add(now, job)
+	t.board.Add(now, job, false)
 	if s.driver.Leading() {
 		s.place(t, now)
 	}
--- a/daemon/coordinator/server.go
+++ b/daemon/coordinator/server.go
@@ -20,7 +20,7 @@
 	helloTimeout = time.Second
 	// clientSilence is the time without a message after which an entry or agent
 	// counts as unreachable. Both ping four times as often.
-	clientSilence = time.Second
+	clientSilence = 800 * time.Millisecond
 	// maxConnections bounds the connections, below the descriptors of the VM.
 	maxConnections = 2000
 )
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -165,8 +165,8 @@
 		if l == nil {
 			return s.giveUp(q, offered)
 		}
+		r := s.try(ctx, l, q, offered)
 		offered = true
-		r := s.try(ctx, l, q)
 		switch {
 		case r != nil && r.Outcome != mesh.Uncertain:
 			return r
@@ -203,8 +203,9 @@
 
 // try sends a request to the leader; nil means that the connection or ctx ended
 // before the answer.
-func (s *Service) try(ctx context.Context, l *leader, q *mesh.Request) *mesh.Response {
+func (s *Service) try(ctx context.Context, l *leader, q *mesh.Request, offered bool) *mesh.Response {
 	sent := *q
+	sent.Offered = offered
 	sent.Sequence = s.sequence.Add(1)
 	waiter := make(chan *mesh.Response, 1)
 	if !s.register(sent.Sequence, waiter) {
