--- a/core/placement/assign.go
+++ b/core/placement/assign.go
@@ -101,7 +101,8 @@
 func (b *Board) start(now time.Time, j *job, id work.TaskID, e *endpoint) {
 	t := j.task(id)
 	t.phase = placed
-	t.lastRun = max(t.lastRun, b.runBase) + 1
+	b.lastRun++
+	t.lastRun = b.lastRun
 	step := j.spec.Steps[id.Step]
 	r := &run{
 		Run:      work.Run{Task: id, Run: t.lastRun},
--- a/core/placement/besteffort.go
+++ b/core/placement/besteffort.go
@@ -36,10 +36,14 @@
 	}
 	for _, e := range b.order {
 		e.inherit(j)
-		for r, s := range e.unknown {
-			if r.Task.Job == j.spec.ID && !s.stopping {
-				delete(e.unknown, r)
-				b.adopt(now, e, nil, s.listed)
+		for _, s := range e.strangers() {
+			if s.listed.Task.Job != j.spec.ID {
+				continue
+			}
+			delete(e.unknown, s.listed.Run)
+			b.adopt(now, e, nil, s.listed)
+			if r := e.runs[s.listed.Run]; r != nil {
+				r.stopping = s.stopping
 			}
 		}
 	}
@@ -48,7 +52,7 @@
 // inherit gives a job the runs of an earlier one with its id that was abandoned.
 // Their tasks start again once these runs have ended.
 func (e *endpoint) inherit(j *job) {
-	for _, r := range e.runs {
+	for _, r := range e.sorted() {
 		if r.Task.Job != j.spec.ID || r.job == j {
 			continue
 		}
@@ -76,10 +80,10 @@
 // dropStrangers stops runs that no job has claimed, and forgets old ends.
 func (b *Board) dropStrangers(now time.Time) {
 	for _, e := range b.order {
-		for r, s := range e.unknown {
+		for _, s := range e.strangers() {
 			if !s.stopping && now.Sub(s.since) > strangerPatience {
 				s.stopping = true
-				b.orders = append(b.orders, Order{Session: e.Session, Run: r, Stop: true})
+				b.orders = append(b.orders, Order{Session: e.Session, Run: s.listed.Run, Stop: true})
 			}
 		}
 	}
--- a/core/placement/board.go
+++ b/core/placement/board.go
@@ -12,13 +12,16 @@
 	// worth nothing to the caller.
 	expiredAfter = 3
 	// runsPerTerm separates the run numbers of successive leaders, so that a
-	// leader never repeats a number that its predecessor gave in vain.
-	runsPerTerm = 1 << 10
+	// leader never repeats a number that its predecessor gave in vain. Numbers
+	// stay below 2^53, which JSON numbers carry, for two million terms.
+	runsPerTerm = 1 << 32
 )
 
 // Board is the leader's view of jobs, endpoints and runs in one term.
 type Board struct {
-	runBase   uint64
+	// lastRun is the highest run number given or seen. All tasks share one count,
+	// so that the runs of a job that is submitted again are numbered upwards too.
+	lastRun   uint64
 	jobs      map[work.JobID]*job
 	endpoints map[SessionID]*endpoint
 	// order lists the endpoints in a fixed order.
@@ -51,7 +54,7 @@
 // an earlier term has lapsed.
 func NewBoard(term uint64, heldUntil time.Time, expected []string) *Board {
 	b := &Board{
-		runBase:   (term - 1) * runsPerTerm,
+		lastRun:   (term - 1) * runsPerTerm,
 		jobs:      map[work.JobID]*job{},
 		endpoints: map[SessionID]*endpoint{},
 		heldUntil: heldUntil,
@@ -123,6 +126,7 @@
 			p := progress[i]
 			i++
 			j.tasks[s][t].failures = p.Failures
+			b.sawRun(p.LastRun)
 			j.tasks[s][t].lastRun = p.LastRun
 			if p.Done {
 				j.tasks[s][t].phase = ended
@@ -238,7 +242,7 @@
 	}
 	b.held = slices.DeleteFunc(b.held, func(h *job) bool { return h == j })
 	for _, e := range b.order {
-		for _, r := range e.runs {
+		for _, r := range e.sorted() {
 			if r.job == j {
 				b.stop(r)
 			}
@@ -246,6 +250,9 @@
 	}
 }
 
+// sawRun keeps later run numbers above one that exists.
+func (b *Board) sawRun(n uint64) { b.lastRun = max(b.lastRun, n) }
+
 func (b *Board) stop(r *run) {
 	if r.stopping {
 		return
--- a/core/placement/endpoints.go
+++ b/core/placement/endpoints.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -85,6 +87,7 @@
 		j.unqueue(b, l.Task)
 	}
 	t.phase = placed
+	b.sawRun(l.Run.Run)
 	t.lastRun = max(t.lastRun, l.Run.Run)
 	t.checkpoint = l.Checkpoint
 	b.begin(j)
@@ -107,6 +110,19 @@
 	b.orders = append(b.orders, Order{Session: e.Session, Run: l.Run, Stop: true})
 }
 
+// sorted returns the runs in the order of their numbers, so that decisions don't
+// depend on the order of a map.
+func (e *endpoint) sorted() []*run {
+	return slices.SortedFunc(maps.Values(e.runs), func(a, b *run) int { return cmp.Compare(a.Run.Run, b.Run.Run) })
+}
+
+// strangers returns the runs of no known job in the order of their numbers.
+func (e *endpoint) strangers() []*stranger {
+	return slices.SortedFunc(maps.Values(e.unknown), func(a, b *stranger) int {
+		return cmp.Compare(a.listed.Run.Run, b.listed.Run.Run)
+	})
+}
+
 func (e *endpoint) add(r *run) {
 	e.runs[r.Run] = r
 	e.free = e.free.Minus(r.need)
@@ -119,7 +135,7 @@
 
 // drop forgets a session whose runs can't exist any more.
 func (b *Board) drop(now time.Time, e *endpoint) {
-	for _, r := range e.runs {
+	for _, r := range e.sorted() {
 		e.remove(r)
 		b.requeue(now, r, true)
 	}
@@ -209,6 +225,7 @@
 	case end.How == work.Failed && end.Run.Run > t.lastRun:
 		t.failures++
 	}
+	b.sawRun(end.Run.Run)
 	t.lastRun = max(t.lastRun, end.Run.Run)
 	b.settleIfOver(j, t, end.Task)
 }
@@ -228,7 +245,7 @@
 // stopTask stops the runs of a task that turned out to be done.
 func (b *Board) stopTask(j *job, id work.TaskID) {
 	for _, e := range b.order {
-		for _, r := range e.runs {
+		for _, r := range e.sorted() {
 			if r.job == j && r.Task == id {
 				b.stop(r)
 			}
--- a/core/placement/stall.go
+++ b/core/placement/stall.go
@@ -19,7 +19,7 @@
 		if !e.goneAt.IsZero() {
 			continue
 		}
-		for _, r := range e.runs {
+		for _, r := range e.sorted() {
 			if r.stopping || b.jobs[r.Task.Job] != r.job {
 				continue
 			}
