core, api: tests of the ledger, the lease, work types and messages

Change: tests, each naming the failure it guards against; a fuzz target for the messages between processes. The lease's random test covers slow clocks, late readings and suspended VMs. Conclusion: none.

--- /dev/null
+++ b/api/mesh/mesh_test.go
@@ -0,0 +1,82 @@
+package mesh
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cicadapulley/cicadapulley/core/ledger"
+	"github.com/cicadapulley/cicadapulley/core/placement"
+	"github.com/cicadapulley/cicadapulley/core/raft"
+	"github.com/cicadapulley/cicadapulley/core/work"
+)
+
+// samples has one message of each kind, with its fields set.
+func samples() []Message {
+	run := work.Run{Task: work.TaskID{Job: "5c0e7a21d94b36f8", Step: 1, Index: 2}, Run: 7}
+	job := &work.Job{ID: "j", Spec: "text", BestEffort: true, Steps: []work.Step{{Tasks: 2, Need: work.Resources{CPU: 1600}, Estimate: time.Second, After: []int{0}}}}
+	return []Message{
+		&Hello{Role: RoleAgent, VM: "side-1", Server: &raft.Server{ID: "id", Address: "a"}},
+		&Welcome{Leading: true, Term: 3, Members: []string{"a"}, Session: 9, Queues: []work.Queue{{Name: "q", Timeout: time.Second, Stretch: 1.6}}},
+		&Ping{Sequence: 1, Session: 2, Running: []placement.ListedRun{{Run: run, Percent: 41, Checkpoint: "c"}}},
+		&Pong{Sequence: 1, Renewed: true},
+		&Request{Sequence: 1, Operation: Submit, Host: "h", Path: "/p", Offered: true, Job: job},
+		&Response{Sequence: 1, Outcome: Overloaded, State: work.Running, Pending: 3, Counted: true, RetryAfterMS: 5, Detail: "d"},
+		&Inventory{Endpoint: placement.Endpoint{Session: 1, VM: "v", Labels: []string{"a"}}, Ends: []NumberedEnd{{Number: 1, End: work.End{Run: run, How: work.Done}}}},
+		&Orders{Orders: []placement.Order{{Session: 1, Run: run, Spec: "s"}}},
+		&Report{Session: 1, Refused: []RefusedStart{{Run: run, Why: placement.RefusedRoom}}, Vanished: []work.Run{run}, Draining: true, Reach: Reachable},
+		&Acknowledge{Session: 1, UpTo: 4},
+		&Agreement{Messages: []raft.Message{{Type: raft.MsgAppend, Term: 2, Entries: []raft.Entry{{Term: 2, Index: 1, Data: []byte("x")}}}}},
+		&Join{Server: raft.Server{ID: "id", Address: "a"}},
+		&Abandon{Sequence: 5},
+		&NewSession{},
+	}
+}
+
+// TestMessagesSurvive guards against a kind or field that gets lost on its way.
+func TestMessagesSurvive(t *testing.T) {
+	var stream bytes.Buffer
+	for _, m := range samples() {
+		data, err := Encode(m)
+		assert.NilError(t, err)
+		stream.Write(data)
+	}
+	for _, want := range samples() {
+		got, err := Read(&stream)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, want)
+	}
+}
+
+// TestCommandsSurvive guards against state that the log or a snapshot loses.
+func TestCommandsSurvive(t *testing.T) {
+	c := ledger.Command{Accept: &work.Job{ID: "a", Steps: []work.Step{{Tasks: 1}}}}
+	data, err := EncodeCommand(c)
+	assert.NilError(t, err)
+	got, err := DecodeCommand(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, c)
+	s := ledger.Snapshot{Applied: 3, Enrolled: []string{"v"}, Jobs: []ledger.Record{{Job: work.Job{ID: "a"}, State: work.Running, Tasks: []ledger.Task{{Done: true, LastRun: 1 << 40}}, Open: 1}}}
+	data, err = EncodeSnapshot(s)
+	assert.NilError(t, err)
+	back, err := DecodeSnapshot(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, back, s)
+}
+
+// FuzzRead guards against a crash or a huge allocation by a damaged message.
+func FuzzRead(f *testing.F) {
+	for _, m := range samples() {
+		data, err := Encode(m)
+		assert.NilError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := Read(bytes.NewReader(data))
+		if err == nil && m == nil {
+			t.Fatal("no message and no error")
+		}
+	})
+}
--- /dev/null
+++ b/core/lease/lease_test.go
@@ -0,0 +1,74 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/cicadapulley/cicadapulley/core/testseed"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
+
+// TestDeadlineFollowsContact guards against runs that go on for ever while the
+// agent can't reach a leader.
+func TestDeadlineFollowsContact(t *testing.T) {
+	at := time.Unix(1000, 0)
+	k := NewKeeper(time.Second)
+	k.Observe(10*time.Second, at)
+	assert.Assert(t, k.Deadline(at) < k.Clock(at), "no contact yet")
+	k.Contact(10 * time.Second)
+	assert.Equal(t, k.Deadline(at), 11*time.Second)
+	assert.Equal(t, k.Deadline(at.Add(time.Hour)), 10*time.Second+Grant)
+}
+
+// TestOvertakenReading guards against a late answer that turns the clock back.
+func TestOvertakenReading(t *testing.T) {
+	at := time.Unix(1000, 0)
+	k := NewKeeper(time.Second)
+	k.Observe(10*time.Second, at)
+	k.Observe(9*time.Second, at.Add(time.Millisecond))
+	assert.Assert(t, k.Clock(at.Add(time.Millisecond)) >= 10*time.Second)
+}
+
+// TestNothingRunsAfterGone guards against a task that starts elsewhere while its
+// first run goes on: with clocks that are 2% slow, late readings, lost renewals and
+// an agent whose own clock stands still while its VM is suspended, every deadline
+// has passed GoneAfter after the leader's last answer.
+func TestNothingRunsAfterGone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := 1 - float64(rapid.IntRange(0, 20).Draw(t, "slow"))/1000
+		start := time.Unix(1000, 0)
+		endpointClock := func(at time.Time) time.Duration {
+			return 50*time.Second + time.Duration(float64(at.Sub(start))*rate)
+		}
+		k := NewKeeper(time.Second)
+		now, suspended := start, time.Duration(0)
+		agentNow := func() time.Time { return now.Add(-suspended) }
+		k.Observe(endpointClock(now), agentNow())
+		var lastAnswer time.Time
+		var latest time.Duration
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				k.Contact(k.Clock(agentNow()))
+				lastAnswer = now
+			case 1:
+				late := time.Duration(rapid.IntRange(0, 100).Draw(t, "late")) * time.Millisecond
+				k.Observe(endpointClock(now.Add(-late)), agentNow())
+			case 2:
+				suspended += time.Duration(rapid.IntRange(0, 300).Draw(t, "suspended")) * time.Millisecond
+				now = now.Add(50 * time.Millisecond)
+			}
+			latest = max(latest, k.Deadline(agentNow()))
+		}
+		if lastAnswer.IsZero() {
+			return
+		}
+		gone := endpointClock(lastAnswer.Add(GoneAfter))
+		assert.Assert(t, latest < gone, "deadline %v, gone %v", latest, gone)
+	})
+}
--- /dev/null
+++ b/core/ledger/ledger_test.go
@@ -0,0 +1,128 @@
+package ledger
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/cicadapulley/cicadapulley/core/testseed"
+	"github.com/cicadapulley/cicadapulley/core/work"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
+
+func job(id string, tasks int) *work.Job {
+	return &work.Job{ID: work.JobID(id), Queue: "q", MaxAttempts: 2, Spec: "text", Steps: []work.Step{{Tasks: tasks}}}
+}
+
+func end(id string, index int, run uint64, how work.How) work.End {
+	return work.End{Run: work.Run{Task: work.TaskID{Job: work.JobID(id), Index: index}, Run: run}, How: how}
+}
+
+func ends(list ...work.End) Command { return Command{Ends: list} }
+
+// TestResentJobIsOneJob guards against a submission that is resent after its
+// answer and would begin anew.
+func TestResentJobIsOneJob(t *testing.T) {
+	m := New()
+	assert.Assert(t, m.Apply(1, Command{Accept: job("a", 1)}).New)
+	m.Apply(2, ends(end("a", 0, 1, work.Done)))
+	assert.Assert(t, !m.Apply(3, Command{Accept: job("a", 1)}).New)
+	assert.Equal(t, m.Job("a").State, work.Completed)
+}
+
+// TestCompletedNeedsAllTasks guards against a job that is shown as completed
+// while a task isn't done.
+func TestCompletedNeedsAllTasks(t *testing.T) {
+	m := New()
+	m.Apply(1, Command{Accept: job("a", 2)})
+	assert.Equal(t, len(m.Apply(2, ends(end("a", 0, 1, work.Done), end("a", 0, 1, work.Done))).Closed), 0)
+	assert.Equal(t, m.Job("a").State, work.Running)
+	assert.DeepEqual(t, m.Apply(3, ends(end("a", 1, 2, work.Done))).Closed, []work.JobID{"a"})
+}
+
+// TestRepeatedFailureCountsOnce guards against attempts that are used up by one
+// failure that two leaders report.
+func TestRepeatedFailureCountsOnce(t *testing.T) {
+	m := New()
+	m.Apply(1, Command{Accept: job("a", 1)})
+	m.Apply(2, ends(end("a", 0, 1, work.Failed)))
+	m.Apply(3, ends(end("a", 0, 1, work.Failed)))
+	assert.Equal(t, m.Job("a").State, work.Running)
+	assert.DeepEqual(t, m.Apply(4, ends(end("a", 0, 2, work.Failed))).Closed, []work.JobID{"a"})
+	assert.Equal(t, m.Job("a").State, work.JobFailed)
+}
+
+// TestFinalJobsStay guards against a final state that changes, and against one
+// that is forgotten before it is final.
+func TestFinalJobsStay(t *testing.T) {
+	m := New()
+	m.Apply(1, Command{Accept: job("a", 1)})
+	m.Apply(2, Command{Forget: []work.JobID{"a"}})
+	assert.Assert(t, m.Job("a") != nil)
+	assert.DeepEqual(t, m.Apply(3, Command{Cancel: "a"}).Closed, []work.JobID{"a"})
+	m.Apply(4, ends(end("a", 0, 1, work.Done)))
+	assert.Equal(t, m.Job("a").State, work.Cancelled)
+	m.Apply(5, Command{Forget: []work.JobID{"a"}})
+	assert.Assert(t, m.Job("a") == nil)
+}
+
+// TestHighestVersionWins guards against an older configuration that arrives again.
+func TestHighestVersionWins(t *testing.T) {
+	m := New()
+	assert.Assert(t, m.Apply(1, Command{Configure: &work.Configuration{Version: 7, Document: []byte("7")}}).New)
+	assert.Assert(t, !m.Apply(2, Command{Configure: &work.Configuration{Version: 7, Document: []byte("other")}}).New)
+	assert.Assert(t, !m.Apply(3, Command{Configure: &work.Configuration{Version: 3}}).New)
+	assert.Equal(t, string(m.Configuration().Document), "7")
+}
+
+// TestSnapshotKeepsEverything guards against state that a restart loses: a
+// restored machine and the original stay equal under the same commands.
+func TestSnapshotKeepsEverything(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := New()
+		index := uint64(0)
+		apply := func(m *Machine, list []Command) {
+			for i, c := range list {
+				m.Apply(index+uint64(i)+1, c)
+			}
+		}
+		before := commands(t, "before")
+		apply(a, before)
+		index += uint64(len(before))
+		b := New()
+		b.Restore(a.Snapshot())
+		after := commands(t, "after")
+		apply(a, after)
+		apply(b, after)
+		assert.Equal(t, len(a.jobs), len(b.jobs))
+		for id, r := range a.jobs {
+			assert.DeepEqual(t, *r, *b.jobs[id])
+		}
+		assert.DeepEqual(t, a.EnrolledVMs(), b.EnrolledVMs())
+		assert.Equal(t, a.Applied(), b.Applied())
+	})
+}
+
+func commands(t *rapid.T, label string) []Command {
+	ids := []string{"a", "b", "c"}
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Command {
+		id := rapid.SampledFrom(ids).Draw(t, "id")
+		switch rapid.IntRange(0, 5).Draw(t, "kind") {
+		case 0:
+			return Command{Accept: job(id, 2)}
+		case 1:
+			return Command{Cancel: work.JobID(id)}
+		case 2:
+			return Command{Enrol: id}
+		case 3:
+			return Command{Expel: id}
+		case 4:
+			return Command{Configure: &work.Configuration{Version: rapid.Uint64Range(1, 5).Draw(t, "version"), Queues: []work.Queue{{Name: id, Timeout: time.Second}}}}
+		}
+		how := rapid.SampledFrom([]work.How{work.Done, work.Failed, work.Stopped}).Draw(t, "how")
+		return ends(end(id, rapid.IntRange(0, 2).Draw(t, "index"), rapid.Uint64Range(1, 4).Draw(t, "run"), how))
+	}), 0, 20).Draw(t, label)
+}
