daemon: bounded log lines on standard output, the trail of a job, metrics

Cause: an engineer on call could not tell why a job was late: single runs had no lines, and each line was written in the caller's goroutine.

--- a/core/placement/besteffort.go
+++ b/core/placement/besteffort.go
@@ -95,14 +95,14 @@
 }
 
 // settle ends a best-effort job.
-func (b *Board) settle(j *job, state work.State) {
-	b.settled = append(b.settled, Settled{ID: j.spec.ID, State: state})
+func (b *Board) settle(now time.Time, j *job, state work.State) {
+	b.settled = append(b.settled, Settled{ID: j.spec.ID, State: state, Account: j.account(now)})
 	b.Close(j.spec.ID)
 }
 
 // settleIfOver ends a best-effort job whose last task is done, or a task of
 // which has used up its attempts.
-func (b *Board) settleIfOver(j *job, t *task, id work.TaskID) {
+func (b *Board) settleIfOver(now time.Time, j *job, t *task, id work.TaskID) {
 	if !j.spec.BestEffort || b.jobs[j.spec.ID] != j {
 		return
 	}
@@ -110,7 +110,7 @@
 		b.recorded(j, t, id.Step)
 	}
 	if t.failures >= j.spec.MaxAttempts {
-		b.settle(j, work.JobFailed)
+		b.settle(now, j, work.JobFailed)
 		return
 	}
 	for _, undone := range j.undone {
@@ -118,7 +118,7 @@
 			return
 		}
 	}
-	b.settle(j, work.Completed)
+	b.settle(now, j, work.Completed)
 }
 
 // TakeSettled returns the best-effort jobs that have ended since the last call.
@@ -129,13 +129,16 @@
 }
 
 // Abandon notes that nobody waits for a best-effort job any more: what hasn't
-// started never does, and what runs gives way to other work.
-func (b *Board) Abandon(id work.JobID) {
+// started never does, and what runs is stopped. It tells how the job fared; false
+// if it isn't on the board.
+func (b *Board) Abandon(now time.Time, id work.JobID) (Account, bool) {
 	j := b.jobs[id]
 	if j == nil || !j.spec.BestEffort {
-		return
+		return Account{}, false
 	}
+	account := j.account(now)
 	b.Close(id)
+	return account, true
 }
 
 // Knows tells whether the job is on the board.
--- a/core/placement/board_test.go
+++ b/core/placement/board_test.go
@@ -57,6 +57,15 @@
 	return starts, stops
 }
 
+// settled checks that exactly one job has ended, and how.
+func (s *scene) settled(id work.JobID, state work.State) {
+	s.Helper()
+	list := s.board.TakeSettled()
+	assert.Equal(s, len(list), 1)
+	assert.Equal(s, list[0].ID, id)
+	assert.Equal(s, list[0].State, state)
+}
+
 func (s *scene) end(o Order, how work.How) {
 	s.board.Ended(s.now, o.Session, work.End{Run: o.Run, How: how})
 }
@@ -69,7 +78,7 @@
 	s.board.Add(s.now, oneStep("first", 2), false)
 	starts, _ := s.assign()
 	assert.Equal(t, len(starts), 2)
-	s.board.Abandon("first")
+	s.board.Abandon(s.now, "first")
 	s.board.Add(s.now, oneStep("second", 2), false)
 	starts2, stops := s.assign()
 	assert.Equal(t, len(stops), 2)
@@ -115,7 +124,7 @@
 	assert.Equal(t, again[0].Run.Task, starts[1].Run.Task)
 	s.end(Order{Session: 2, Run: starts[0].Run}, work.Done)
 	s.end(again[0], work.Done)
-	assert.DeepEqual(t, s.board.TakeSettled(), []Settled{{ID: "job", State: work.Completed}})
+	s.settled("job", work.Completed)
 }
 
 // TestOfferedJobsWaitForUnseenRuns guards against a second run after a change of
@@ -134,7 +143,7 @@
 	starts, _ = s.assign()
 	assert.Equal(t, len(starts), 0, "the run on vm-2 was adopted")
 	s.end(Order{Session: 2, Run: work.Run{Task: work.TaskID{Job: "offered"}, Run: 1}}, work.Done)
-	assert.DeepEqual(t, s.board.TakeSettled(), []Settled{{ID: "offered", State: work.Completed}})
+	s.settled("offered", work.Completed)
 }
 
 // TestHoldEnds guards against a job that waits for ever for a VM that is gone.
@@ -184,7 +193,7 @@
 	s.join(1, "vm-1", 4)
 	s.board.Add(s.now, oneStep("job", 1), false)
 	first, _ := s.assign()
-	s.board.Abandon("job")
+	s.board.Abandon(s.now, "job")
 	s.board.Add(s.now, oneStep("job", 1), false)
 	starts, stops := s.assign()
 	assert.Equal(t, len(starts), 0)
@@ -226,7 +235,7 @@
 	s.end(second[0], work.Failed)
 	starts, _ := s.assign()
 	assert.Equal(t, len(starts), 0)
-	assert.DeepEqual(t, s.board.TakeSettled(), []Settled{{ID: "job", State: work.JobFailed}})
+	s.settled("job", work.JobFailed)
 }
 
 // TestFailingEndpointRests guards against an endpoint that fails everything at
@@ -239,7 +248,7 @@
 		starts, _ := s.assign()
 		assert.Equal(t, len(starts), 1)
 		s.end(starts[0], work.Failed)
-		s.board.Abandon(work.JobID(id))
+		s.board.Abandon(s.now, work.JobID(id))
 	}
 	s.board.Add(s.now, oneStep("c", 2), false)
 	starts, _ := s.assign()
@@ -382,8 +391,8 @@
 	s.join(1, "vm-1", 1)
 	s.assign()
 	assert.Equal(t, s.board.Pending("q"), 1)
-	s.board.Abandon("b")
-	s.board.Abandon("a")
+	s.board.Abandon(s.now, "b")
+	s.board.Abandon(s.now, "a")
 	assert.Equal(t, s.board.Pending("q"), 0)
 }
 
@@ -400,3 +409,23 @@
 	assert.Equal(t, len(starts), 1, "one task is done and one has used up its attempts")
 	assert.Equal(t, starts[0].Run.Task.Index, 2)
 }
+
+// TestTrailExplainsTheEnd guards against a failed job of which nobody can tell
+// where its tasks were.
+func TestTrailExplainsTheEnd(t *testing.T) {
+	s := newScene(t)
+	s.join(1, "vm-1", 4)
+	s.join(2, "vm-2", 4)
+	s.board.Add(s.now, oneStep("job", 1), false)
+	for _, took := range []time.Duration{30 * time.Millisecond, 40 * time.Millisecond} {
+		starts, _ := s.assign()
+		s.after(took)
+		s.end(starts[0], work.Failed)
+	}
+	account := s.board.TakeSettled()[0].Account
+	assert.Equal(t, account.Took, 70*time.Millisecond)
+	assert.Equal(t, len(account.Trail), 2)
+	assert.Equal(t, account.Trail[0].Outcome, "failed")
+	assert.Equal(t, account.Trail[1].Ordered, 30*time.Millisecond)
+	assert.Assert(t, account.Trail[0].VM != account.Trail[1].VM)
+}
--- a/core/placement/endpoints.go
+++ b/core/placement/endpoints.go
@@ -92,7 +92,9 @@
 	t.checkpoint = l.Checkpoint
 	b.begin(j)
 	step := j.spec.Steps[l.Task.Step]
-	e.add(&run{Run: l.Run, job: j, need: step.Need, at: e, since: now, expected: e.expect(step), percent: l.Percent})
+	r := &run{Run: l.Run, job: j, need: step.Need, at: e, since: now, expected: e.expect(step), percent: l.Percent}
+	e.add(r)
+	j.passed(now, r)
 }
 
 // unqueue takes a waiting task out of its group.
@@ -227,7 +229,7 @@
 	}
 	b.sawRun(end.Run.Run)
 	t.lastRun = max(t.lastRun, end.Run.Run)
-	b.settleIfOver(j, t, end.Task)
+	b.settleIfOver(now, j, t, end.Task)
 }
 
 // markDone notes that a task is done, whatever the board thought of it.
@@ -258,17 +260,18 @@
 		return
 	}
 	t := r.job.task(r.Task)
+	r.job.ended(now, r.Run, end.How.String())
 	switch {
 	case t.phase == ended:
 		return
 	case end.How == work.Done:
 		t.phase = ended
-		b.settleIfOver(r.job, t, r.Task)
+		b.settleIfOver(now, r.job, t, r.Task)
 		return
 	case end.How == work.Failed:
 		t.failures++
 		t.failedOn = append(t.failedOn, r.at.VM)
-		b.settleIfOver(r.job, t, r.Task)
+		b.settleIfOver(now, r.job, t, r.Task)
 	}
 	if end.Checkpoint != "" {
 		t.checkpoint = end.Checkpoint
@@ -278,7 +281,7 @@
 
 // requeue lets the task of a run that has ended wait again, unless its
 // attempts are used up; then the record of its failure closes the job.
-func (b *Board) requeue(_ time.Time, r *run, endpointLost bool) {
+func (b *Board) requeue(now time.Time, r *run, endpointLost bool) {
 	if b.jobs[r.Task.Job] != r.job {
 		return
 	}
@@ -287,6 +290,7 @@
 		return
 	}
 	if endpointLost {
+		r.job.ended(now, r.Run, "endpoint lost")
 		t.failedOn = append(t.failedOn, r.at.VM)
 	}
 	b.Stats.Requeues++
@@ -305,6 +309,7 @@
 	}
 	b.Stats.Refusals++
 	r := e.runs[rn]
+	r.job.ended(now, rn, "refused: "+why.String())
 	e.remove(r)
 	e.health.trial = false
 	switch why {
--- a/core/placement/types.go
+++ b/core/placement/types.go
@@ -125,6 +125,23 @@
 	undone []int
 	// groups holds the queued group of each step, nil if none waits.
 	groups []*group
+	// trail is what happened to the job's first runs, for explaining its end.
+	trail []Passage
+}
+
+// maxTrail bounds the runs that a job's trail has.
+const maxTrail = 12
+
+// Passage is one run in a job's trail. Times count from the job's arrival.
+type Passage struct {
+	Task    work.TaskID
+	Run     uint64
+	VM      string
+	Ordered time.Duration
+	// Ended is zero while the run goes on.
+	Ended time.Duration
+	// Outcome is the way of the end or the reason of a refusal.
+	Outcome string
 }
 
 // run is a run that may exist.
@@ -152,6 +169,19 @@
 type Settled struct {
 	ID    work.JobID
 	State work.State
+	// Account tells how the job fared.
+	Account Account
+}
+
+// Account is how a job fared, for explaining its end.
+type Account struct {
+	Queue string
+	// Took is the time since the job's arrival, and Objective what it should take.
+	Took, Objective time.Duration
+	// Waiting counts the tasks that never started.
+	Waiting int
+	// Trail has the job's first runs.
+	Trail []Passage
 }
 
 // endpoint is the leader's view of an endpoint.
--- a/core/placement/world_test.go
+++ b/core/placement/world_test.go
@@ -251,7 +251,7 @@
 					t.Skip("no open job")
 				}
 				id := rapid.SampledFrom(ids).Draw(t, "job")
-				w.board.Abandon(id)
+				w.board.Abandon(w.now, id)
 				if rapid.Bool().Draw(t, "again") {
 					w.board.Add(w.now, w.open[id], true)
 				} else {
--- a/daemon/app/app.go
+++ b/daemon/app/app.go
@@ -31,6 +31,14 @@
 	root     *supervisor.Supervisor
 }
 
+// NewLineLogger returns a JSON logger of information and above on a writer that
+// never blocks.
+func NewLineLogger(out zapcore.WriteSyncer) *zap.Logger {
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(cfg), out, zapcore.InfoLevel))
+}
+
 // NewLogger returns a JSON logger on standard error.
 func NewLogger(level string) (*zap.Logger, error) {
 	cfg := zap.NewProductionConfig()
--- a/daemon/coordinator/agents.go
+++ b/daemon/coordinator/agents.go
@@ -66,6 +66,7 @@
 	info.VM = a.client.vm
 	a.inTerm(func(t *term, at time.Time) {
 		t.sessions[a.id] = a.client.conn
+		t.vms[a.id] = a.client.vm
 		ends := make([]work.End, len(m.Ends))
 		for i, e := range m.Ends {
 			ends[i] = e.End
@@ -105,6 +106,7 @@
 	a.inTerm(func(t *term, at time.Time) {
 		for i := range m.Ends {
 			m.Ends[i].Durable = t.board.Ended(at, a.id, m.Ends[i].End)
+			a.client.service.logEnd(a.client.vm, m.Ends[i].End)
 		}
 		for _, r := range m.Refused {
 			t.board.Refused(at, a.id, r.Run, r.Why)
@@ -192,6 +194,7 @@
 	}
 	cl.session = nil
 	delete(a.term.sessions, a.id)
+	delete(a.term.vms, a.id)
 	if s.term == a.term {
 		s.term.board.Lost(a.id, a.lastPong.Add(lease.GoneAfter))
 	}
--- a/daemon/coordinator/entries.go
+++ b/daemon/coordinator/entries.go
@@ -211,6 +211,7 @@
 // refuse sets the outcome of a job that would complete too late.
 func (s *Service) refuse(job *work.Job, a placement.Admission, r *mesh.Response) {
 	r.Outcome = mesh.Overloaded
+	s.metrics.refused.Inc()
 	r.RetryAfterMS = int(a.RetryAfter.Milliseconds())
 	s.opts.Log.Emit(events.Event{ID: events.WorkRefused, Job: key(job.ID), Text: "expected " + a.Expected.String()})
 }
@@ -227,7 +228,9 @@
 			return
 		}
 		delete(t.waiters, id)
-		t.board.Abandon(id)
+		if account, known := t.board.Abandon(now, id); known {
+			s.logAbandoned(id, account)
+		}
 		s.place(t, now)
 	})
 }
@@ -317,6 +320,7 @@
 	now := now()
 	for _, id := range ids {
 		t.board.Close(id)
+		s.opts.Log.Emit(events.Event{ID: events.WorkClosed, Job: key(id), Text: "recorded"})
 		t.final = append(t.final, finalJob{id: id, at: now})
 	}
 	s.place(t, now)
--- a/daemon/coordinator/service.go
+++ b/daemon/coordinator/service.go
@@ -69,6 +69,7 @@
 	self     raft.Server
 	peers    *peerTransport
 	group    *groupKeeper
+	metrics  *metrics
 	draining atomic.Bool
 
 	// mu guards the fields below. It is taken before the driver's lock.
@@ -97,7 +98,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "open data folder")
 	}
-	s := &Service{opts: o, store: store, machine: &machine{Machine: ledger.New()}, clients: map[*client]bool{}}
+	s := &Service{opts: o, store: store, machine: &machine{Machine: ledger.New()}, clients: map[*client]bool{}, metrics: newMetrics()}
 	if err := s.init(founder); err != nil {
 		return nil, errors.CombineErrors(err, store.Close())
 	}
--- /dev/null
+++ b/daemon/coordinator/story.go
@@ -0,0 +1,75 @@
+package coordinator
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/core/placement"
+	"github.com/cicadapulley/cicadapulley/core/work"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
+)
+
+// logSettled writes the line of a best-effort job that has ended. A job that ended
+// late or badly gets the trail of its runs, since their own lines may have been
+// left out under load.
+func (s *Service) logSettled(settled placement.Settled) {
+	a := settled.Account
+	e := events.Event{ID: events.WorkClosed, Job: key(settled.ID), Text: summary(a)}
+	switch {
+	case settled.State == work.JobFailed:
+		e.ID = events.WorkFailed
+		e.Text += trail(a)
+	case a.Took > a.Objective:
+		e.ID = events.WorkLate
+		e.Text += trail(a)
+	}
+	s.metrics.completion.WithLabelValues(e.ID.Name()).Observe(a.Took.Seconds())
+	s.opts.Log.Emit(e)
+}
+
+// logAbandoned writes the line of a job whose caller has left.
+func (s *Service) logAbandoned(id work.JobID, a placement.Account) {
+	s.opts.Log.Emit(events.Event{ID: events.WorkAbandoned, Job: key(id), Text: summary(a) + trail(a)})
+}
+
+func summary(a placement.Account) string {
+	return "queue " + a.Queue + " took " + millis(a.Took) + " objective " + millis(a.Objective)
+}
+
+func trail(a placement.Account) string {
+	var b strings.Builder
+	if a.Waiting > 0 {
+		b.WriteString(" never started " + strconv.Itoa(a.Waiting))
+	}
+	for _, p := range a.Trail {
+		b.WriteString("; task " + strconv.Itoa(p.Task.Step) + "." + strconv.Itoa(p.Task.Index))
+		b.WriteString(" run " + strconv.FormatUint(p.Run, 10) + " on " + p.VM + " at +" + millis(p.Ordered))
+		if p.Outcome != "" {
+			b.WriteString(" " + p.Outcome + " at +" + millis(p.Ended))
+		}
+	}
+	return b.String()
+}
+
+func millis(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) + "ms" }
+
+// logOrder writes the line of an order to an agent.
+func (s *Service) logOrder(vm string, o placement.Order) {
+	text := "start"
+	if o.Stop {
+		text = "stop"
+	}
+	s.opts.Log.Emit(events.Event{
+		ID: events.RunOrdered, Job: key(o.Run.Task.Job), Task: o.Run.Task.Index + 1, Peer: vm,
+		Text: text + " run " + strconv.FormatUint(o.Run.Run, 10) + " session " + strconv.FormatUint(uint64(o.Session), 10),
+	})
+}
+
+// logEnd writes the line of a run's end.
+func (s *Service) logEnd(vm string, end work.End) {
+	s.opts.Log.Emit(events.Event{
+		ID: events.RunEnded, Job: key(end.Task.Job), Task: end.Task.Index + 1, Peer: vm,
+		Text: end.How.String() + " run " + strconv.FormatUint(end.Run.Run, 10),
+	})
+}
--- a/daemon/coordinator/term.go
+++ b/daemon/coordinator/term.go
@@ -30,7 +30,9 @@
 	number   uint64
 	board    *placement.Board
 	sessions map[placement.SessionID]*link.Conn
-	issued   uint64
+	// vms are the VMs of the sessions, for the log.
+	vms    map[placement.SessionID]string
+	issued uint64
 	// submitting counts the proposals under way for a job.
 	submitting map[work.JobID]int
 	// waiters are the requests that wait for the end of a best-effort job.
@@ -115,6 +117,7 @@
 		waiters:    map[work.JobID][]waiter{},
 		results:    map[work.JobID]result{},
 		expelled:   map[string]bool{},
+		vms:        map[placement.SessionID]string{},
 	}
 	open := 0
 	err := s.driver.Read(func() {
@@ -236,6 +239,9 @@
 	for session, batch := range batches {
 		if c := t.sessions[session]; c != nil {
 			c.Send(&mesh.Orders{Orders: batch})
+			for _, o := range batch {
+				s.logOrder(t.vms[session], o)
+			}
 		}
 	}
 }
@@ -245,6 +251,7 @@
 func (s *Service) answerSettled(t *term, now time.Time) {
 	for _, settled := range t.board.TakeSettled() {
 		t.results[settled.ID] = result{state: settled.State, at: now}
+		s.logSettled(settled)
 		for _, w := range t.waiters[settled.ID] {
 			w.conn.Send(&mesh.Response{Sequence: w.sequence, Outcome: mesh.Found, State: settled.State})
 		}
--- a/daemon/events/catalogue.go
+++ b/daemon/events/catalogue.go
@@ -74,6 +74,9 @@
 	ClientLost          ID = 361
 	StartRefused        ID = 362
 	EndsUncertain       ID = 363
+	WorkLate            ID = 364
+	WorkFailed          ID = 365
+	WorkAbandoned       ID = 366
 )
 
 // Events of entries.
@@ -188,6 +191,9 @@
 	{ClientLost, "client_lost", zapcore.WarnLevel, "the connection of an entry or agent ended; if it repeats, check that VM and the link"},
 	{StartRefused, "start_refused", zapcore.InfoLevel, "an endpoint did not start a run; the task waits again"},
 	{EndsUncertain, "ends_uncertain", zapcore.WarnLevel, "ends could not be recorded; the endpoint lists them again to the next leader"},
+	{WorkLate, "work_late", zapcore.WarnLevel, "a best-effort job was completed after its objective; the trail in the detail shows where its tasks waited or ran"},
+	{WorkFailed, "work_failed", zapcore.WarnLevel, "a job failed: a task used up its attempts; the trail in the detail names the endpoints"},
+	{WorkAbandoned, "work_abandoned", zapcore.WarnLevel, "the caller of a best-effort job left before its end; the trail in the detail shows how far it came"},
 	{JobAccepted, "job_accepted", zapcore.DebugLevel, "a job is recorded; its tasks may start"},
 	{JobJoined, "job_joined", zapcore.DebugLevel, "a resubmission joined its job"},
 	{JobRefused, "job_refused", zapcore.DebugLevel, "a job was refused whole; none of its tasks ran"},
--- a/daemon/events/log.go
+++ b/daemon/events/log.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -39,8 +40,11 @@
 	zap     *zap.Logger
 	clock   *hlc.Clock
 
-	counts   [maxID]atomic.Uint64
-	received messageCounts
+	counts [maxID]atomic.Uint64
+	// linesPerSecond bounds the lines of each event; 0 is no bound.
+	linesPerSecond int
+	budgets        [maxID]budget
+	received       messageCounts
 
 	mu     sync.Mutex
 	buffer []Event
@@ -65,7 +69,49 @@
 	if entry == nil {
 		return
 	}
-	entry.Write(fields(e)...)
+	leftOut, write := l.spend(e.ID)
+	if !write {
+		return
+	}
+	list := fields(e)
+	if leftOut > 0 {
+		list = append(list, zap.Uint64("left_out", leftOut))
+	}
+	entry.Write(list...)
+}
+
+// LimitLines bounds the lines of each event, in lines a second. A line tells how
+// many of its event were left out before it. It is called before the first Emit.
+func (l *Log) LimitLines(perSecond int) { l.linesPerSecond = perSecond }
+
+// budget counts an event's lines in the present second.
+type budget struct {
+	mu      sync.Mutex
+	began   time.Time
+	lines   int
+	leftOut uint64
+}
+
+// spend tells whether a line of the event may be written, and how many were left
+// out before it.
+func (l *Log) spend(id ID) (leftOut uint64, write bool) {
+	if l.linesPerSecond == 0 {
+		return 0, true
+	}
+	b := &l.budgets[id]
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if now := time.Now(); now.Sub(b.began) >= time.Second {
+		b.began = now
+		b.lines = 0
+	}
+	if b.lines >= l.linesPerSecond {
+		b.leftOut++
+		return 0, false
+	}
+	b.lines++
+	leftOut, b.leftOut = b.leftOut, 0
+	return leftOut, true
 }
 
 // Count returns how often an event occurred since the start.
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -6,11 +6,16 @@
 
 import (
 	"context"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/cicadapulley/cicadapulley/api/mesh"
+	"github.com/cicadapulley/cicadapulley/core/job"
 	"github.com/cicadapulley/cicadapulley/core/work"
 	"github.com/cicadapulley/cicadapulley/daemon/boottime"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
@@ -49,6 +54,7 @@
 	// changed is closed and replaced when leader changes.
 	changed chan struct{}
 	pending map[uint64]chan *mesh.Response
+	latency *prometheus.HistogramVec
 }
 
 // leader is a connection while it is that of the leader.
@@ -60,7 +66,7 @@
 
 // New returns a gateway; Serve connects it.
 func New(o Options) *Service {
-	return &Service{opts: o, changed: make(chan struct{}), pending: map[uint64]chan *mesh.Response{}}
+	return &Service{opts: o, changed: make(chan struct{}), pending: map[uint64]chan *mesh.Response{}, latency: newLatency()}
 }
 
 // Serve uses the connection to a leader. It implements follow.Options.Serve.
@@ -108,10 +114,10 @@
 	if queue == nil {
 		return patience
 	}
-	job := *q.Job
-	job.Stretch = queue.Stretch
-	job.Target = queue.Target
-	return min(job.Objective(), patience)
+	spec := *q.Job
+	spec.Stretch = queue.Stretch
+	spec.Target = queue.Target
+	return min(spec.Objective(), patience)
 }
 
 // setLeader replaces the leader; old is the one that ends, if it is still there.
@@ -157,6 +163,10 @@
 // A request for which no leader is found while an answer would be of use ends at
 // once: NotRun if no leader has had it, Uncertain otherwise.
 func (s *Service) Do(ctx context.Context, q *mesh.Request) *mesh.Response {
+	return s.observe(time.Now(), s.do(ctx, q))
+}
+
+func (s *Service) do(ctx context.Context, q *mesh.Request) *mesh.Response {
 	useful, cancel := context.WithTimeout(ctx, s.usefulFor(q))
 	defer cancel()
 	offered := false
@@ -169,6 +179,9 @@
 		offered = true
 		switch {
 		case r != nil && r.Outcome != mesh.Uncertain:
+			if r.Outcome == mesh.Overloaded || r.Outcome == mesh.NotReady {
+				s.opts.Log.Emit(events.Event{ID: events.RequestRefused, Job: jobOf(q), Text: "come back in " + strconv.Itoa(r.RetryAfterMS) + "ms"})
+			}
 			return r
 		case ctx.Err() != nil || r == nil && s.full():
 			return s.giveUp(q, offered)
@@ -180,13 +193,31 @@
 
 // giveUp answers a request that no leader has answered.
 func (s *Service) giveUp(q *mesh.Request, offered bool) *mesh.Response {
-	s.opts.Log.Emit(events.Event{ID: events.RequestFailed, Text: q.Path})
+	text := "no leader had it; last one heard " + s.age() + " ago"
+	if offered {
+		text = "no answer from the leader that had it; last one heard " + s.age() + " ago"
+	}
+	s.opts.Log.Emit(events.Event{ID: events.RequestFailed, Job: jobOf(q), Text: text})
 	if offered {
 		return &mesh.Response{Outcome: mesh.Uncertain}
 	}
 	return &mesh.Response{Outcome: mesh.NoLeader, RetryAfterMS: int(comeBack.Milliseconds())}
 }
 
+// age returns the time since a leader was heard.
+func (s *Service) age() string {
+	heard := s.lastHeard.Load()
+	if heard == 0 {
+		return "never"
+	}
+	return time.Duration(boottime.Now().UnixNano() - heard).Round(time.Millisecond).String()
+}
+
+// jobOf names the job of a request in events: the last part of its path.
+func jobOf(q *mesh.Request) job.Key {
+	return job.Key{ID: q.Path[strings.LastIndexByte(q.Path, '/')+1:]}
+}
+
 // comeBack is when a caller may ask again after no leader was found.
 const comeBack = time.Second
 
--- /dev/null
+++ b/daemon/gateway/metrics.go
@@ -0,0 +1,38 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/cicadapulley/cicadapulley/api/mesh"
+)
+
+var outcomeNames = map[mesh.Outcome]string{
+	mesh.Accepted: "accepted", mesh.Found: "found", mesh.NoQueue: "no_queue", mesh.NoJob: "no_job", mesh.NotReady: "not_ready",
+	mesh.Overloaded: "overloaded", mesh.Uncertain: "uncertain", mesh.Invalid: "invalid", mesh.NoLeader: "no_leader",
+}
+
+func newLatency() *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "cicadapulley_request_seconds", Help: "Time from a caller's request to its answer.",
+		Buckets: []float64{.005, .025, .05, .1, .2, .4, .8, 1.6, 3.2, 6.4},
+	}, []string{"outcome"})
+}
+
+// observe counts an answer.
+func (s *Service) observe(began time.Time, r *mesh.Response) *mesh.Response {
+	s.latency.WithLabelValues(outcomeNames[r.Outcome]).Observe(time.Since(began).Seconds())
+	return r
+}
+
+// Collectors returns the entry's metrics.
+func (s *Service) Collectors() []prometheus.Collector {
+	return []prometheus.Collector{s.latency, prometheus.NewGaugeFunc(
+		prometheus.GaugeOpts{Name: "cicadapulley_requests_pending", Help: "Requests that wait for the leader's answer."},
+		func() float64 {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return float64(len(s.pending))
+		})}
+}
