placement: runs that stand still or crawl move early

Change: progress in the listings decides: a run without progress for 350 ms, or one on an endpoint whose runs all go 2.5 times too slowly, starts again elsewhere; the endpoint's speed is corrected at once and comes back slowly. A long task among others that are in time stays.

--- a/core/placement/assign.go
+++ b/core/placement/assign.go
@@ -137,4 +137,8 @@
 	b.dropStrangers(now)
 	b.queue.demote(now)
 	b.moveStalled(now)
+	for _, e := range b.order {
+		e.speed.recover(now.Sub(b.ticked))
+	}
+	b.ticked = now
 }
--- a/core/placement/board.go
+++ b/core/placement/board.go
@@ -31,8 +31,10 @@
 	held      []*job
 	heldUntil time.Time
 	speeds    speeds
-	orders    []Order
-	settled   []Settled
+	// ticked is the time of the last Tick.
+	ticked  time.Time
+	orders  []Order
+	settled []Settled
 	// expected are the VMs whose endpoints may run tasks of an earlier term and
 	// haven't joined yet.
 	expected map[string]bool
@@ -59,6 +61,7 @@
 		endpoints: map[SessionID]*endpoint{},
 		heldUntil: heldUntil,
 		speeds:    newSpeeds(),
+		ticked:    heldUntil,
 		pending:   map[string]int{},
 		expected:  map[string]bool{},
 		lateEnds:  map[work.JobID]*lateEnds{},
--- a/core/placement/board_test.go
+++ b/core/placement/board_test.go
@@ -337,6 +337,75 @@
 	assert.Equal(t, moves, maxMoves)
 }
 
+// list shows the runs of an endpoint with the same progress.
+func (s *scene) list(session SessionID, percent int, runs ...work.Run) {
+	var listed []ListedRun
+	for _, r := range runs {
+		listed = append(listed, ListedRun{Run: r, Percent: percent})
+	}
+	s.board.Seen(s.now, session, listed)
+}
+
+// TestStandingRunsMoveEarly guards against jobs that wait for an endpoint that
+// lets its tasks stand still while it answers everything.
+func TestStandingRunsMoveEarly(t *testing.T) {
+	s := newScene(t)
+	s.join(1, "vm-1", 1)
+	job := oneStep("job", 1)
+	job.Steps[0].Estimate = 2 * time.Second
+	s.board.Add(s.now, job, false)
+	starts, _ := s.assign()
+	s.join(2, "vm-2", 1)
+	for range 4 {
+		s.after(150 * time.Millisecond)
+		s.list(1, 7, starts[0].Run)
+	}
+	s.after(0)
+	_, stops := s.assign()
+	assert.Equal(t, len(stops), 1)
+	s.end(starts[0], work.Stopped)
+	starts, _ = s.assign()
+	assert.Equal(t, starts[0].Session, SessionID(2))
+}
+
+// TestSlowEndpointIsLeft guards against jobs that wait for an endpoint that turned
+// slow: its runs move where they end sooner, and new ones go elsewhere.
+func TestSlowEndpointIsLeft(t *testing.T) {
+	s := newScene(t)
+	s.join(1, "vm-1", 2)
+	job := oneStep("job", 2)
+	job.Steps[0].Estimate = time.Second
+	s.board.Add(s.now, job, false)
+	starts, _ := s.assign()
+	s.join(2, "vm-2", 4)
+	s.after(200 * time.Millisecond)
+	s.list(1, 4, starts[0].Run, starts[1].Run) // 5 s in all
+	s.after(0)
+	_, stops := s.assign()
+	assert.Equal(t, len(stops), 2)
+	s.board.Add(s.now, oneStep("next", 1), false)
+	starts, _ = s.assign()
+	assert.Equal(t, starts[0].Session, SessionID(2))
+}
+
+// TestLongTaskIsNotMoved guards against progress that is thrown away because one
+// task is longer than its estimate, on an endpoint whose other runs are in time.
+func TestLongTaskIsNotMoved(t *testing.T) {
+	s := newScene(t)
+	s.join(1, "vm-1", 2)
+	job := oneStep("job", 2)
+	job.Steps[0].Estimate = time.Second
+	s.board.Add(s.now, job, false)
+	starts, _ := s.assign()
+	s.join(2, "vm-2", 4)
+	s.after(200 * time.Millisecond)
+	s.list(1, 4, starts[0].Run)
+	s.list(1, 20, starts[1].Run)
+	s.after(0)
+	_, stops := s.assign()
+	assert.Equal(t, len(stops), 0)
+}
+
 // TestOverloadIsRefusedAtOnce guards against jobs that are accepted and then wait
 // until nobody needs them.
 func TestOverloadIsRefusedAtOnce(t *testing.T) {
--- a/core/placement/endpoints.go
+++ b/core/placement/endpoints.go
@@ -326,14 +326,14 @@
 }
 
 // Seen updates the progress of the runs that an endpoint lists.
-func (b *Board) Seen(id SessionID, running []ListedRun) {
+func (b *Board) Seen(now time.Time, id SessionID, running []ListedRun) {
 	e := b.endpoints[id]
 	if e == nil {
 		return
 	}
 	for _, l := range running {
 		if r := e.runs[l.Run]; r != nil {
-			r.percent = l.Percent
+			r.listed(now, l.Percent)
 		}
 	}
 }
--- a/core/placement/speed.go
+++ b/core/placement/speed.go
@@ -12,6 +12,9 @@
 	// that of its kind. Estimates are off by 40%, so single runs tell little.
 	learnRate = 0.1
 	kindRate  = 0.02
+	// recoverRate is the part of a suspected slowness that is forgotten each
+	// second; slow phases last several seconds.
+	recoverRate = 0.15
 	// Bounds of one observed ratio, against estimates that are far off.
 	slowestRatio = 20.0
 	fastestRatio = 0.1
@@ -64,6 +67,28 @@
 	*s.kind += kindRate * (ratio - *s.kind)
 }
 
+// slowed notes that runs go slower than expected, so that new ones go elsewhere.
+// It is unlearned as runs end in time.
+func (s *speed) slowed(factor float64) {
+	s.ratio = min(max(s.ratio, *s.kind*factor), slowestRatio)
+}
+
+// recover brings the speed back towards that of the kind; an endpoint that looks
+// slow gets few runs that could show otherwise.
+func (s *speed) recover(elapsed time.Duration) {
+	share := min(elapsed.Seconds()*recoverRate, 1)
+	s.ratio += share * (*s.kind - s.ratio) * recoverShare(s.ratio, *s.kind)
+}
+
+// recoverShare is 1 for an endpoint that looks far slower than its kind, and 0
+// for one that is about as fast: what was learned of it stays.
+func recoverShare(ratio, kind float64) float64 {
+	if ratio > slowFactor*kind {
+		return 1
+	}
+	return 0
+}
+
 // expect returns the expected run time of a task of the step.
 func (e *endpoint) expect(s work.Step) time.Duration {
 	estimate := s.Estimate
--- a/core/placement/types.go
+++ b/core/placement/types.go
@@ -155,7 +155,11 @@
 	// expected is how long it should take.
 	expected time.Duration
 	stopping bool
-	percent  int
+	// percent is the progress; progressAt is when a listing showed it first, and
+	// listedAt when one showed the run last.
+	percent    int
+	progressAt time.Time
+	listedAt   time.Time
 }
 
 // stranger is a listed run of no known job.
--- a/daemon/runner/session.go
+++ b/daemon/runner/session.go
@@ -90,9 +90,10 @@
 	end     context.CancelCauseFunc
 	tasks   sync.WaitGroup
 
-	mu       sync.Mutex
-	keeper   *lease.Keeper
-	runs     map[work.Run]*localRun
+	mu     sync.Mutex
+	keeper *lease.Keeper
+	runs   map[work.Run]*localRun
+	// running is the latest listing that the leader wasn't told of.
 	running  []placement.ListedRun
 	holds    uint64
 	reported uint64
@@ -217,6 +218,7 @@
 	s.pings++
 	s.sentClocks[s.pings] = s.keeper.Clock(now())
 	m := &mesh.Ping{Sequence: s.pings, Session: s.fence, Running: s.running}
+	s.running = nil // an old listing would look like a lack of progress
 	s.mu.Unlock()
 	s.leader.Send(m)
 }
