--- a/api/mesh/mesh.go
+++ b/api/mesh/mesh.go
@@ -125,6 +125,11 @@
 	NoLeader
 )
 
+// NotRun tells whether the outcome says that the job has not run and won't.
+func (o Outcome) NotRun() bool {
+	return o == NoQueue || o == NotReady || o == Overloaded || o == NoLeader
+}
+
 // Response answers a Request.
 type Response struct {
 	Sequence uint64
--- a/core/placement/admit.go
+++ b/core/placement/admit.go
@@ -28,8 +28,12 @@
 }
 
 // Admit estimates when a job would complete behind the work that comes before
-// it, and refuses one that would come too late.
-func (b *Board) Admit(now time.Time, j *work.Job) Admission {
+// it, and refuses one that would come too late. A refusal says that the job has not
+// run, so one that an earlier leader was offered is never refused.
+func (b *Board) Admit(now time.Time, j *work.Job, offered bool) Admission {
+	if offered {
+		return Admission{Accepted: true}
+	}
 	wait := b.waitFor(now, j)
 	expected := wait + j.Chain() + overhead
 	limit := time.Duration(admitWithin * float64(j.Objective()))
@@ -44,7 +48,7 @@
 func (b *Board) waitFor(now time.Time, j *work.Job) time.Duration {
 	var queued float64 // core-seconds at nominal speed
 	for _, g := range b.queue.groups {
-		if g.late || g.job.spec.Priority > j.Priority || g.job.spec.Pool != j.Pool {
+		if g.use == expired || g.job.spec.Priority > j.Priority || g.job.spec.Pool != j.Pool {
 			continue
 		}
 		step := g.job.spec.Steps[g.step]
--- a/core/placement/assign.go
+++ b/core/placement/assign.go
@@ -22,6 +22,7 @@
 // Assign places waiting tasks in order while there is room, and adds the
 // orders.
 func (b *Board) Assign(now time.Time) {
+	b.updateFastest(now)
 	misfits := 0
 	for i := 0; i < len(b.queue.groups) && misfits < maxMisfits; {
 		g := b.queue.groups[i]
@@ -50,8 +51,37 @@
 	g.tasks = slices.Delete(g.tasks, 0, placedCount)
 }
 
+// updateFastest notes the speed of the fastest endpoint of each pool.
+func (b *Board) updateFastest(now time.Time) {
+	clear(b.fastest)
+	for _, e := range b.order {
+		if !e.usable(now) {
+			continue
+		}
+		if ratio, known := b.fastest[e.Pool]; !known || e.speed.ratio < ratio {
+			b.fastest[e.Pool] = e.speed.ratio
+		}
+	}
+}
+
+// fastestRun returns the time of a task of the group on the fastest endpoint of
+// its pool, whether that has room or not.
+func (b *Board) fastestRun(g *group) time.Duration {
+	return b.fastestTask(g.job, g.step)
+}
+
+func (b *Board) fastestTask(j *job, step int) time.Duration {
+	return time.Duration(float64(j.spec.Steps[step].Estimate) * b.fastest[j.spec.Pool])
+}
+
+// worthWaiting tells whether a task that would be late on the endpoints that have
+// room could still be in time on a faster one, when that has room again.
+func (b *Board) worthWaiting(now time.Time, j *job, step int, available time.Duration) bool {
+	return now.Add(available).After(j.due) && !now.Add(b.fastestTask(j, step)).After(j.due)
+}
+
 // choose returns the endpoint that would finish the task first, nil if none
-// has room.
+// has room or it is better to wait.
 func (b *Board) choose(now time.Time, j *job, step, index int) *endpoint {
 	s := j.spec.Steps[step]
 	t := &j.tasks[step][index]
@@ -70,16 +100,24 @@
 			best, bestTime = e, time
 		}
 	}
+	if best != nil && b.worthWaiting(now, j, step, best.expect(s)) {
+		return nil
+	}
 	return best
 }
 
+// usable tells whether the endpoint may get runs at all.
+func (e *endpoint) usable(now time.Time) bool {
+	return !e.Draining && !e.unreachable && e.goneAt.IsZero() && e.health.available(now)
+}
+
 // accepts tells whether the endpoint may run a task of the step now.
 func (e *endpoint) accepts(now time.Time, j *job, step int) bool {
 	s := &j.spec.Steps[step]
-	if e.Draining || e.unreachable || !e.goneAt.IsZero() || e.Pool != j.spec.Pool || !s.Need.Fits(e.free) {
+	if !e.usable(now) || e.Pool != j.spec.Pool || !s.Need.Fits(e.free) {
 		return false
 	}
-	if len(e.unknown) > 0 || now.Before(e.fullUntil) || !e.health.available(now) {
+	if len(e.unknown) > 0 || now.Before(e.fullUntil) {
 		return false
 	}
 	if s.RequiredLabel != "" && !slices.Contains(e.Labels, s.RequiredLabel) {
@@ -135,7 +173,8 @@
 		b.held = nil
 	}
 	b.dropStrangers(now)
-	b.queue.demote(now)
+	b.updateFastest(now)
+	b.queue.demote(now, b.fastestRun)
 	b.moveStalled(now)
 	for _, e := range b.order {
 		e.speed.recover(now.Sub(b.ticked))
--- a/core/placement/board.go
+++ b/core/placement/board.go
@@ -31,6 +31,8 @@
 	held      []*job
 	heldUntil time.Time
 	speeds    speeds
+	// fastest is the least run time over the estimate in each pool.
+	fastest map[string]float64
 	// ticked is the time of the last Tick.
 	ticked  time.Time
 	orders  []Order
@@ -62,6 +64,7 @@
 		heldUntil: heldUntil,
 		speeds:    newSpeeds(),
 		ticked:    heldUntil,
+		fastest:   map[string]float64{},
 		pending:   map[string]int{},
 		expected:  map[string]bool{},
 		lateEnds:  map[work.JobID]*lateEnds{},
--- a/core/placement/queue.go
+++ b/core/placement/queue.go
@@ -11,20 +11,38 @@
 	job   *job
 	step  int
 	tasks []int
-	// late groups come after all others: their result is worth nothing any
-	// more, but an accepted job is still completed.
-	late bool
+	use   use
 }
 
-// before orders groups by worth, the priority of their queue, and the time of
-// their objective.
+// use tells what a group's result is still worth to its caller.
+type use uint8
+
+const (
+	// inTime groups can still meet their job's objective.
+	inTime use = iota
+	// late groups can't, but their result is of some worth. They come after those
+	// of their priority that can: under overload some jobs are late, and without
+	// this all of them would be.
+	late
+	// expired groups are worth nothing any more. They come last, but an accepted
+	// job is still completed.
+	expired
+)
+
+// before orders groups by the priority of their queue, by what they are worth, and
+// by the time of their objective.
 func (g *group) before(o *group) bool {
-	if g.late != o.late {
-		return o.late
+	if g.use == expired || o.use == expired {
+		if g.use != o.use {
+			return o.use == expired
+		}
 	}
 	if p, q := g.job.spec.Priority, o.job.spec.Priority; p != q {
 		return p < q
 	}
+	if g.use != o.use {
+		return g.use < o.use
+	}
 	return g.job.due.Before(o.job.due)
 }
 
@@ -44,17 +62,28 @@
 	}
 }
 
-// demote moves the groups whose job has expired behind the others.
-func (q *queue) demote(now time.Time) {
-	var expired []*group
+// demote moves the groups whose worth has fallen behind the others. fastest
+// returns the shortest time in which a task of a group can run.
+func (q *queue) demote(now time.Time, fastest func(*group) time.Duration) {
+	var fallen []*group
 	for _, g := range q.groups {
-		if !g.late && now.After(g.job.expired) {
-			expired = append(expired, g)
+		if g.worth(now, fastest) > g.use {
+			fallen = append(fallen, g)
 		}
 	}
-	for _, g := range expired {
+	for _, g := range fallen {
 		q.remove(g)
-		g.late = true
+		g.use = g.worth(now, fastest)
 		q.insert(g)
 	}
 }
+
+func (g *group) worth(now time.Time, fastest func(*group) time.Duration) use {
+	switch {
+	case now.After(g.job.expired):
+		return expired
+	case now.Add(fastest(g)).After(g.job.due):
+		return late
+	}
+	return inTime
+}
--- a/daemon/coordinator/entries.go
+++ b/daemon/coordinator/entries.go
@@ -134,20 +134,20 @@
 	case q.Job == nil:
 		r.Outcome = mesh.Invalid
 	default:
-		s.submit(ctx, found, q.Job, r)
+		s.submit(ctx, found, q.Job, q.Offered, r)
 	}
 	return r
 }
 
 // submit admits a job and records it before any of its tasks starts.
-func (s *Service) submit(ctx context.Context, found target, job *work.Job, r *mesh.Response) {
+func (s *Service) submit(ctx context.Context, found target, job *work.Job, offered bool, r *mesh.Response) {
 	fill(job, found)
 	if err := job.Validate(); err != nil {
 		r.Outcome = mesh.Invalid
 		r.Detail = err.Error()
 		return
 	}
-	admission, t := s.admit(job)
+	admission, t := s.admit(job, offered)
 	switch {
 	case t == nil:
 		r.Outcome = mesh.Uncertain
@@ -194,7 +194,7 @@
 			return
 		}
 		if !t.board.Knows(job.ID) {
-			if a := t.board.Admit(now, job); !a.Accepted {
+			if a := t.board.Admit(now, job, q.Offered); !a.Accepted {
 				s.refuse(job, a, r)
 				return
 			}
@@ -249,12 +249,12 @@
 // admit decides about a job and counts it as being submitted. A job of which a
 // submission is already under way is never refused, since that one may succeed.
 // It returns the term that admitted it, nil without the leadership.
-func (s *Service) admit(job *work.Job) (a placement.Admission, admitted *term) {
+func (s *Service) admit(job *work.Job, offered bool) (a placement.Admission, admitted *term) {
 	s.current(func(t *term, now time.Time) {
 		admitted = t
 		a = placement.Admission{Accepted: true}
 		if t.submitting[job.ID] == 0 {
-			a = t.board.Admit(now, job)
+			a = t.board.Admit(now, job, offered)
 		}
 		if a.Accepted {
 			t.submitting[job.ID]++
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -176,19 +176,29 @@
 			return s.giveUp(q, offered)
 		}
 		r := s.try(ctx, l, q, offered)
-		offered = true
 		switch {
 		case r != nil && r.Outcome != mesh.Uncertain:
+			r = truthful(r, offered && q.Operation == mesh.Submit)
 			if r.Outcome == mesh.Overloaded || r.Outcome == mesh.NotReady {
 				s.opts.Log.Emit(events.Event{ID: events.RequestRefused, Job: jobOf(q), Text: "come back in " + strconv.Itoa(r.RetryAfterMS) + "ms"})
 			}
 			return r
 		case ctx.Err() != nil || r == nil && s.full():
-			return s.giveUp(q, offered)
+			return s.giveUp(q, true)
 		case r != nil:
 			pauseFor(useful, retryPause)
 		}
+		offered = true
+	}
+}
+
+// truthful replaces an answer that says that a job has not run by Uncertain if an
+// earlier leader had it. Every such answer passes here.
+func truthful(r *mesh.Response, offered bool) *mesh.Response {
+	if offered && r.Outcome.NotRun() {
+		return &mesh.Response{Outcome: mesh.Uncertain, Detail: r.Detail}
 	}
+	return r
 }
 
 // giveUp answers a request that no leader has answered.
