runner: holds to a silent endpoint no longer put off its lapse

Change: holds to a silent endpoint carry no deadline. TestSilentEndpointLapses failed before. Refusals tell the expected time, the limit and the wait.

--- a/core/placement/admit.go
+++ b/core/placement/admit.go
@@ -23,8 +23,9 @@
 	Accepted bool
 	// RetryAfter is when a refused caller may come back.
 	RetryAfter time.Duration
-	// Expected is the estimated time to completion.
-	Expected time.Duration
+	// Expected is the estimated time to completion, Limit the longest that is
+	// accepted, and Wait the part of it until the job's tasks start.
+	Expected, Limit, Wait time.Duration
 }
 
 // Admit estimates when a job would complete behind the work that comes before
@@ -38,9 +39,9 @@
 	expected := wait + j.Chain() + overhead
 	limit := time.Duration(admitWithin * float64(j.Objective()))
 	if expected <= limit {
-		return Admission{Accepted: true, Expected: expected}
+		return Admission{Accepted: true, Expected: expected, Limit: limit, Wait: wait}
 	}
-	return Admission{Expected: expected, RetryAfter: min(max(expected-limit, retryLeast), retryMost)}
+	return Admission{Expected: expected, Limit: limit, Wait: wait, RetryAfter: min(max(expected-limit, retryLeast), retryMost)}
 }
 
 // waitFor estimates the time until all queued work of the same or a higher
--- a/daemon/coordinator/entries.go
+++ b/daemon/coordinator/entries.go
@@ -213,7 +213,7 @@
 	r.Outcome = mesh.Overloaded
 	s.metrics.refused.Inc()
 	r.RetryAfterMS = int(a.RetryAfter.Milliseconds())
-	s.opts.Log.Emit(events.Event{ID: events.WorkRefused, Job: key(job.ID), Text: "expected " + a.Expected.String()})
+	s.opts.Log.Emit(events.Event{ID: events.WorkRefused, Job: key(job.ID), Text: refusal(job, a)})
 }
 
 // abandon notes that a request no longer waits for a best-effort job.
--- a/daemon/coordinator/story.go
+++ b/daemon/coordinator/story.go
@@ -73,3 +73,9 @@
 		Text: end.How.String() + " run " + strconv.FormatUint(end.Run.Run, 10),
 	})
 }
+
+// refusal tells on what a refusal rests.
+func refusal(job *work.Job, a placement.Admission) string {
+	return "queue " + job.Queue + " expected " + millis(a.Expected) + " limit " + millis(a.Limit) + " of it waiting " + millis(a.Wait) +
+		" tasks " + strconv.Itoa(job.Tasks())
+}
--- a/daemon/runner/hold.go
+++ b/daemon/runner/hold.go
@@ -56,11 +56,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.holds++
-	q := Hold{Fence: s.fence, Deadline: max(s.keeper.Deadline(now()), 1), Seen: s.acked, Wait: holdWait}
-	s.latest = max(s.latest, q.Deadline)
+	q := Hold{Fence: s.fence, Seen: s.acked, Wait: holdWait}
 	if s.missedHolds > 0 {
 		q.Wait = 0
 	}
+	// A hold to a silent endpoint only asks: it may be carried out late, and would
+	// put off the time from which nothing can run there.
+	if !s.silent {
+		q.Deadline = max(s.keeper.Deadline(now()), 1)
+		s.latest = max(s.latest, q.Deadline)
+	}
 	for _, r := range s.runs {
 		if r.state == unanswered || r.state == stopped {
 			q.Wait = stopPause / 2
