docs: the platform path, explaining a failed request, settings, incidents

Cause: the platform path had no pages, and DEPLOY, OPERATIONS and the README told of the product before it.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GO := go
 SEEDS ?= 20
 
-.PHONY: test pages build lint generate bench soak fuzz demo
+.PHONY: test pages build lint generate bench soak platform-soak fuzz demo
 test: build lint pages
 	@for m in $(MODULES); do (cd $$m && $(GO) test ./...) || exit 1; done
 
@@ -14,7 +14,7 @@
 	@cd client && $(GO) test -count=1 ./internal/ticketfile
 
 build:
-	$(GO) build -o bin/ ./daemon/cmd/... ./client/cmd/...
+	$(GO) build -o bin/ ./daemon/cmd/... ./client/cmd/... ./platform/cmd/...
 
 lint: bin/staticcheck
 	@files=$$(git ls-files -co --exclude-standard '*.go' | grep -v -e '\.pb\.go$$' -e '\.twirp\.go$$' | xargs gofmt -l); \
@@ -30,6 +30,10 @@
 soak:
 	cd daemon && SOAK_SEED=$(SEED) SOAK_SEEDS=$(SEEDS) $(GO) test ./internal/harness -run 'TestSoak$$' -count=1 -timeout 60m
 
+# SEEDS runs of the platform path as real processes under random signals.
+platform-soak:
+	cd platform && SOAK_SEED=$(SEED) SOAK_SEEDS=$(SEEDS) $(GO) test . -run 'TestSoak$$' -count=1 -timeout 60m
+
 generate:
 	$(GO) run ./daemon/events/gen docs/events.md
 	cd api/rpc && protoc --go_out=paths=source_relative:. --twirp_out=paths=source_relative:. cicadapulley.proto
@@ -43,6 +47,8 @@
 fuzz:
 	cd daemon && $(GO) test ./storage -run '^$$' -fuzz FuzzReadLog -fuzztime $(FUZZTIME)
 	cd client && $(GO) test ./internal/ticketfile -run '^$$' -fuzz FuzzParseTicket -fuzztime $(FUZZTIME)
+	cd api && $(GO) test ./mesh -run '^$$' -fuzz FuzzRead -fuzztime $(FUZZTIME)
+	for f in FuzzBeat FuzzConfig FuzzJob; do (cd platform && $(GO) test . -run '^$$' -fuzz "$$f$$" -fuzztime $(FUZZTIME)) || exit 1; done
 
 # A development system on loopback and a job sent to it.
 demo: build
--- a/daemon/settings/operations_test.go
+++ b/daemon/settings/operations_test.go
@@ -14,7 +14,7 @@
 // TestOperationsPageNamesFields guards against a setting that operators can't
 // find: every JSON field must be in the first column of a table of the page.
 func TestOperationsPageNamesFields(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	assert.NilError(t, err)
 	documented := map[string]bool{}
 	for line := range strings.Lines(string(page)) {
@@ -24,7 +24,7 @@
 	}
 	for _, role := range []any{settings.Control{}, settings.Entry{}, settings.Agent{}} {
 		for _, name := range fieldNames(reflect.TypeOf(role)) {
-			assert.Assert(t, documented[name], "%T: field %s is not in a table of docs/operations.md", role, name)
+			assert.Assert(t, documented[name], "%T: field %s is not in a table of docs/OPERATIONS.md", role, name)
 		}
 	}
 }
