entry: a refusal says not_run only with control's word and the other entries'

Change: verdict.Evidence has the rule; every refusal of a job asks the other entries whether they have the id under way and control whether it has a record.

--- a/core/verdict/verdict.go
+++ b/core/verdict/verdict.go
@@ -50,6 +50,24 @@
 	return MayHaveRun
 }
 
+// Evidence is what an entry has learned of other submissions of a job's id before
+// it refuses one.
+type Evidence struct {
+	// NoRecord is set if control has confirmed that the id has no record.
+	NoRecord bool
+	// NoneUnderWay is set if no other entry has a submission of the id under way.
+	NoneUnderWay bool
+}
+
+// OfRefusal returns what a refusal may say. An entry that doesn't start a job still
+// can't say that it has not run: another entry may run it, or be recording it.
+func (e Evidence) OfRefusal() Verdict {
+	if e.NoRecord && e.NoneUnderWay {
+		return NotRun
+	}
+	return MayHaveRun
+}
+
 // Code identifies the reason of a refusal or failure.
 type Code string
 
--- a/core/verdict/verdict_test.go
+++ b/core/verdict/verdict_test.go
@@ -6,6 +6,15 @@
 	"gotest.tools/v3/assert"
 )
 
+// TestRefusalNeedsEvidence guards against a refusal that says not_run while the job
+// runs at another entry or is being recorded there.
+func TestRefusalNeedsEvidence(t *testing.T) {
+	assert.Equal(t, Evidence{NoRecord: true, NoneUnderWay: true}.OfRefusal(), NotRun)
+	for _, e := range []Evidence{{}, {NoRecord: true}, {NoneUnderWay: true}} {
+		assert.Equal(t, e.OfRefusal(), MayHaveRun)
+	}
+}
+
 // Guards against a whole that claims not_run or ran although a part differs.
 func TestCombine(t *testing.T) {
 	all := []Verdict{MayHaveRun, NotRun, Ran}
--- a/daemon/entry/await.go
+++ b/daemon/entry/await.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/cicadapulley/cicadapulley/api/codec"
 	"github.com/cicadapulley/cicadapulley/api/rpc"
 	"github.com/cicadapulley/cicadapulley/core/job"
+	"github.com/cicadapulley/cicadapulley/core/state"
 	"github.com/cicadapulley/cicadapulley/core/verdict"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 )
@@ -120,6 +124,31 @@
 	return rpc.NewEntryProtobufClient(m.service.opts.Security.Scheme()+"://"+owner.Address, m.service.entries)
 }
 
+// underWayWait bounds the question to the other entries, in milliseconds. An entry
+// answers at once while it has the job.
+const underWayWait = 1
+
+// noneUnderWay tells whether all other entries answered that they have no submission
+// of the key under way. Entries that end without an answer leave it open.
+func (m *jobs) noneUnderWay(ctx context.Context, k job.Key) bool {
+	var asks conc.WaitGroup
+	var open atomic.Bool
+	for _, member := range m.service.members.Replica().Members {
+		if member.Role != state.RoleEntry || !member.Active() || member.ID == m.service.members.ID() {
+			continue
+		}
+		client := rpc.NewEntryProtobufClient(m.service.opts.Security.Scheme()+"://"+member.Address, m.service.entries)
+		asks.Go(func() {
+			resp, err := client.Await(ctx, &rpc.AwaitRequest{Key: codec.KeyToRPC(k), MaxWaitMs: underWayWait, Clock: m.log.Now()})
+			if err != nil || resp.Known {
+				open.Store(true)
+			}
+		})
+	}
+	asks.Wait()
+	return !open.Load()
+}
+
 // read reads a job's record from control.
 func (m *jobs) read(ctx context.Context, k job.Key) (r *job.Record, found bool, err error) {
 	resp, err := m.service.opts.Control.GetJob(ctx, &rpc.GetJobRequest{Key: codec.KeyToRPC(k)})
--- a/daemon/entry/jobs.go
+++ b/daemon/entry/jobs.go
@@ -189,17 +189,17 @@
 func (m *jobs) refuseUnlessKnown(j *activeJob, refusal *verdict.Error) {
 	ctx, cancel := context.WithTimeout(m.background, acceptTimeout)
 	defer cancel()
+	// The others are asked first: a submission that has ended there by then has its
+	// record, which the read finds.
+	noneUnderWay := m.noneUnderWay(ctx, j.record.Key)
 	record, found, err := m.read(ctx, j.record.Key)
-	switch {
-	case err != nil:
-		e := *refusal
-		e.Verdict = verdict.MayHaveRun
-		m.refuse(j, &e)
-	case !found:
-		m.refuse(j, refusal)
-	default:
+	if found {
 		m.join(j, record)
+		return
 	}
+	e := *refusal
+	e.Verdict = verdict.Evidence{NoRecord: err == nil, NoneUnderWay: noneUnderWay}.OfRefusal()
+	m.refuse(j, &e)
 }
 
 func (m *jobs) propose(j *activeJob) (*rpc.AcceptJobResponse, error) {
@@ -230,7 +230,7 @@
 	case state.Conflicting:
 		m.refuse(j, conflict(j.record.Key))
 	default:
-		m.refuse(j, verdict.Errorf(verdict.CodeUnavailable, verdict.NotRun, "the entry's lease has ended").After(time.Second))
+		m.refuseUnlessKnown(j, verdict.Errorf(verdict.CodeUnavailable, verdict.NotRun, "the entry's lease has ended").After(time.Second))
 	}
 }
 
@@ -314,17 +314,17 @@
 	close(j.moved)
 }
 
-// unsettled refuses a job whose proposal got no answer. If control may have
-// taken it, the record may exist, and NotRun can't be promised: the entry keeps
-// asking and ends the job without starting it.
+// unsettled refuses a job whose proposal got no answer. Without control's word the
+// job may run at another entry. If control may have taken the proposal, the entry
+// keeps asking and ends the job without starting it.
 func (m *jobs) unsettled(j *activeJob, err error) {
-	refusal := verdict.Errorf(verdict.CodeUnavailable, verdict.NotRun, "the job could not be recorded: %v", err).After(time.Second)
+	unknown := verdict.Evidence{}.OfRefusal()
+	refusal := verdict.Errorf(verdict.CodeUnavailable, unknown, "the job could not be recorded: %v", err).After(time.Second)
 	var noLeader *controlclient.ErrNoLeader
 	if errors.As(err, &noLeader) && !noLeader.MaybeApplied {
 		m.refuse(j, refusal)
 		return
 	}
-	refusal.Verdict = verdict.MayHaveRun
 	j.mu.Lock()
 	j.refusal = refusal
 	j.mu.Unlock()
--- a/daemon/internal/harness/failure_test.go
+++ b/daemon/internal/harness/failure_test.go
@@ -129,6 +129,54 @@
 	})
 }
 
+// TestRefusalWithoutControl guards against a refusal that is untrue: an entry that
+// can't ask control doesn't know whether a job with the same id runs at another
+// entry (soak seed 1049, jobs caller-0/128-0 and caller-1/114-0).
+func TestRefusalWithoutControl(t *testing.T) {
+	play(t, func(s *scene) {
+		j := s.begin(EntryID(0), sleepJob("a", "1", 6, 20_000, 60*time.Second))
+		for i := range s.c.size.Controls {
+			for other := range i {
+				s.c.Cut(ControlID(i), ControlID(other))
+			}
+		}
+		time.Sleep(3 * time.Second) // the old leader steps down
+		reply := s.submit(EntryID(1), j, false)
+		assert.Assert(s, reply.Refusal != nil, "status %d", reply.Status)
+		assert.Equal(s, reply.Refusal.Verdict, verdict.MayHaveRun.String())
+	})
+}
+
+// TestRefusalBesideRecording guards against a refusal that says not_run while another
+// entry is still recording the job: entry 1 waits for control, entry 2 refuses the
+// same id for its quota.
+func TestRefusalBesideRecording(t *testing.T) {
+	play(t, func(s *scene) {
+		o := s.c.Operator("operator")
+		defer o.Close()
+		quota := &rpc.Ticket{Number: 7, Author: "ann", Quotas: []*rpc.Quota{{Caller: s.caller.Name, Weight: 1, MaxTasks: 6}}}
+		_, err := o.ApplyTicket(s.ctx, &rpc.ApplyTicketRequest{Ticket: quota})
+		assert.NilError(s, err)
+		time.Sleep(time.Second) // in force everywhere
+		s.begin(EntryID(1), sleepJob("a", "fills-quota", 6, 2_000, 60*time.Second))
+		for i := range s.c.size.Controls {
+			s.c.Silence(EntryID(0), ControlID(i))
+		}
+		sub := sleepJob("a", "both", 3, 100, 60*time.Second)
+		recording := make(chan *Reply, 1)
+		go func() {
+			reply, _ := s.caller.Submit(s.ctx, EntryID(0), sub, true)
+			recording <- reply
+		}()
+		time.Sleep(50 * time.Millisecond)
+		refused, err := s.caller.Submit(s.ctx, EntryID(1), sub, false)
+		assert.NilError(s, err)
+		assert.Assert(s, refused.Refusal != nil, "status %d", refused.Status)
+		assert.Equal(s, refused.Refusal.Verdict, verdict.MayHaveRun.String())
+		<-recording
+	})
+}
+
 // TestEntryDies guards against a takeover that starts a task twice, or that
 // loses results that the agents have, before and after the job's deadline.
 func TestEntryDies(t *testing.T) {
