entry: a submission that would be refused waits for one under way elsewhere

Change: such a submission looks again until the record is there and joins it; entries that refuse don't count as having it under way.

--- a/daemon/entry/await.go
+++ b/daemon/entry/await.go
@@ -128,11 +128,27 @@
 // answers at once while it has the job.
 const underWayWait = 1
 
-// noneUnderWay tells whether all other entries answered that they have no submission
-// of the key under way. Entries that end without an answer leave it open.
-func (m *jobs) noneUnderWay(ctx context.Context, k job.Key) bool {
+func (j *activeJob) isRefusing() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.refusing
+}
+
+// others is what the other entries say of a key.
+type others struct {
+	// underWay is set if one has a submission of it under way.
+	underWay bool
+	// unknown is set if one gave no answer.
+	unknown bool
+}
+
+func (o others) none() bool { return !o.underWay && !o.unknown }
+
+// askOthers asks all other entries whether they have a submission of the key under
+// way.
+func (m *jobs) askOthers(ctx context.Context, k job.Key) others {
 	var asks conc.WaitGroup
-	var open atomic.Bool
+	var underWay, unknown atomic.Bool
 	for _, member := range m.service.members.Replica().Members {
 		if member.Role != state.RoleEntry || !member.Active() || member.ID == m.service.members.ID() {
 			continue
@@ -140,13 +156,16 @@
 		client := rpc.NewEntryProtobufClient(m.service.opts.Security.Scheme()+"://"+member.Address, m.service.entries)
 		asks.Go(func() {
 			resp, err := client.Await(ctx, &rpc.AwaitRequest{Key: codec.KeyToRPC(k), MaxWaitMs: underWayWait, Clock: m.log.Now()})
-			if err != nil || resp.Known {
-				open.Store(true)
+			switch {
+			case err != nil:
+				unknown.Store(true)
+			case resp.Known:
+				underWay.Store(true)
 			}
 		})
 	}
 	asks.Wait()
-	return !open.Load()
+	return others{underWay: underWay.Load(), unknown: unknown.Load()}
 }
 
 // read reads a job's record from control.
@@ -208,7 +227,7 @@
 	a.jobs.log.Observe(q.Clock)
 	resp := &rpc.AwaitResponse{Clock: a.jobs.log.Now()}
 	j := a.jobs.find(codec.KeyFromRPC(q.Key))
-	if j == nil {
+	if j == nil || j.isRefusing() {
 		return resp, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(q.MaxWaitMs)*time.Millisecond)
--- a/daemon/entry/jobs.go
+++ b/daemon/entry/jobs.go
@@ -21,6 +21,9 @@
 	// acceptTimeout bounds the wait for the record of a job. An election takes
 	// less than this.
 	acceptTimeout = 5 * time.Second
+	// recordingPause is the wait before another entry's submission of the same id is
+	// looked at again; a record takes a few milliseconds.
+	recordingPause = 20 * time.Millisecond
 	// finishPause is the wait before an outcome is offered to control again.
 	finishPause = 500 * time.Millisecond
 )
@@ -37,6 +40,9 @@
 
 	mu      sync.Mutex
 	refusal *verdict.Error
+	// refusing is set once this submission can't be recorded any more, so that two
+	// entries that refuse the same id don't wait for each other.
+	refusing bool
 	// existing is set if the job is not run here: another entry owns it, or it
 	// is finished.
 	existing  *job.Record
@@ -189,17 +195,26 @@
 func (m *jobs) refuseUnlessKnown(j *activeJob, refusal *verdict.Error) {
 	ctx, cancel := context.WithTimeout(m.background, acceptTimeout)
 	defer cancel()
-	// The others are asked first: a submission that has ended there by then has its
-	// record, which the read finds.
-	noneUnderWay := m.noneUnderWay(ctx, j.record.Key)
-	record, found, err := m.read(ctx, j.record.Key)
-	if found {
-		m.join(j, record)
-		return
+	j.mu.Lock()
+	j.refusing = true
+	j.mu.Unlock()
+	for {
+		// The others are asked first: a submission that has ended there by then has
+		// its record, which the read finds.
+		others := m.askOthers(ctx, j.record.Key)
+		record, found, err := m.read(ctx, j.record.Key)
+		if found {
+			m.join(j, record)
+			return
+		}
+		if err != nil || !others.underWay || ctx.Err() != nil {
+			e := *refusal
+			e.Verdict = verdict.Evidence{NoRecord: err == nil, NoneUnderWay: others.none()}.OfRefusal()
+			m.refuse(j, &e)
+			return
+		}
+		wait(ctx, recordingPause) // its record or its refusal is near
 	}
-	e := *refusal
-	e.Verdict = verdict.Evidence{NoRecord: err == nil, NoneUnderWay: noneUnderWay}.OfRefusal()
-	m.refuse(j, &e)
 }
 
 func (m *jobs) propose(j *activeJob) (*rpc.AcceptJobResponse, error) {
