--- a/core/placement/assign.go
+++ b/core/placement/assign.go
@@ -151,7 +151,7 @@
 		expected: e.expect(step),
 	}
 	e.add(r)
-	j.passed(now, r)
+	j.noteOrder(now, r)
 	e.health.started(now)
 	b.begin(j)
 	b.Stats.Starts++
--- a/core/placement/endpoints.go
+++ b/core/placement/endpoints.go
@@ -94,7 +94,7 @@
 	step := j.spec.Steps[l.Task.Step]
 	r := &run{Run: l.Run, job: j, need: step.Need, at: e, since: now, expected: e.expect(step), percent: l.Percent}
 	e.add(r)
-	j.passed(now, r)
+	j.noteOrder(now, r)
 }
 
 // unqueue takes a waiting task out of its group.
@@ -260,7 +260,7 @@
 		return
 	}
 	t := r.job.task(r.Task)
-	r.job.ended(now, r.Run, end.How.String())
+	r.job.noteEnd(now, r.Run, end.How.String())
 	switch {
 	case t.phase == ended:
 		return
@@ -290,7 +290,7 @@
 		return
 	}
 	if endpointLost {
-		r.job.ended(now, r.Run, "endpoint lost")
+		r.job.noteEnd(now, r.Run, "endpoint lost")
 		t.failedOn = append(t.failedOn, r.at.VM)
 	}
 	b.Stats.Requeues++
@@ -309,7 +309,7 @@
 	}
 	b.Stats.Refusals++
 	r := e.runs[rn]
-	r.job.ended(now, rn, "refused: "+why.String())
+	r.job.noteEnd(now, rn, "refused: "+why.String())
 	e.remove(r)
 	e.health.trial = false
 	switch why {
--- a/core/placement/trail.go
+++ b/core/placement/trail.go
@@ -6,15 +6,15 @@
 	"github.com/cicadapulley/cicadapulley/core/work"
 )
 
-// passed notes that a run was ordered or found.
-func (j *job) passed(now time.Time, r *run) {
+// noteOrder notes that a run was ordered or found.
+func (j *job) noteOrder(now time.Time, r *run) {
 	if len(j.trail) < maxTrail {
 		j.trail = append(j.trail, Passage{Task: r.Task, Run: r.Run.Run, VM: r.at.VM, Ordered: now.Sub(j.arrived)})
 	}
 }
 
-// ended notes the end of a run in the trail.
-func (j *job) ended(now time.Time, r work.Run, outcome string) {
+// noteEnd notes the end of a run in the trail.
+func (j *job) noteEnd(now time.Time, r work.Run, outcome string) {
 	for i := range j.trail {
 		if p := &j.trail[i]; p.Task == r.Task && p.Run == r.Run && p.Outcome == "" {
 			p.Ended = now.Sub(j.arrived)
--- a/daemon/coordinator/entries.go
+++ b/daemon/coordinator/entries.go
@@ -283,11 +283,9 @@
 		return
 	}
 	s.opts.Log.Emit(events.Event{ID: events.WorkAccepted, Job: key(job.ID), Text: job.Queue})
-	now := now()
-	t.board.Add(now, job, false)
-	if s.driver.Leading() {
-		s.place(t, now)
-	}
+	at := now()
+	t.board.Add(at, job, false)
+	s.place(t, at)
 }
 
 // cancel closes a job and stops its runs.
@@ -317,11 +315,11 @@
 	if t == nil {
 		return
 	}
-	now := now()
+	at := now()
 	for _, id := range ids {
 		t.board.Close(id)
 		s.opts.Log.Emit(events.Event{ID: events.WorkClosed, Job: key(id), Text: "recorded"})
-		t.final = append(t.final, finalJob{id: id, at: now})
+		t.final = append(t.final, finalJob{id: id, at: at})
 	}
-	s.place(t, now)
+	s.place(t, at)
 }
--- a/daemon/coordinator/service.go
+++ b/daemon/coordinator/service.go
@@ -11,6 +11,7 @@
 	"context"
 	"crypto/sha256"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -89,7 +90,7 @@
 
 // Open opens the data folder and returns the control VM; Run starts it.
 func Open(o Options) (*Service, error) {
-	founder := o.Bootstrap && contains(o.Founders, o.Address)
+	founder := o.Bootstrap && slices.Contains(o.Founders, o.Address)
 	storeOptions := storage.Options{}
 	if founder {
 		storeOptions.Identity = founderIdentity(o.Address)
@@ -105,15 +106,6 @@
 	return s, nil
 }
 
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
-
 func (s *Service) init(founder bool) error {
 	recovered := s.store.Recovered()
 	s.opts.Log.Emit(events.Event{ID: events.StorageOpened, Text: string(recovered.Identity)})
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -23,10 +23,10 @@
 	// dialTimeout bounds the opening of a connection, which takes a round trip of
 	// a few milliseconds.
 	dialTimeout = 250 * time.Millisecond
-	// Silence is the time without a message after which a connection counts as
-	// dead, and PingInterval the pause between pings.
-	Silence      = 600 * time.Millisecond
-	PingInterval = 150 * time.Millisecond
+	// silence is the time without a message after which a connection counts as
+	// dead, and pingInterval the pause between pings.
+	silence      = 600 * time.Millisecond
+	pingInterval = 150 * time.Millisecond
 	// pauseLeast and pauseMost bound the wait before another attempt to connect;
 	// it doubles while attempts fail.
 	pauseLeast = 50 * time.Millisecond
@@ -48,7 +48,7 @@
 // Receive returns the leader's next message. It fails with ErrNoLongerLeads if
 // the leader has lost its term.
 func (l *Leader) Receive() (mesh.Message, error) {
-	m, err := l.Conn.Receive(Silence)
+	m, err := l.Conn.Receive(silence)
 	if err != nil {
 		return nil, err
 	}
@@ -153,7 +153,7 @@
 	defer end()
 	go ping(pinging, c)
 	for {
-		m, err := c.Receive(Silence)
+		m, err := c.Receive(silence)
 		if err != nil {
 			return // the connection is opened again
 		}
@@ -199,7 +199,7 @@
 
 // ping keeps a connection alive.
 func ping(ctx context.Context, c *link.Conn) {
-	ticker := time.NewTicker(PingInterval)
+	ticker := time.NewTicker(pingInterval)
 	defer ticker.Stop()
 	for {
 		c.Send(&mesh.Ping{})
--- a/daemon/link/link.go
+++ b/daemon/link/link.go
@@ -90,9 +90,6 @@
 	return mesh.Read(l.reader)
 }
 
-// Buffered tells whether more data has already arrived.
-func (l *Conn) Buffered() bool { return l.reader.Buffered() > 0 }
-
 // Closed returns a channel that closes with the connection.
 func (l *Conn) Closed() <-chan struct{} { return l.closed }
 
