--- a/core/placement/besteffort.go
+++ b/core/placement/besteffort.go
@@ -52,8 +52,8 @@
 // inherit gives a job the runs of an earlier one with its id that was abandoned.
 // Their tasks start again once these runs have ended.
 func (e *endpoint) inherit(j *job) {
-	for _, r := range e.sorted() {
-		if r.Task.Job != j.spec.ID || r.job == j {
+	for _, r := range e.runsOf(j.spec.ID) {
+		if r.job == j {
 			continue
 		}
 		if t := j.task(r.Task); t != nil && t.phase == blocked {
--- a/core/placement/board.go
+++ b/core/placement/board.go
@@ -251,7 +251,7 @@
 	}
 	b.held = slices.DeleteFunc(b.held, func(h *job) bool { return h == j })
 	for _, e := range b.order {
-		for _, r := range e.sorted() {
+		for _, r := range e.runsOf(id) {
 			if r.job == j {
 				b.stop(r)
 			}
--- a/core/placement/endpoints.go
+++ b/core/placement/endpoints.go
@@ -118,6 +118,19 @@
 	return slices.SortedFunc(maps.Values(e.runs), func(a, b *run) int { return cmp.Compare(a.Run.Run, b.Run.Run) })
 }
 
+// runsOf returns the runs of a job in the order of their numbers. Most endpoints
+// have none, and most jobs end with none.
+func (e *endpoint) runsOf(id work.JobID) []*run {
+	var list []*run
+	for _, r := range e.runs {
+		if r.Task.Job == id {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(a, b *run) int { return cmp.Compare(a.Run.Run, b.Run.Run) })
+	return list
+}
+
 // strangers returns the runs of no known job in the order of their numbers.
 func (e *endpoint) strangers() []*stranger {
 	return slices.SortedFunc(maps.Values(e.unknown), func(a, b *stranger) int {
@@ -247,7 +260,7 @@
 // stopTask stops the runs of a task that turned out to be done.
 func (b *Board) stopTask(j *job, id work.TaskID) {
 	for _, e := range b.order {
-		for _, r := range e.sorted() {
+		for _, r := range e.runsOf(id.Job) {
 			if r.job == j && r.Task == id {
 				b.stop(r)
 			}
