--- a/core/placement/admit.go
+++ b/core/placement/admit.go
@@ -13,9 +13,6 @@
 	admitWithin = 1.6
 	// overhead is the time for acceptance, messages and the record of the ends.
 	overhead = 40 * time.Millisecond
-	// leastShare is the share of the endpoints that is counted on for a job although
-	// more urgent work seems to take all: estimates are off by 40%.
-	leastShare = 0.1
 	// Bounds of the time after which a refused caller may come back.
 	retryLeast = time.Second
 	retryMost  = 10 * time.Second
@@ -48,7 +45,7 @@
 }
 
 // waitFor estimates the time until all queued work of the same or a higher
-// priority has been placed, beside the more urgent work that will arrive meanwhile.
+// priority has been placed.
 func (b *Board) waitFor(now time.Time, j *work.Job) time.Duration {
 	var queued float64 // core-seconds at nominal speed
 	for _, g := range b.queue.groups {
@@ -70,7 +67,5 @@
 	if rate == 0 {
 		return retryMost
 	}
-	// What comes before this job goes on arriving while it waits.
-	left := max(rate-b.arrivals.before(now, j), leastShare*rate)
-	return time.Duration(queued / left * float64(time.Second))
+	return time.Duration(queued / rate * float64(time.Second))
 }
--- a/core/placement/board.go
+++ b/core/placement/board.go
@@ -31,7 +31,6 @@
 	held      []*job
 	heldUntil time.Time
 	speeds    speeds
-	arrivals  arrivals
 	// fastest is the least run time over the estimate in each pool.
 	fastest map[string]float64
 	// ticked is the time of the last Tick.
@@ -64,7 +63,6 @@
 		endpoints: map[SessionID]*endpoint{},
 		heldUntil: heldUntil,
 		speeds:    newSpeeds(),
-		arrivals:  newArrivals(),
 		ticked:    heldUntil,
 		fastest:   map[string]float64{},
 		pending:   map[string]int{},
@@ -113,7 +111,6 @@
 		return
 	}
 	j := b.newJob(now, spec)
-	b.arrivals.add(now, spec)
 	b.claim(now, j)
 	if b.jobs[spec.ID] != j {
 		return // the ends settled it
