runner: progress carries its age

Change: pings tell how old their list is, and the board counts from then; TestOldListingIsNoSlowness.

--- a/api/mesh/mesh.go
+++ b/api/mesh/mesh.go
@@ -62,8 +62,9 @@
 	Sequence uint64
 	// Session is the session whose lease is to be renewed; 0 for none.
 	Session placement.SessionID
-	// Running is the progress of an agent's runs.
+	// Running is the progress of an agent's runs, AgeMS milliseconds ago.
 	Running []placement.ListedRun
+	AgeMS   int64
 }
 
 // Pong answers Ping.
--- a/core/placement/endpoints.go
+++ b/core/placement/endpoints.go
@@ -338,15 +338,16 @@
 	b.requeue(now, r, false)
 }
 
-// Seen updates the progress of the runs that an endpoint lists.
-func (b *Board) Seen(now time.Time, id SessionID, running []ListedRun) {
+// Seen updates the progress of the runs that an endpoint listed at a time. Progress
+// that is taken for newer than it is makes an endpoint look slow.
+func (b *Board) Seen(listedAt time.Time, id SessionID, running []ListedRun) {
 	e := b.endpoints[id]
 	if e == nil {
 		return
 	}
 	for _, l := range running {
 		if r := e.runs[l.Run]; r != nil {
-			r.listed(now, l.Percent)
+			r.listed(listedAt, l.Percent)
 		}
 	}
 }
--- a/core/placement/stall.go
+++ b/core/placement/stall.go
@@ -28,12 +28,12 @@
 )
 
 // listed notes the progress that a listing shows.
-func (r *run) listed(now time.Time, percent int) {
+func (r *run) listed(at time.Time, percent int) {
 	if percent != r.percent || r.progressAt.IsZero() {
 		r.percent = percent
-		r.progressAt = now
+		r.progressAt = at
 	}
-	r.listedAt = now
+	r.listedAt = at
 }
 
 // standsStill tells whether listings have shown no progress for too long.
--- a/core/placement/stall_test.go
+++ b/core/placement/stall_test.go
@@ -82,6 +82,19 @@
 	assert.Equal(t, starts[0].Session, SessionID(2))
 }
 
+// TestOldListingIsNoSlowness guards against runs that are moved on a calm day because
+// a list from just after their start arrives 0.2 s later (37 runs of dala-coop
+// quiet-1).
+func TestOldListingIsNoSlowness(t *testing.T) {
+	s := newScene(t)
+	starts := s.longPair()
+	listedAt := s.now.Add(-190 * time.Millisecond) // 10 ms after the starts
+	s.board.Seen(listedAt, 1, []ListedRun{{Run: starts[0].Run, Percent: 1}, {Run: starts[1].Run, Percent: 1}})
+	s.after(0)
+	_, stops := s.assign()
+	assert.Equal(t, len(stops), 0)
+}
+
 // TestLongTaskIsNotMoved guards against progress that is thrown away because one
 // task is longer than its estimate, on an endpoint whose other runs are in time.
 func TestLongTaskIsNotMoved(t *testing.T) {
--- a/daemon/coordinator/agents.go
+++ b/daemon/coordinator/agents.go
@@ -39,7 +39,7 @@
 	a.client.service.current(func(t *term, at time.Time) {
 		if renewed = t == a.term; renewed {
 			a.lastPong = at
-			t.board.Seen(at, a.id, m.Running)
+			t.board.Seen(at.Add(-time.Duration(m.AgeMS)*time.Millisecond), a.id, m.Running)
 		}
 	})
 	return renewed
--- a/daemon/runner/hold.go
+++ b/daemon/runner/hold.go
@@ -134,6 +134,7 @@
 		s.service.opts.Log.Emit(events.Event{ID: events.EndpointAnswers, Peer: s.reg.Instance})
 	}
 	s.running = l.Running
+	s.listedAt = now()
 	listed := make(map[work.Run]bool, len(l.Running))
 	for _, r := range l.Running {
 		listed[r.Run] = true
--- a/daemon/runner/session.go
+++ b/daemon/runner/session.go
@@ -94,7 +94,9 @@
 	keeper *lease.Keeper
 	runs   map[work.Run]*localRun
 	// running is the latest listing that the leader wasn't told of.
-	running  []placement.ListedRun
+	running []placement.ListedRun
+	// listedAt is when that listing came.
+	listedAt time.Time
 	holds    uint64
 	reported uint64
 	acked    uint64
@@ -156,6 +158,7 @@
 	}
 	s.keeper.Observe(listing.Clock, now())
 	s.running = listing.Running
+	s.listedAt = now()
 	// The answer to this ping comes before the leader's first orders.
 	s.sendPing()
 	s.leader.Send(&mesh.Inventory{Endpoint: s.endpoint(), Running: listing.Running, Ends: s.newEnds(listing.Ends)})
@@ -218,6 +221,9 @@
 	s.pings++
 	s.sentClocks[s.pings] = s.keeper.Clock(now())
 	m := &mesh.Ping{Sequence: s.pings, Session: s.fence, Running: s.running}
+	if len(s.running) > 0 {
+		m.AgeMS = now().Sub(s.listedAt).Milliseconds()
+	}
 	s.running = nil // an old listing would look like a lack of progress
 	s.mu.Unlock()
 	s.leader.Send(m)
