--- a/daemon/logsink/logsink.go
+++ b/daemon/logsink/logsink.go
@@ -14,6 +14,9 @@
 const (
 	// queueLines bounds the lines that wait. At 300 bytes each they take 1.2 MB.
 	queueLines = 4096
+	// batchLines bounds the lines of one write. Without a bound, a writer that keeps
+	// up with those who log would gather for ever.
+	batchLines = 256
 	// flushTime bounds the wait for the last lines at the end of a process.
 	flushTime = 200 * time.Millisecond
 )
@@ -71,6 +74,9 @@
 		case line := <-s.lines:
 			s.write(line)
 		case <-s.stop:
+			for len(s.lines) > 0 {
+				s.write(nil)
+			}
 			s.write(nil)
 			return
 		}
@@ -89,7 +95,7 @@
 }
 
 func (s *Sink) gather(batch []byte) []byte {
-	for {
+	for range batchLines - 1 {
 		select {
 		case line := <-s.lines:
 			batch = append(batch, line...)
@@ -97,4 +103,5 @@
 			return batch
 		}
 	}
+	return batch
 }
