--- a/daemon/entry/jobs.go
+++ b/daemon/entry/jobs.go
@@ -36,7 +36,8 @@
 	// done closes when the outcome is set.
 	done chan struct{}
 	// moved closes when another entry decides the outcome.
-	moved chan struct{}
+	moved  chan struct{}
+	moving sync.Once
 
 	mu      sync.Mutex
 	refusal *verdict.Error
@@ -323,10 +324,11 @@
 	m.log.Emit(events.Event{ID: events.JobFinished, Job: j.record.Key, Text: o.State.String()})
 }
 
-// move hands the job's waiters over to the entry that decides the outcome.
+// move hands the job's waiters over to the entry that decides the outcome. Two
+// takeovers that waited for the same submission may both come to this.
 func (m *jobs) move(j *activeJob) {
 	m.forget(j)
-	close(j.moved)
+	j.moving.Do(func() { close(j.moved) })
 }
 
 // unsettled refuses a job whose proposal got no answer. Without control's word the
