--- a/api/mesh/mesh.go
+++ b/api/mesh/mesh.go
@@ -148,8 +148,6 @@
 type NumberedEnd struct {
 	Number uint64
 	End    work.End
-	// Durable is set by the leader for ends that must be recorded.
-	Durable bool `cbor:"-"`
 }
 
 // Inventory is all that an endpoint lists at the start of a session.
--- a/daemon/control/consensus/driver.go
+++ b/daemon/control/consensus/driver.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -72,7 +73,6 @@
 	SnapshotEntries uint64
 	Transport       Transport
 	Log             *events.Log
-	Seed            uint64
 	// Now is the clock of leases and elections; nil is the monotonic clock.
 	Now func() time.Time
 }
@@ -144,7 +144,7 @@
 		Now:                  o.Now(),
 		ElectionTimeout:      o.ElectionTimeout,
 		HeartbeatInterval:    o.ElectionTimeout / heartbeatsPerTimeout,
-		Rand:                 rand.New(rand.NewPCG(o.Seed, uint64(o.Now().UnixNano()))),
+		Rand:                 rand.New(rand.NewPCG(seed(o.Recovered.Identity), uint64(o.Now().UnixNano()))),
 		MaxEntriesPerMessage: maxEntriesPerMessage,
 		MaxBytesPerMessage:   maxBytesPerMessage,
 		MaxInflight:          maxInflight,
@@ -159,6 +159,13 @@
 	return d, nil
 }
 
+// seed tells the VMs' election timeouts apart.
+func seed(id raft.ServerID) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(id))
+	return h.Sum64()
+}
+
 // restore replaces the state machine by a snapshot; an empty one is a new machine.
 func (d *Driver) restore(s raft.Snapshot) error {
 	if s.Index == 0 {
--- a/daemon/control/consensus/read.go
+++ b/daemon/control/consensus/read.go
@@ -1,6 +1,8 @@
 package consensus
 
 import (
+	"time"
+
 	"github.com/cicadapulley/cicadapulley/core/raft"
 )
 
@@ -99,6 +101,27 @@
 	return err == nil
 }
 
+// HandOver gives the leadership to another VM before a planned stop, so that
+// proposals don't wait for an election. It waits within a bound until this VM no
+// longer leads.
+func (d *Driver) HandOver(within time.Duration) {
+	if !d.Leading() || !d.TransferLeadership() {
+		return
+	}
+	deadline := time.After(within)
+	for {
+		changed := d.Changed()
+		if !d.Leading() {
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return
+		}
+	}
+}
+
 // wake makes the loop look at the core after a call from another goroutine.
 // The caller holds mu.
 func (d *Driver) wake() {
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -95,7 +94,6 @@
 		SnapshotEntries: s.snapshotEntries(),
 		Transport:       newRaftTransport(s.opts, recovered.Identity, s.address()),
 		Log:             s.opts.Log,
-		Seed:            seed(string(recovered.Identity)),
 	}, s.opts.Retention)
 	if err != nil {
 		return err
@@ -105,12 +103,6 @@
 	return nil
 }
 
-func seed(identity string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(identity))
-	return h.Sum64()
-}
-
 func (s *Service) snapshotEntries() uint64 {
 	if s.opts.Settings.SnapshotEntries == 0 {
 		return defaultSnapshotEntries
@@ -202,24 +194,9 @@
 	return transport.Serve(serving, srv, s.opts.Listener, s.opts.Settings.Drain())
 }
 
-// handOver gives the leadership to another VM before a planned stop, so that
-// proposals don't wait for an election.
+// handOver withdraws readiness and gives the leadership to another VM.
 func (s *Service) handOver() {
 	s.draining.Store(true)
 	s.opts.Log.Emit(events.Event{ID: events.ProcessDraining})
-	if !s.driver.Leading() || !s.driver.TransferLeadership() {
-		return
-	}
-	deadline := time.After(transferWait)
-	for {
-		changed := s.driver.Changed()
-		if !s.driver.Leading() {
-			return
-		}
-		select {
-		case <-changed:
-		case <-deadline:
-			return
-		}
-	}
+	s.driver.HandOver(transferWait)
 }
--- a/daemon/coordinator/agents.go
+++ b/daemon/coordinator/agents.go
@@ -64,13 +64,15 @@
 	}
 	info := m.Endpoint
 	info.VM = a.client.vm
+	var durable []work.End
 	a.inTerm(func(t *term, at time.Time) {
-		t.sessions[a.id] = a.client.conn
-		t.vms[a.id] = a.client.vm
+		t.sessions[a.id] = a
 		ends := make([]work.End, len(m.Ends))
 		for i, e := range m.Ends {
 			ends[i] = e.End
-			m.Ends[i].Durable = e.End.How.Durable()
+			if e.End.How.Durable() {
+				durable = append(durable, e.End)
+			}
 		}
 		t.board.Join(at, info, m.Running, ends)
 		a.log().Emit(events.Event{
@@ -79,7 +81,7 @@
 		})
 		a.client.service.place(t, at)
 	})
-	a.record(ctx, m.Ends)
+	a.record(ctx, m.Ends, durable)
 }
 
 func (a *agentSession) log() *events.Log { return a.client.service.opts.Log }
@@ -103,10 +105,13 @@
 
 // report takes an agent's news.
 func (a *agentSession) report(ctx context.Context, m *mesh.Report) {
+	var durable []work.End
 	a.inTerm(func(t *term, at time.Time) {
-		for i := range m.Ends {
-			m.Ends[i].Durable = t.board.Ended(at, a.id, m.Ends[i].End)
-			a.client.service.logEnd(a.client.vm, m.Ends[i].End)
+		for _, e := range m.Ends {
+			if t.board.Ended(at, a.id, e.End) {
+				durable = append(durable, e.End)
+			}
+			a.client.service.logEnd(a.client.vm, e.End)
 		}
 		for _, r := range m.Refused {
 			t.board.Refused(at, a.id, r.Run, r.Why)
@@ -121,7 +126,7 @@
 		a.reach(t, m.Reach, at)
 		a.client.service.place(t, at)
 	})
-	a.record(ctx, m.Ends)
+	a.record(ctx, m.Ends, durable)
 }
 
 // reach notes whether the endpoint answers its agent.
@@ -135,18 +140,13 @@
 	}
 }
 
-// record makes ends durable and then lets the endpoint forget them. Ends that
-// needn't be recorded are acknowledged at once if no other record is under way.
-func (a *agentSession) record(ctx context.Context, ends []mesh.NumberedEnd) {
+// record makes those ends durable that must be and then lets the endpoint forget
+// all. Ends that needn't be recorded are acknowledged at once if no other record is
+// under way.
+func (a *agentSession) record(ctx context.Context, ends []mesh.NumberedEnd, durable []work.End) {
 	if len(ends) == 0 {
 		return
 	}
-	var durable []work.End
-	for _, e := range ends {
-		if e.Durable {
-			durable = append(durable, e.End)
-		}
-	}
 	upTo := ends[len(ends)-1].Number
 	if len(durable) == 0 && a.recording.TryLock() {
 		defer a.recording.Unlock()
@@ -194,7 +194,6 @@
 	}
 	cl.session = nil
 	delete(a.term.sessions, a.id)
-	delete(a.term.vms, a.id)
 	if s.term == a.term {
 		s.term.board.Lost(a.id, a.lastPong.Add(lease.GoneAfter))
 	}
--- a/daemon/coordinator/entries.go
+++ b/daemon/coordinator/entries.go
@@ -30,12 +30,11 @@
 
 // target is the queue and job that a request names.
 type target struct {
-	queue *work.Queue
+	queue work.Queue
 	// id is empty for the queue itself.
-	id     work.JobID
-	known  bool
-	state  work.State
-	policy work.Queue
+	id    work.JobID
+	known bool
+	state work.State
 }
 
 // resolve finds what a request names; the outcome is zero if it is there.
@@ -53,7 +52,7 @@
 			outcome = mesh.NoQueue
 			return
 		}
-		found = target{queue: queue, id: work.JobID(rest), policy: *queue}
+		found = target{queue: *queue, id: work.JobID(rest)}
 		if r := s.machine.Job(found.id); r != nil {
 			found.known = true
 			found.state = r.State
@@ -91,7 +90,7 @@
 		r.Outcome = outcome
 	case found.id == "":
 		r.Outcome = mesh.Uncertain
-		if s.current(func(t *term, _ time.Time) { r.Pending = t.board.Pending(found.policy.Name) }) {
+		if s.current(func(t *term, _ time.Time) { r.Pending = t.board.Pending(found.queue.Name) }) {
 			r.Outcome = mesh.Found
 			r.Counted = true
 		}
@@ -141,10 +140,7 @@
 
 // submit admits a job and records it before any of its tasks starts.
 func (s *Service) submit(ctx context.Context, found target, job *work.Job, offered bool, r *mesh.Response) {
-	fill(job, found)
-	if err := job.Validate(); err != nil {
-		r.Outcome = mesh.Invalid
-		r.Detail = err.Error()
+	if !prepare(job, found, r) {
 		return
 	}
 	admission, t := s.admit(job, offered)
@@ -181,10 +177,7 @@
 // try places a best-effort job, or sets the outcome of the answer.
 func (s *Service) try(c *link.Conn, found target, q *mesh.Request, r *mesh.Response) {
 	job := q.Job
-	fill(job, found)
-	if err := job.Validate(); err != nil {
-		r.Outcome = mesh.Invalid
-		r.Detail = err.Error()
+	if !prepare(job, found, r) {
 		return
 	}
 	leads := s.current(func(t *term, now time.Time) {
@@ -235,15 +228,22 @@
 	})
 }
 
-// fill sets what the queue decides about a job.
-func fill(job *work.Job, found target) {
+// prepare sets what the queue decides about a job; false, with the answer's outcome
+// set, if the job is not valid.
+func prepare(job *work.Job, found target, r *mesh.Response) bool {
 	job.ID = found.id
-	job.Queue = found.policy.Name
-	job.Pool = found.policy.Pool
-	job.Priority = found.policy.Priority
-	job.MaxAttempts = max(found.policy.MaxAttempts, 1)
-	job.Stretch = found.policy.Stretch
-	job.Target = found.policy.Target
+	job.Queue = found.queue.Name
+	job.Pool = found.queue.Pool
+	job.Priority = found.queue.Priority
+	job.MaxAttempts = max(found.queue.MaxAttempts, 1)
+	job.Stretch = found.queue.Stretch
+	job.Target = found.queue.Target
+	if err := job.Validate(); err != nil {
+		r.Outcome = mesh.Invalid
+		r.Detail = err.Error()
+		return false
+	}
+	return true
 }
 
 // admit decides about a job and counts it as being submitted. A job of which a
--- a/daemon/coordinator/peers.go
+++ b/daemon/coordinator/peers.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/cicadapulley/cicadapulley/api/mesh"
 	"github.com/cicadapulley/cicadapulley/core/raft"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
@@ -25,14 +27,15 @@
 // peerTransport sends the log's messages over one connection to each other
 // control VM. It implements consensus.Transport.
 type peerTransport struct {
-	self  raft.Server
-	vm    string
-	log   *events.Log
-	group *supervisor.Group
+	self raft.Server
+	vm   string
+	log  *events.Log
 
 	mu    sync.Mutex
 	base  context.Context
 	conns map[string]*link.Conn
+	// tasks are the goroutines that keep the connections alive.
+	tasks conc.WaitGroup
 }
 
 func newPeerTransport(self raft.Server, vm string, log *events.Log) *peerTransport {
@@ -40,7 +43,6 @@
 		self:  self,
 		vm:    vm,
 		log:   log,
-		group: supervisor.NewGroup("coordinator/peers", log),
 		conns: map[string]*link.Conn{},
 	}
 }
@@ -56,7 +58,7 @@
 		c.Close()
 	}
 	t.mu.Unlock()
-	t.group.StopAll()
+	t.tasks.Wait()
 	return nil
 }
 
@@ -101,11 +103,13 @@
 		old.Close()
 	}
 	t.conns[address] = c
-	if t.base != nil {
-		go func() {
-			_ = supervisor.Guard(t.log, "coordinator/peers/"+address, func() error { return keepAlive(t.base, c) })
-		}()
+	if t.base == nil || t.base.Err() != nil {
+		return c, nil
 	}
+	base := t.base
+	t.tasks.Go(func() {
+		_ = supervisor.Guard(t.log, "coordinator/peers/"+address, func() error { return keepAlive(base, c) })
+	})
 	return c, nil
 }
 
--- a/daemon/coordinator/service.go
+++ b/daemon/coordinator/service.go
@@ -13,7 +13,6 @@
 	"net"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -63,15 +62,14 @@
 
 // Service is a control VM.
 type Service struct {
-	opts     Options
-	store    *storage.Store
-	driver   *consensus.Driver
-	machine  *machine
-	self     raft.Server
-	peers    *peerTransport
-	group    *groupKeeper
-	metrics  *metrics
-	draining atomic.Bool
+	opts    Options
+	store   *storage.Store
+	driver  *consensus.Driver
+	machine *machine
+	self    raft.Server
+	peers   *peerTransport
+	group   *groupKeeper
+	metrics *metrics
 
 	// mu guards the fields below. It is taken before the driver's lock.
 	mu sync.Mutex
@@ -128,7 +126,6 @@
 		SnapshotEntries: snapshotEntries,
 		Transport:       s.peers,
 		Log:             s.opts.Log,
-		Seed:            seedOf(recovered.Identity),
 		Now:             boottime.Now,
 	})
 	if err != nil {
@@ -139,14 +136,6 @@
 	return nil
 }
 
-func seedOf(id raft.ServerID) uint64 {
-	var seed uint64
-	for _, c := range []byte(id) {
-		seed = seed*131 + uint64(c)
-	}
-	return seed
-}
-
 // found writes the first entry of a new group, the same on all founders, unless
 // the folder has a log already.
 func (s *Service) found(r *storage.Recovered) error {
@@ -180,30 +169,13 @@
 	defer stop()
 	go func() {
 		<-ctx.Done()
-		s.handOver()
+		s.opts.Log.Emit(events.Event{ID: events.ProcessDraining})
+		s.driver.HandOver(transferWait)
 		stop()
 	}()
 	return tree.Run(running)
 }
 
-// handOver gives the leadership to another VM before a planned stop.
-func (s *Service) handOver() {
-	s.draining.Store(true)
-	s.opts.Log.Emit(events.Event{ID: events.ProcessDraining})
-	if !s.driver.Leading() || !s.driver.TransferLeadership() {
-		return
-	}
-	deadline := time.After(transferWait)
-	for s.driver.Leading() {
-		changed := s.driver.Changed()
-		select {
-		case <-changed:
-		case <-deadline:
-			return
-		}
-	}
-}
-
 // members returns the addresses of the group.
 func (s *Service) members() []string {
 	var list []string
--- a/daemon/coordinator/term.go
+++ b/daemon/coordinator/term.go
@@ -27,12 +27,11 @@
 // term is the leader's state from its election to the loss of the leadership.
 // Its fields are guarded by the service's lock.
 type term struct {
-	number   uint64
-	board    *placement.Board
-	sessions map[placement.SessionID]*link.Conn
-	// vms are the VMs of the sessions, for the log.
-	vms    map[placement.SessionID]string
-	issued uint64
+	number uint64
+	board  *placement.Board
+	// sessions are those that have joined, and issued counts all.
+	sessions map[placement.SessionID]*agentSession
+	issued   uint64
 	// submitting counts the proposals under way for a job.
 	submitting map[work.JobID]int
 	// waiters are the requests that wait for the end of a best-effort job.
@@ -112,12 +111,11 @@
 	now := boottime.Now()
 	t := &term{
 		number:     number,
-		sessions:   map[placement.SessionID]*link.Conn{},
+		sessions:   map[placement.SessionID]*agentSession{},
 		submitting: map[work.JobID]int{},
 		waiters:    map[work.JobID][]waiter{},
 		results:    map[work.JobID]result{},
 		expelled:   map[string]bool{},
-		vms:        map[placement.SessionID]string{},
 	}
 	open := 0
 	err := s.driver.Read(func() {
@@ -237,11 +235,13 @@
 		batches[o.Session] = append(batches[o.Session], o)
 	}
 	for session, batch := range batches {
-		if c := t.sessions[session]; c != nil {
-			c.Send(&mesh.Orders{Orders: batch})
-			for _, o := range batch {
-				s.logOrder(t.vms[session], o)
-			}
+		a := t.sessions[session]
+		if a == nil {
+			continue
+		}
+		a.client.conn.Send(&mesh.Orders{Orders: batch})
+		for _, o := range batch {
+			s.logOrder(a.client.vm, o)
 		}
 	}
 }
--- a/daemon/entry/await.go
+++ b/daemon/entry/await.go
@@ -121,7 +121,11 @@
 	if !owner.Active() || owner.ID == m.service.members.ID() || owner.Incarnation != r.OwnerIncarnation {
 		return nil
 	}
-	return rpc.NewEntryProtobufClient(m.service.opts.Security.Scheme()+"://"+owner.Address, m.service.entries)
+	return m.clientOf(owner)
+}
+
+func (m *jobs) clientOf(entry state.Member) rpc.Entry {
+	return rpc.NewEntryProtobufClient(m.service.opts.Security.Scheme()+"://"+entry.Address, m.service.entries)
 }
 
 // underWayWait bounds the question to the other entries, in milliseconds. An entry
@@ -153,7 +157,7 @@
 		if member.Role != state.RoleEntry || !member.Active() || member.ID == m.service.members.ID() {
 			continue
 		}
-		client := rpc.NewEntryProtobufClient(m.service.opts.Security.Scheme()+"://"+member.Address, m.service.entries)
+		client := m.clientOf(member)
 		asks.Go(func() {
 			resp, err := client.Await(ctx, &rpc.AwaitRequest{Key: codec.KeyToRPC(k), MaxWaitMs: underWayWait, Clock: m.log.Now()})
 			switch {
--- a/daemon/runner/hold.go
+++ b/daemon/runner/hold.go
@@ -95,14 +95,15 @@
 		s.service.opts.Log.Emit(events.Event{ID: events.EndpointLapsed, Peer: s.reg.Instance})
 		s.leader.Send(&mesh.Report{Session: s.fence, Reach: mesh.Lapsed})
 		s.service.forget(&s.reg)
-		s.waitThen(ctx, holdPause)
+		pause(ctx, holdPause)
 		s.end(errLapsed)
 		return
 	}
-	s.waitThen(ctx, holdPause)
+	pause(ctx, holdPause)
 }
 
-func (s *session) waitThen(ctx context.Context, d time.Duration) {
+// pause waits for a time, or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(d):
--- a/daemon/runner/orders.go
+++ b/daemon/runner/orders.go
@@ -107,10 +107,7 @@
 		if s.tryStop(ctx, r) {
 			return
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(stopPause):
-		}
+		pause(ctx, stopPause)
 	}
 }
 
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -1,9 +1,9 @@
 // Package runner is the agent beside an endpoint on the path of jobs with steps.
 // Parent: the root of its process; package follow calls Serve for each leader.
 // Children, while the endpoint is registered and a leader is known: one session,
-// with a goroutine that reads the leader's connection, one that pings, one that holds the endpoint's lease, and one for
-// each order under way. Restart rule: a session that ends is followed by
-// another. State: the endpoint's registration; everything else is read from the
+// with a goroutine that reads the leader's connection, one that pings, two that
+// hold the endpoint's lease, one that watches its registration, and one for each
+// order under way. Restart rule: a session that ends is followed by another. State: the endpoint's registration; everything else is read from the
 // endpoint's own lists when a session begins.
 package runner
 
@@ -148,10 +148,9 @@
 
 // renew asks the leader for another session.
 func (s *Service) renew(ctx context.Context, l *follow.Leader) error {
-	select {
-	case <-ctx.Done():
+	pause(ctx, sessionPause)
+	if ctx.Err() != nil {
 		return ctx.Err()
-	case <-time.After(sessionPause):
 	}
 	stop := context.AfterFunc(ctx, l.Close)
 	defer stop()
