coordinator: news of an ended term is neither recorded nor acknowledged

Cause: found by reading. A report that arrives as the term ends found no board, so none of its ends counted as durable, and it was acknowledged. Only the order of messages on the connection (the end of the term is told first) kept the endpoint from forgetting ends that nobody had recorded. Change: such a report ends there; the endpoint lists its ends to the next leader. Conclusion: the promise no longer rests on the order of messages.

--- a/daemon/coordinator/agents.go
+++ b/daemon/coordinator/agents.go
@@ -45,15 +45,17 @@
 	return renewed
 }
 
-// inTerm runs fn if the session's term goes on. News is taken also while the
-// leader's lease is in doubt; orders wait until it holds.
-func (a *agentSession) inTerm(fn func(t *term, at time.Time)) {
+// inTerm runs fn if the session's term goes on, and tells whether it did. News is
+// taken also while the leader's lease is in doubt; orders wait until it holds.
+func (a *agentSession) inTerm(fn func(t *term, at time.Time)) bool {
 	s := a.client.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.term == a.term {
-		fn(s.term, now())
+	if s.term != a.term {
+		return false
 	}
+	fn(s.term, now())
+	return true
 }
 
 // join puts the endpoint on the board with what it lists.
@@ -65,7 +67,7 @@
 	info := m.Endpoint
 	info.VM = a.client.vm
 	var durable []work.End
-	a.inTerm(func(t *term, at time.Time) {
+	taken := a.inTerm(func(t *term, at time.Time) {
 		t.sessions[a.id] = a
 		ends := make([]work.End, len(m.Ends))
 		for i, e := range m.Ends {
@@ -81,7 +83,9 @@
 		})
 		a.client.service.place(t, at)
 	})
-	a.record(ctx, m.Ends, durable)
+	if taken {
+		a.record(ctx, m.Ends, durable)
+	}
 }
 
 func (a *agentSession) log() *events.Log { return a.client.service.opts.Log }
@@ -106,7 +110,7 @@
 // report takes an agent's news.
 func (a *agentSession) report(ctx context.Context, m *mesh.Report) {
 	var durable []work.End
-	a.inTerm(func(t *term, at time.Time) {
+	taken := a.inTerm(func(t *term, at time.Time) {
 		for _, e := range m.Ends {
 			if t.board.Ended(at, a.id, e.End) {
 				durable = append(durable, e.End)
@@ -126,7 +130,9 @@
 		a.reach(t, m.Reach, at)
 		a.client.service.place(t, at)
 	})
-	a.record(ctx, m.Ends, durable)
+	if taken {
+		a.record(ctx, m.Ends, durable)
+	}
 }
 
 // reach notes whether the endpoint answers its agent.
