follow, coordinator: a lost leader is noticed and replaced sooner

Submissions that this leader had were given up at their objective, although their tasks were often done by then.

Change: a leader counts as lost after 350 ms without a message (pings each 100 ms; connections to other control VMs keep to 1 s and 300 ms), elections begin after 200 ms in place of 300, and entries place jobs themselves after 150 ms. A submission that a leader had waits for another way until its result is worth nothing any more, three times its objective.

A leader that is only slow costs new sessions.

--- a/core/placement/board.go
+++ b/core/placement/board.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// expiredAfter is the multiple of a job's objective at which its result is
+	// ExpiredAfter is the multiple of a job's objective at which its result is
 	// worth nothing to the caller.
-	expiredAfter = 3
+	ExpiredAfter = 3
 	// runsPerTerm separates the run numbers of successive leaders, so that a
 	// leader never repeats a number that its predecessor gave in vain. Numbers
 	// stay below 2^53, which JSON numbers carry, for two million terms.
@@ -153,7 +153,7 @@
 		spec:    spec,
 		arrived: now,
 		due:     now.Add(objective),
-		expired: now.Add(expiredAfter * objective),
+		expired: now.Add(ExpiredAfter * objective),
 		tasks:   make([][]task, len(spec.Steps)),
 		undone:  make([]int, len(spec.Steps)),
 		groups:  make([]*group, len(spec.Steps)),
--- a/core/placement/board_test.go
+++ b/core/placement/board_test.go
@@ -301,7 +301,7 @@
 	low.Priority, high.Priority = 2, 0
 	old := oneStep("old", 1)
 	s.board.Add(s.now, old, Earlier{})
-	s.after(expiredAfter*old.Objective() + time.Millisecond)
+	s.after(ExpiredAfter*old.Objective() + time.Millisecond)
 	s.board.Add(s.now, low, Earlier{})
 	s.board.Add(s.now, high, Earlier{})
 	s.join(1, "vm-1", 1)
--- a/daemon/coordinator/service.go
+++ b/daemon/coordinator/service.go
@@ -31,7 +31,7 @@
 	// electionTimeout is the least time without a leader after which one is
 	// elected. It covers a sync of 9 ms many times, and a quota that stops the
 	// processor for the rest of a tenth of a second.
-	electionTimeout = 300 * time.Millisecond
+	electionTimeout = 200 * time.Millisecond
 	// snapshotEntries is the number of log entries between snapshots.
 	snapshotEntries = 20_000
 	// transferWait is how long a leader waits for its successor at a planned stop.
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -20,10 +20,16 @@
 )
 
 const (
-	// silence is the time without a message after which a connection counts as
-	// dead, and pingInterval the pause between pings.
-	silence      = 600 * time.Millisecond
-	pingInterval = 150 * time.Millisecond
+	// leaderSilence is the time without a message after which a leader counts as
+	// lost, and leaderPing the pause between pings to it. Service stands still
+	// meanwhile; a leader that is only slow costs a new session of a few
+	// milliseconds.
+	leaderSilence = 350 * time.Millisecond
+	leaderPing    = 100 * time.Millisecond
+	// standbySilence and standbyPing are the same for the connections to other
+	// control VMs, which are many and carry nothing else.
+	standbySilence = time.Second
+	standbyPing    = 300 * time.Millisecond
 	// maxKnown bounds the known addresses.
 	maxKnown = 16
 )
@@ -41,7 +47,7 @@
 // Receive returns the leader's next message. It fails with ErrNoLongerLeads if
 // the leader has lost its term.
 func (l *Leader) Receive() (mesh.Message, error) {
-	m, err := l.Conn.Receive(silence)
+	m, err := l.Conn.Receive(leaderSilence)
 	if err != nil {
 		return nil, err
 	}
@@ -127,9 +133,9 @@
 	c.Send(f.opts.Hello)
 	pinging, end := context.WithCancel(ctx)
 	defer end()
-	go link.Ping(pinging, c, pingInterval)
+	go link.Ping(pinging, c, standbyPing)
 	for {
-		m, err := c.Receive(silence)
+		m, err := c.Receive(standbySilence)
 		if err != nil {
 			return // the connection is opened again
 		}
@@ -152,6 +158,7 @@
 	if !f.claim(l.Welcome.Term, cancel) {
 		return true // a leader of a later term is known
 	}
+	go link.Ping(serving, l.Conn, leaderPing)
 	f.opts.Log.Emit(events.Event{ID: events.LeaderFound, Peer: l.Remote(), Ticket: l.Welcome.Term})
 	err := f.opts.Serve(serving, l)
 	f.opts.Log.Emit(events.Event{ID: events.LeaderGone, Peer: l.Remote(), Ticket: l.Welcome.Term, Err: err})
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/cicadapulley/cicadapulley/api/mesh"
 	"github.com/cicadapulley/cicadapulley/core/job"
 	"github.com/cicadapulley/cicadapulley/core/ledger"
+	"github.com/cicadapulley/cicadapulley/core/placement"
 	"github.com/cicadapulley/cicadapulley/daemon/boottime"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 	"github.com/cicadapulley/cicadapulley/daemon/fallback"
@@ -110,10 +111,11 @@
 	}
 }
 
-// usefulFor returns how long a submission may wait for a leader: until its
-// objective has passed, an answer is still of use. The decision about the job
-// stays with the leader.
-func (s *Service) usefulFor(q *mesh.Request) time.Duration {
+// usefulFor returns how long a submission may wait for somebody who places it:
+// until its objective has passed. One that a leader had before may be done already,
+// so it waits until its result is worth nothing any more. The decision about the
+// job stays with who places it.
+func (s *Service) usefulFor(q *mesh.Request, offered bool) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if q.Job == nil || s.known.routes == nil {
@@ -126,6 +128,9 @@
 	spec := *q.Job
 	spec.Stretch = queue.Stretch
 	spec.Target = queue.Target
+	if offered {
+		return min(placement.ExpiredAfter*spec.Objective(), patience)
+	}
 	return min(spec.Objective(), patience)
 }
 
@@ -188,10 +193,16 @@
 }
 
 func (s *Service) do(ctx context.Context, q *mesh.Request) *mesh.Response {
-	useful, cancel := context.WithTimeout(ctx, s.usefulFor(q))
-	defer cancel()
+	fresh, cancelFresh := context.WithTimeout(ctx, s.usefulFor(q, false))
+	defer cancelFresh()
+	late, cancelLate := context.WithTimeout(ctx, s.usefulFor(q, true))
+	defer cancelLate()
 	sent := *q
 	for {
+		useful := fresh
+		if sent.Earlier.MayHaveRun() {
+			useful = late
+		}
 		l, local := s.way(useful, q)
 		if l == nil && local == nil {
 			return s.giveUp(q, sent.Earlier.MayHaveRun())
--- a/daemon/gateway/local.go
+++ b/daemon/gateway/local.go
@@ -14,9 +14,9 @@
 )
 
 // localAfter is how long an entry waits for another leader before it places jobs
-// itself. An election takes 0.3 to 0.6 s from the last message of a leader, most
+// itself. An election takes 0.2 to 0.4 s from the last message of a leader, most
 // of which has passed when the loss is noticed.
-const localAfter = 250 * time.Millisecond
+const localAfter = 150 * time.Millisecond
 
 // knowledge is what the last leader told an entry.
 type knowledge struct {
