client: explain tells from the logs what became of a job

Change: `cicadapulley explain JOB [LOG...]` reads structured logs, orders the job's lines with the losses, elections and restarts of the processes involved, and corrects clocks that contradict cause and effect. The reader is part of package timeline.

--- /dev/null
+++ b/client/internal/cli/explain.go
@@ -0,0 +1,58 @@
+package cli
+
+import (
+	"context"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/cicadapulley/cicadapulley/client/internal/exit"
+	"github.com/cicadapulley/cicadapulley/client/internal/timeline"
+)
+
+func (a *app) explain() *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain JOB [LOG...]",
+		Short: "Tell from the logs what became of a job",
+		Long: "explain reads the structured logs of several processes, from files or from the standard\n" +
+			"input, and shows the lines of one job in causal order, with the losses, elections and\n" +
+			"restarts that bear on it.\n\n" + exit.Help,
+		Example: "  cicadapulley explain a8138702dd29df8c entry-*.log core-*.log side-*.log\n" +
+			"  journalctl -u 'cicadapulley*' -o cat | cicadapulley explain a8138702dd29df8c",
+		Args: cobra.MinimumNArgs(1),
+		RunE: a.run(func(_ context.Context, args []string) error { return a.explainJob(args[0], args[1:]) }),
+	}
+}
+
+func (a *app) explainJob(job string, files []string) error {
+	events, skipped, err := a.readLogs(files)
+	if err != nil {
+		return exit.Errorf(exit.Usage, "%w", err)
+	}
+	story := timeline.Explain(job, events)
+	if len(story.Events) == 0 {
+		return exit.Errorf(exit.Failure, "no line about job %s among %d events (%d other lines)", job, len(events), skipped)
+	}
+	return a.print(story)
+}
+
+// readLogs reads files, or the standard input if there are none.
+func (a *app) readLogs(files []string) (events []timeline.Event, skipped int, err error) {
+	if len(files) == 0 {
+		return timeline.ReadLogs(a.streams.In)
+	}
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, 0, err
+		}
+		list, left, err := timeline.ReadLogs(f)
+		if err := errors.CombineErrors(err, f.Close()); err != nil {
+			return nil, 0, errors.Wrap(err, name)
+		}
+		events = append(events, list...)
+		skipped += left
+	}
+	return events, skipped, nil
+}
--- a/client/internal/cli/root.go
+++ b/client/internal/cli/root.go
@@ -69,7 +69,7 @@
 	a.flags.register(root.PersistentFlags(), env)
 	root.AddCommand(
 		a.status(), a.endpoints(), a.jobs(), a.job(), a.call(), a.drain(),
-		a.ticket(), a.group(), a.timeline(), a.version(), load.NewCommand(),
+		a.ticket(), a.group(), a.timeline(), a.explain(), a.version(), load.NewCommand(),
 	)
 	return root
 }
--- /dev/null
+++ b/client/internal/timeline/logs.go
@@ -0,0 +1,70 @@
+package timeline
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxLine bounds one log line in bytes. A trail of twelve runs takes about 2 KB.
+const maxLine = 1 << 20
+
+// microsPerCounter spreads the microseconds of a millisecond over the counter of
+// a clock, so that lines of one millisecond keep their order.
+const microsPerCounter = 1 << counterBits / 1000
+
+// logLine is a line of a process's structured log.
+type logLine struct {
+	TS      time.Time `json:"ts"`
+	Msg     string    `json:"msg"`
+	Process string    `json:"process"`
+	Event   uint16    `json:"event"`
+	Caller  string    `json:"caller"`
+	Job     string    `json:"job"`
+	Task    *int      `json:"task"`
+	Ticket  uint64    `json:"ticket"`
+	Peer    string    `json:"peer"`
+	Detail  string    `json:"detail"`
+	Error   string    `json:"error"`
+}
+
+// ReadLogs reads events from the structured logs of one or more processes. Text
+// before the JSON object of a line is passed over, as log collectors write it, and
+// so are lines that aren't events; their number is returned.
+func ReadLogs(r io.Reader) (events []Event, skipped int, err error) {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(make([]byte, 0, 64<<10), maxLine)
+	for lines.Scan() {
+		e, ok := parseLine(lines.Bytes())
+		if !ok {
+			skipped++
+			continue
+		}
+		events = append(events, e)
+	}
+	return events, skipped, errors.Wrap(lines.Err(), "read log")
+}
+
+func parseLine(text []byte) (Event, bool) {
+	start := bytes.IndexByte(text, '{')
+	if start < 0 {
+		return Event{}, false
+	}
+	var l logLine
+	if err := json.Unmarshal(text[start:], &l); err != nil || l.Event == 0 || l.Process == "" {
+		return Event{}, false
+	}
+	counter := l.TS.Nanosecond() / int(time.Microsecond) % 1000 * microsPerCounter
+	e := Event{
+		Process: l.Process, Clock: ClockAt(l.TS) + Clock(counter), Time: l.TS, ID: l.Event, Name: l.Msg,
+		Caller: l.Caller, Job: l.Job, Ticket: l.Ticket, Peer: l.Peer, Text: l.Detail, Error: l.Error,
+	}
+	if l.Task != nil {
+		e.Task = *l.Task + 1
+	}
+	return e, true
+}
