follow, coordinator: clients learn of control VMs that join later

Cause: entries and agents learnt the group's addresses from the first message of a connection. On the grown sites the founders are three seeds and two more VMs vote; clients that had connected before these joined never dialled them. Also, addresses of VMs that had left were kept and dialled for ever, up to a bound of 16, after which new ones were not taken.

Change: every control VM tells its clients when the group changes (message Members). What a leader tells replaces what was known beside the settings.

--- a/api/mesh/mesh.go
+++ b/api/mesh/mesh.go
@@ -61,6 +61,14 @@
 	Agents []ledger.Agent
 }
 
+// Members tells entries and agents that the group of control VMs has changed.
+type Members struct {
+	// Addresses are those of all control VMs.
+	Addresses []string
+	// Leading is set if the sender leads, so that it knows of all changes.
+	Leading bool
+}
+
 // Enrolled tells entries of another agent whose endpoint may run tasks. It comes
 // before the first start there.
 type Enrolled struct {
@@ -262,6 +270,7 @@
 	kindNewSession
 	kindEnrolled
 	kindReleased
+	kindMembers
 )
 
 func kindOf(m Message) byte {
@@ -298,6 +307,8 @@
 		return kindEnrolled
 	case *Released:
 		return kindReleased
+	case *Members:
+		return kindMembers
 	}
 	return 0
 }
@@ -336,6 +347,8 @@
 		return &Enrolled{}
 	case kindReleased:
 		return &Released{}
+	case kindMembers:
+		return &Members{}
 	}
 	return nil
 }
--- a/api/mesh/mesh_test.go
+++ b/api/mesh/mesh_test.go
@@ -36,6 +36,7 @@
 		&NewSession{},
 		&Enrolled{Agent: ledger.Agent{VM: "side-1", Address: "a:1"}},
 		&Released{Session: 4},
+		&Members{Addresses: []string{"a:1"}, Leading: true},
 	}
 }
 
--- a/daemon/coordinator/group.go
+++ b/daemon/coordinator/group.go
@@ -65,6 +65,7 @@
 		if status.Role == raft.Leader {
 			k.keep(status)
 		}
+		k.service.tellMembers(status.Role == raft.Leader)
 	}
 }
 
--- a/daemon/coordinator/service.go
+++ b/daemon/coordinator/service.go
@@ -17,6 +17,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cicadapulley/cicadapulley/api/mesh"
 	"github.com/cicadapulley/cicadapulley/core/ledger"
 	"github.com/cicadapulley/cicadapulley/core/raft"
 	"github.com/cicadapulley/cicadapulley/daemon/boottime"
@@ -78,6 +79,8 @@
 	term *term
 	// clients are the connected entries and agents.
 	clients map[*client]bool
+	// told are the members that the clients know.
+	told []string
 }
 
 // founderIdentity derives the identity that a founder's data folder gets, so
@@ -186,6 +189,21 @@
 	return list
 }
 
+// tellMembers tells all clients of a change of the group: they have to be connected
+// to each control VM before it leads.
+func (s *Service) tellMembers(leads bool) {
+	list := s.members()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if slices.Equal(list, s.told) {
+		return
+	}
+	s.told = list
+	for cl := range s.clients {
+		cl.conn.Send(&mesh.Members{Addresses: list, Leading: leads})
+	}
+}
+
 // LeaderAddress returns the address of the leader, empty if unknown.
 func (s *Service) LeaderAddress() string {
 	status := s.driver.Status()
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -42,6 +42,8 @@
 	*link.Conn
 	// Welcome is the leader's latest.
 	Welcome *mesh.Welcome
+	// follower learns of changes of the group.
+	follower *Follower
 }
 
 // Receive returns the leader's next message. It fails with ErrNoLongerLeads if
@@ -51,11 +53,14 @@
 	if err != nil {
 		return nil, err
 	}
-	if w, ok := m.(*mesh.Welcome); ok {
-		if !w.Leading {
+	switch m := m.(type) {
+	case *mesh.Members:
+		l.follower.learn(m)
+	case *mesh.Welcome:
+		if !m.Leading {
 			return nil, ErrNoLongerLeads
 		}
-		l.Welcome = w
+		l.Welcome = m
 	}
 	return m, nil
 }
@@ -118,6 +123,27 @@
 	}
 }
 
+// learn takes the group's members. A leader knows all of them, so the others are
+// forgotten, but for those of the settings.
+func (f *Follower) learn(m *mesh.Members) {
+	if m.Leading {
+		f.forgetOthers(m.Addresses)
+	}
+	f.Add(m.Addresses)
+}
+
+func (f *Follower) forgetOthers(members []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.known = slices.DeleteFunc(f.known, func(address string) bool {
+		if slices.Contains(members, address) || slices.Contains(f.opts.Addresses, address) {
+			return false
+		}
+		f.group.Stop(address)
+		return true
+	})
+}
+
 // start begins to follow one control VM. The caller holds mu.
 func (f *Follower) start(address string) {
 	f.group.Start(f.base, address, func(ctx context.Context) error { return f.follow(ctx, address) })
@@ -139,12 +165,15 @@
 		if err != nil {
 			return // the connection is opened again
 		}
+		if members, ok := m.(*mesh.Members); ok {
+			f.learn(members)
+		}
 		w, ok := m.(*mesh.Welcome)
 		if !ok {
 			continue
 		}
-		f.Add(w.Members)
-		if w.Leading && !f.lead(ctx, &Leader{Conn: c, Welcome: w}) {
+		f.learn(&mesh.Members{Addresses: w.Members, Leading: w.Leading})
+		if w.Leading && !f.lead(ctx, &Leader{Conn: c, Welcome: w, follower: f}) {
 			return
 		}
 	}
