--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,7 @@
 pages:
 	@cd daemon && $(GO) test -count=1 ./events ./settings ./dev
 	@cd client && $(GO) test -count=1 ./internal/ticketfile
+	@cd platform && $(GO) test -count=1 -run 'TestSettingsPage$$' .
 
 build:
 	$(GO) build -o bin/ ./daemon/cmd/... ./client/cmd/... ./platform/cmd/...
@@ -36,6 +37,7 @@
 
 generate:
 	$(GO) run ./daemon/events/gen docs/events.md
+	cd platform && $(GO) test . -run 'TestSettingsPage$$' -count=1 -update-pages
 	cd api/rpc && protoc --go_out=paths=source_relative:. --twirp_out=paths=source_relative:. cicadapulley.proto
 
 # bench runs a set of measurements in under 5 minutes; TITLE heads its table.
