runner: a restarted agent recalls its endpoint from control

Cause: an agent that had just started knew nothing of its endpoint until the next announcement, up to 1.5 s later. The lease of what ran there lasts 1.2 s from the last contact, so most of it lapsed although endpoint and leader were sound, and after a restart of all processes no endpoint could be used before.

Change: control records what an endpoint announced with the agent's enrolment, and tells it to an agent that joins. An agent that has heard of no endpoint yet asks that life; another life, or no answer, ends the attempt, and the next announcement counts as before.

--- a/api/mesh/mesh.go
+++ b/api/mesh/mesh.go
@@ -59,6 +59,9 @@
 	Version uint64
 	// Agents tells entries the agents whose endpoints may run tasks.
 	Agents []ledger.Agent
+	// Life tells an agent the latest life of its endpoint that is known; nil for
+	// none.
+	Life *work.Life
 }
 
 // Members tells entries and agents that the group of control VMs has changed.
@@ -189,8 +192,10 @@
 // Inventory is all that an endpoint lists at the start of a session.
 type Inventory struct {
 	Endpoint placement.Endpoint
-	Running  []placement.ListedRun
-	Ends     []NumberedEnd
+	// Life is what the endpoint announced.
+	Life    work.Life
+	Running []placement.ListedRun
+	Ends    []NumberedEnd
 }
 
 // Orders are starts and stops for an agent.
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -29,6 +29,8 @@
 	VM string
 	// Address is where entries reach the agent.
 	Address string
+	// Life is the latest of its endpoint, for an agent that starts again.
+	Life work.Life
 }
 
 // Result is the outcome of a command.
@@ -104,7 +106,16 @@
 func (m *Machine) Job(id work.JobID) *Record { return m.jobs[id] }
 
 // Enrolled tells whether an agent's endpoint may run tasks.
-func (m *Machine) Enrolled(a Agent) bool { return m.enrolled[a.VM] == a }
+func (m *Machine) Enrolled(a Agent) bool {
+	known, ok := m.enrolled[a.VM]
+	return ok && known.Address == a.Address && known.Life.Equal(a.Life)
+}
+
+// Agent returns the agent of a VM.
+func (m *Machine) Agent(vm string) (Agent, bool) {
+	a, ok := m.enrolled[vm]
+	return a, ok
+}
 
 // EnrolledVMs returns the VMs whose endpoints may run tasks.
 func (m *Machine) EnrolledVMs() []string { return slices.Sorted(maps.Keys(m.enrolled)) }
--- a/core/work/work.go
+++ b/core/work/work.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -37,6 +38,22 @@
 	return Resources{CPU: r.CPU - o.CPU, MemoryMB: r.MemoryMB - o.MemoryMB, GPU: r.GPU - o.GPU}
 }
 
+// Life is one life of an endpoint, as it announces itself.
+type Life struct {
+	Instance string
+	// Born is the time of the start in Unix milliseconds, 0 if it isn't told. An
+	// endpoint may start again under its name.
+	Born     int64
+	Pool     string
+	Labels   []string
+	Capacity Resources
+}
+
+// Equal tells whether two announcements are the same.
+func (l Life) Equal(o Life) bool {
+	return l.Instance == o.Instance && l.Born == o.Born && l.Pool == o.Pool && l.Capacity == o.Capacity && slices.Equal(l.Labels, o.Labels)
+}
+
 // Step is a set of equal tasks.
 type Step struct {
 	// Tasks is the number of tasks.
--- a/daemon/coordinator/agents.go
+++ b/daemon/coordinator/agents.go
@@ -52,7 +52,7 @@
 
 // join puts the endpoint on the board with what it lists.
 func (a *agentSession) join(ctx context.Context, m *mesh.Inventory) {
-	if !a.enrol(ctx) {
+	if !a.enrol(ctx, m.Life) {
 		a.client.conn.Close()
 		return
 	}
@@ -69,14 +69,14 @@
 func (a *agentSession) log() *events.Log { return a.client.service.opts.Log }
 
 // enrol makes sure that the next leader waits for this agent's list, and that
-// entries know the agent. It comes before the first start there.
-func (a *agentSession) enrol(ctx context.Context) bool {
+// entries know the agent. It comes before the first start in an endpoint's life.
+func (a *agentSession) enrol(ctx context.Context, life work.Life) bool {
 	s := a.client.service
 	s.mu.Lock()
 	expelled := a.term.expelled[a.VM]
 	delete(a.term.expelled, a.VM)
 	s.mu.Unlock()
-	agent := ledger.Agent{VM: a.VM, Address: a.client.address}
+	agent := ledger.Agent{VM: a.VM, Address: a.client.address, Life: life}
 	known := false
 	err := s.driver.Read(func() { known = s.machine.Enrolled(agent) })
 	if err != nil || known && !expelled {
@@ -85,7 +85,9 @@
 	if _, err = s.propose(ctx, ledger.Command{Enrol: &agent}); err != nil {
 		return false
 	}
-	s.tellEntries(func(cl *client) { cl.conn.Send(&mesh.Enrolled{Agent: agent}) })
+	s.tellEntries(func(cl *client) {
+		cl.conn.Send(&mesh.Enrolled{Agent: ledger.Agent{VM: agent.VM, Address: agent.Address}})
+	})
 	return true
 }
 
--- a/daemon/coordinator/clients.go
+++ b/daemon/coordinator/clients.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
+	"github.com/cicadapulley/cicadapulley/core/ledger"
 	"github.com/cicadapulley/cicadapulley/core/placement"
 	"github.com/cicadapulley/cicadapulley/core/work"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
@@ -66,6 +67,7 @@
 			s.endSession(cl)
 			cl.session = s.newSession(cl)
 			w.Session = cl.session.ID
+			w.Life = s.lifeOf(cl.vm)
 		} else {
 			s.describe(w)
 		}
@@ -76,7 +78,9 @@
 // describe sets what entries need to place jobs while there is no leader.
 func (s *Service) describe(w *mesh.Welcome) {
 	s.driver.Local(func() {
-		w.Agents = s.machine.Agents()
+		for _, a := range s.machine.Agents() {
+			w.Agents = append(w.Agents, ledger.Agent{VM: a.VM, Address: a.Address})
+		}
 		if c := s.machine.Configuration(); c != nil {
 			w.Queues = c.Queues
 			w.Version = c.Version
@@ -84,6 +88,17 @@
 	})
 }
 
+// lifeOf returns the latest known life of a VM's endpoint, nil if there is none.
+func (s *Service) lifeOf(vm string) *work.Life {
+	var life *work.Life
+	s.driver.Local(func() {
+		if a, ok := s.machine.Agent(vm); ok {
+			life = &a.Life
+		}
+	})
+	return life
+}
+
 // tellEntries calls fn for each connected entry while this VM leads.
 func (s *Service) tellEntries(fn func(*client)) {
 	s.mu.Lock()
--- a/daemon/events/catalogue.go
+++ b/daemon/events/catalogue.go
@@ -127,6 +127,7 @@
 	RegistrationWrong  ID = 529
 	SessionOrphaned    ID = 530
 	EntryJoined        ID = 531
+	EndpointRecalled   ID = 532
 )
 
 // Definition describes an event for operators.
@@ -239,6 +240,7 @@
 	{EndpointLapsed, "endpoint_lapsed", zapcore.WarnLevel, "the endpoint was silent until all its runs had lapsed"},
 	{RegistrationWrong, "registration_wrong", zapcore.WarnLevel, "a message about an endpoint could not be read and was ignored"},
 	{SessionOrphaned, "session_orphaned", zapcore.WarnLevel, "the leader is lost; the session goes on and entries may order runs"},
+	{EndpointRecalled, "endpoint_recalled", zapcore.InfoLevel, "this agent has just started and takes the endpoint's life that control remembers until the endpoint announces itself"},
 	{EntryJoined, "entry_joined", zapcore.InfoLevel, "an entry may order runs here while there is no leader"},
 }
 
--- a/daemon/runner/endpoint.go
+++ b/daemon/runner/endpoint.go
@@ -89,14 +89,11 @@
 
 // Registration is what an endpoint says of itself.
 type Registration struct {
-	Instance string
-	// Born is the time of the start in Unix milliseconds, 0 if it isn't told. An
-	// endpoint may start again under its name.
-	Born int64
+	work.Life
 	// Sequence rises with each message of one life.
 	Sequence uint64
-	Pool     string
-	Labels   []string
-	Capacity work.Resources
 	Draining bool
+	// Recalled is set if control remembers the life and the endpoint hasn't
+	// announced it to this agent yet.
+	Recalled bool
 }
--- a/daemon/runner/entries_test.go
+++ b/daemon/runner/entries_test.go
@@ -122,3 +122,29 @@
 	assert.Equal(t, len(inventory.Ends), 1)
 	assert.Equal(t, inventory.Ends[0].End, work.End{Run: someRun, How: work.Done})
 }
+
+// TestRestartedAgentRecallsItsEndpoint guards against runs that lapse because a
+// restarted agent waits for its endpoint's next announcement, and against an agent
+// that goes on asking for a life that is over.
+func TestRestartedAgentRecallsItsEndpoint(t *testing.T) {
+	b := newUnregisteredBench(t)
+	other := someLife
+	other.Born = 99
+	leader := b.connect(func(near *link.Conn) {
+		_ = b.agent.Serve(b.ctx, &follow.Leader{Conn: near, Welcome: &mesh.Welcome{Leading: true, Term: 2, Session: 20, Life: &someLife}})
+	})
+	assert.Equal(t, await[*mesh.Inventory](b, leader).Endpoint.Instance, "i@1")
+
+	b = newUnregisteredBench(t)
+	leader = b.connect(func(near *link.Conn) {
+		_ = b.agent.Serve(b.ctx, &follow.Leader{Conn: near, Welcome: &mesh.Welcome{Leading: true, Term: 2, Session: 20, Life: &other}})
+	})
+	select {
+	case m := <-leader.news:
+		t.Fatalf("another life is reported: %T", m)
+	case <-time.After(300 * time.Millisecond):
+	}
+	assert.Assert(t, b.endpoint.asked.Load() <= 2, "asked %d times", b.endpoint.asked.Load())
+	b.agent.Register(Registration{Life: someLife})
+	assert.Equal(t, await[*mesh.Inventory](b, leader).Endpoint.Instance, "i@1")
+}
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -51,6 +51,8 @@
 	// registered is what the endpoint said last; nil if it has left or its life
 	// has ended.
 	registered *Registration
+	// heardOf is set once an endpoint has announced itself or was recalled.
+	heardOf bool
 	// changed is closed and replaced when anything changes that a session rests on.
 	changed  chan struct{}
 	draining bool
@@ -85,6 +87,7 @@
 func (s *Service) Register(r Registration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.heardOf = true
 	old := s.registered
 	switch {
 	case old == nil || old.Instance != r.Instance || old.Born != r.Born:
@@ -96,6 +99,7 @@
 		return
 	case r.Draining == old.Draining:
 		old.Sequence = r.Sequence
+		old.Recalled = false
 		return
 	}
 	if r.Draining {
@@ -207,7 +211,7 @@
 	stop := context.AfterFunc(ctx, l.Close)
 	defer stop()
 	h := &holder{conn: l.Conn}
-	s.attachLeader(h, l.Welcome.Session)
+	s.attachLeader(h, l.Welcome)
 	defer s.detachLeader(h)
 	for {
 		m, err := l.Receive()
@@ -215,7 +219,7 @@
 			return err
 		}
 		if w, ok := m.(*mesh.Welcome); ok {
-			s.attachLeader(h, w.Session)
+			s.attachLeader(h, w)
 			continue
 		}
 		h.deliver(m)
@@ -223,18 +227,31 @@
 }
 
 // attachLeader takes a leader's token for the next session.
-func (s *Service) attachLeader(h *holder, fence placement.SessionID) {
+func (s *Service) attachLeader(h *holder, w *mesh.Welcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.leader == h && s.fence == fence {
+	if s.leader == h && s.fence == w.Session {
 		return
 	}
 	s.leader = h
-	s.fence = fence
+	s.fence = w.Session
 	s.used = false
+	s.recall(w.Life)
 	s.notify()
 }
 
+// recall takes the life of the endpoint that control remembers, once, if this agent
+// has heard of none since its start: the next announcement may be a second away,
+// and what runs there would lapse. The caller holds mu.
+func (s *Service) recall(life *work.Life) {
+	if life == nil || s.heardOf {
+		return
+	}
+	s.heardOf = true
+	s.registered = &Registration{Life: *life, Recalled: true}
+	s.opts.Log.Emit(events.Event{ID: events.EndpointRecalled, Peer: life.Instance, Text: life.Pool})
+}
+
 // detachLeader notes that the leader is lost; the session goes on without it.
 func (s *Service) detachLeader(h *holder) {
 	s.mu.Lock()
--- a/daemon/runner/session.go
+++ b/daemon/runner/session.go
@@ -194,6 +194,9 @@
 	defer cancel()
 	listing, err := s.service.opts.Endpoint.Hold(bounded, s.reg.Instance, Hold{Fence: s.fence})
 	if err != nil {
+		if s.reg.Recalled {
+			s.service.forget(&s.reg) // that life may be over
+		}
 		return errors.Wrap(err, "first hold")
 	}
 	if err := s.check(listing); err != nil {
@@ -242,7 +245,7 @@
 	from := s.service.leaderHeard().Add(-endWindow)
 	s.mu.Lock()
 	s.joined[j.vm] = j
-	inventory := &mesh.Inventory{Endpoint: s.endpoint(j), Ends: append(s.service.memory.since(from, j.vm), ends...)}
+	inventory := &mesh.Inventory{Endpoint: s.endpoint(j), Life: s.reg.Life, Ends: append(s.service.memory.since(from, j.vm), ends...)}
 	inventory.Running = s.present(j)
 	s.mu.Unlock()
 	j.holder.join(j)
--- a/daemon/runner/session_test.go
+++ b/daemon/runner/session_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,6 +24,8 @@
 // fakeEndpoint answers as the test sets it.
 type fakeEndpoint struct {
 	began time.Time
+	// asked counts the holds.
+	asked atomic.Int64
 
 	mu sync.Mutex
 	// silent endpoints answer nothing.
@@ -76,6 +79,7 @@
 }
 
 func (f *fakeEndpoint) Hold(_ context.Context, _ string, q Hold) (Listing, error) {
+	f.asked.Add(1)
 	time.Sleep(min(q.Wait, 20*time.Millisecond))
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -109,10 +113,17 @@
 }
 
 func newBench(t *testing.T) *bench {
+	b := newUnregisteredBench(t)
+	b.agent.Register(Registration{Life: someLife})
+	b.master = b.lead(7)
+	return b
+}
+
+// newUnregisteredBench returns an agent whose endpoint hasn't announced itself.
+func newUnregisteredBench(t *testing.T) *bench {
 	b := &bench{T: t, endpoint: newFakeEndpoint()}
 	log := events.NewLog("agent", zap.NewNop(), events.NewClock())
 	b.agent = New(Options{Endpoint: b.endpoint, MaxHold: time.Second, Log: log})
-	b.agent.Register(Registration{Instance: "i", Born: 1, Pool: "desk", Capacity: work.Resources{CPU: 2000}})
 	ctx, cancel := context.WithCancel(context.Background())
 	b.ctx = ctx
 	done := make(chan struct{})
@@ -127,7 +138,6 @@
 		cancel()
 		<-done
 	})
-	b.master = b.lead(7)
 	return b
 }
 
@@ -233,6 +243,8 @@
 	}}})
 }
 
+var someLife = work.Life{Instance: "i", Born: 1, Pool: "desk", Capacity: work.Resources{CPU: 2000}}
+
 var someRun = work.Run{Task: work.TaskID{Job: "a"}, Run: 3}
 
 // TestSilentEndpointLapses guards against runs that nobody may start again because
