gateway: passing a request on is one step of its own

Cause: read-through; the loop over leaders and local placement had grown long. Change: pass tries one way, do decides what to do with its answer.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -198,37 +198,48 @@
 	late, cancelLate := context.WithTimeout(ctx, s.usefulFor(q, true))
 	defer cancelLate()
 	sent := *q
-	for {
+	for ctx.Err() == nil && !s.full() {
 		useful := fresh
 		if sent.Earlier.MayHaveRun() {
 			useful = late
 		}
-		l, local := s.way(useful, q)
-		if l == nil && local == nil {
-			return s.giveUp(q, sent.Earlier.MayHaveRun())
+		r := s.pass(ctx, useful, &sent)
+		if r == nil {
+			continue
 		}
-		var r *mesh.Response
-		if l != nil {
-			r = s.try(ctx, l, sent)
-		} else if r, sent.Earlier = local.Submit(ctx, useful, &sent); r == nil {
-			continue // a leader is there
+		if r.Outcome == mesh.NoLeader || r.Outcome == mesh.Uncertain {
+			break
 		}
-		switch {
-		case r != nil && r.Outcome == mesh.NoLeader:
-			return s.giveUp(q, sent.Earlier.MayHaveRun())
-		case r != nil && r.Outcome != mesh.Uncertain:
-			r = truthful(r, sent.Earlier.MayHaveRun() && q.Operation == mesh.Submit)
-			if r.Outcome == mesh.Overloaded || r.Outcome == mesh.NotReady {
-				s.opts.Log.Emit(events.Event{ID: events.RequestRefused, Job: jobOf(q), Text: "come back in " + strconv.Itoa(r.RetryAfterMS) + "ms"})
-			}
-			return r
-		case ctx.Err() != nil || r == nil && s.full():
-			return s.giveUp(q, true)
-		case r != nil:
-			pauseFor(useful, retryPause)
+		r = truthful(r, sent.Earlier.MayHaveRun() && q.Operation == mesh.Submit)
+		if r.Outcome == mesh.Overloaded || r.Outcome == mesh.NotReady {
+			s.opts.Log.Emit(events.Event{ID: events.RequestRefused, Job: jobOf(q), Text: "come back in " + strconv.Itoa(r.RetryAfterMS) + "ms"})
 		}
-		sent.Earlier.Offered = true
+		return r
+	}
+	return s.giveUp(q, sent.Earlier.MayHaveRun())
+}
+
+// pass passes a request on once. The answer is nil if somebody else has to take the
+// request; what they must know is noted in it.
+func (s *Service) pass(ctx, useful context.Context, sent *mesh.Request) *mesh.Response {
+	l, local := s.way(useful, sent)
+	if l == nil && local == nil {
+		return &mesh.Response{Outcome: mesh.NoLeader}
+	}
+	if l == nil {
+		r, earlier := local.Submit(ctx, useful, sent)
+		sent.Earlier = earlier
+		return r
+	}
+	r := s.try(ctx, l, *sent)
+	if r != nil && r.Outcome != mesh.Uncertain {
+		return r
+	}
+	if r != nil {
+		pauseFor(useful, retryPause)
 	}
+	sent.Earlier.Offered = true
+	return nil
 }
 
 // truthful replaces an answer that says that a job has not run by Uncertain if an
