runner, fallback: bounds of placement without a leader

Cause: two bounds were missing for systems unlike the present sites. Ends of stored jobs wait at the endpoint for the next leader's record, and an endpoint lists 500 ends at a time: behind 500 of them, ends of best-effort runs stayed unseen and their tasks would have run again.

Change: an agent takes no runs from entries while 400 ends wait for a record; an entry uses its own choice of 96 agents if there are more. A gauge shows that an entry places locally.

--- a/daemon/fallback/fallback.go
+++ b/daemon/fallback/fallback.go
@@ -8,7 +8,11 @@
 package fallback
 
 import (
+	"cmp"
 	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,6 +37,9 @@
 	// pingInterval is the pause between pings to an agent that has no session with
 	// this entry.
 	pingInterval = 200 * time.Millisecond
+	// maxAgents bounds the connections of one entry. Each takes a dial and five
+	// pings a second; larger systems spread their entries over the agents.
+	maxAgents = 96
 	// releasedLife is how long runs may go on at an endpoint that a leader has
 	// taken over before it learns of their job: the leader stops runs of no known
 	// job after 0.4 s, or the agent's lease with it ends.
@@ -96,7 +103,7 @@
 		Text: scheduler.CountText("agents", len(p.opts.Agents)) + " leader lost " + boottime.Now().Sub(p.opts.Lost).Round(time.Millisecond).String() + " ago",
 	})
 	agents := supervisor.NewGroup("fallback", p.opts.Log)
-	for _, a := range p.opts.Agents {
+	for _, a := range subset(p.opts.VM, p.opts.Agents) {
 		agents.Start(ctx, a.VM, func(ctx context.Context) error {
 			return link.Keep(ctx, a.Address, func(ctx context.Context, c *link.Conn) { p.attend(ctx, c, a.VM) })
 		})
@@ -114,6 +121,20 @@
 	agents.StopAll()
 }
 
+// subset returns the agents that an entry uses: all, or its own choice of a bounded
+// number, so that entries spread over all agents.
+func subset(vm string, agents []ledger.Agent) []ledger.Agent {
+	if len(agents) <= maxAgents {
+		return agents
+	}
+	rank := func(a ledger.Agent) uint64 {
+		sum := sha256.Sum256([]byte(vm + " " + a.VM))
+		return binary.BigEndian.Uint64(sum[:])
+	}
+	chosen := slices.SortedFunc(slices.Values(agents), func(a, b ledger.Agent) int { return cmp.Compare(rank(a), rank(b)) })
+	return chosen[:maxAgents]
+}
+
 // locked runs fn and places what waits.
 func (p *Placer) locked(fn func(now time.Time)) {
 	p.mu.Lock()
--- a/daemon/fallback/fallback_test.go
+++ b/daemon/fallback/fallback_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -198,3 +199,23 @@
 		assert.Assert(t, (<-s.agent.orders).Stop)
 	}
 }
+
+// TestEntriesSpreadOverAgents guards against an entry that opens more connections
+// than it can keep, and against entries of a large system that all use the same
+// agents.
+func TestEntriesSpreadOverAgents(t *testing.T) {
+	agents := make([]ledger.Agent, 1500)
+	for i := range agents {
+		agents[i].VM = fmt.Sprintf("side-%d", i)
+	}
+	used := map[string]bool{}
+	for entry := range 20 {
+		chosen := subset(fmt.Sprintf("entry-%d", entry), agents)
+		assert.Equal(t, len(chosen), maxAgents)
+		for _, a := range chosen {
+			used[a.VM] = true
+		}
+	}
+	assert.Assert(t, len(used) > 900, "20 entries use %d of 1500 agents", len(used))
+	assert.Equal(t, len(subset("entry", agents[:50])), 50)
+}
--- a/daemon/gateway/metrics.go
+++ b/daemon/gateway/metrics.go
@@ -28,11 +28,21 @@
 
 // Collectors returns the entry's metrics.
 func (s *Service) Collectors() []prometheus.Collector {
-	return append(s.metrics.Collectors(), s.latency, prometheus.NewGaugeFunc(
-		prometheus.GaugeOpts{Name: "cicadapulley_requests_pending", Help: "Requests that wait for the leader's answer."},
-		func() float64 {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			return float64(len(s.pending))
+	return append(s.metrics.Collectors(), s.latency,
+		s.gauge("cicadapulley_requests_pending", "Requests that wait for the leader's answer.", func() float64 { return float64(len(s.pending)) }),
+		s.gauge("cicadapulley_places_locally", "1 while this entry has no leader and places jobs itself.", func() float64 {
+			if s.local != nil {
+				return 1
+			}
+			return 0
 		}))
 }
+
+// gauge reads a value under the lock.
+func (s *Service) gauge(name, help string, read func() float64) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return read()
+	})
+}
--- a/daemon/runner/entries_test.go
+++ b/daemon/runner/entries_test.go
@@ -123,6 +123,28 @@
 	assert.Equal(t, inventory.Ends[0].End, work.End{Run: someRun, How: work.Done})
 }
 
+// TestUnrecordedEndsAreBounded guards against ends that an endpoint doesn't list any
+// more because those of stored jobs, which only a leader may record, come first.
+func TestUnrecordedEndsAreBounded(t *testing.T) {
+	b := newBench(t)
+	b.conn.Close()
+	entry := b.enter("entry-1", 1)
+	await[*mesh.Inventory](b, entry)
+	b.endpoint.mu.Lock()
+	for n := range uint64(maxUnacked) {
+		b.endpoint.ends = append(b.endpoint.ends, End{Number: n + 1, End: work.End{Run: runOf("stored", n+1), How: work.Done}})
+	}
+	b.endpoint.mu.Unlock()
+	time.Sleep(200 * time.Millisecond)
+	entry.order(1, runOf("b", 9999))
+	for {
+		if r := await[*mesh.Report](b, entry); len(r.Refused) > 0 {
+			assert.Equal(t, r.Refused[0].Why, placement.RefusedRoom)
+			return
+		}
+	}
+}
+
 // TestRestartedAgentRecallsItsEndpoint guards against runs that lapse because a
 // restarted agent waits for its endpoint's next announcement, and against an agent
 // that goes on asking for a life that is over.
--- a/daemon/runner/orders.go
+++ b/daemon/runner/orders.go
@@ -68,7 +68,7 @@
 		return 0, placement.RefusedDraining
 	case s.joined[j.vm] != j, deadline <= s.keeper.Clock(at):
 		return 0, placement.RefusedLease
-	case j.vm != "" && !o.Need.Fits(s.free()):
+	case j.vm != "" && (!o.Need.Fits(s.free()) || len(s.unacked) >= maxUnacked):
 		return 0, placement.RefusedRoom
 	}
 	started := startedRun{owner: j.owner, need: o.Need, bestEffort: o.BestEffort}
--- a/daemon/runner/session.go
+++ b/daemon/runner/session.go
@@ -40,6 +40,10 @@
 	// stop is repeated.
 	holdPause = 50 * time.Millisecond
 	stopPause = 100 * time.Millisecond
+	// maxUnacked bounds the ends that wait for a record by the next leader before
+	// the agent takes no more runs from entries: an endpoint lists 500 ends at a
+	// time, and later ones would stay unseen.
+	maxUnacked = 400
 	// endWindow is how long before the last contact with a leader an end may have
 	// been lost with it. Jobs that are open then are seldom older.
 	endWindow = 400 * time.Millisecond
