--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -253,9 +253,9 @@
 
 // giveUp answers a request that no leader has answered.
 func (s *Service) giveUp(q *mesh.Request, offered bool) *mesh.Response {
-	text := "no leader had it; last one heard " + s.age() + " ago"
+	text := "no leader had it; last one heard " + s.age()
 	if offered {
-		text = "no answer from the leader that had it; last one heard " + s.age() + " ago"
+		text = "no answer from the leader that had it; last one heard " + s.age()
 	}
 	s.opts.Log.Emit(events.Event{ID: events.RequestFailed, Job: jobOf(q), Text: text})
 	if offered {
@@ -264,13 +264,13 @@
 	return &mesh.Response{Outcome: mesh.NoLeader, RetryAfterMS: int(comeBack.Milliseconds())}
 }
 
-// age returns the time since a leader was heard.
+// age tells how long ago a leader was heard.
 func (s *Service) age() string {
 	heard := s.lastHeard.Load()
 	if heard == 0 {
 		return "never"
 	}
-	return time.Duration(boottime.Now().UnixNano() - heard).Round(time.Millisecond).String()
+	return time.Duration(boottime.Now().UnixNano() - heard).Round(time.Millisecond).String() + " ago"
 }
 
 // jobOf names the job of a request in events: the last part of its path.
