--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -270,7 +270,7 @@
 	if heard == 0 {
 		return "never"
 	}
-	return time.Duration(boottime.Now().UnixNano() - heard).Round(time.Millisecond).String() + " ago"
+	return time.Duration(boottime.Now().UnixNano()-heard).Round(time.Millisecond).String() + " ago"
 }
 
 // jobOf names the job of a request in events: the last part of its path.
