--- a/daemon/events/catalogue.go
+++ b/daemon/events/catalogue.go
@@ -240,8 +240,8 @@
 	{EndpointLapsed, "endpoint_lapsed", zapcore.WarnLevel, "the endpoint was silent until all its runs had lapsed"},
 	{RegistrationWrong, "registration_wrong", zapcore.WarnLevel, "a message about an endpoint could not be read and was ignored"},
 	{SessionOrphaned, "session_orphaned", zapcore.WarnLevel, "the leader is lost; the session goes on and entries may order runs"},
-	{EndpointRecalled, "endpoint_recalled", zapcore.InfoLevel, "this agent has just started and takes the endpoint's life that control remembers until the endpoint announces itself"},
 	{EntryJoined, "entry_joined", zapcore.InfoLevel, "an entry may order runs here while there is no leader"},
+	{EndpointRecalled, "endpoint_recalled", zapcore.InfoLevel, "this agent has just started and takes the endpoint's life that control remembers until the endpoint announces itself"},
 }
 
 var byID = index(Catalogue)
