--- a/daemon/runner/session.go
+++ b/daemon/runner/session.go
@@ -27,7 +27,7 @@
 	// call itself waits. It covers a processor that stands still for the rest of
 	// a tenth of a second.
 	callTimeout = 130 * time.Millisecond
-	// holders is the number of holds that wait side by side. An answer may get
+	// holds is the number of holds that wait side by side. An answer may get
 	// lost; without another hold the ends that it named would come late.
 	holds = 2
 	// silentAfter is the number of holds in a row without an answer after which
