core/placement: index the endpoints; an event no longer scans all of them

Each report and each job scanned all endpoints and their runs: Assign for the lowest slowdown and for each of up to 16 groups, Admit for the capacity, Add and Close for the runs of the job. So a queue made each event dearer, and lasted. Change: per pool and asked-for label a tree of the endpoints with bounds of free resources and slowdown (index.go, pools.go); runs and unknown runs by job; endpoints by VM; the queued work as running sums. Groups that need more than any endpoint has free are skipped and no longer count as misses, so they don't hold up smaller ones.

--- a/core/placement/admit.go
+++ b/core/placement/admit.go
@@ -48,25 +48,12 @@
 // queueWait estimates the time until all queued work of the same or a higher
 // priority in the job's pool has been placed.
 func (p *Planner) queueWait(now time.Time, j *work.Job) time.Duration {
-	var queued float64 // core-seconds at nominal speed
-	for _, g := range p.queue.groups {
-		if g.timeliness == expired || g.job.spec.Priority > j.Priority || g.job.spec.Pool != j.Pool {
-			continue
-		}
-		step := g.job.spec.Steps[g.step]
-		queued += float64(len(g.tasks)) * float64(step.Need.CPU) / 1000 * step.Estimate.Seconds()
-	}
-	var rate float64 // core-seconds of nominal work a second
-	for _, e := range p.order {
-		if e.Pool == j.Pool && !e.Draining && e.leaseExpiry.IsZero() && e.health.available(now) {
-			rate += float64(e.Capacity.CPU) / 1000 / e.slowdown.ratio
-		}
-	}
+	rate := p.rate(now, j.Pool)
 	if rate == 0 && p.awaitingEndpoints(now) {
 		return 0 // endpoints are expected to join shortly
 	}
 	if rate == 0 {
 		return maxRetryAfter
 	}
-	return time.Duration(queued / rate * float64(time.Second))
+	return time.Duration(p.queue.ahead(j.Pool, j.Priority).seconds() / rate * float64(time.Second))
 }
--- a/core/placement/assign.go
+++ b/core/placement/assign.go
@@ -12,10 +12,13 @@
 	// for lack of capacity or of a lease, although the planner counted enough free
 	// resources.
 	refusedBackoff = 100 * time.Millisecond
-	// maxMisses bounds how many groups are tried in one pass without placing all
-	// of their tasks. Later groups need about the same resources, so trying all of
-	// a long queue would be wasted.
+	// maxMisses bounds how many groups are searched for in one pass without placing
+	// all of their tasks. Later groups need about the same resources, so trying all
+	// of a long queue would be wasted.
 	maxMisses = 16
+	// maxSkipped bounds how many groups that need more than any endpoint has free are
+	// skipped in one pass. They must not hold up smaller ones behind them.
+	maxSkipped = 128
 	// failedPenalty multiplies the expected run time of a task on an endpoint
 	// where it has already failed.
 	failedPenalty = 8
@@ -24,14 +27,20 @@
 // Assign places waiting tasks in queue order while endpoints have capacity, and
 // adds the orders.
 func (p *Planner) Assign(now time.Time) {
-	p.updateBestRatios(now)
-	misses := 0
-	for i := 0; i < len(p.queue.groups) && misses < maxMisses; {
+	misses, skipped := 0, 0
+	var free freeBounds
+	for i := 0; i < len(p.queue.groups) && misses < maxMisses && skipped < maxSkipped; {
 		g := p.queue.groups[i]
+		if !free.mayFit(p, now, g) {
+			skipped++
+			i++
+			continue
+		}
 		p.placeGroup(now, g)
+		free = freeBounds{}
 		if len(g.tasks) == 0 {
 			g.job.groups[g.step] = nil
-			p.queue.groups = slices.Delete(p.queue.groups, i, i+1)
+			p.queue.removeAt(i)
 			continue
 		}
 		misses++
@@ -39,6 +48,27 @@
 	}
 }
 
+// freeBounds are the largest free amounts of resources among the endpoints of one
+// index. They hold until the next placement.
+type freeBounds struct {
+	known bool
+	key   indexKey
+	free  work.Resources
+}
+
+// mayFit reports whether any endpoint may have enough free resources for a task of
+// the group.
+func (b *freeBounds) mayFit(p *Planner, now time.Time, g *group) bool {
+	s := &g.job.spec.Steps[g.step]
+	if key := (indexKey{pool: g.job.spec.Pool, label: s.RequiredLabel}); !b.known || b.key != key {
+		*b = freeBounds{known: true, key: key, free: emptyNode.free}
+		if index := p.index(now, key.pool, key.label); index != nil {
+			b.free = index.root().free
+		}
+	}
+	return s.Need.Fits(b.free)
+}
+
 // placeGroup places the group's tasks until one finds no endpoint.
 func (p *Planner) placeGroup(now time.Time, g *group) {
 	placedCount := 0
@@ -50,62 +80,39 @@
 		p.start(now, g.job, work.TaskID{Job: g.job.spec.ID, Step: g.step, Index: index}, e)
 		placedCount++
 	}
-	g.tasks = slices.Delete(g.tasks, 0, placedCount)
-}
-
-// updateBestRatios records the slowdown of the fastest endpoint of each pool.
-func (p *Planner) updateBestRatios(now time.Time) {
-	clear(p.bestRatio)
-	for _, e := range p.order {
-		if !e.usable(now) {
-			continue
-		}
-		if ratio, known := p.bestRatio[e.Pool]; !known || e.slowdown.ratio < ratio {
-			p.bestRatio[e.Pool] = e.slowdown.ratio
-		}
-	}
+	p.queue.removeFirst(g, placedCount)
 }
 
-// minGroupRunTime returns the run time of a task of the group on the fastest
+// minRunTime returns the run time of a task of the step on the fastest usable
 // endpoint of its pool, whether or not that has capacity.
-func (p *Planner) minGroupRunTime(g *group) time.Duration {
-	return p.minRunTime(g.job, g.step)
-}
-
-func (p *Planner) minRunTime(j *job, step int) time.Duration {
-	return time.Duration(float64(j.spec.Steps[step].Estimate) * p.bestRatio[j.spec.Pool])
+func (p *Planner) minRunTime(now time.Time, j *job, step int) time.Duration {
+	return time.Duration(float64(j.spec.Steps[step].Estimate) * p.bestRatio(now, j.spec.Pool))
 }
 
 // worthWaiting reports whether a task that would be late on the endpoints that
 // have capacity could still be in time on a faster one, once that has capacity.
 func (p *Planner) worthWaiting(now time.Time, j *job, step int, runTime time.Duration) bool {
-	return now.Add(runTime).After(j.due) && !now.Add(p.minRunTime(j, step)).After(j.due)
+	return now.Add(runTime).After(j.due) && !now.Add(p.minRunTime(now, j, step)).After(j.due)
 }
 
 // chooseEndpoint returns the endpoint that is expected to finish the task first,
 // nil if none has capacity or it is better to wait.
 func (p *Planner) chooseEndpoint(now time.Time, j *job, step, index int) *endpoint {
-	s := j.spec.Steps[step]
-	t := &j.tasks[step][index]
-	var best *endpoint
-	var bestExpected time.Duration
-	for _, e := range p.order {
-		if !e.accepts(now, j, step, p.shared) {
-			continue
-		}
-		expected := e.expectedRunTime(s)
-		if slices.Contains(t.failedOn, e.VM) {
-			expected *= failedPenalty
-		}
-		expected = e.health.penalize(now, expected)
-		if best == nil || expected < bestExpected || (expected == bestExpected && e.free.CPU > best.free.CPU) {
-			best, bestExpected = e, expected
+	s := &j.spec.Steps[step]
+	q := query{now: now, job: j, index: step, step: s, task: &j.tasks[step][index], shared: p.shared}
+	if s.PreferredRack != "" {
+		if rack := p.index(now, j.spec.Pool, s.PreferredRack); rack != nil {
+			rack.search(1, &q)
 		}
+		q.outsideRack = true
+	}
+	if candidates := p.index(now, j.spec.Pool, s.RequiredLabel); candidates != nil {
+		candidates.search(1, &q)
 	}
-	if best != nil && p.worthWaiting(now, j, step, best.expectedRunTime(s)) {
+	if q.best != nil && p.worthWaiting(now, j, step, q.best.expectedRunTime(s)) {
 		return nil
 	}
-	return best
+	return q.best
 }
 
 // usable reports whether the endpoint may get runs at all.
@@ -113,15 +120,17 @@
 	return !e.Draining && !e.unreachable && e.leaseExpiry.IsZero() && e.health.available(now)
 }
 
-// accepts reports whether the endpoint may run a task of the step now. What its
-// unknown runs take is not known, so it gets no starts while it has any, except
-// with a shared planner, where UsedByOthers includes them.
+// open reports whether a usable endpoint may get a run now that fits into its free
+// resources. What its unknown runs take is not known, so it gets no starts while it
+// has any, except with a shared planner, where UsedByOthers includes them.
+func (e *endpoint) open(now time.Time, shared bool) bool {
+	return (len(e.unknown) == 0 || shared) && !now.Before(e.fullUntil)
+}
+
+// accepts reports whether the endpoint may run a task of the step now.
 func (e *endpoint) accepts(now time.Time, j *job, step int, shared bool) bool {
 	s := &j.spec.Steps[step]
-	if !e.usable(now) || e.Pool != j.spec.Pool || !s.Need.Fits(e.free) {
-		return false
-	}
-	if len(e.unknown) > 0 && !shared || now.Before(e.fullUntil) {
+	if !e.usable(now) || !e.open(now, shared) || e.Pool != j.spec.Pool || !s.Need.Fits(e.free) {
 		return false
 	}
 	if s.RequiredLabel != "" && !slices.Contains(e.Labels, s.RequiredLabel) {
@@ -145,7 +154,7 @@
 	t.phase = placed
 	p.lastRun++
 	t.lastRun = p.lastRun
-	step := j.spec.Steps[id.Step]
+	step := &j.spec.Steps[id.Step]
 	r := &run{
 		Run:      work.Run{Task: id, Number: t.lastRun},
 		job:      j,
@@ -154,7 +163,7 @@
 		since:    now,
 		expected: e.expectedRunTime(step),
 	}
-	e.add(r)
+	p.addRun(r)
 	j.recordOrder(now, r)
 	e.health.started(now)
 	p.markStarted(j)
@@ -175,11 +184,13 @@
 	}
 	p.releaseHeld(now)
 	p.expireUnclaimed(now)
-	p.updateBestRatios(now)
-	p.queue.demote(now, p.minGroupRunTime)
+	p.queue.demote(now, func(g *group) time.Duration { return p.minRunTime(now, g.job, g.step) })
 	p.moveStalled(now)
 	for _, e := range p.order {
-		e.slowdown.decay(now.Sub(p.lastTick))
+		if e.slowdown.decay(now.Sub(p.lastTick)) {
+			p.touch(e)
+		}
 	}
+	p.sortIndexes(now)
 	p.lastTick = now
 }
--- a/core/placement/besteffort.go
+++ b/core/placement/besteffort.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cicadapulley/cicadapulley/core/work"
@@ -36,25 +37,20 @@
 	if p.jobs[j.spec.ID] != j {
 		return // the ends finished it
 	}
-	for _, e := range p.order {
-		e.inherit(j)
-		for _, u := range e.sortedUnknown() {
-			if u.listed.Task.Job != j.spec.ID {
-				continue
-			}
-			delete(e.unknown, u.listed.Run)
-			p.adopt(now, e, nil, u.listed)
-			if r := e.runs[u.listed.Run]; r != nil {
-				r.stopping = u.stopping
-			}
+	p.inherit(j)
+	for _, u := range slices.SortedFunc(slices.Values(p.unknown[j.spec.ID]), compareUnknown) {
+		p.removeUnknown(u.endpoint, u.listed.Run)
+		p.adopt(now, u.endpoint, nil, u.listed)
+		if r := u.endpoint.runs[u.listed.Run]; r != nil {
+			r.stopping = u.stopping
 		}
 	}
 }
 
 // inherit assigns to a job the runs of an abandoned earlier job with the same id.
 // Their tasks start again once these runs have ended.
-func (e *endpoint) inherit(j *job) {
-	for _, r := range e.runsOf(j.spec.ID) {
+func (p *Planner) inherit(j *job) {
+	for _, r := range p.runsOf(j.spec.ID) {
 		if r.job == j {
 			continue
 		}
@@ -83,6 +79,9 @@
 // drops old ends. A shared planner stops none, as they may belong to other planners.
 func (p *Planner) expireUnclaimed(now time.Time) {
 	for _, e := range p.order {
+		if len(e.unknown) == 0 {
+			continue
+		}
 		for _, u := range e.sortedUnknown() {
 			if !p.shared && !u.stopping && now.Sub(u.since) > unknownRunTimeout {
 				u.stopping = true
--- a/core/placement/endpoints.go
+++ b/core/placement/endpoints.go
@@ -19,8 +19,9 @@
 		runs:     map[work.Run]*run{},
 		unknown:  map[work.Run]*unknownRun{},
 		slowdown: p.slowdowns.forEndpoint(info),
+		leaves:   map[*endpointIndex]int{},
 	}
-	previous := p.endpointOf(info.VM)
+	previous := p.byVM[info.VM]
 	if previous != nil && previous.Instance == info.Instance {
 		e.health = previous.health
 		e.health.trial = false
@@ -35,7 +36,9 @@
 		p.removeEndpoint(now, previous)
 	}
 	p.endpoints[info.Session] = e
+	p.byVM[info.VM] = e
 	p.order = append(p.order, e)
+	p.pools.add(e)
 	delete(p.awaitedVMs, info.VM)
 	p.observeRunNumber(info.LastRun)
 	p.releaseHeld(now)
@@ -47,6 +50,7 @@
 	if e := p.endpoints[id]; e != nil {
 		e.free = e.free.Plus(e.UsedByOthers).Minus(taken)
 		e.UsedByOthers = taken
+		p.touch(e)
 	}
 }
 
@@ -54,31 +58,22 @@
 func (p *Planner) endedBeforeSession(now time.Time, previous *endpoint, end work.End) {
 	if previous != nil && previous.runs[end.Run] != nil {
 		r := previous.runs[end.Run]
-		previous.remove(r)
+		p.removeRun(r)
 		p.endTrackedRun(now, r, end)
 		return
 	}
 	p.endUntrackedRun(now, end)
 }
 
-func (p *Planner) endpointOf(vm string) *endpoint {
-	for _, e := range p.order {
-		if e.VM == vm {
-			return e
-		}
-	}
-	return nil
-}
-
 // adopt takes over a run that an endpoint lists at the start of a session. A run
 // of an open job is stopped if its task already has a run or is done; a run
 // without an open job becomes an unknown run.
 func (p *Planner) adopt(now time.Time, e, previous *endpoint, l ListedRun) {
 	if previous != nil {
 		if r := previous.runs[l.Run]; r != nil {
-			delete(previous.runs, l.Run)
+			p.removeRun(r)
 			r.endpoint = e
-			e.add(r)
+			p.addRun(r)
 			if r.stopping {
 				p.orders = append(p.orders, Order{Session: e.Session, Run: r.Run, Stop: true})
 			}
@@ -87,7 +82,7 @@
 	}
 	j := p.jobs[l.Task.Job]
 	if j == nil {
-		e.unknown[l.Run] = &unknownRun{listed: l, since: now}
+		p.addUnknown(&unknownRun{endpoint: e, listed: l, since: now})
 		return
 	}
 	t := j.task(l.Task)
@@ -103,16 +98,16 @@
 	t.lastRun = max(t.lastRun, l.Run.Number)
 	t.checkpoint = l.Checkpoint
 	p.markStarted(j)
-	step := j.spec.Steps[l.Task.Step]
+	step := &j.spec.Steps[l.Task.Step]
 	r := &run{Run: l.Run, job: j, need: step.Need, endpoint: e, since: now, expected: e.expectedRunTime(step), percent: l.Percent}
-	e.add(r)
+	p.addRun(r)
 	j.recordOrder(now, r)
 }
 
 // unqueue removes a waiting task from its group.
 func (j *job) unqueue(p *Planner, id work.TaskID) {
 	g := j.groups[id.Step]
-	g.tasks = slices.DeleteFunc(g.tasks, func(t int) bool { return t == id.Index })
+	p.queue.removeTask(g, id.Index)
 	if len(g.tasks) == 0 {
 		j.groups[id.Step] = nil
 		p.queue.remove(g)
@@ -120,54 +115,96 @@
 }
 
 func (p *Planner) stopUnknownRun(now time.Time, e *endpoint, l ListedRun) {
-	e.unknown[l.Run] = &unknownRun{listed: l, since: now, stopping: true}
+	p.addUnknown(&unknownRun{endpoint: e, listed: l, since: now, stopping: true})
 	p.orders = append(p.orders, Order{Session: e.Session, Run: l.Run, Stop: true})
 }
 
 // sortedRuns returns the runs in the order of their numbers, so that decisions do
 // not depend on map order.
 func (e *endpoint) sortedRuns() []*run {
-	return slices.SortedFunc(maps.Values(e.runs), func(a, b *run) int { return cmp.Compare(a.Run.Number, b.Run.Number) })
+	return slices.SortedFunc(maps.Values(e.runs), compareRuns)
 }
 
-// runsOf returns the runs of a job in the order of their numbers. It filters before
-// it sorts, as most endpoints have none, and most jobs end with none.
-func (e *endpoint) runsOf(id work.JobID) []*run {
-	var list []*run
-	for _, r := range e.runs {
-		if r.Task.Job == id {
-			list = append(list, r)
-		}
-	}
-	slices.SortFunc(list, func(a, b *run) int { return cmp.Compare(a.Run.Number, b.Run.Number) })
-	return list
-}
+func compareRuns(a, b *run) int { return cmp.Compare(a.Run.Number, b.Run.Number) }
 
 // sortedUnknown returns the unknown runs in the order of their numbers.
 func (e *endpoint) sortedUnknown() []*unknownRun {
-	return slices.SortedFunc(maps.Values(e.unknown), func(a, b *unknownRun) int {
-		return cmp.Compare(a.listed.Run.Number, b.listed.Run.Number)
-	})
+	return slices.SortedFunc(maps.Values(e.unknown), compareUnknown)
+}
+
+func compareUnknown(a, b *unknownRun) int {
+	return cmp.Compare(a.listed.Run.Number, b.listed.Run.Number)
+}
+
+// addRun adds a run to its endpoint.
+func (p *Planner) addRun(r *run) {
+	r.endpoint.runs[r.Run] = r
+	r.endpoint.free = r.endpoint.free.Minus(r.need)
+	p.runs[r.Task.Job] = append(p.runs[r.Task.Job], r)
+	p.touch(r.endpoint)
 }
 
-func (e *endpoint) add(r *run) {
-	e.runs[r.Run] = r
-	e.free = e.free.Minus(r.need)
+// removeRun removes a run from its endpoint.
+func (p *Planner) removeRun(r *run) {
+	delete(r.endpoint.runs, r.Run)
+	r.endpoint.free = r.endpoint.free.Plus(r.need)
+	p.runs[r.Task.Job] = deleteElement(p.runs[r.Task.Job], r)
+	if len(p.runs[r.Task.Job]) == 0 {
+		delete(p.runs, r.Task.Job)
+	}
+	p.touch(r.endpoint)
 }
 
-func (e *endpoint) remove(r *run) {
-	delete(e.runs, r.Run)
-	e.free = e.free.Plus(r.need)
+// addUnknown adds an unknown run to its endpoint.
+func (p *Planner) addUnknown(u *unknownRun) {
+	id := u.listed.Task.Job
+	p.removeUnknown(u.endpoint, u.listed.Run)
+	u.endpoint.unknown[u.listed.Run] = u
+	p.unknown[id] = append(p.unknown[id], u)
+	p.touch(u.endpoint)
+}
+
+// removeUnknown removes a run from the unknown ones of an endpoint, if it is among
+// them.
+func (p *Planner) removeUnknown(e *endpoint, r work.Run) {
+	u := e.unknown[r]
+	if u == nil {
+		return
+	}
+	delete(e.unknown, r)
+	p.unknown[r.Task.Job] = deleteElement(p.unknown[r.Task.Job], u)
+	if len(p.unknown[r.Task.Job]) == 0 {
+		delete(p.unknown, r.Task.Job)
+	}
+	p.touch(e)
+}
+
+// deleteElement removes an element of a list, whose order changes.
+func deleteElement[E comparable](list []E, element E) []E {
+	index := slices.Index(list, element)
+	if index < 0 {
+		return list
+	}
+	last := len(list) - 1
+	list[index] = list[last]
+	return slices.Delete(list, last, last+1)
 }
 
 // removeEndpoint removes a session whose runs can no longer exist, and queues their
 // tasks again.
 func (p *Planner) removeEndpoint(now time.Time, e *endpoint) {
 	for _, r := range e.sortedRuns() {
-		e.remove(r)
+		p.removeRun(r)
 		p.requeue(now, r, true)
 	}
+	for r := range e.unknown {
+		p.removeUnknown(e, r)
+	}
+	p.pools.remove(e)
 	delete(p.endpoints, e.Session)
+	if p.byVM[e.VM] == e {
+		delete(p.byVM, e.VM)
+	}
 	p.order = slices.DeleteFunc(p.order, func(o *endpoint) bool { return o == e })
 }
 
@@ -176,6 +213,7 @@
 func (p *Planner) Lost(id SessionID, leaseExpiry time.Time) {
 	if e := p.endpoints[id]; e != nil {
 		e.leaseExpiry = leaseExpiry
+		p.touch(e)
 	}
 }
 
@@ -190,6 +228,7 @@
 func (p *Planner) SetReachable(id SessionID, reachable bool) {
 	if e := p.endpoints[id]; e != nil {
 		e.unreachable = !reachable
+		p.touch(e)
 	}
 }
 
@@ -205,6 +244,7 @@
 func (p *Planner) SetDraining(id SessionID) {
 	if e := p.endpoints[id]; e != nil {
 		e.Draining = true
+		p.touch(e)
 	}
 }
 
@@ -226,11 +266,11 @@
 	}
 	r := e.runs[end.Run]
 	if r == nil {
-		delete(e.unknown, end.Run)
+		p.removeUnknown(e, end.Run)
 		p.endUntrackedRun(now, end)
 		return
 	}
-	e.remove(r)
+	p.removeRun(r)
 	e.observeEnd(now, r, end.Reason)
 	p.endTrackedRun(now, r, end)
 }
@@ -274,11 +314,9 @@
 
 // stopTask stops the runs of a task that is already done.
 func (p *Planner) stopTask(j *job, id work.TaskID) {
-	for _, e := range p.order {
-		for _, r := range e.runsOf(id.Job) {
-			if r.job == j && r.Task == id {
-				p.stop(r)
-			}
+	for _, r := range p.runsOf(id.Job) {
+		if r.job == j && r.Task == id {
+			p.stop(r)
 		}
 	}
 }
@@ -332,14 +370,14 @@
 	if e == nil {
 		return
 	}
-	delete(e.unknown, rn)
+	p.removeUnknown(e, rn)
 	if e.runs[rn] == nil {
 		return
 	}
 	p.Stats.Refusals++
 	r := e.runs[rn]
 	r.job.recordEnd(now, rn, "refused: "+reason.String())
-	e.remove(r)
+	p.removeRun(r)
 	e.health.trial = false
 	switch reason {
 	case RefusedCapacity, RefusedLease:
--- a/core/placement/handover.go
+++ b/core/placement/handover.go
@@ -104,7 +104,7 @@
 // listedSince reports whether the endpoint has listed its runs since the unconfirmed
 // ones were started. A shared planner begins empty, so all of its lists are newer.
 func (p *Planner) listedSince(u unconfirmedUntil) bool {
-	e := p.endpointOf(u.vm)
+	e := p.byVM[u.vm]
 	return e != nil && (p.shared || e.Session > u.fence)
 }
 
@@ -149,10 +149,13 @@
 			}
 		}
 	}
-	for _, e := range p.order {
-		if len(e.runsOf(id)) == 0 {
+	listed := map[*endpoint]bool{}
+	for _, r := range p.runsOf(id) {
+		e := r.endpoint
+		if listed[e] {
 			continue
 		}
+		listed[e] = true
 		remaining := leaseTimeout
 		if !e.leaseExpiry.IsZero() {
 			remaining = max(e.leaseExpiry.Sub(now), 0)
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -26,9 +26,16 @@
 	lastRun   uint64
 	jobs      map[work.JobID]*job
 	endpoints map[SessionID]*endpoint
+	// byVM has the latest session of each VM.
+	byVM map[string]*endpoint
 	// order lists the endpoints in a fixed order.
 	order []*endpoint
-	queue queue
+	// runs has the runs that may exist by their task's job, which may be closed.
+	runs map[work.JobID][]*run
+	// unknown has the unknown runs by their task's job.
+	unknown map[work.JobID][]*unknownRun
+	pools   pools
+	queue   queue
 	// held are jobs that may have unconfirmed runs. Those of an earlier term's
 	// leader are held at most until heldUntil.
 	held      []*heldJob
@@ -36,9 +43,6 @@
 	// shared is set if other planners place tasks on the same endpoints.
 	shared    bool
 	slowdowns slowdowns
-	// bestRatio is the lowest ratio of run time to estimate among the usable
-	// endpoints of each pool.
-	bestRatio map[string]float64
 	lastTick  time.Time
 	orders    []Order
 	finished  []FinishedJob
@@ -67,10 +71,14 @@
 		lastRun:       (term - 1) * runsPerTerm,
 		jobs:          map[work.JobID]*job{},
 		endpoints:     map[SessionID]*endpoint{},
+		byVM:          map[string]*endpoint{},
+		runs:          map[work.JobID][]*run{},
+		unknown:       map[work.JobID][]*unknownRun{},
+		pools:         newPools(),
+		queue:         newQueue(),
 		heldUntil:     heldUntil,
 		slowdowns:     newSlowdowns(),
 		lastTick:      heldUntil,
-		bestRatio:     map[string]float64{},
 		pending:       map[string]int{},
 		awaitedVMs:    map[string]bool{},
 		unclaimedEnds: map[work.JobID]*unclaimedEnds{},
@@ -95,7 +103,7 @@
 	}
 	var absent []string
 	for _, vm := range vms {
-		if p.endpointOf(vm) == nil {
+		if p.byVM[vm] == nil {
 			absent = append(absent, vm)
 		}
 	}
@@ -212,7 +220,7 @@
 		j.groups[s] = &group{job: j, step: s}
 		p.queue.insert(j.groups[s])
 	}
-	j.groups[s].tasks = append(j.groups[s].tasks, t)
+	p.queue.push(j.groups[s], t)
 }
 
 // Recorded marks ends as durable, so that steps that depend on them may start.
@@ -254,15 +262,21 @@
 		}
 	}
 	p.held = slices.DeleteFunc(p.held, func(h *heldJob) bool { return h.job == j })
-	for _, e := range p.order {
-		for _, r := range e.runsOf(id) {
-			if r.job == j {
-				p.stop(r)
-			}
+	for _, r := range p.runsOf(id) {
+		if r.job == j {
+			p.stop(r)
 		}
 	}
 }
 
+// runsOf returns the runs of a job that may exist, in the order of their numbers.
+func (p *Planner) runsOf(id work.JobID) []*run {
+	if len(p.runs[id]) == 0 {
+		return nil
+	}
+	return slices.SortedFunc(slices.Values(p.runs[id]), compareRuns)
+}
+
 // observeRunNumber keeps later run numbers above n, which is in use.
 func (p *Planner) observeRunNumber(n uint64) { p.lastRun = max(p.lastRun, n) }
 
@@ -288,13 +302,7 @@
 func (p *Planner) Pending(queue string) int { return p.pending[queue] }
 
 // Waiting returns the number of tasks in the queue.
-func (p *Planner) Waiting() int {
-	count := 0
-	for _, g := range p.queue.groups {
-		count += len(g.tasks)
-	}
-	return count
-}
+func (p *Planner) Waiting() int { return p.queue.tasks }
 
 // task returns a task of the job, nil if there is none.
 func (j *job) task(id work.TaskID) *task {
--- a/core/placement/queue.go
+++ b/core/placement/queue.go
@@ -46,22 +46,100 @@
 	return g.job.due.Before(o.job.due)
 }
 
+// workload is an amount of work at nominal speed, in thousandths of a core times
+// microseconds. Sums of integers do not drift.
+type workload int64
+
+// seconds returns the workload in core-seconds.
+func (w workload) seconds() float64 { return float64(w) / 1e9 }
+
+// taskWorkload returns the workload of one task of the group.
+func (g *group) taskWorkload() workload {
+	step := &g.job.spec.Steps[g.step]
+	return workload(step.Need.CPU) * workload(step.Estimate.Microseconds())
+}
+
+// loadKey identifies the queued work of one pool and priority.
+type loadKey struct {
+	pool     string
+	priority int
+}
+
 // queue holds the groups in the order in which they are placed.
 type queue struct {
 	groups []*group
+	// tasks counts the tasks of all groups.
+	tasks int
+	// load is the workload of the groups that are not expired. It equals the sum over
+	// these groups at all times.
+	load map[loadKey]workload
+}
+
+func newQueue() queue { return queue{load: map[loadKey]workload{}} }
+
+// addLoad counts n tasks more, or fewer if n is negative.
+func (q *queue) addLoad(g *group, n int) {
+	q.tasks += n
+	if g.timeliness == expired {
+		return
+	}
+	key := loadKey{pool: g.job.spec.Pool, priority: g.job.spec.Priority}
+	q.load[key] += workload(n) * g.taskWorkload()
+	if q.load[key] == 0 {
+		delete(q.load, key)
+	}
+}
+
+// ahead returns the workload that is placed before a new job of the pool and
+// priority.
+func (q *queue) ahead(pool string, priority int) workload {
+	var sum workload
+	for key, w := range q.load {
+		if key.pool == pool && key.priority <= priority {
+			sum += w
+		}
+	}
+	return sum
 }
 
 func (q *queue) insert(g *group) {
 	index := sort.Search(len(q.groups), func(i int) bool { return g.before(q.groups[i]) })
 	q.groups = slices.Insert(q.groups, index, g)
+	q.addLoad(g, len(g.tasks))
 }
 
 func (q *queue) remove(g *group) {
 	if index := slices.Index(q.groups, g); index >= 0 {
-		q.groups = slices.Delete(q.groups, index, index+1)
+		q.removeAt(index)
+	}
+}
+
+func (q *queue) removeAt(index int) {
+	g := q.groups[index]
+	q.groups = slices.Delete(q.groups, index, index+1)
+	q.addLoad(g, -len(g.tasks))
+}
+
+// push adds a task to a group of the queue.
+func (q *queue) push(g *group, task int) {
+	g.tasks = append(g.tasks, task)
+	q.addLoad(g, 1)
+}
+
+// removeTask removes a task from a group of the queue.
+func (q *queue) removeTask(g *group, task int) {
+	if index := slices.Index(g.tasks, task); index >= 0 {
+		g.tasks = slices.Delete(g.tasks, index, index+1)
+		q.addLoad(g, -1)
 	}
 }
 
+// removeFirst removes the first n tasks of a group of the queue.
+func (q *queue) removeFirst(g *group, n int) {
+	g.tasks = slices.Delete(g.tasks, 0, n)
+	q.addLoad(g, -n)
+}
+
 // demote moves groups that have become late or expired back in the queue.
 // minRunTime returns the shortest time in which a task of a group can run.
 func (q *queue) demote(now time.Time, minRunTime func(*group) time.Duration) {
--- a/core/placement/simulation_test.go
+++ b/core/placement/simulation_test.go
@@ -309,7 +309,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation()
 		t.Repeat(map[string]func(*rapid.T){
-			"": func(*rapid.T) { sim.dispatch() },
+			"": func(t *rapid.T) {
+				sim.planner.verify(t, sim.now)
+				sim.dispatch()
+			},
 			"submit": func(t *rapid.T) {
 				sim.nextJob++
 				j := oneStep(fmt.Sprintf("job-%d", sim.nextJob), rapid.IntRange(1, 3).Draw(t, "tasks"))
--- a/core/placement/slowdown.go
+++ b/core/placement/slowdown.go
@@ -79,29 +79,30 @@
 
 // decay moves the ratio back towards that of the kind, because an endpoint that is
 // rated slow gets few runs that could correct the rating.
-func (s *slowdown) decay(elapsed time.Duration) {
-	share := min(elapsed.Seconds()*decayRate, 1)
-	s.ratio += share * (*s.kind - s.ratio) * decayWeight(s.ratio, *s.kind)
+// Endpoints that are not rated far slower than their kind keep their learned ratio. It
+// reports whether the ratio has changed.
+func (s *slowdown) decay(elapsed time.Duration) bool {
+	if s.ratio <= slowFactor**s.kind {
+		return false
+	}
+	s.ratio += min(elapsed.Seconds()*decayRate, 1) * (*s.kind - s.ratio)
+	return true
 }
 
-// decayWeight is 1 for an endpoint that is rated far slower than its kind. It is 0 for
-// the others, which keep their learned ratio.
-func decayWeight(ratio, kind float64) float64 {
-	if ratio > slowFactor*kind {
-		return 1
-	}
-	return 0
+// expectedRunTime returns the expected run time of a task of the step on the endpoint.
+func (e *endpoint) expectedRunTime(s *work.Step) time.Duration {
+	return expectedRunTime(s, e.slowdown.ratio, s.PreferredRack != "" && !slices.Contains(e.Labels, s.PreferredRack))
 }
 
-// expectedRunTime returns the expected run time of a task of the step, half as long
-// again outside the preferred rack.
-func (e *endpoint) expectedRunTime(s work.Step) time.Duration {
+// expectedRunTime returns the expected run time of a task of the step at a slowdown,
+// half as long again outside the preferred rack.
+func expectedRunTime(s *work.Step, ratio float64, outsideRack bool) time.Duration {
 	estimate := s.Estimate
 	if estimate <= 0 {
 		estimate = defaultEstimate
 	}
-	expected := time.Duration(float64(estimate) * e.slowdown.ratio)
-	if s.PreferredRack != "" && !slices.Contains(e.Labels, s.PreferredRack) {
+	expected := time.Duration(float64(estimate) * ratio)
+	if outsideRack {
 		expected += expected / 2
 	}
 	return expected
--- a/core/placement/stall.go
+++ b/core/placement/stall.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// A run has stalled when its endpoint has listed it without progress for longer
@@ -83,12 +86,18 @@
 		slowness := e.slowness()
 		if slowness > 1 {
 			e.slowdown.raise(slowness)
+			p.touch(e)
 		}
-		for _, r := range e.sortedRuns() {
+		var moves []*run
+		for _, r := range e.runs {
 			if p.movable(r) && (p.stalledOrOverdue(now, r) || p.fasterElsewhere(now, r, slowness)) {
-				p.move(now, r)
+				moves = append(moves, r)
 			}
 		}
+		slices.SortFunc(moves, compareRuns)
+		for _, r := range moves {
+			p.move(now, r)
+		}
 	}
 }
 
@@ -112,7 +121,7 @@
 		return false
 	}
 	remaining := r.projectedRunTime() - now.Sub(r.since)
-	return remaining > 2*other.expectedRunTime(r.job.spec.Steps[r.Task.Step])+minMoveGain
+	return remaining > 2*other.expectedRunTime(&r.job.spec.Steps[r.Task.Step])+minMoveGain
 }
 
 // move stops a run so that its task starts elsewhere.
@@ -122,6 +131,7 @@
 	t.moves++
 	if r.hasStalled() {
 		r.endpoint.health.failed(now)
+		p.touch(r.endpoint)
 	}
 	p.Stats.Moves++
 	p.stop(r)
--- a/core/placement/types.go
+++ b/core/placement/types.go
@@ -182,6 +182,7 @@
 
 // unknownRun is a listed run whose job the planner does not have.
 type unknownRun struct {
+	endpoint *endpoint
 	listed   ListedRun
 	since    time.Time
 	stopping bool
@@ -225,4 +226,10 @@
 	health      health
 	// fullUntil delays starts after a refusal for lack of capacity or of a lease.
 	fullUntil time.Time
+	// leaves has the endpoint's leaf in each index that contains it.
+	leaves map[*endpointIndex]int
+	// dirty is set while the indexes do not reflect the endpoint's latest state.
+	dirty bool
+	// reopening is set while the endpoint is in Planner.reopening.
+	reopening bool
 }
