control: forward operators' requests, outlast a full disk; smaller connections

Cause: a control VM that didn't lead answered an operator with a redirect. Each connection had a channel of 128 KiB and two buffers of 16 KiB. Change: every control VM passes operators' requests on to the leader and answers itself; a request is repeated until a leader confirms it, for 0.9 s, and logged (operator_answered). coordinator.Manager stops the service when a write is refused, keeps the process, and opens the folder again once the disk accepts writes. The queue of a connection is a slice, messages are encoded into one reused buffer, and the memory for a body grows with what arrives. Messages of clients are bounded by 8 MiB, the first one by 64 KiB.

--- a/api/mesh/golden_test.go
+++ b/api/mesh/golden_test.go
@@ -19,12 +19,13 @@
 	messages := []Message{
 		&Hello{}, &Welcome{}, &Ping{}, &Pong{}, &Request{}, &Response{}, &Inventory{}, &Orders{}, &Report{},
 		&Acknowledge{}, &RaftMessages{}, &Join{}, &Abandon{}, &NewSession{}, &Enrolled{}, &SessionEnded{}, &Members{},
+		&OperatorRequest{}, &OperatorResponse{},
 	}
 	assert.Assert(t, newMessage(byte(len(messages)+1)) == nil, "a message kind has no golden file")
 	for i, m := range messages {
 		testfill.Fill(m)
-		testfill.CheckGolden(t, fmt.Sprintf("testdata/message-%02d.cbor", i+1), m, Encode, func(data []byte) (Message, error) {
-			return Read(bytes.NewReader(data))
+		testfill.CheckGolden(t, fmt.Sprintf("testdata/message-%02d.cbor", i+1), m, encoded, func(data []byte) (Message, error) {
+			return Read(bytes.NewReader(data), MaxMessageBytes)
 		})
 	}
 	testfill.CheckFileCount(t, "testdata/message-*.cbor", len(messages))
--- a/api/mesh/mesh.go
+++ b/api/mesh/mesh.go
@@ -4,6 +4,7 @@
 package mesh
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -264,6 +265,27 @@
 	Server raft.Server
 }
 
+// OperatorRequest is an operator's request, forwarded to the leader by another
+// control VM.
+type OperatorRequest struct {
+	Sequence uint64
+	// Configure is the configuration to bring into force; nil to read the one in
+	// force.
+	Configure *work.Configuration
+}
+
+// OperatorResponse answers an OperatorRequest.
+type OperatorResponse struct {
+	Sequence uint64
+	// Done is set if the request was carried out. Otherwise the receiver does not
+	// lead or the outcome is unknown, as Detail says.
+	Done   bool
+	Detail string
+	// Document is the configuration in force, for a request to read it; empty
+	// before the first.
+	Document []byte
+}
+
 // Message is one of the messages of this package.
 type Message any
 
@@ -285,6 +307,8 @@
 	kindEnrolled
 	kindSessionEnded
 	kindMembers
+	kindOperatorRequest
+	kindOperatorResponse
 )
 
 func kindOf(m Message) byte {
@@ -323,6 +347,10 @@
 		return kindSessionEnded
 	case *Members:
 		return kindMembers
+	case *OperatorRequest:
+		return kindOperatorRequest
+	case *OperatorResponse:
+		return kindOperatorResponse
 	}
 	return 0
 }
@@ -363,6 +391,10 @@
 		return &SessionEnded{}
 	case kindMembers:
 		return &Members{}
+	case kindOperatorRequest:
+		return &OperatorRequest{}
+	case kindOperatorResponse:
+		return &OperatorResponse{}
 	}
 	return nil
 }
@@ -371,34 +403,49 @@
 // big-endian, and the kind, 1 byte.
 const headerBytes = 5
 
-// Encode returns a message with its header.
-func Encode(m Message) ([]byte, error) {
-	body, err := cbor.Marshal(m)
+// encMode encodes into a buffer of the caller.
+var encMode = newEncMode()
+
+func newEncMode() cbor.UserBufferEncMode {
+	mode, err := cbor.EncOptions{}.UserBufferEncMode()
 	if err != nil {
-		return nil, fmt.Errorf("encode %T: %w", m, err)
+		panic(err) // the options are constant
 	}
-	if len(body) > MaxMessageBytes {
-		return nil, fmt.Errorf("encode %T: %d bytes, must be at most %d", m, len(body), MaxMessageBytes)
+	return mode
+}
+
+// Encode appends a message with its header to a buffer. After an error the buffer
+// is as before.
+func Encode(buffer *bytes.Buffer, m Message) error {
+	start := buffer.Len()
+	buffer.Write([]byte{0, 0, 0, 0, kindOf(m)})
+	if err := encMode.MarshalToBuffer(m, buffer); err != nil {
+		buffer.Truncate(start)
+		return fmt.Errorf("encode %T: %w", m, err)
 	}
-	data := make([]byte, headerBytes, headerBytes+len(body))
-	binary.BigEndian.PutUint32(data, uint32(len(body)))
-	data[4] = kindOf(m)
-	return append(data, body...), nil
+	size := buffer.Len() - start - headerBytes
+	if size > MaxMessageBytes {
+		buffer.Truncate(start)
+		return fmt.Errorf("encode %T: %d bytes, must be at most %d", m, size, MaxMessageBytes)
+	}
+	binary.BigEndian.PutUint32(buffer.Bytes()[start:], uint32(size))
+	return nil
 }
 
-// Read reads one message. The error is io.EOF if r ends before the header.
-func Read(r io.Reader) (Message, error) {
+// Read reads one message of at most maxBytes. The error is io.EOF if r ends before
+// the header.
+func Read(r io.Reader, maxBytes int) (Message, error) {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return nil, err
 	}
 	size := binary.BigEndian.Uint32(header[:])
 	m := newMessage(header[4])
-	if m == nil || size > MaxMessageBytes {
+	if m == nil || int64(size) > int64(min(maxBytes, MaxMessageBytes)) {
 		return nil, fmt.Errorf("invalid message header: kind %d, body of %d bytes", header[4], size)
 	}
-	body := make([]byte, size)
-	if _, err := io.ReadFull(r, body); err != nil {
+	body, err := readBody(r, int(size))
+	if err != nil {
 		return nil, err
 	}
 	if err := cbor.Unmarshal(body, m); err != nil {
@@ -407,6 +454,25 @@
 	return m, nil
 }
 
+// maxTrustedBytes is the size up to which the memory for a body is allocated before
+// the body has arrived.
+const maxTrustedBytes = 64 << 10
+
+// readBody reads a body. The memory for a large one grows with what has arrived, so
+// that a header with a wrong size takes none.
+func readBody(r io.Reader, size int) ([]byte, error) {
+	if size <= maxTrustedBytes {
+		body := make([]byte, size)
+		_, err := io.ReadFull(r, body)
+		return body, err
+	}
+	var body bytes.Buffer
+	if _, err := io.CopyN(&body, r, int64(size)); err != nil {
+		return nil, err
+	}
+	return body.Bytes(), nil
+}
+
 // EncodeCommand encodes a command for the log.
 func EncodeCommand(c ledger.Command) ([]byte, error) { return cbor.Marshal(c) }
 
--- a/api/mesh/mesh_test.go
+++ b/api/mesh/mesh_test.go
@@ -38,20 +38,27 @@
 		&Enrolled{Agent: ledger.Agent{VM: "side-1", Address: "a:1"}},
 		&SessionEnded{Session: 4},
 		&Members{Addresses: []string{"a:1"}, Leading: true},
+		&OperatorRequest{Sequence: 1, Configure: &work.Configuration{Version: 7, Document: []byte("{}")}},
+		&OperatorResponse{Sequence: 1, Done: true, Detail: "d", Document: []byte("{}")},
 	}
 }
 
+// encoded returns an encoded message.
+func encoded(m Message) ([]byte, error) {
+	var buffer bytes.Buffer
+	err := Encode(&buffer, m)
+	return buffer.Bytes(), err
+}
+
 // TestMessagesRoundTrip guards against a message kind or a field that is lost in
 // encoding or decoding.
 func TestMessagesRoundTrip(t *testing.T) {
 	var stream bytes.Buffer
 	for _, m := range sampleMessages() {
-		data, err := Encode(m)
-		assert.NilError(t, err)
-		stream.Write(data)
+		assert.NilError(t, Encode(&stream, m))
 	}
 	for _, want := range sampleMessages() {
-		got, err := Read(&stream)
+		got, err := Read(&stream, MaxMessageBytes)
 		assert.NilError(t, err)
 		assert.DeepEqual(t, got, want)
 	}
@@ -78,12 +85,12 @@
 // without bound.
 func FuzzRead(f *testing.F) {
 	for _, m := range sampleMessages() {
-		data, err := Encode(m)
+		data, err := encoded(m)
 		assert.NilError(f, err)
 		f.Add(data)
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
-		m, err := Read(bytes.NewReader(data))
+		m, err := Read(bytes.NewReader(data), MaxMessageBytes)
 		if err == nil && m == nil {
 			t.Fatal("Read returned neither a message nor an error")
 		}
--- a/daemon/coordinator/operator.go
+++ b/daemon/coordinator/operator.go
@@ -7,55 +7,144 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cicadapulley/cicadapulley/api/mesh"
 	"github.com/cicadapulley/cicadapulley/core/ledger"
-	"github.com/cicadapulley/cicadapulley/core/raft"
 	"github.com/cicadapulley/cicadapulley/core/work"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 )
 
-// ErrNotLeading is returned by a control VM that does not lead, or whose lease
-// as leader does not hold, so that its state may be outdated.
-var ErrNotLeading = errors.New("this control VM does not lead")
+// ErrUnavailable is returned for an operator's request that no leader has confirmed.
+// A configuration may come into force nevertheless.
+var ErrUnavailable = errors.New("no control VM that leads has confirmed the request")
 
-// configureTimeout bounds the replication of a configuration.
-const configureTimeout = 900 * time.Millisecond
+const (
+	// operatorTimeout bounds an operator's request, whose caller waits one second for
+	// the answer.
+	operatorTimeout = 900 * time.Millisecond
+	// forwardTimeout bounds the wait for the answer of one leader. A leader that is
+	// frozen or cut off does not answer, and another one may be elected meanwhile.
+	forwardTimeout = 350 * time.Millisecond
+	// forwardRetryDelay is the delay before a request is tried again after a failure,
+	// as during an election.
+	forwardRetryDelay = 25 * time.Millisecond
+)
 
 // Configure brings a valid configuration into force if its version is higher than
 // the current one. It returns once this configuration, or one of a higher version,
-// is durable. The error is ErrNotLeading, or another one if the outcome is
-// unknown.
+// is durable. If another VM leads, the request is forwarded to it: a redirect would
+// cost the operator another call, to a VM that may not be reachable. An error wraps
+// ErrUnavailable; the outcome is then unknown.
 func (s *Service) Configure(ctx context.Context, c *work.Configuration) error {
-	if !s.driver.Leading() {
-		return ErrNotLeading
+	_, err := s.operate(ctx, &mesh.OperatorRequest{Configure: c})
+	return err
+}
+
+// Configuration returns the document of the configuration in force, nil before the
+// first. An error wraps ErrUnavailable.
+func (s *Service) Configuration(ctx context.Context) ([]byte, error) {
+	r, err := s.operate(ctx, &mesh.OperatorRequest{})
+	if err != nil {
+		return nil, err
+	}
+	return r.Document, nil
+}
+
+// operate carries out an operator's request here or at the leader. All requests may
+// be repeated: a configuration whose version is in force changes nothing. So a
+// request without an answer is tried again until operatorTimeout has passed.
+func (s *Service) operate(ctx context.Context, q *mesh.OperatorRequest) (*mesh.OperatorResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	start := time.Now()
+	attempts := 0
+	r := &mesh.OperatorResponse{Detail: "no leader is known"}
+	leader := ""
+	for ctx.Err() == nil {
+		leader = s.leaderAddress()
+		if leader != "" {
+			attempts++
+			r = s.operateAt(ctx, leader, q)
+		}
+		if r.Done {
+			break
+		}
+		sleep(ctx, forwardRetryDelay)
+	}
+	s.logOperation(q, r, leader, attempts, time.Since(start))
+	if !r.Done {
+		return nil, errors.Wrap(ErrUnavailable, r.Detail)
+	}
+	return r, nil
+}
+
+// operateAt carries out a request at the leader, which may be this VM.
+func (s *Service) operateAt(ctx context.Context, leader string, q *mesh.OperatorRequest) *mesh.OperatorResponse {
+	if leader == s.opts.Address {
+		return s.answerOperator(ctx, q)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	r, err := s.peers.call(callCtx, leader, q)
+	if err != nil {
+		return &mesh.OperatorResponse{Detail: err.Error()}
 	}
-	callCtx, cancel := context.WithTimeout(ctx, configureTimeout)
+	return r
+}
+
+// answerOperator answers a request if this VM leads. It never forwards, so that no
+// request is passed on in circles.
+func (s *Service) answerOperator(ctx context.Context, q *mesh.OperatorRequest) *mesh.OperatorResponse {
+	r := &mesh.OperatorResponse{Sequence: q.Sequence}
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
-	result, err := s.propose(callCtx, ledger.Command{Configure: c})
-	var notLeader *raft.NotLeaderError
-	switch {
-	case errors.As(err, &notLeader):
-		return ErrNotLeading
-	case err != nil:
+	err := s.carryOut(ctx, q, r)
+	r.Done = err == nil
+	if err != nil {
+		r.Detail = err.Error()
+	}
+	return r
+}
+
+func (s *Service) carryOut(ctx context.Context, q *mesh.OperatorRequest, r *mesh.OperatorResponse) error {
+	if q.Configure == nil {
+		return s.driver.Read(func() {
+			if c := s.machine.Configuration(); c != nil {
+				r.Document = c.Document
+			}
+		})
+	}
+	if err := q.Configure.Validate(); err != nil {
+		return err
+	}
+	result, err := s.propose(ctx, ledger.Command{Configure: q.Configure})
+	if err != nil {
 		return errors.Wrap(err, "record configuration")
 	}
-	s.opts.Log.Emit(events.Event{ID: events.ConfigurationTaken, Ticket: c.Version, Text: "in force " + strconv.FormatBool(result.Changed)})
+	s.opts.Log.Emit(events.Event{ID: events.ConfigurationTaken, Ticket: q.Configure.Version, Text: "in force " + strconv.FormatBool(result.Changed)})
 	if result.Changed {
 		s.eachEntry(s.sendWelcome)
 	}
 	return nil
 }
 
-// Configuration returns the configuration document in force, nil before the first.
-// The only error is ErrNotLeading.
-func (s *Service) Configuration() ([]byte, error) {
-	var document []byte
-	err := s.driver.Read(func() {
-		if c := s.machine.Configuration(); c != nil {
-			document = c.Document
-		}
-	})
-	if err != nil {
-		return nil, ErrNotLeading
+// logOperation emits the event of an operator's request.
+func (s *Service) logOperation(q *mesh.OperatorRequest, r *mesh.OperatorResponse, leader string, attempts int, took time.Duration) {
+	e := events.Event{ID: events.OperatorAnswered, Peer: leader, Text: "read"}
+	if q.Configure != nil {
+		e.Ticket = q.Configure.Version
+		e.Text = "configure"
+	}
+	e.Text += " confirmed " + strconv.FormatBool(r.Done) + " attempts " + strconv.Itoa(attempts) + " took " + took.Round(time.Millisecond).String()
+	if !r.Done {
+		e.Text += ": " + r.Detail
+	}
+	s.opts.Log.Emit(e)
+}
+
+// sleep waits for d, or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
-	return document, nil
 }
--- a/daemon/coordinator/peers.go
+++ b/daemon/coordinator/peers.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
@@ -31,19 +32,28 @@
 	vm   string
 	log  *events.Log
 
+	// running is closed when Run has set runCtx.
+	running chan struct{}
+
 	mu     sync.Mutex
 	runCtx context.Context
 	conns  map[string]*link.Conn
-	// goroutines are those that keep the connections alive.
+	// lastCall is the sequence number of the latest call, and calls has those that
+	// wait for an answer.
+	lastCall uint64
+	calls    map[uint64]chan *mesh.OperatorResponse
+	// goroutines are those that read the connections and keep them alive.
 	goroutines conc.WaitGroup
 }
 
 func newPeerTransport(self raft.Server, vm string, log *events.Log) *peerTransport {
 	return &peerTransport{
-		self:  self,
-		vm:    vm,
-		log:   log,
-		conns: map[string]*link.Conn{},
+		self:    self,
+		vm:      vm,
+		log:     log,
+		running: make(chan struct{}),
+		conns:   map[string]*link.Conn{},
+		calls:   map[uint64]chan *mesh.OperatorResponse{},
 	}
 }
 
@@ -52,6 +62,7 @@
 	t.mu.Lock()
 	t.runCtx = ctx
 	t.mu.Unlock()
+	close(t.running)
 	<-ctx.Done()
 	t.mu.Lock()
 	for _, c := range t.conns {
@@ -72,6 +83,49 @@
 	return nil
 }
 
+// call sends an operator's request to another control VM and returns its answer. It
+// fails if the connection or ctx ends before the answer arrives.
+func (t *peerTransport) call(ctx context.Context, address string, q *mesh.OperatorRequest) (*mesh.OperatorResponse, error) {
+	c, err := t.connect(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	sent := *q
+	waiter := make(chan *mesh.OperatorResponse, 1)
+	t.mu.Lock()
+	t.lastCall++
+	sent.Sequence = t.lastCall
+	t.calls[sent.Sequence] = waiter
+	t.mu.Unlock()
+	defer t.removeCall(sent.Sequence)
+	c.Send(&sent)
+	select {
+	case r := <-waiter:
+		return r, nil
+	case <-c.Closed():
+		return nil, errors.Newf("the connection to %s ended before the answer", address)
+	case <-ctx.Done():
+		return nil, errors.Wrapf(ctx.Err(), "answer of %s", address)
+	}
+}
+
+func (t *peerTransport) removeCall(sequence uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.calls, sequence)
+}
+
+// deliver passes an answer to the call that waits for it, if there is one.
+func (t *peerTransport) deliver(r *mesh.OperatorResponse) {
+	t.mu.Lock()
+	waiter := t.calls[r.Sequence]
+	delete(t.calls, r.Sequence)
+	t.mu.Unlock()
+	if waiter != nil {
+		waiter <- r // buffered for the only answer
+	}
+}
+
 func (t *peerTransport) openConn(address string) *link.Conn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -87,8 +141,14 @@
 	}
 }
 
-// connect returns the open connection to an address, or dials a new one.
+// connect returns the open connection to an address, or dials a new one. It waits
+// until Run has begun, which reads the connections and closes them.
 func (t *peerTransport) connect(ctx context.Context, address string) (*link.Conn, error) {
+	select {
+	case <-t.running:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 	if c := t.openConn(address); c != nil {
 		return c, nil
 	}
@@ -103,31 +163,30 @@
 		old.Close()
 	}
 	t.conns[address] = c
-	if t.runCtx == nil || t.runCtx.Err() != nil {
-		return c, nil
+	if t.runCtx.Err() != nil {
+		c.Close()
+		return nil, t.runCtx.Err()
 	}
 	base := t.runCtx
 	t.goroutines.Go(func() {
-		_ = supervisor.CatchPanic(t.log, "coordinator/peers/"+address, func() error { return keepAlive(base, c) })
+		_ = supervisor.CatchPanic(t.log, "coordinator/peers/"+address, func() error { return t.readConn(base, c) }) // reported
 	})
 	return c, nil
 }
 
-// keepAlive pings the peer, and closes the connection when no answer comes within
-// peerTimeout. Otherwise a dead connection could stay open indefinitely although a
-// new one would work.
-func keepAlive(ctx context.Context, c *link.Conn) error {
+// readConn reads the answers of a peer, and closes the connection when none comes
+// within peerTimeout. Otherwise a dead connection could stay open indefinitely
+// although a new one would work.
+func (t *peerTransport) readConn(ctx context.Context, c *link.Conn) error {
 	defer c.Close()
+	go link.Ping(ctx, c, peerPingInterval)
 	for ctx.Err() == nil {
-		c.Send(&mesh.Ping{})
-		if _, err := c.Receive(peerTimeout); err != nil {
+		m, err := c.Receive(peerTimeout)
+		if err != nil {
 			return nil // the next message opens another connection
 		}
-		select {
-		case <-ctx.Done():
-		case <-c.Closed():
-			return nil
-		case <-time.After(peerPingInterval):
+		if r, ok := m.(*mesh.OperatorResponse); ok {
+			t.deliver(r)
 		}
 	}
 	return nil
--- a/daemon/coordinator/server.go
+++ b/daemon/coordinator/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,7 +22,11 @@
 
 // serve accepts connections until ctx ends.
 func (s *Service) serve(ctx context.Context) error {
-	return link.Serve(ctx, s.opts.Listener, link.ServeOptions{
+	listener, err := s.opts.Listen()
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	return link.Serve(ctx, listener, link.ServeOptions{
 		Name: "coordinator/server", MaxConnections: maxConnections, Log: s.opts.Log,
 	}, s.handle)
 }
@@ -31,7 +36,7 @@
 func (s *Service) handle(ctx context.Context, c *link.Conn, hello *mesh.Hello) error {
 	switch {
 	case hello.Role == mesh.RoleControl && hello.Server != nil:
-		return s.servePeer(c, *hello.Server)
+		return s.servePeer(ctx, c, *hello.Server)
 	case hello.Role == mesh.RoleEntry || hello.Role == mesh.RoleAgent:
 		return s.serveClient(ctx, c, hello)
 	}
@@ -40,7 +45,10 @@
 
 // servePeer receives the messages of another control VM until its connection
 // fails.
-func (s *Service) servePeer(c *link.Conn, from raft.Server) error {
+func (s *Service) servePeer(ctx context.Context, c *link.Conn, from raft.Server) error {
+	c.LimitMessages(mesh.MaxMessageBytes)
+	var requests sync.WaitGroup
+	defer requests.Wait()
 	for {
 		m, err := c.Receive(peerTimeout + peerPingInterval)
 		if err != nil {
@@ -53,6 +61,10 @@
 			s.driver.Receive(from.ID, from.Address, m.Messages)
 		case *mesh.Join:
 			s.groupManager.recordJoinRequest(m.Server)
+		case *mesh.OperatorRequest:
+			// In a goroutine, since a configuration waits for the log, whose messages
+			// arrive on this connection.
+			requests.Go(func() { s.catchPanic("operator", func() { c.Send(s.answerOperator(ctx, m)) }) })
 		}
 	}
 }
--- a/daemon/coordinator/service.go
+++ b/daemon/coordinator/service.go
@@ -1,9 +1,10 @@
 // Package coordinator runs a control VM for jobs with steps. Parent: the root of
-// its process. Children, rest-for-one in this order: consensus (the replicated
+// its process, through Manager. Children, rest-for-one in this order: consensus (the replicated
 // log), peers (one connection to each other control VM), group (additions and
 // replacements of members), leader (the placement of tasks while this VM leads),
-// server (connections of entries, agents and control VMs). Its failures are
-// fatal to the daemon. State: the data folder and, on the leader, the planner of
+// server (connections of entries, agents and control VMs). A disk that refuses
+// writes stops them all until it accepts writes again; other failures are fatal to
+// the daemon. State: the data folder and, on the leader, the planner of
 // package placement.
 package coordinator
 
@@ -47,9 +48,11 @@
 	VM string
 	// Address is the address at which other processes reach this one.
 	Address string
-	// Listener accepts connections of other processes.
-	Listener net.Listener
-	DataDir  string
+	// Listen opens the listener for connections of other processes.
+	Listen  func() (net.Listener, error)
+	DataDir string
+	// FS is the file system of the data folder; nil means the operating system's.
+	FS storage.FS
 	// Bootstrap is set when the whole system starts for the first time. The
 	// initial group then consists of Founders.
 	Bootstrap bool
@@ -90,10 +93,10 @@
 	return storage.Identity(sum[:16])
 }
 
-// Open opens the data folder and returns the service; Run starts it.
-func Open(o Options) (*Service, error) {
+// open opens the data folder and returns the service; Run starts it.
+func open(o Options, metrics *scheduler.Metrics) (*Service, error) {
 	founder := o.Bootstrap && slices.Contains(o.Founders, o.Address)
-	storeOptions := storage.Options{}
+	storeOptions := storage.Options{FS: o.FS}
 	if founder {
 		storeOptions.Identity = founderIdentity(o.Address)
 	}
@@ -101,7 +104,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "open data folder")
 	}
-	s := &Service{opts: o, store: store, machine: &machine{Machine: ledger.New()}, clients: map[*client]bool{}, metrics: scheduler.NewMetrics()}
+	s := &Service{opts: o, store: store, machine: &machine{Machine: ledger.New()}, clients: map[*client]bool{}, metrics: metrics}
 	if err := s.init(founder); err != nil {
 		return nil, errors.CombineErrors(err, store.Close())
 	}
@@ -171,12 +174,12 @@
 	tree.Add(supervisor.Child{Name: "server", Run: s.serve})
 	treeCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	go func() {
-		<-ctx.Done()
+	cancelDrain := context.AfterFunc(ctx, func() {
 		s.opts.Log.Emit(events.Event{ID: events.ProcessDraining})
 		s.driver.HandOver(transferTimeout)
 		stop()
-	}()
+	})
+	defer cancelDrain()
 	return tree.Run(treeCtx)
 }
 
@@ -204,9 +207,9 @@
 	}
 }
 
-// LeaderAddress returns the address of the leader. It is empty if the leader is
+// leaderAddress returns the address of the leader. It is empty if the leader is
 // unknown, or if this VM leads and its lease does not hold.
-func (s *Service) LeaderAddress() string {
+func (s *Service) leaderAddress() string {
 	status := s.driver.Status()
 	if status.Leader == "" || status.Leader == status.ID && !s.driver.Leading() {
 		return ""
@@ -220,5 +223,11 @@
 	*ledger.Machine
 }
 
-// Leads reports whether this VM leads and may serve reads now.
-func (s *Service) Leads() bool { return s.driver.Leading() }
+// catchPanic runs fn and reports a panic, which ends only fn. Its goroutine serves one
+// request or connection, and the daemon continues.
+func (s *Service) catchPanic(name string, fn func()) {
+	_ = supervisor.CatchPanic(s.opts.Log, "coordinator/"+name, func() error { // reported
+		fn()
+		return nil
+	})
+}
--- a/daemon/events/catalogue.go
+++ b/daemon/events/catalogue.go
@@ -49,19 +49,23 @@
 	StorageFailed     ID = 302
 	SnapshotSaved     ID = 303
 	SnapshotInstalled ID = 304
-	LeaderElected     ID = 310
-	LeaderLost        ID = 311
-	PeerUnreachable   ID = 312
-	GroupChanged      ID = 313
-	TicketApplied     ID = 320
-	TicketRefused     ID = 321
-	JobTakenOver      ID = 330
+	// The disk of a control VM refuses writes, and accepts them again.
+	StorageUnavailable ID = 305
+	StorageAvailable   ID = 306
+	LeaderElected      ID = 310
+	LeaderLost         ID = 311
+	PeerUnreachable    ID = 312
+	GroupChanged       ID = 313
+	TicketApplied      ID = 320
+	TicketRefused      ID = 321
+	JobTakenOver       ID = 330
 	// Events of coordinators.
 	GroupChangeProposed ID = 340
 	TermBegan           ID = 341
 	TermEnded           ID = 342
 	ConfigurationTaken  ID = 343
 	ConfigurationWrong  ID = 344
+	OperatorAnswered    ID = 345
 	WorkAccepted        ID = 350
 	WorkRefused         ID = 351
 	WorkUncertain       ID = 352
@@ -170,9 +174,11 @@
 	{MemberDraining, "member_draining", zapcore.InfoLevel, "a member began its planned stop"},
 	{StorageOpened, "storage_opened", zapcore.InfoLevel, "the data folder is open and its log is replayed"},
 	{StorageTornTail, "storage_torn_tail", zapcore.WarnLevel, "the log ended in a partial record, as after a crash, and was truncated; no action needed"},
-	{StorageFailed, "storage_failed", zapcore.ErrorLevel, "a write or sync failed and the daemon stops; check the disk, and replace the VM if it fails again"},
+	{StorageFailed, "storage_failed", zapcore.ErrorLevel, "a write or sync failed; the daemon stops, or closes the data folder until the disk accepts writes; check the disk, and replace the VM if it fails again"},
 	{SnapshotSaved, "snapshot_saved", zapcore.InfoLevel, "a snapshot is saved and the log before it is removed"},
 	{SnapshotInstalled, "snapshot_installed", zapcore.InfoLevel, "this control VM caught up from the leader's snapshot"},
+	{StorageUnavailable, "storage_unavailable", zapcore.ErrorLevel, "the disk refuses writes, for example because it is full; this control VM has no part in the group until the disk accepts writes; free space or replace the VM"},
+	{StorageAvailable, "storage_available", zapcore.InfoLevel, "the disk accepts writes again and the data folder is opened"},
 	{LeaderElected, "leader_elected", zapcore.InfoLevel, "this control VM is the leader"},
 	{LeaderLost, "leader_lost", zapcore.WarnLevel, "this control VM is no longer the leader; if it repeats, check its disk, its load and the links between control VMs"},
 	{PeerUnreachable, "peer_unreachable", zapcore.WarnLevel, "messages to another control VM fail; check that VM and the link"},
@@ -185,6 +191,7 @@
 	{TermEnded, "term_ended", zapcore.WarnLevel, "this control VM no longer places tasks; another one takes over"},
 	{ConfigurationTaken, "configuration_taken", zapcore.InfoLevel, "a configuration is recorded; the detail says whether it came into force (true) or a higher version was in force (false)"},
 	{ConfigurationWrong, "configuration_wrong", zapcore.WarnLevel, "an operator sent an invalid configuration; the error says what is wrong"},
+	{OperatorAnswered, "operator_answered", zapcore.InfoLevel, "a request of an operator was answered; the detail says whether the leader, named as peer, confirmed it, and how long that took"},
 	{WorkAccepted, "work_accepted", zapcore.InfoLevel, "a job with steps is recorded; its tasks may start"},
 	{WorkRefused, "work_refused", zapcore.InfoLevel, "a job was refused because it would complete too late; none of its tasks ran"},
 	{WorkUncertain, "work_uncertain", zapcore.WarnLevel, "a job was being recorded when the leadership was lost or the write failed; whether it is recorded is unknown, and its entry is told so"},
--- a/daemon/link/link.go
+++ b/daemon/link/link.go
@@ -7,6 +7,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"net"
 	"sync"
@@ -21,34 +22,51 @@
 	// maxQueuedMessages bounds the messages that wait for the writer. The connection
 	// to a peer that falls further behind is closed.
 	maxQueuedMessages = 8192
-	// writeTimeout bounds the write of one batch. The connection to a peer that
-	// reads nothing for this time is closed.
+	// writeTimeout bounds one write. The connection to a peer that reads nothing for
+	// this time is closed.
 	writeTimeout = time.Second
-	// bufferBytes is the size of the read buffer and of the write buffer.
-	bufferBytes = 16 << 10
+	// maxWriteBytes is the size from which encoded messages are written before
+	// further ones are encoded.
+	maxWriteBytes = 64 << 10
+	// maxRetainedBytes is the size up to which the buffer of encoded messages is kept
+	// for the next batch.
+	maxRetainedBytes = 4 << 10
+	// maxRetainedQueue is the number of messages for which a connection keeps memory
+	// while its queue is empty.
+	maxRetainedQueue = 64
+	// bufferBytes is the size of the read buffer.
+	bufferBytes = 4 << 10
 )
 
-// ErrClosed is returned after the connection has been closed or has failed.
-var ErrClosed = errors.New("connection closed")
-
 // Conn is a connection. Send and Close are safe for concurrent use; Receive may be
 // called by one goroutine at a time.
 type Conn struct {
-	conn      net.Conn
-	reader    *bufio.Reader
-	queue     chan mesh.Message
+	conn   net.Conn
+	reader *bufio.Reader
+	// maxBytes bounds a received message. Only the goroutine that calls Receive uses
+	// it.
+	maxBytes  int
 	closed    chan struct{}
 	closeOnce sync.Once
 	writer    sync.WaitGroup
+
+	mu sync.Mutex
+	// queue has the messages that wait for the writer. It is a slice and not a
+	// buffered channel, which would take 128 KiB for each of the hundreds of
+	// connections of a control VM, most of which never have two messages waiting.
+	queue []mesh.Message
+	// queued has a buffer of one and wakes the writer.
+	queued chan struct{}
 }
 
 // New returns a Conn that owns the TCP connection c, and starts its writer.
 func New(c net.Conn) *Conn {
 	l := &Conn{
-		conn:   c,
-		reader: bufio.NewReaderSize(c, bufferBytes),
-		queue:  make(chan mesh.Message, maxQueuedMessages),
-		closed: make(chan struct{}),
+		conn:     c,
+		reader:   bufio.NewReaderSize(c, bufferBytes),
+		maxBytes: mesh.MaxMessageBytes,
+		closed:   make(chan struct{}),
+		queued:   make(chan struct{}, 1),
 	}
 	l.writer.Go(l.write)
 	return l
@@ -76,19 +94,42 @@
 // Send queues a message without blocking. If the queue is full, it closes the
 // connection.
 func (l *Conn) Send(m mesh.Message) {
+	l.mu.Lock()
+	full := len(l.queue) >= maxQueuedMessages
+	if !full {
+		l.queue = append(l.queue, m)
+	}
+	l.mu.Unlock()
+	if full {
+		l.Close()
+		return
+	}
 	select {
-	case l.queue <- m:
+	case l.queued <- struct{}{}:
 	default:
-		l.Close()
 	}
 }
 
+// takeQueue returns the queued messages and empties the queue, which then uses the
+// memory of spare.
+func (l *Conn) takeQueue(spare []mesh.Message) []mesh.Message {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	batch := l.queue
+	l.queue = spare[:0]
+	return batch
+}
+
+// LimitMessages bounds the size of the messages that Receive returns from now on. A
+// larger message fails the connection.
+func (l *Conn) LimitMessages(bytes int) { l.maxBytes = bytes }
+
 // Receive returns the next message, or fails if none arrives within timeout.
 func (l *Conn) Receive(timeout time.Duration) (mesh.Message, error) {
 	if err := l.conn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 		return nil, errors.Wrap(err, "set read deadline")
 	}
-	return mesh.Read(l.reader)
+	return mesh.Read(l.reader, l.maxBytes)
 }
 
 // Closed returns a channel that is closed when the connection is closed.
@@ -108,36 +149,43 @@
 // write sends queued messages until the connection fails.
 func (l *Conn) write() {
 	defer l.Close()
-	w := bufio.NewWriterSize(l.conn, bufferBytes)
+	var buffer bytes.Buffer
+	var batch []mesh.Message
 	for {
 		select {
 		case <-l.closed:
 			return
-		case m := <-l.queue:
-			if err := l.writeBatch(w, m); err != nil {
-				return // the owner gets the error of its next Receive
-			}
+		case <-l.queued:
+		}
+		batch = l.takeQueue(batch)
+		if err := l.writeBatch(&buffer, batch); err != nil {
+			return // the owner gets the error of its next Receive
+		}
+		if buffer.Cap() > maxRetainedBytes {
+			buffer = bytes.Buffer{}
+		}
+		clear(batch)
+		if cap(batch) > maxRetainedQueue {
+			batch = nil
 		}
 	}
 }
 
-// writeBatch writes a message and all messages that are queued behind it.
-func (l *Conn) writeBatch(w *bufio.Writer, m mesh.Message) error {
-	if err := l.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
-	for {
-		data, err := mesh.Encode(m)
-		if err != nil {
+// writeBatch writes messages in as few writes as possible.
+func (l *Conn) writeBatch(buffer *bytes.Buffer, batch []mesh.Message) error {
+	for i, m := range batch {
+		if err := mesh.Encode(buffer, m); err != nil {
 			return err
 		}
-		if _, err := w.Write(data); err != nil {
+		if buffer.Len() < maxWriteBytes && i < len(batch)-1 {
+			continue
+		}
+		if err := l.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 			return err
 		}
-		select {
-		case m = <-l.queue:
-		default:
-			return w.Flush()
+		if _, err := buffer.WriteTo(l.conn); err != nil {
+			return err
 		}
 	}
+	return nil
 }
--- a/daemon/link/serve.go
+++ b/daemon/link/serve.go
@@ -13,8 +13,15 @@
 	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
 )
 
-// helloTimeout bounds the wait for the first message of a connection.
-const helloTimeout = time.Second
+const (
+	// helloTimeout bounds the wait for the first message of a connection.
+	helloTimeout = time.Second
+	// maxHelloBytes bounds the first message of a connection.
+	maxHelloBytes = 64 << 10
+	// maxMessageBytes bounds the later messages, unless handle sets another limit.
+	// The largest is an endpoint's inventory.
+	maxMessageBytes = 8 << 20
+)
 
 // ErrUnexpected is returned for a message of a type or role that the receiver does
 // not handle.
@@ -69,6 +76,7 @@
 	defer c.Close()
 	stop := context.AfterFunc(ctx, c.Close)
 	defer stop()
+	c.LimitMessages(maxHelloBytes)
 	first, err := c.Receive(helloTimeout)
 	if err != nil {
 		return err
@@ -77,5 +85,6 @@
 	if !ok {
 		return errors.Wrapf(ErrUnexpected, "first message is %T", first)
 	}
+	c.LimitMessages(maxMessageBytes)
 	return handle(ctx, c, hello)
 }
--- a/daemon/storage/errors.go
+++ b/daemon/storage/errors.go
@@ -13,6 +13,10 @@
 // folder's lock.
 var ErrLocked = errors.New("locked by another process")
 
+// ErrUnavailable marks the error of a write or sync that the disk refused, as when it
+// is full. The folder may be opened again once the disk accepts writes.
+var ErrUnavailable = errors.New("the disk refuses writes")
+
 // CorruptError reports a damaged or missing file of a data folder.
 type CorruptError struct {
 	// File is the path of the damaged file.
--- a/daemon/storage/fs.go
+++ b/daemon/storage/fs.go
@@ -36,6 +36,9 @@
 	dirMode  = 0o700
 )
 
+// OS returns the operating system's file system.
+func OS() FS { return osFS{} }
+
 // osFS is the operating system's file system.
 type osFS struct{}
 
--- a/daemon/storage/names.go
+++ b/daemon/storage/names.go
@@ -12,6 +12,7 @@
 const (
 	lockName        = "LOCK"
 	identityName    = "IDENTITY"
+	checkName       = "CHECK"
 	segmentSuffix   = ".log"
 	snapshotSuffix  = ".snapshot"
 	temporarySuffix = ".tmp"
--- a/daemon/storage/open.go
+++ b/daemon/storage/open.go
@@ -8,8 +8,9 @@
 
 // Open locks a data folder, creates it and its identity on first use, and
 // recovers its state. It returns an error that wraps ErrLocked when another
-// process has locked the folder, and one that wraps *CorruptError for damage
-// that loses state, other than a torn tail.
+// process has locked the folder, one that wraps *CorruptError for damage that
+// loses state, other than a torn tail, and one marked with ErrUnavailable when the
+// disk refuses a write.
 func Open(dir string, o Options) (*Store, error) {
 	if o.SegmentBytes <= 0 {
 		o.SegmentBytes = DefaultSegmentBytes
@@ -22,11 +23,40 @@
 	s := &Store{disk: d, lock: lock, segmentBytes: o.SegmentBytes, identity: o.Identity}
 	if err := s.open(); err != nil {
 		s.releaseFailedOpen()
-		return nil, errors.Wrapf(err, "open data folder %s", dir)
+		return nil, errors.Wrapf(markUnavailable(err), "open data folder %s", dir)
 	}
 	return s, nil
 }
 
+// markUnavailable marks an error of Open with ErrUnavailable, unless the folder is
+// damaged.
+func markUnavailable(err error) error {
+	var corrupt *CorruptError
+	if errors.As(err, &corrupt) {
+		return err
+	}
+	return errors.Mark(err, ErrUnavailable)
+}
+
+// checkBytes is the size of the file that CheckWritable writes.
+const checkBytes = 4096
+
+// CheckWritable reports whether the disk of a data folder accepts writes, by writing
+// and removing a small file. fs is nil for the operating system's. The folder must
+// not be open.
+func CheckWritable(dir string, fs FS) error {
+	d := newDisk(dir, Options{FS: fs})
+	if err := d.fs.MkdirAll(dir); err != nil {
+		return errors.Wrap(err, "create data folder")
+	}
+	f, err := d.fs.Create(d.path(checkName))
+	if err != nil {
+		return errors.Wrap(err, "create")
+	}
+	err = d.append(f, make([]byte, checkBytes))
+	return errors.CombineErrors(err, errors.CombineErrors(f.Close(), d.fs.Remove(d.path(checkName))))
+}
+
 // releaseFailedOpen closes the files and releases the lock after a failed Open.
 func (s *Store) releaseFailedOpen() {
 	if s.file != nil {
--- a/daemon/storage/storage.go
+++ b/daemon/storage/storage.go
@@ -3,8 +3,8 @@
 //
 // Place in the supervisor tree: its parent is control or coordinator; it has no
 // children and starts no goroutine. Restart rule: a failed write or sync makes the store
-// permanently failed, so its parent stops, and the folder is opened again only by
-// a restart of the whole daemon. State: every file under the data folder,
+// permanently failed, so its parent stops, and opens the folder again once the disk
+// accepts writes (coordinator) or by a restart of the whole daemon (control). State: every file under the data folder,
 // guarded by an exclusive lock.
 //
 // Each Save writes one frame and syncs it, so a crash can damage only the last
--- a/daemon/storage/store.go
+++ b/daemon/storage/store.go
@@ -166,7 +166,7 @@
 // fail makes the store permanently failed. mu is held.
 func (s *Store) fail(err error) error {
 	if s.err == nil {
-		s.err = errors.Wrap(err, "storage failed")
+		s.err = errors.Mark(errors.Wrap(err, "storage failed"), ErrUnavailable)
 	}
 	return s.err
 }
