Odd entries and unexpected errors end a connection or drop a row, not a process

A negative step in an agent's report reached a slice of the replicated ledger: every control VM ended, and again on replaying its log. One row of an endpoint's lists that couldn't be read failed the whole answer, so that the endpoint counted as silent and its work was given up; a run number near 2^64 became the highest known one, after which numbers wrap around. Panics in goroutines of a connection (requests that wait for the log, orders of an agent's session, a connection's writer) ended the process. Durations and estimates out of range were converted as the processor does. Change: indexes, resources, estimates, labels, names, addresses and ports are checked where they enter; rows are decoded one by one (row_ignored); these goroutines catch panics, report them and end their connection or session; HTTP handlers report theirs as numbered events.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -75,7 +75,7 @@
 
 // Task returns the progress of a task, nil if the job has no such task or is final.
 func (r *Record) Task(t work.TaskID) *Task {
-	if r.State.Final() || t.Occurrence != 0 || t.Step >= len(r.Job.Steps) || t.Index >= r.Job.Steps[t.Step].Tasks {
+	if r.State.Final() || t.Occurrence != 0 || t.Step < 0 || t.Step >= len(r.Job.Steps) || t.Index < 0 || t.Index >= r.Job.Steps[t.Step].Tasks {
 		return nil
 	}
 	return &r.Tasks[r.offset(t.Step)+t.Index]
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -307,7 +307,7 @@
 
 // task returns a task of the job, nil if there is none.
 func (j *job) task(id work.TaskID) *task {
-	if id.Occurrence != 0 || id.Step >= len(j.tasks) || id.Index >= len(j.tasks[id.Step]) {
+	if id.Occurrence != 0 || id.Step < 0 || id.Step >= len(j.tasks) || id.Index < 0 || id.Index >= len(j.tasks[id.Step]) {
 		return nil
 	}
 	return &j.tasks[id.Step][id.Index]
--- a/core/placement/queue.go
+++ b/core/placement/queue.go
@@ -47,16 +47,24 @@
 }
 
 // workload is an amount of work at nominal speed, in thousandths of a core times
-// microseconds. Sums of integers do not drift.
+// milliseconds. Sums of integers do not drift.
 type workload int64
 
+// maxTaskWorkload bounds the workload of a task, about a million core-seconds, so that
+// the sum over two million queued tasks does not overflow.
+const maxTaskWorkload workload = 1 << 42
+
 // seconds returns the workload in core-seconds.
-func (w workload) seconds() float64 { return float64(w) / 1e9 }
+func (w workload) seconds() float64 { return float64(w) / 1e6 }
 
 // taskWorkload returns the workload of one task of the group.
 func (g *group) taskWorkload() workload {
 	step := &g.job.spec.Steps[g.step]
-	return workload(step.Need.CPU) * workload(step.Estimate.Microseconds())
+	cpu, estimate := workload(step.Need.CPU), workload(step.Estimate.Milliseconds())
+	if cpu > 0 && estimate > maxTaskWorkload/cpu {
+		return maxTaskWorkload
+	}
+	return cpu * estimate
 }
 
 // loadKey identifies the queued work of one pool and priority.
--- a/core/work/work.go
+++ b/core/work/work.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 )
 
 // JobID identifies a job. The caller chooses it, and it is unique over all queues.
@@ -51,6 +52,40 @@
 	Capacity    Resources
 }
 
+// Bounds of an announcement.
+const (
+	maxLabels    = 64
+	maxNameBytes = 256
+)
+
+// Validate checks an announcement. The error names the field.
+func (i Incarnation) Validate() error {
+	switch {
+	case !ValidName(i.Instance):
+		return fmt.Errorf("instance: %d bytes, must be 1 to %d of valid UTF-8", len(i.Instance), maxNameBytes)
+	case !ValidName(i.Pool):
+		return fmt.Errorf("pool: %d bytes, must be 1 to %d of valid UTF-8", len(i.Pool), maxNameBytes)
+	case i.StartTimeMS < 0:
+		return fmt.Errorf("start time: %d is negative", i.StartTimeMS)
+	case !i.Capacity.Valid():
+		return fmt.Errorf("capacity: %+v, must be 0 to %d each", i.Capacity, MaxResource)
+	case len(i.Labels) > maxLabels:
+		return fmt.Errorf("labels: %d, must be at most %d", len(i.Labels), maxLabels)
+	}
+	for n, label := range i.Labels {
+		if len(label) > maxNameBytes || !utf8.ValidString(label) {
+			return fmt.Errorf("labels[%d]: %d bytes, must be at most %d of valid UTF-8", n, len(label), maxNameBytes)
+		}
+	}
+	return nil
+}
+
+// ValidName reports whether a name of an instance, pool or VM is not empty, not too
+// long, and valid UTF-8.
+func ValidName(name string) bool {
+	return name != "" && len(name) <= maxNameBytes && utf8.ValidString(name)
+}
+
 // Equal reports whether two announcements are the same.
 func (i Incarnation) Equal(other Incarnation) bool {
 	return i.Instance == other.Instance && i.StartTimeMS == other.StartTimeMS && i.Pool == other.Pool && i.Capacity == other.Capacity && slices.Equal(i.Labels, other.Labels)
@@ -148,8 +183,20 @@
 	MaxTasks = 10_000
 	// MaxSpecBytes bounds the spec.
 	MaxSpecBytes = 4_000
+	// MaxResource bounds each resource that a task needs or an endpoint has, and
+	// MaxEstimate the estimate of a task, so that sums don't overflow.
+	MaxResource = 1 << 30
+	MaxEstimate = 30 * 24 * time.Hour
+	// MaxRun bounds run numbers. JSON numbers are exact up to 2^53.
+	MaxRun = 1 << 53
 )
 
+// Valid reports whether all resources are in the range of 0 to MaxResource.
+func (r Resources) Valid() bool {
+	inRange := func(n int) bool { return n >= 0 && n <= MaxResource }
+	return inRange(r.CPU) && inRange(r.MemoryMB) && inRange(r.GPU)
+}
+
 // Validate checks the job's steps and spec. The error names the step.
 func (j *Job) Validate() error {
 	switch {
@@ -159,7 +206,7 @@
 		return fmt.Errorf("spec: %d bytes, must be at most %d", len(j.Spec), MaxSpecBytes)
 	}
 	for i, s := range j.Steps {
-		if s.Tasks < 1 || s.Need.CPU < 0 || s.Need.MemoryMB < 0 || s.Need.GPU < 0 || s.Estimate < 0 || s.MaxPerEndpoint < 0 {
+		if s.Tasks < 1 || !s.Need.Valid() || s.Estimate < 0 || s.Estimate > MaxEstimate || s.MaxPerEndpoint < 0 {
 			return fmt.Errorf("step %d: a count, need or estimate is out of range", i)
 		}
 		for _, dependency := range s.After {
--- a/daemon/coordinator/agents.go
+++ b/daemon/coordinator/agents.go
@@ -54,6 +54,11 @@
 // join adds the endpoint to the planner, with the runs and ends of its inventory.
 // It closes the connection if the agent can't be enrolled.
 func (a *agentSession) join(ctx context.Context, m *mesh.Inventory) {
+	if err := m.Incarnation.Validate(); err != nil {
+		a.log().Emit(events.Event{ID: events.RegistrationWrong, Peer: a.VM, Err: err})
+		a.client.conn.Close()
+		return
+	}
 	if !a.enrol(ctx, m.Incarnation) {
 		a.client.conn.Close()
 		return
@@ -130,7 +135,7 @@
 		a.acknowledge(upTo)
 		return
 	}
-	a.client.goroutines.Go(func() {
+	a.client.spawn(func() {
 		a.recordMu.Lock()
 		defer a.recordMu.Unlock()
 		if a.recordDurable(ctx, durable) {
--- a/daemon/coordinator/clients.go
+++ b/daemon/coordinator/clients.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cicadapulley/cicadapulley/api/mesh"
 	"github.com/cicadapulley/cicadapulley/core/ledger"
 	"github.com/cicadapulley/cicadapulley/core/placement"
@@ -37,6 +40,10 @@
 
 // serveClient serves the connection of an entry or agent until it fails.
 func (s *Service) serveClient(ctx context.Context, c *link.Conn, hello *mesh.Hello) error {
+	if err := checkHello(hello); err != nil {
+		s.opts.Log.Emit(events.Event{ID: events.ConnectionRefused, Peer: c.Remote(), Err: err})
+		return err
+	}
 	cl := &client{service: s, conn: c, role: hello.Role, vm: hello.VM, address: hello.Address, waiting: map[uint64]work.JobID{}}
 	s.mu.Lock()
 	s.clients[cl] = true
@@ -54,6 +61,19 @@
 	}
 }
 
+// checkHello returns an error if the name or the address of an entry or agent can't be
+// used. Both are sent on to other processes, and the agents' are recorded.
+func checkHello(hello *mesh.Hello) error {
+	if !work.ValidName(hello.VM) {
+		return errors.Newf("name of %d bytes is not valid", len(hello.VM))
+	}
+	if hello.Address == "" && hello.Role == mesh.RoleEntry {
+		return nil
+	}
+	_, err := netip.ParseAddrPort(hello.Address)
+	return errors.Wrap(err, "address")
+}
+
 // sendWelcome notifies a client whether this VM leads. If it does, an agent gets a new
 // session. The caller holds mu.
 func (s *Service) sendWelcome(cl *client) {
@@ -147,6 +167,21 @@
 	}
 }
 
+// spawn runs fn in a goroutine of the connection. A panic closes the connection, whose
+// state it may have left incomplete.
+func (cl *client) spawn(fn func()) {
+	cl.goroutines.Go(func() {
+		finished := false
+		cl.service.catchPanic("server/"+cl.vm, func() {
+			fn()
+			finished = true
+		})
+		if !finished {
+			cl.conn.Close()
+		}
+	})
+}
+
 // handle handles one message of the client.
 func (cl *client) handle(ctx context.Context, m mesh.Message) {
 	switch m := m.(type) {
--- a/daemon/coordinator/cluster_test.go
+++ b/daemon/coordinator/cluster_test.go
@@ -153,7 +153,7 @@
 func configuration(version uint64) *work.Configuration {
 	return &work.Configuration{
 		Version: version, Pools: []string{"desk"}, Document: fmt.Appendf(nil, `{"version":%d}`, version),
-		Queues: []work.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "desk", Timeout: time.Second}},
+		Queues: []work.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "desk", Timeout: time.Second, Stretch: 1.6, Target: time.Second}},
 	}
 }
 
--- a/daemon/coordinator/entries.go
+++ b/daemon/coordinator/entries.go
@@ -24,7 +24,7 @@
 			cl.waiting[q.Sequence] = id
 		}
 	default:
-		cl.goroutines.Go(func() { cl.conn.Send(cl.service.submitOrCancel(ctx, q)) })
+		cl.spawn(func() { cl.conn.Send(cl.service.submitOrCancel(ctx, q)) })
 	}
 }
 
--- a/daemon/events/catalogue.go
+++ b/daemon/events/catalogue.go
@@ -133,6 +133,7 @@
 	SessionOrphaned    ID = 530
 	EntryJoined        ID = 531
 	EndpointRecalled   ID = 532
+	RowIgnored         ID = 533
 )
 
 // Definition describes an event for operators.
@@ -251,6 +252,7 @@
 	{SessionOrphaned, "session_orphaned", zapcore.WarnLevel, "the agent lost the leader; its session continues, and entries may order runs while there is no leader"},
 	{EntryJoined, "entry_joined", zapcore.InfoLevel, "an entry may order runs here while there is no leader"},
 	{EndpointRecalled, "endpoint_recalled", zapcore.InfoLevel, "the endpoint has not registered since this agent started; until it does, the agent uses the incarnation of the endpoint that the control VMs have recorded"},
+	{RowIgnored, "row_ignored", zapcore.WarnLevel, "a row of an endpoint's lists can't be read and was ignored; the others are used; the error says what is wrong with it"},
 }
 
 var byID = index(Catalogue)
--- a/daemon/link/link.go
+++ b/daemon/link/link.go
@@ -11,11 +11,13 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
+	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
 )
 
 const (
@@ -43,6 +45,8 @@
 type Conn struct {
 	conn   net.Conn
 	reader *bufio.Reader
+	// failure is why the writer ended, nil if it has not failed.
+	failure atomic.Pointer[error]
 	// maxBytes bounds a received message. Only the goroutine that calls Receive uses
 	// it.
 	maxBytes  int
@@ -68,7 +72,12 @@
 		closed:   make(chan struct{}),
 		queued:   make(chan struct{}, 1),
 	}
-	l.writer.Go(l.write)
+	l.writer.Go(func() {
+		defer l.Close()
+		if err := supervisor.CatchPanic(nil, "", l.write); err != nil {
+			l.failure.Store(&err) // the owner gets it from Receive
+		}
+	})
 	return l
 }
 
@@ -129,7 +138,11 @@
 	if err := l.conn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 		return nil, errors.Wrap(err, "set read deadline")
 	}
-	return mesh.Read(l.reader, l.maxBytes)
+	m, err := mesh.Read(l.reader, l.maxBytes)
+	if failure := l.failure.Load(); err != nil && failure != nil {
+		return nil, errors.Wrap(*failure, "write")
+	}
+	return m, err
 }
 
 // Closed returns a channel that is closed when the connection is closed.
@@ -146,20 +159,19 @@
 // Wait blocks until the writer has returned.
 func (l *Conn) Wait() { l.writer.Wait() }
 
-// write sends queued messages until the connection fails.
-func (l *Conn) write() {
-	defer l.Close()
+// write sends queued messages until the connection is closed or fails.
+func (l *Conn) write() error {
 	var buffer bytes.Buffer
 	var batch []mesh.Message
 	for {
 		select {
 		case <-l.closed:
-			return
+			return nil
 		case <-l.queued:
 		}
 		batch = l.takeQueue(batch)
 		if err := l.writeBatch(&buffer, batch); err != nil {
-			return // the owner gets the error of its next Receive
+			return err
 		}
 		if buffer.Cap() > maxRetainedBytes {
 			buffer = bytes.Buffer{}
--- a/daemon/runner/session.go
+++ b/daemon/runner/session.go
@@ -16,6 +16,7 @@
 	"github.com/cicadapulley/cicadapulley/core/work"
 	"github.com/cicadapulley/cicadapulley/daemon/boottime"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
+	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
 )
 
 const (
@@ -186,7 +187,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.closed {
-		s.goroutines.Go(fn)
+		s.goroutines.Go(func() { s.catchPanic(fn) })
+	}
+}
+
+// catchPanic runs fn and ends the session if it panics: the state of the session may
+// be incomplete, and the next one reads it from the endpoint.
+func (s *session) catchPanic(fn func()) {
+	err := supervisor.CatchPanic(s.service.opts.Log, "runner/session", func() error {
+		fn()
+		return nil
+	})
+	if err != nil {
+		s.end(err)
 	}
 }
 
