Ends are acknowledged in order; a draining endpoint stays so over restarts; fewer pings

An agent that restarted took its endpoint's incarnation from the record of control, which did not say that it was draining: it could get new work until its next heartbeat. Change: acknowledgements follow the records of all earlier ends; the enrolment records that an endpoint is draining, and a Welcome tells its agent; a ping is sent only if nothing has arrived within its interval; entries connect to up to 256 agents. Measured: tests TestDrainingIsRecorded, TestRestartedAgentRemembersDraining.

--- a/api/mesh/golden_test.go
+++ b/api/mesh/golden_test.go
@@ -11,6 +11,10 @@
 	"github.com/cicadapulley/cicadapulley/core/testfill"
 )
 
+// addedFields are fields that were added after the first golden files were written.
+// They are absent from messages, commands and snapshots of former code.
+var addedFields = []string{"Waited", "EndpointDraining"}
+
 // TestGoldenMessages guards against a message that is encoded differently from
 // released code: a renamed field without its former name as a tag, or a kind
 // under another number.
@@ -28,15 +32,18 @@
 		})
 	}
 	for i, m := range messages {
-		testfill.FillWithout(m, "Waited")
+		testfill.FillWithout(m, addedFields...)
 		check(fmt.Sprintf("%02d", i+1), m)
 	}
-	// Fields that were added to a message later have a file of their own, and are
-	// absent from the messages of former code.
-	q := &Request{}
-	testfill.Fill(q)
-	check("05-waited", q)
-	testfill.CheckFileCount(t, "testdata/message-*.cbor", len(messages)+1)
+	// Messages with fields that were added later have a file of their own.
+	extended := map[string]Message{
+		"05-waited": &Request{}, "02-draining": &Welcome{}, "07-draining": &Inventory{}, "09-draining": &Report{}, "15-draining": &Enrolled{},
+	}
+	for name, m := range extended {
+		testfill.Fill(m)
+		check(name, m)
+	}
+	testfill.CheckFileCount(t, "testdata/message-*.cbor", len(messages)+len(extended))
 }
 
 // TestGoldenCommands guards against commands and snapshots of released code that
@@ -44,10 +51,15 @@
 // control VMs of two versions would differ, and a restart would lose state.
 func TestGoldenCommands(t *testing.T) {
 	testfill.CheckGolden(t, "testdata/command-0.cbor", ledger.Command{}, EncodeCommand, DecodeCommand)
-	commands := testfill.OneField[ledger.Command]()
+	commands := testfill.OneField[ledger.Command](addedFields...)
 	for i, c := range commands {
 		testfill.CheckGolden(t, fmt.Sprintf("testdata/command-%d.cbor", i+1), c, EncodeCommand, DecodeCommand)
 	}
-	testfill.CheckFileCount(t, "testdata/command-*.cbor", 1+len(commands))
-	testfill.CheckGolden(t, "testdata/snapshot.cbor", testfill.Value[ledger.Snapshot](), EncodeSnapshot, DecodeSnapshot)
+	enrol := testfill.Value[ledger.Agent]()
+	testfill.CheckGolden(t, "testdata/command-enrol-draining.cbor", ledger.Command{Enrol: &enrol}, EncodeCommand, DecodeCommand)
+	testfill.CheckFileCount(t, "testdata/command-*.cbor", 2+len(commands))
+	var former ledger.Snapshot
+	testfill.FillWithout(&former, addedFields...)
+	testfill.CheckGolden(t, "testdata/snapshot.cbor", former, EncodeSnapshot, DecodeSnapshot)
+	testfill.CheckGolden(t, "testdata/snapshot-draining.cbor", testfill.Value[ledger.Snapshot](), EncodeSnapshot, DecodeSnapshot)
 }
--- a/api/mesh/mesh.go
+++ b/api/mesh/mesh.go
@@ -66,6 +66,8 @@
 	// Incarnation, for an agent, is the latest recorded incarnation of its
 	// endpoint; nil if none is recorded.
 	Incarnation *work.Incarnation `cbor:"Life"`
+	// EndpointDraining is set if that incarnation is recorded as draining.
+	EndpointDraining bool `cbor:",omitempty"`
 }
 
 // Members is sent to entries and agents when the group of control VMs changes.
@@ -204,6 +206,8 @@
 	Incarnation work.Incarnation `cbor:"Life"`
 	Running     []placement.ListedRun
 	Ends        []NumberedEnd
+	// EndpointDraining is set if the endpoint has announced that it is draining.
+	EndpointDraining bool `cbor:",omitempty"`
 }
 
 // PossibleRuns lists the runs that may exist at an endpoint that does not answer its
@@ -241,6 +245,9 @@
 	// UsedByOthers, in a session with an entry, is what the runs of other owners
 	// take.
 	UsedByOthers work.Resources `cbor:"Others"`
+	// EndpointDraining is set with Draining if it is the endpoint, and not only its
+	// agent, that accepts no more runs.
+	EndpointDraining bool `cbor:",omitempty"`
 }
 
 // Reachability is a change of an endpoint's reachability.
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -33,6 +33,9 @@
 	// Incarnation is the latest incarnation of the agent's endpoint. The leader
 	// sends it to an agent that restarts.
 	Incarnation work.Incarnation `cbor:"Life"`
+	// EndpointDraining is set once the endpoint accepts no new runs, because it is
+	// about to end.
+	EndpointDraining bool `cbor:",omitempty"`
 }
 
 // Result is the outcome of a command.
@@ -108,11 +111,11 @@
 // Job returns the record of a job, nil if it is unknown.
 func (m *Machine) Job(id work.JobID) *Record { return m.jobs[id] }
 
-// Enrolled reports whether an agent is enrolled with the same address and
-// incarnation.
+// Enrolled reports whether an agent is enrolled with the same address, incarnation
+// and state.
 func (m *Machine) Enrolled(a Agent) bool {
 	stored, ok := m.enrolled[a.VM]
-	return ok && stored.Address == a.Address && stored.Incarnation.Equal(a.Incarnation)
+	return ok && stored.Address == a.Address && stored.Incarnation.Equal(a.Incarnation) && stored.EndpointDraining == a.EndpointDraining
 }
 
 // Agent returns the enrolled agent of a VM.
--- a/core/testfill/fill.go
+++ b/core/testfill/fill.go
@@ -22,10 +22,11 @@
 }
 
 // OneField returns a value for each field of a struct, with only that field set.
-func OneField[T any]() []T {
+// Fields with one of the names in without are left unset, at every depth.
+func OneField[T any](without ...string) []T {
 	list := make([]T, reflect.TypeFor[T]().NumField())
 	for i := range list {
-		var f filler
+		f := filler{without: without}
 		f.fill(reflect.ValueOf(&list[i]).Elem().Field(i))
 	}
 	return list
--- a/daemon/coordinator/agents.go
+++ b/daemon/coordinator/agents.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
@@ -21,9 +21,15 @@
 	*scheduler.Session
 	client *client
 	term   *term
-	// recordMu serialises the recording of ends, so that an acknowledgement is never
-	// sent before an earlier end is recorded.
-	recordMu sync.Mutex
+	// incarnation is the endpoint's, set when the agent joins. Only the connection's
+	// goroutine uses it, and lastRecord.
+	incarnation work.Incarnation
+	// lastRecord is closed when the ends of the latest report have been recorded and
+	// acknowledged; nil before the first one.
+	lastRecord <-chan struct{}
+	// recordFailed is set once ends could not be recorded. No later end is acknowledged
+	// then, as an acknowledgement covers all earlier ends.
+	recordFailed atomic.Bool
 }
 
 // renew renews the agent's lease. It returns false if another VM may lead by now.
@@ -59,10 +65,11 @@
 		a.client.conn.Close()
 		return
 	}
-	if !a.enrol(ctx, m.Incarnation) {
+	if !a.enrol(ctx, m.Incarnation, m.EndpointDraining) {
 		a.client.conn.Close()
 		return
 	}
+	a.incarnation = m.Incarnation
 	var durable []work.End
 	applied := a.inTerm(func(t *term, at time.Time) {
 		durable = t.Join(at, a.Session, m)
@@ -89,13 +96,13 @@
 // the connected entries have its address. It precedes the first start of each
 // endpoint incarnation. It returns false if the enrolment is not known to have
 // succeeded.
-func (a *agentSession) enrol(ctx context.Context, incarnation work.Incarnation) bool {
+func (a *agentSession) enrol(ctx context.Context, incarnation work.Incarnation, draining bool) bool {
 	s := a.client.service
 	s.mu.Lock()
 	removed := a.term.removed[a.VM]
 	delete(a.term.removed, a.VM)
 	s.mu.Unlock()
-	agent := ledger.Agent{VM: a.VM, Address: a.client.address, Incarnation: incarnation}
+	agent := ledger.Agent{VM: a.VM, Address: a.client.address, Incarnation: incarnation, EndpointDraining: draining}
 	known := false
 	err := s.driver.Read(func() { known = s.machine.Enrolled(agent) })
 	if err != nil || known && !removed {
@@ -120,33 +127,58 @@
 	if applied {
 		a.record(ctx, m.Ends, durable)
 	}
+	if m.EndpointDraining {
+		// An agent that restarts must not accept runs again before the endpoint's next
+		// heartbeat.
+		incarnation := a.incarnation
+		a.client.spawn(func() { a.enrol(ctx, incarnation, true) })
+	}
 }
 
 // record replicates the ends that must be durable, then acknowledges all of them,
-// so that the endpoint may drop them. If none must be durable and no other
-// recording is in progress, it acknowledges at once.
+// so that the endpoint may drop them. An acknowledgement covers all earlier ends, so it
+// is sent once these are recorded too: at once if none must be durable and no other
+// recording is in progress.
 func (a *agentSession) record(ctx context.Context, ends []mesh.NumberedEnd, durable []work.End) {
 	if len(ends) == 0 {
 		return
 	}
 	upTo := ends[len(ends)-1].Number
-	if len(durable) == 0 && a.recordMu.TryLock() {
-		defer a.recordMu.Unlock()
+	previous := a.lastRecord
+	if len(durable) == 0 && (previous == nil || isClosed(previous)) {
 		a.acknowledge(upTo)
 		return
 	}
+	done := make(chan struct{})
+	a.lastRecord = done
 	a.client.spawn(func() {
-		a.recordMu.Lock()
-		defer a.recordMu.Unlock()
-		if a.recordDurable(ctx, durable) {
-			a.acknowledge(upTo)
+		defer close(done)
+		recorded := a.recordDurable(ctx, durable)
+		if previous != nil {
+			<-previous
+		}
+		if !recorded {
+			a.recordFailed.Store(true)
+			a.client.conn.Close() // the agent sends the ends again in the next session
 			return
 		}
-		a.client.conn.Close() // the agent sends the ends again in the next session
+		a.acknowledge(upTo)
 	})
 }
 
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 func (a *agentSession) acknowledge(upTo uint64) {
+	if a.recordFailed.Load() {
+		return
+	}
 	a.client.conn.Send(&mesh.Acknowledge{Session: a.ID, UpTo: upTo})
 }
 
--- /dev/null
+++ b/daemon/coordinator/agents_test.go
@@ -0,0 +1,83 @@
+package coordinator
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cicadapulley/cicadapulley/api/mesh"
+	"github.com/cicadapulley/cicadapulley/core/work"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
+)
+
+var someAgent = &mesh.Hello{Role: mesh.RoleAgent, VM: "side-1", Address: "127.0.0.1:7000"}
+
+// joinAgent connects an agent and lets its endpoint join.
+func (c *cluster) joinAgent(i int) (*peerConn, *mesh.Inventory) {
+	c.Helper()
+	log := c.managers[i].opts.Log
+	joined := log.Count(events.EndpointJoined)
+	agent := c.dial(i, someAgent)
+	m := inventory(await[*mesh.Welcome](agent).Session)
+	agent.Send(m)
+	c.eventually("the endpoint has joined", func() bool { return log.Count(events.EndpointJoined) > joined })
+	return agent, m
+}
+
+// TestDrainingIsRecorded guards against an endpoint that is about to end and is in use
+// again after its agent, or the leader, has restarted.
+func TestDrainingIsRecorded(t *testing.T) {
+	c := newCluster(t, 3)
+	leader := c.leader()
+	c.configure(leader, 1)
+	agent, m := c.joinAgent(leader)
+	agent.Send(&mesh.Report{Session: m.Endpoint.Session, Draining: true, EndpointDraining: true})
+	recorded := func(i int) bool {
+		w := await[*mesh.Welcome](c.dial(i, someAgent))
+		return w.Incarnation != nil && w.Incarnation.Instance == "i" && w.EndpointDraining
+	}
+	c.eventually("the leader has recorded it", func() bool { return recorded(leader) })
+	c.cancels[leader]()
+	next := -1
+	c.eventually("another VM leads", func() bool {
+		for i, manager := range c.managers {
+			if s := manager.service.Load(); i != leader && s != nil && s.driver.Leading() {
+				next = i
+			}
+		}
+		return next >= 0
+	})
+	c.eventually("the next leader has the record", func() bool { return recorded(next) })
+}
+
+// TestAcknowledgementsFollowRecords guards against the acknowledgement of an end that is
+// not recorded yet: an acknowledgement covers all earlier ends, and the endpoint forgets
+// them. Reports that need no record must not overtake those that do.
+func TestAcknowledgementsFollowRecords(t *testing.T) {
+	c := newCluster(t, 3)
+	leader := c.leader()
+	c.configure(leader, 1)
+	agent, m := c.joinAgent(leader)
+	const rounds = 50
+	service := c.managers[leader].service.Load()
+	for n := range uint64(rounds) {
+		id := work.JobID(fmt.Sprintf("%016x", n+1))
+		c.storeJob(leader, id)
+		stored := work.Run{Task: work.TaskID{Job: id}, Number: 1000 + n}
+		agent.Send(&mesh.Ping{Session: m.Endpoint.Session, Sequence: n})
+		agent.Send(&mesh.Report{Session: m.Endpoint.Session, Ends: []mesh.NumberedEnd{{Number: 2*n + 1, End: work.End{Run: stored, Reason: work.Done}}}})
+		agent.Send(&mesh.Report{Session: m.Endpoint.Session, Ends: []mesh.NumberedEnd{
+			{Number: 2*n + 2, End: work.End{Run: work.Run{Task: work.TaskID{Job: "other"}, Number: 1}, Reason: work.Stopped}, BestEffort: true},
+		}})
+		for acknowledged := uint64(0); acknowledged < 2*n+2; {
+			acknowledged = await[*mesh.Acknowledge](agent).UpTo
+			if acknowledged <= 2*n {
+				continue
+			}
+			state := work.Pending
+			service.driver.Local(func() { state = service.machine.Job(id).State })
+			assert.Equal(t, state, work.Completed, "end %d is acknowledged", acknowledged)
+		}
+	}
+}
--- a/daemon/coordinator/clients.go
+++ b/daemon/coordinator/clients.go
@@ -87,7 +87,7 @@
 			s.endSession(cl)
 			cl.session = s.newSession(cl)
 			w.Session = cl.session.ID
-			w.Incarnation = s.incarnationOf(cl.vm)
+			w.Incarnation, w.EndpointDraining = s.incarnationOf(cl.vm)
 		} else {
 			s.addFallbackData(w)
 		}
@@ -110,15 +110,15 @@
 }
 
 // incarnationOf returns the latest recorded incarnation of a VM's endpoint, nil if
-// there is none.
-func (s *Service) incarnationOf(vm string) *work.Incarnation {
-	var incarnation *work.Incarnation
+// there is none, and whether it is draining.
+func (s *Service) incarnationOf(vm string) (incarnation *work.Incarnation, draining bool) {
 	s.driver.Local(func() {
 		if a, ok := s.machine.Agent(vm); ok {
 			incarnation = &a.Incarnation
+			draining = a.EndpointDraining
 		}
 	})
-	return incarnation
+	return incarnation, draining
 }
 
 // eachEntry calls fn for each connected entry to which this VM has announced
--- a/daemon/coordinator/malformed_test.go
+++ b/daemon/coordinator/malformed_test.go
@@ -58,10 +58,10 @@
 const someJob = work.JobID("5c0e7a21d94b36f8")
 
 // storeJob submits a job that is recorded in the ledger.
-func (c *cluster) storeJob(i int) {
+func (c *cluster) storeJob(i int, id work.JobID) {
 	c.Helper()
 	entry := c.dial(i, &mesh.Hello{Role: mesh.RoleEntry, VM: "entry-1"})
-	entry.Send(&mesh.Request{Sequence: 1, Operation: mesh.Submit, Host: "h", Path: "/q/" + string(someJob), Job: &work.Job{
+	entry.Send(&mesh.Request{Sequence: 1, Operation: mesh.Submit, Host: "h", Path: "/q/" + string(id), Job: &work.Job{
 		Steps: []work.Step{{Tasks: 1, Need: work.Resources{CPU: 1000}, Estimate: time.Second}},
 	}})
 	assert.Equal(c, await[*mesh.Response](entry).Outcome, mesh.Accepted)
@@ -88,7 +88,7 @@
 	c.eventually("the endpoint has joined", func() bool {
 		return c.managers[leader].opts.Log.Count(events.EndpointJoined) == 1
 	})
-	c.storeJob(leader)
+	c.storeJob(leader, someJob)
 	agent.Send(&mesh.NewSession{})
 	m := inventory(await[*mesh.Welcome](agent).Session)
 	m.Running = []placement.ListedRun{
--- a/daemon/fallback/fallback.go
+++ b/daemon/fallback/fallback.go
@@ -37,9 +37,11 @@
 	// pingInterval is the interval between pings to an agent, which keep the
 	// connection open if the agent has no session with this entry.
 	pingInterval = 200 * time.Millisecond
-	// maxAgents bounds the connections of one entry. Each takes a dial and five
-	// pings a second; larger systems spread their entries over the agents.
-	maxAgents = 96
+	// maxAgents bounds the connections of one entry. Each takes a dial and a few
+	// messages a second. Larger systems spread their entries over the agents; then jobs
+	// that a leader may have started wait until its leases have expired, since some
+	// agents that may run them are not asked.
+	maxAgents = 256
 	// expiresAfterTakeover is how long runs may go on at an endpoint that a leader
 	// has taken over before it receives their job: the leader stops unknown runs
 	// after 0.4 s, or the agent's lease from the leader expires.
--- a/daemon/link/link.go
+++ b/daemon/link/link.go
@@ -45,6 +45,10 @@
 type Conn struct {
 	conn   net.Conn
 	reader *bufio.Reader
+	// sentAt and receivedAt are when the latest message was queued and received, as the
+	// time since openedAt.
+	openedAt           time.Time
+	sentAt, receivedAt atomic.Int64
 	// failure is why the writer ended, nil if it has not failed.
 	failure atomic.Pointer[error]
 	// maxBytes bounds a received message. Only the goroutine that calls Receive uses
@@ -69,6 +73,7 @@
 		conn:     c,
 		reader:   bufio.NewReaderSize(c, bufferBytes),
 		maxBytes: mesh.MaxMessageBytes,
+		openedAt: time.Now(),
 		closed:   make(chan struct{}),
 		queued:   make(chan struct{}, 1),
 	}
@@ -103,6 +108,7 @@
 // Send queues a message without blocking. If the queue is full, it closes the
 // connection.
 func (l *Conn) Send(m mesh.Message) {
+	l.sentAt.Store(int64(time.Since(l.openedAt)))
 	l.mu.Lock()
 	full := len(l.queue) >= maxQueuedMessages
 	if !full {
@@ -142,9 +148,21 @@
 	if failure := l.failure.Load(); err != nil && failure != nil {
 		return nil, errors.Wrap(*failure, "write")
 	}
+	if err == nil {
+		l.receivedAt.Store(int64(time.Since(l.openedAt)))
+	}
 	return m, err
 }
 
+// quiet reports whether the connection needs a ping: nothing has arrived within
+// interval, or the peer has not got anything for several intervals and might take this
+// end for lost.
+func (l *Conn) quiet(interval time.Duration) bool {
+	const sendIntervals = 3
+	now := time.Since(l.openedAt)
+	return now-time.Duration(l.receivedAt.Load()) >= interval || now-time.Duration(l.sentAt.Load()) >= sendIntervals*interval
+}
+
 // Closed returns a channel that is closed when the connection is closed.
 func (l *Conn) Closed() <-chan struct{} { return l.closed }
 
--- a/daemon/link/reconnect.go
+++ b/daemon/link/reconnect.go
@@ -41,12 +41,16 @@
 	return nil
 }
 
-// Ping sends a Ping message at each interval until ctx or the connection ends.
+// Ping sends a Ping message at each interval in which the connection is quiet, until
+// ctx or the connection ends. The peer's answer shows that it is alive; on a busy
+// connection its other messages do.
 func Ping(ctx context.Context, c *Conn, interval time.Duration) {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
-		c.Send(&mesh.Ping{})
+		if c.quiet(interval) {
+			c.Send(&mesh.Ping{})
+		}
 		select {
 		case <-ctx.Done():
 			return
--- a/daemon/runner/entries_test.go
+++ b/daemon/runner/entries_test.go
@@ -171,3 +171,21 @@
 	f.agent.Register(Registration{Incarnation: someIncarnation})
 	assert.Equal(t, awaitMessage[*mesh.Inventory](f, leader).Endpoint.Instance, "i@1")
 }
+
+// TestRestartedAgentRemembersDraining guards against an endpoint that had announced its
+// end and gets work again after its agent has restarted.
+func TestRestartedAgentRemembersDraining(t *testing.T) {
+	f := newFixture(t)
+	f.agent.Leave(someIncarnation.Instance)
+	for report := awaitMessage[*mesh.Report](f, f.fakeScheduler); !report.EndpointDraining; {
+		report = awaitMessage[*mesh.Report](f, f.fakeScheduler)
+	}
+	restarted := newUnregisteredFixture(t)
+	leader := restarted.connect(func(near *link.Conn) {
+		_ = restarted.agent.Serve(restarted.ctx, &follow.Leader{Conn: near, Welcome: &mesh.Welcome{
+			Leading: true, Term: 2, Session: 20, Incarnation: &someIncarnation, EndpointDraining: true,
+		}})
+	})
+	inventory := awaitMessage[*mesh.Inventory](restarted, leader)
+	assert.Assert(t, inventory.Endpoint.Draining && inventory.EndpointDraining)
+}
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -280,7 +280,7 @@
 	s.leader = leader
 	s.fence = w.Session
 	s.fenceUsed = false
-	s.restoreRegistration(w.Incarnation)
+	s.restoreRegistration(w)
 	if s.registration == nil && s.possible != nil && s.possible.ended {
 		// There will be no session before another incarnation registers, and the
 		// leader must not wait for it.
@@ -293,12 +293,13 @@
 // recorded, once, if this agent has had no registration since its start: the next
 // announcement may be a second away, and the lease of the endpoint's runs would
 // expire. The caller holds mu.
-func (s *Service) restoreRegistration(recorded *work.Incarnation) {
+func (s *Service) restoreRegistration(w *mesh.Welcome) {
+	recorded := w.Incarnation
 	if recorded == nil || s.everRegistered {
 		return
 	}
 	s.everRegistered = true
-	s.registration = &Registration{Incarnation: *recorded, FromRecord: true}
+	s.registration = &Registration{Incarnation: *recorded, FromRecord: true, Draining: w.EndpointDraining}
 	s.opts.Log.Emit(events.Event{ID: events.EndpointRecalled, Peer: recorded.Instance, Text: recorded.Pool})
 }
 
--- a/daemon/runner/session.go
+++ b/daemon/runner/session.go
@@ -137,7 +137,9 @@
 	silent bool
 	// missedHolds counts the consecutive holds without an answer.
 	missedHolds int
-	draining    bool
+	// draining is set once no more runs are accepted, and endpointDraining if the
+	// endpoint has announced that.
+	draining, endpointDraining bool
 }
 
 type unackedEnd struct {
@@ -157,6 +159,8 @@
 		runs:         map[work.Run]*localRun{},
 		ackedChanged: make(chan struct{}, 1),
 		draining:     params.registration.Draining || params.draining,
+
+		endpointDraining: params.registration.Draining,
 	}
 	if params.leader != nil {
 		n.leader = &participant{schedulerConn: params.leader, session: n, id: params.fence, sentClocks: map[uint64]time.Duration{}}
@@ -301,6 +305,7 @@
 	s.participants[p.vm] = p
 	inventory := &mesh.Inventory{Endpoint: s.describeEndpoint(p), Incarnation: s.registration.Incarnation, Ends: append(s.service.records.endsSince(from, p.vm), ends...)}
 	inventory.Running = s.visibleRuns(p)
+	inventory.EndpointDraining = s.endpointDraining
 	s.mu.Unlock()
 	p.schedulerConn.setParticipant(p)
 	// The answer to this ping arrives before the scheduler's first orders.
--- a/daemon/runner/watch.go
+++ b/daemon/runner/watch.go
@@ -25,7 +25,7 @@
 			return
 		}
 		if r.Draining || state.draining {
-			s.startDraining()
+			s.startDraining(r.Draining)
 		}
 		s.updateParticipants(state)
 		select {
@@ -96,16 +96,19 @@
 	}
 }
 
-func (s *session) startDraining() {
+// startDraining accepts no more runs, because the agent stops or, if endpoint is set,
+// because the endpoint does.
+func (s *session) startDraining(endpoint bool) {
 	s.mu.Lock()
-	already := s.draining
+	already := s.draining && (s.endpointDraining || !endpoint)
 	s.draining = true
+	s.endpointDraining = s.endpointDraining || endpoint
 	s.mu.Unlock()
 	if already {
 		return
 	}
 	for _, p := range s.participantList() {
-		s.sendReport(p, &mesh.Report{Draining: true})
+		s.sendReport(p, &mesh.Report{Draining: true, EndpointDraining: endpoint})
 	}
 }
 
