link: an idle connection gets a ping in each interval

Change: a ping is skipped only if something has arrived in the last half interval and something was sent in it.

--- a/daemon/link/link.go
+++ b/daemon/link/link.go
@@ -154,13 +154,13 @@
 	return m, err
 }
 
-// quiet reports whether the connection needs a ping: nothing has arrived within
-// interval, or the peer has not got anything for several intervals and might take this
-// end for lost.
+// quiet reports whether the connection needs a ping, which is checked once in each
+// interval: nothing has arrived within the last half of it, or nothing has been sent in
+// it, so that the peer might take this end for lost. The answer to the last ping arrived
+// nearly an interval ago, so that an idle connection gets a ping in each.
 func (l *Conn) quiet(interval time.Duration) bool {
-	const sendIntervals = 3
 	now := time.Since(l.openedAt)
-	return now-time.Duration(l.receivedAt.Load()) >= interval || now-time.Duration(l.sentAt.Load()) >= sendIntervals*interval
+	return now-time.Duration(l.receivedAt.Load()) >= interval/2 || now-time.Duration(l.sentAt.Load()) >= interval
 }
 
 // Closed returns a channel that is closed when the connection is closed.
--- /dev/null
+++ b/daemon/link/link_test.go
@@ -0,0 +1,123 @@
+package link
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/cicadapulley/cicadapulley/api/mesh"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// pair returns both ends of a connection on loopback.
+func pair(t *testing.T) (near, far *Conn) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	near, err = Dial(context.Background(), l.Addr().String(), time.Second)
+	assert.NilError(t, err)
+	accepted, err := l.Accept()
+	assert.NilError(t, err)
+	far = New(accepted)
+	t.Cleanup(func() {
+		near.Close()
+		far.Close()
+		near.Wait()
+		far.Wait()
+	})
+	return near, far
+}
+
+// countPings answers the pings of a connection, sends a message at each busy interval
+// (0 for none), and returns the number of pings within d.
+func countPings(t *testing.T, far *Conn, busy, d time.Duration) int {
+	stop := time.After(d)
+	if busy > 0 {
+		ticker := time.NewTicker(busy)
+		defer ticker.Stop()
+		done := make(chan struct{})
+		defer close(done)
+		go func() {
+			for {
+				select {
+				case <-done:
+					return
+				case <-ticker.C:
+					far.Send(&mesh.Acknowledge{})
+				}
+			}
+		}()
+	}
+	pings := 0
+	for {
+		select {
+		case <-stop:
+			return pings
+		default:
+		}
+		m, err := far.Receive(time.Second)
+		assert.NilError(t, err)
+		if _, ok := m.(*mesh.Ping); ok {
+			pings++
+			far.Send(&mesh.Pong{})
+		}
+	}
+}
+
+// TestIdleConnectionsArePinged guards against a live connection that its peer takes for
+// lost: an idle one needs a ping in each interval, not in every other (incident
+// inc-d68e: agents that were 0.8 s without a message lost their sessions).
+func TestIdleConnectionsArePinged(t *testing.T) {
+	const interval, intervals = 50 * time.Millisecond, 20
+	near, far := pair(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go Ping(ctx, near, interval)
+	go func() {
+		for {
+			if _, err := near.Receive(time.Minute); err != nil {
+				return
+			}
+		}
+	}()
+	assert.Assert(t, countPings(t, far, 0, intervals*interval) >= intervals*3/4)
+}
+
+// TestBusyConnectionsSaveAnswers guards against pings on connections whose messages show
+// that both ends are alive: at hundreds of agents pings were most of a leader's messages.
+func TestBusyConnectionsSaveAnswers(t *testing.T) {
+	const interval, intervals = 50 * time.Millisecond, 20
+	near, far := pair(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go Ping(ctx, near, interval)
+	go func() {
+		for {
+			if _, err := near.Receive(time.Minute); err != nil {
+				return
+			}
+			near.Send(&mesh.Report{})
+		}
+	}()
+	assert.Assert(t, countPings(t, far, interval/10, intervals*interval) <= intervals/4)
+}
+
+// TestQueueIsBounded guards against a connection that keeps more and more messages for
+// a peer that reads nothing.
+func TestQueueIsBounded(t *testing.T) {
+	near, _ := pair(t)
+	for range 100 * maxQueuedMessages {
+		near.Send(&mesh.Abandon{})
+		select {
+		case <-near.Closed():
+			return
+		default:
+		}
+	}
+	t.Fatal("the connection is still open")
+}
