--- a/core/placement/endpoints.go
+++ b/core/placement/endpoints.go
@@ -254,6 +254,11 @@
 	}
 }
 
+// ReachesEndpoints reports whether any agent with an endpoint is connected.
+func (p *Planner) ReachesEndpoints() bool {
+	return slices.ContainsFunc(p.order, func(e *endpoint) bool { return e.leaseExpiry.IsZero() })
+}
+
 // SetReachable records whether an endpoint answers its agent.
 func (p *Planner) SetReachable(id SessionID, reachable bool) {
 	if e := p.endpoints[id]; e != nil {
--- a/daemon/fallback/fallback.go
+++ b/daemon/fallback/fallback.go
@@ -181,6 +181,13 @@
 	return text
 }
 
+// ReachesEndpoints reports whether tasks can be placed on any endpoint.
+func (p *Placer) ReachesEndpoints() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.scheduler.Planner.ReachesEndpoints()
+}
+
 // HandedOver reports whether the jobs have been handed over.
 func (p *Placer) HandedOver() bool {
 	p.mu.Lock()
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -31,9 +31,10 @@
 	// leaderTimeout bounds the wait for a leader; it covers two elections.
 	leaderTimeout = 1500 * time.Millisecond
 	// readyGrace is how long after a leader's last message this entry still reports
-	// ready. It covers an election, during which the other entries have no leader
-	// either.
-	readyGrace = 3 * time.Second
+	// ready although it can't place jobs itself. It covers an election, during which the
+	// other entries have no leader either. An entry that is cut off must leave the
+	// balancer's rotation soon: its callers are refused.
+	readyGrace = time.Second
 	// maxPending bounds the requests that wait for an answer.
 	maxPending = 4096
 )
@@ -171,13 +172,16 @@
 }
 
 // Ready reports whether this entry has received a message from a leader within
-// readyGrace or places jobs itself, and is not draining.
+// readyGrace or reaches endpoints on which it places jobs itself, and is not draining.
 func (s *Service) Ready() bool {
 	last := s.lastContact.Load()
 	s.mu.Lock()
-	local := s.local != nil
+	local := s.local
 	s.mu.Unlock()
-	return !s.draining.Load() && (local || last > 0 && boottime.Now().UnixNano()-last < int64(readyGrace))
+	if s.draining.Load() {
+		return false
+	}
+	return last > 0 && boottime.Now().UnixNano()-last < int64(readyGrace) || local != nil && local.ReachesEndpoints()
 }
 
 // Drain makes Ready report false from now on.
--- a/daemon/runner/orders.go
+++ b/daemon/runner/orders.go
@@ -31,10 +31,10 @@
 		s.reportRefusal(p, o.Run, refusal)
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	answer, err := s.service.opts.Endpoint.Start(callCtx, s.registration.Instance, StartRequest{
-		Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Fence: s.fence, Deadline: deadline,
+	answer, err := s.service.calls.order(ctx, func(callCtx context.Context) (Answer, error) {
+		return s.service.opts.Endpoint.Start(callCtx, s.registration.Instance, StartRequest{
+			Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Fence: s.fence, Deadline: deadline,
+		})
 	})
 	if err != nil {
 		s.service.opts.Log.Emit(events.Event{
@@ -139,9 +139,9 @@
 }
 
 func (s *session) tryStopRun(ctx context.Context, r work.Run) bool {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	answer, err := s.service.opts.Endpoint.Stop(callCtx, s.registration.Instance, StopRequest{Run: r, Fence: s.fence})
+	answer, err := s.service.calls.order(ctx, func(callCtx context.Context) (Answer, error) {
+		return s.service.opts.Endpoint.Stop(callCtx, s.registration.Instance, StopRequest{Run: r, Fence: s.fence})
+	})
 	if err != nil {
 		return false
 	}
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -46,7 +46,8 @@
 
 // Service is an agent.
 type Service struct {
-	opts Options
+	opts  Options
+	calls *calls
 
 	mu sync.Mutex
 	// registration is the endpoint's latest; nil before the first one and after
@@ -88,7 +89,7 @@
 
 // New returns an agent. Run starts it.
 func New(o Options) *Service {
-	return &Service{opts: o, changed: make(chan struct{}), entries: map[string]*schedulerConn{}, records: newRunRecords()}
+	return &Service{opts: o, calls: newCalls(), changed: make(chan struct{}), entries: map[string]*schedulerConn{}, records: newRunRecords()}
 }
 
 // notify wakes the goroutines that wait for a change. The caller holds mu.
