--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -171,16 +171,16 @@
 	}
 }
 
-// Ready reports whether this entry has received a message from a leader within
-// readyGrace or reaches endpoints on which it places jobs itself, and is not draining.
-func (s *Service) Ready() bool {
+// Ready reports whether this entry is connected and not draining.
+func (s *Service) Ready() bool { return !s.draining.Load() && s.Connected() }
+
+// Connected reports whether this entry has received a message from a leader within
+// readyGrace or reaches endpoints on which it places jobs itself.
+func (s *Service) Connected() bool {
 	last := s.lastContact.Load()
 	s.mu.Lock()
 	local := s.local
 	s.mu.Unlock()
-	if s.draining.Load() {
-		return false
-	}
 	return last > 0 && boottime.Now().UnixNano()-last < int64(readyGrace) || local != nil && local.ReachesEndpoints()
 }
 
