fallback: entries connect to 96 agents again

The dials to 240 agents keep an entry of 0.144 cores busy, so that the first starts come 0.1 s later and all wait for it. Change: 96 as before. Sites of up to 96 agents are not affected.

--- a/daemon/fallback/fallback.go
+++ b/daemon/fallback/fallback.go
@@ -38,10 +38,11 @@
 	// connection open if the agent has no session with this entry.
 	pingInterval = 200 * time.Millisecond
 	// maxAgents bounds the connections of one entry. Each takes a dial and a few
-	// messages a second. Larger systems spread their entries over the agents; then jobs
-	// that a leader may have started wait until its leases have expired, since some
-	// agents that may run them are not asked.
-	maxAgents = 256
+	// messages a second, and dials to hundreds of agents delay the first starts on a
+	// small VM. Larger systems spread their entries over the agents; then jobs that a
+	// leader may have started wait until its leases have expired, since some agents that
+	// may run them are not asked.
+	maxAgents = 96
 	// expiresAfterTakeover is how long runs may go on at an endpoint that a leader
 	// has taken over before it receives their job: the leader stops unknown runs
 	// after 0.4 s, or the agent's lease from the leader expires.
