--- a/core/placement/assign.go
+++ b/core/placement/assign.go
@@ -188,7 +188,7 @@
 	p.moveStalled(now)
 	for _, e := range p.order {
 		if e.slowdown.decay(now.Sub(p.lastTick)) {
-			p.touch(e)
+			p.pools.mark(e)
 		}
 	}
 	p.sortIndexes(now)
--- a/core/placement/endpoints.go
+++ b/core/placement/endpoints.go
@@ -80,7 +80,7 @@
 	if e := p.endpoints[id]; e != nil {
 		e.free = e.free.Plus(e.UsedByOthers).Minus(taken)
 		e.UsedByOthers = taken
-		p.touch(e)
+		p.pools.mark(e)
 	}
 }
 
@@ -171,7 +171,7 @@
 	r.endpoint.runs[r.Run] = r
 	r.endpoint.free = r.endpoint.free.Minus(r.need)
 	p.runs[r.Task.Job] = append(p.runs[r.Task.Job], r)
-	p.touch(r.endpoint)
+	p.pools.mark(r.endpoint)
 }
 
 // removeRun removes a run from its endpoint.
@@ -182,7 +182,7 @@
 	if len(p.runs[r.Task.Job]) == 0 {
 		delete(p.runs, r.Task.Job)
 	}
-	p.touch(r.endpoint)
+	p.pools.mark(r.endpoint)
 }
 
 // addUnknown adds an unknown run to its endpoint.
@@ -191,7 +191,7 @@
 	p.removeUnknown(u.endpoint, u.listed.Run)
 	u.endpoint.unknown[u.listed.Run] = u
 	p.unknown[id] = append(p.unknown[id], u)
-	p.touch(u.endpoint)
+	p.pools.mark(u.endpoint)
 }
 
 // removeUnknown removes a run from the unknown ones of an endpoint, if it is among
@@ -206,7 +206,7 @@
 	if len(p.unknown[r.Task.Job]) == 0 {
 		delete(p.unknown, r.Task.Job)
 	}
-	p.touch(e)
+	p.pools.mark(e)
 }
 
 // deleteElement removes an element of a list, whose order changes.
@@ -243,7 +243,7 @@
 func (p *Planner) Lost(id SessionID, leaseExpiry time.Time) {
 	if e := p.endpoints[id]; e != nil {
 		e.leaseExpiry = leaseExpiry
-		p.touch(e)
+		p.pools.mark(e)
 	}
 }
 
@@ -263,7 +263,7 @@
 func (p *Planner) SetReachable(id SessionID, reachable bool) {
 	if e := p.endpoints[id]; e != nil {
 		e.unreachable = !reachable
-		p.touch(e)
+		p.pools.mark(e)
 	}
 }
 
@@ -279,7 +279,7 @@
 func (p *Planner) SetDraining(id SessionID) {
 	if e := p.endpoints[id]; e != nil {
 		e.Draining = true
-		p.touch(e)
+		p.pools.mark(e)
 	}
 }
 
--- a/core/placement/index.go
+++ b/core/placement/index.go
@@ -19,8 +19,7 @@
 // search, not its result.
 type endpointIndex struct {
 	// nodes is the tree: the children of node n are 2n and 2n+1, the root is node 1,
-	// and the leaves are the second half. It has one leaf more than endpoints at
-	// least, since the length of nodes is a power of two.
+	// and the leaves are the second half. Node 0 is not used.
 	nodes []indexNode
 	// endpoints are those of the leaves; nil for an unused leaf.
 	endpoints []*endpoint
--- a/core/placement/pools.go
+++ b/core/placement/pools.go
@@ -74,9 +74,6 @@
 	}
 }
 
-// touch records that the state of a present endpoint has changed.
-func (p *Planner) touch(e *endpoint) { p.pools.mark(e) }
-
 // refresh updates the leaves of all endpoints that have changed.
 func (p *Planner) refresh(now time.Time) {
 	s := &p.pools
--- a/core/placement/stall.go
+++ b/core/placement/stall.go
@@ -86,7 +86,7 @@
 		slowness := e.slowness()
 		if slowness > 1 {
 			e.slowdown.raise(slowness)
-			p.touch(e)
+			p.pools.mark(e)
 		}
 		var moves []*run
 		for _, r := range e.runs {
@@ -131,7 +131,7 @@
 	t.moves++
 	if r.hasStalled() {
 		r.endpoint.health.failed(now)
-		p.touch(r.endpoint)
+		p.pools.mark(r.endpoint)
 	}
 	p.Stats.Moves++
 	p.stop(r)
--- a/daemon/coordinator/clients.go
+++ b/daemon/coordinator/clients.go
@@ -171,12 +171,7 @@
 // state it may have left incomplete.
 func (cl *client) spawn(fn func()) {
 	cl.goroutines.Go(func() {
-		finished := false
-		cl.service.catchPanic("server/"+cl.vm, func() {
-			fn()
-			finished = true
-		})
-		if !finished {
+		if err := cl.service.catchPanic("server/"+cl.vm, fn); err != nil {
 			cl.conn.Close()
 		}
 	})
--- a/daemon/coordinator/malformed_test.go
+++ b/daemon/coordinator/malformed_test.go
@@ -5,9 +5,11 @@
 	"context"
 	"encoding/binary"
 	"net"
+	"os"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
@@ -154,16 +156,8 @@
 		assert.NilError(t, err, name)
 		assert.NilError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
 		_, err = conn.Read(make([]byte, 1))
-		var timeout net.Error
-		closed := err != nil && !(asTimeout(err, &timeout) && timeout.Timeout())
-		assert.Assert(t, closed, "%s: the connection is still open", name)
+		assert.Assert(t, err != nil && !errors.Is(err, os.ErrDeadlineExceeded), "%s: the connection is still open", name)
 		_ = conn.Close()
 	}
 	c.assertServing(leader, 1)
 }
-
-func asTimeout(err error, target *net.Error) bool {
-	e, ok := err.(net.Error)
-	*target = e
-	return ok
-}
--- a/daemon/coordinator/operator.go
+++ b/daemon/coordinator/operator.go
@@ -11,6 +11,7 @@
 	"github.com/cicadapulley/cicadapulley/core/ledger"
 	"github.com/cicadapulley/cicadapulley/core/work"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
+	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
 )
 
 // ErrUnavailable is returned for an operator's request that no leader has confirmed.
@@ -68,7 +69,7 @@
 		if r.Done {
 			break
 		}
-		sleep(ctx, forwardRetryDelay)
+		supervisor.Sleep(ctx, forwardRetryDelay)
 	}
 	s.logOperation(q, r, leader, attempts, time.Since(start))
 	if !r.Done {
@@ -140,11 +141,3 @@
 	}
 	s.opts.Log.Emit(e)
 }
-
-// sleep waits for d, or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/daemon/coordinator/server.go
+++ b/daemon/coordinator/server.go
@@ -64,7 +64,9 @@
 		case *mesh.OperatorRequest:
 			// In a goroutine, since a configuration waits for the log, whose messages
 			// arrive on this connection.
-			requests.Go(func() { s.catchPanic("operator", func() { c.Send(s.answerOperator(ctx, m)) }) })
+			requests.Go(func() {
+				_ = s.catchPanic("operator", func() { c.Send(s.answerOperator(ctx, m)) }) // the request is tried again
+			})
 		}
 	}
 }
--- a/daemon/coordinator/service.go
+++ b/daemon/coordinator/service.go
@@ -223,10 +223,10 @@
 	*ledger.Machine
 }
 
-// catchPanic runs fn and reports a panic, which ends only fn. Its goroutine serves one
+// catchPanic runs fn, and reports and returns a panic, which ends only fn. Its goroutine serves one
 // request or connection, and the daemon continues.
-func (s *Service) catchPanic(name string, fn func()) {
-	_ = supervisor.CatchPanic(s.opts.Log, "coordinator/"+name, func() error { // reported
+func (s *Service) catchPanic(name string, fn func()) error {
+	return supervisor.CatchPanic(s.opts.Log, "coordinator/"+name, func() error {
 		fn()
 		return nil
 	})
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/cicadapulley/cicadapulley/daemon/fallback"
 	"github.com/cicadapulley/cicadapulley/daemon/follow"
 	"github.com/cicadapulley/cicadapulley/daemon/scheduler"
+	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
 )
 
 const (
@@ -248,7 +249,7 @@
 		return r
 	}
 	if r != nil {
-		sleep(waitCtx, retryDelay)
+		supervisor.Sleep(waitCtx, retryDelay)
 	}
 	q.PriorState.SentToLeader = true
 	return nil
@@ -300,13 +301,6 @@
 // Uncertain, as during a change of leadership.
 const retryDelay = 30 * time.Millisecond
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // sendToLeader sends a request to the leader and waits for the answer. It returns nil
 // if the connection or ctx ends before the answer, or if too many requests wait.
 func (s *Service) sendToLeader(ctx context.Context, l *leader, q mesh.Request) *mesh.Response {
--- a/daemon/link/link_test.go
+++ b/daemon/link/link_test.go
@@ -33,6 +33,24 @@
 	return near, far
 }
 
+// pingedPair returns the far end of a connection whose near end sends pings and calls
+// received for each message.
+func pingedPair(t *testing.T, interval time.Duration, received func(near *Conn)) *Conn {
+	near, far := pair(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go Ping(ctx, near, interval)
+	go func() {
+		for {
+			if _, err := near.Receive(time.Minute); err != nil {
+				return
+			}
+			received(near)
+		}
+	}()
+	return far
+}
+
 // countPings answers the pings of a connection, sends a message at each busy interval
 // (0 for none), and returns the number of pings within d.
 func countPings(t *testing.T, far *Conn, busy, d time.Duration) int {
@@ -74,17 +92,7 @@
 // inc-d68e: agents that were 0.8 s without a message lost their sessions).
 func TestIdleConnectionsArePinged(t *testing.T) {
 	const interval, intervals = 50 * time.Millisecond, 20
-	near, far := pair(t)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go Ping(ctx, near, interval)
-	go func() {
-		for {
-			if _, err := near.Receive(time.Minute); err != nil {
-				return
-			}
-		}
-	}()
+	far := pingedPair(t, interval, func(*Conn) {})
 	assert.Assert(t, countPings(t, far, 0, intervals*interval) >= intervals*3/4)
 }
 
@@ -92,18 +100,7 @@
 // that both ends are alive: at hundreds of agents pings were most of a leader's messages.
 func TestBusyConnectionsSaveAnswers(t *testing.T) {
 	const interval, intervals = 50 * time.Millisecond, 20
-	near, far := pair(t)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go Ping(ctx, near, interval)
-	go func() {
-		for {
-			if _, err := near.Receive(time.Minute); err != nil {
-				return
-			}
-			near.Send(&mesh.Report{})
-		}
-	}()
+	far := pingedPair(t, interval, func(near *Conn) { near.Send(&mesh.Report{}) })
 	assert.Assert(t, countPings(t, far, interval/10, intervals*interval) <= intervals/4)
 }
 
--- a/daemon/runner/hold.go
+++ b/daemon/runner/hold.go
@@ -8,6 +8,7 @@
 	"github.com/cicadapulley/cicadapulley/core/placement"
 	"github.com/cicadapulley/cicadapulley/core/work"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
+	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
 )
 
 // holdLoop renews the endpoint's lease and reports the changes in its listings,
@@ -122,15 +123,7 @@
 		s.endIncarnation(errLeaseExpired)
 		return
 	}
-	sleep(ctx, holdRetryDelay)
-}
-
-// sleep waits for d, or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
+	supervisor.Sleep(ctx, holdRetryDelay)
 }
 
 // applyListing reports the changes in a listing and stops runs where necessary.
--- a/daemon/runner/orders.go
+++ b/daemon/runner/orders.go
@@ -9,6 +9,7 @@
 	"github.com/cicadapulley/cicadapulley/core/placement"
 	"github.com/cicadapulley/cicadapulley/core/work"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
+	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
 )
 
 // execute executes a scheduler's order in its own goroutine, so that the
@@ -134,7 +135,7 @@
 		if s.tryStopRun(ctx, r) {
 			return
 		}
-		sleep(ctx, stopRetryDelay)
+		supervisor.Sleep(ctx, stopRetryDelay)
 	}
 }
 
--- a/daemon/runner/possible.go
+++ b/daemon/runner/possible.go
@@ -1,9 +1,12 @@
 package runner
 
 import (
+	"context"
 	"maps"
 	"slices"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cicadapulley/cicadapulley/api/mesh"
 	"github.com/cicadapulley/cicadapulley/core/work"
 )
@@ -18,19 +21,10 @@
 }
 
 // setPossibleRuns records the runs that may exist at the endpoint after a session.
-func (s *Service) setPossibleRuns(r *Registration, runs []work.Run) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.possible = &possibleRuns{incarnation: incarnationName(*r), runs: runs}
-}
-
-// setIncarnationEnded records that no run of the last session's incarnation exists any
-// more.
-func (s *Service) setIncarnationEnded() {
+func (s *Service) setPossibleRuns(p *possibleRuns) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.possible.ended = true
-	s.possible.runs = nil
+	s.possible = p
 }
 
 // possibleRuns returns the runs that may exist at an incarnation of the endpoint. It
@@ -46,16 +40,21 @@
 
 // possibleRuns returns the runs that may exist at the endpoint after the session, and
 // those whose ends a leader has to record and may not have recorded.
-func (s *session) possibleRuns() []work.Run {
+func (s *session) possibleRuns() *possibleRuns {
+	p := &possibleRuns{incarnation: incarnationName(s.registration)}
+	if cause := context.Cause(s.ctx); errors.Is(cause, errLeaseExpired) || errors.Is(cause, errOtherInstance) {
+		p.ended = true
+		return p
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := slices.Collect(maps.Keys(s.runs))
+	p.runs = slices.Collect(maps.Keys(s.runs))
 	for _, e := range s.unacked {
 		if !e.bestEffort {
-			list = append(list, e.run)
+			p.runs = append(p.runs, e.run)
 		}
 	}
-	return list
+	return p
 }
 
 // reportPossibleRuns sends the leader the runs that may exist at an endpoint that has
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -170,7 +170,7 @@
 		s.opts.Log.Emit(events.Event{ID: events.SessionEnded, Peer: params.registration.Instance, Err: err})
 		s.afterSession(params.fence, err)
 		if !errors.Is(err, errFenceReplaced) {
-			sleep(ctx, sessionRetryDelay)
+			supervisor.Sleep(ctx, sessionRetryDelay)
 		}
 	}
 	return nil
--- a/daemon/runner/session.go
+++ b/daemon/runner/session.go
@@ -211,10 +211,7 @@
 	s.closed = true
 	s.mu.Unlock()
 	s.goroutines.Wait()
-	s.service.setPossibleRuns(&s.registration, s.possibleRuns())
-	if cause := context.Cause(s.ctx); errors.Is(cause, errLeaseExpired) || errors.Is(cause, errOtherInstance) {
-		s.service.setIncarnationEnded()
-	}
+	s.service.setPossibleRuns(s.possibleRuns())
 	s.releaseParticipants()
 }
 
--- a/daemon/runner/session_test.go
+++ b/daemon/runner/session_test.go
@@ -71,6 +71,13 @@
 	return Answer{Verdict: Done, Clock: f.clock()}, nil
 }
 
+// silence lets the endpoint answer no more calls.
+func (f *fakeEndpoint) silence() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent = true
+}
+
 // finish ends a run successfully.
 func (f *fakeEndpoint) finish(r work.Run) {
 	f.mu.Lock()
@@ -256,9 +263,7 @@
 	f := newFixture(t)
 	f.orderRun(someRun)
 	time.Sleep(100 * time.Millisecond)
-	f.endpoint.mu.Lock()
-	f.endpoint.silent = true
-	f.endpoint.mu.Unlock()
+	f.endpoint.silence()
 	f.awaitReport("unreachable", func(r *mesh.Report) bool { return r.Reachability == mesh.Unreachable })
 	f.awaitReport("lease expired", func(r *mesh.Report) bool { return r.Reachability == mesh.LeaseExpired })
 	f.endpoint.mu.Lock()
@@ -329,9 +334,7 @@
 	f := newFixture(t)
 	f.orderRun(someRun)
 	assert.Assert(t, f.awaitRunning(someRun))
-	f.endpoint.mu.Lock()
-	f.endpoint.silent = true
-	f.endpoint.mu.Unlock()
+	f.endpoint.silence()
 	f.conn.Close()
 	leader := f.connectNextLeader(20)
 	possible := awaitMessage[*mesh.PossibleRuns](f, leader)
@@ -345,9 +348,7 @@
 	f := newFixture(t)
 	f.orderRun(someRun)
 	assert.Assert(t, f.awaitRunning(someRun))
-	f.endpoint.mu.Lock()
-	f.endpoint.silent = true
-	f.endpoint.mu.Unlock()
+	f.endpoint.silence()
 	for {
 		if r := awaitMessage[*mesh.Report](f, f.fakeScheduler); r.Reachability == mesh.LeaseExpired {
 			break
--- a/daemon/supervisor/group.go
+++ b/daemon/supervisor/group.go
@@ -64,10 +64,15 @@
 		if g.observer != nil {
 			g.observer.ChildFailed(path, err)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(DefaultRestartDelay):
-		}
+		Sleep(ctx, DefaultRestartDelay)
+	}
+}
+
+// Sleep waits for d, or until ctx ends, as between the attempts of a child.
+func Sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
 }
 
