--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -12,12 +12,14 @@
 	"time"
 )
 
-// cases by name. Each returns the rule that it checks.
+// cases by name. Each returns the rule that it checks. "storm" and "odd" are searches and
+// belong to no case.
 var cases = map[string]func(rec *recorder, trouble bool) (*system, string){
 	"suspended": suspendedWorkers,
 	"spread":    spreadJobs,
 	"budget":    lostFailures,
 	"pending":   refusedStart,
+	"odd":       oddInputs,
 	"storm":     storm,
 	"twice":     returningAgents,
 }
@@ -32,6 +34,7 @@
 	defer func() {
 		if p := recover(); p != nil {
 			endProcesses()
+			removeFolders()
 			fmt.Fprintln(os.Stderr, "could not run:", p)
 			code = 2
 		}
@@ -42,6 +45,7 @@
 		rec.note("%s", why)
 		rec.close()
 		endProcesses()
+		removeFolders()
 		fmt.Fprintln(os.Stderr, "could not run:", why)
 		os.Exit(2)
 	}
--- a/review/standin/storm.go
+++ b/review/standin/storm.go
@@ -79,6 +79,21 @@
 			for _, a := range list {
 				a.restart()
 			}
+		case "stopleader":
+			if p = s.leader(); p == nil {
+				continue
+			}
+			p.signal(syscall.SIGSTOP)
+			time.Sleep(time.Duration(100+random.IntN(2500)) * time.Millisecond)
+			p.signal(syscall.SIGCONT)
+		case "stopagents":
+			for _, a := range s.agents[:4] {
+				a.signal(syscall.SIGSTOP)
+			}
+			time.Sleep(time.Duration(300+random.IntN(2500)) * time.Millisecond)
+			for _, a := range s.agents[:4] {
+				a.signal(syscall.SIGCONT)
+			}
 		case "freeze":
 			p.signal(syscall.SIGSTOP)
 			time.Sleep(time.Duration(200+random.IntN(3000)) * time.Millisecond)
--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -93,6 +93,7 @@
 	if err != nil {
 		cannotRun("%v", err)
 	}
+	folders.Store(dir, true)
 	s := &system{root: root, dir: dir, rec: rec, check: newChecker(rec)}
 	a, b := 20+rand.IntN(200), 1+rand.IntN(250)
 	base := 12000 + 10*rand.IntN(1800)
@@ -219,6 +220,16 @@
 	})
 }
 
+// folders are the temporary folders of this script.
+var folders sync.Map
+
+func removeFolders() {
+	folders.Range(func(dir, _ any) bool {
+		_ = os.RemoveAll(dir.(string))
+		return true
+	})
+}
+
 func (p *process) signal(sig syscall.Signal) {
 	p.sys.rec.note("platform: %s of %s", sig, p.name())
 	_ = p.cmd.Process.Signal(sig)
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -86,6 +86,8 @@
 	lateShare, lostShare float64
 	// draining is set once the worker says that it leaves.
 	draining bool
+	// drainAcked is when that was acknowledged; 0 if it has not been.
+	drainAcked time.Duration
 	// onStart, if set, is called after a start.
 	onStart func(task string)
 }
@@ -193,6 +195,11 @@
 			acked = resp.StatusCode/100 == 2
 			_ = resp.Body.Close()
 		}
+		w.mu.Lock()
+		if acked && state == "draining" && w.drainAcked == 0 {
+			w.drainAcked = w.sys.rec.at()
+		}
+		w.mu.Unlock()
 		pause := heartbeat
 		if !acked {
 			pause = 250 * time.Millisecond
@@ -206,7 +213,7 @@
 	}
 }
 
-// leave announces that the worker leaves, ends it 2.5 s later, and starts a successor
+// leave announces that the worker leaves, ends it 6.5 s later, and starts a successor
 // with another id at the same address.
 func (w *worker) leave() {
 	w.mu.Lock()
@@ -215,7 +222,7 @@
 	w.mu.Unlock()
 	w.sys.rec.note("worker %s leaves", id)
 	w.beatNow <- struct{}{}
-	time.Sleep(2500 * time.Millisecond)
+	time.Sleep(6500 * time.Millisecond)
 	r, _ := http.NewRequest(http.MethodDelete, fmt.Sprintf("http://%s:%d/cicadapulley/instances/%s", w.ip, w.sys.ports.control, id), nil)
 	client := &http.Client{Timeout: time.Second}
 	if resp, err := client.Do(r); err == nil {
@@ -223,7 +230,7 @@
 	}
 	w.mu.Lock()
 	w.id += "x"
-	w.draining = false
+	w.draining, w.drainAcked = false, 0
 	w.mu.Unlock()
 	w.crash()
 	w.beatNow <- struct{}{}
@@ -360,6 +367,9 @@
 		return
 	}
 	now := time.Now()
+	if w.drainAcked > 0 && w.sys.rec.at() > w.drainAcked+2*time.Second {
+		w.sys.check.violate("DRAIN", "%s starts %s %.1f s after draining was acknowledged", w.id, q.Task, (w.sys.rec.at() - w.drainAcked).Seconds())
+	}
 	run := &workerRun{task: q.Task, run: q.Run, spec: spec, started: now, ends: now.Add(time.Duration(spec.MS) * time.Millisecond)}
 	w.runs[runKey(q.Task, q.Run)] = run
 	run.record = w.sys.check.started(w.id, q.Task, q.Run, q.Spec)
