--- a/review/standin/storm.go
+++ b/review/standin/storm.go
@@ -94,6 +94,18 @@
 			for _, a := range s.agents[:4] {
 				a.signal(syscall.SIGCONT)
 			}
+		case "wipe":
+			p = s.controls[random.IntN(3)]
+			if l := s.leader(); l != nil && random.IntN(2) == 0 {
+				p = l
+			}
+			p.kill()
+			_ = os.RemoveAll(p.settings["data_dir"].(string))
+			_ = os.MkdirAll(p.settings["data_dir"].(string), 0o755)
+			rec.note("platform: %s loses its disk", p.name())
+			time.Sleep(time.Duration(300+random.IntN(2500)) * time.Millisecond)
+			p.restart()
+			time.Sleep(4500 * time.Millisecond)
 		case "freeze":
 			p.signal(syscall.SIGSTOP)
 			time.Sleep(time.Duration(200+random.IntN(3000)) * time.Millisecond)
