ledger: a removal names the enrolment that it ends

Cause: the leader collects absent VMs under its lock and proposes the removals without it, one commit after the other. An agent that returned in between was enrolled and got runs, and the removal decided before was committed behind the enrolment and deleted it. The next leader waits for enrolled VMs only, so it started the VM's tasks elsewhere before it listed its runs.

Change: the ledger keeps the log index of each enrolment, and a removal names the index that it ends, so it cannot end a later one, in whichever order the two are committed. The mark that makes an agent enrol again is dropped once the enrolment is committed, not when it is proposed. Events agent_enrolled and agent_removed show both.

With the comparison of indexes taken out TestRemovalKeepsLaterEnrolment, TestFormerEnrolmentsAreRemoved and TestAgentThatReturnsDuringItsRemovalStaysEnrolled fail.

--- a/api/mesh/golden_test.go
+++ b/api/mesh/golden_test.go
@@ -13,7 +13,7 @@
 
 // addedFields are fields that were added after the first golden files were written.
 // They are absent from messages, commands and snapshots of former code.
-var addedFields = []string{"Waited", "EndpointDraining"}
+var addedFields = []string{"Waited", "EndpointDraining", "RemoveEnrolment", "Enrolments"}
 
 // TestGoldenMessages guards against a message that is encoded differently from
 // released code: a renamed field without its former name as a tag, or a kind
@@ -57,7 +57,10 @@
 	}
 	enrol := testfill.Value[ledger.Agent]()
 	testfill.CheckGolden(t, "testdata/command-enrol-draining.cbor", ledger.Command{Enrol: &enrol}, EncodeCommand, DecodeCommand)
-	testfill.CheckFileCount(t, "testdata/command-*.cbor", 2+len(commands))
+	removal := testfill.Value[ledger.Enrolment]()
+	testfill.CheckGolden(t, "testdata/command-remove-enrolment.cbor", ledger.Command{RemoveEnrolment: &removal}, EncodeCommand, DecodeCommand)
+	testfill.CheckFileCount(t, "testdata/command-*.cbor", 3+len(commands))
 	testfill.CheckGolden(t, "testdata/snapshot.cbor", testfill.Value[ledger.Snapshot](addedFields...), EncodeSnapshot, DecodeSnapshot)
-	testfill.CheckGolden(t, "testdata/snapshot-draining.cbor", testfill.Value[ledger.Snapshot](), EncodeSnapshot, DecodeSnapshot)
+	testfill.CheckGolden(t, "testdata/snapshot-draining.cbor", testfill.Value[ledger.Snapshot]("Enrolments"), EncodeSnapshot, DecodeSnapshot)
+	testfill.CheckGolden(t, "testdata/snapshot-enrolments.cbor", testfill.Value[ledger.Snapshot](), EncodeSnapshot, DecodeSnapshot)
 }
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -17,12 +17,24 @@
 	Ends      []work.End
 	Cancel    work.JobID
 	Configure *work.Configuration
-	// Enrol adds an agent whose endpoint may run tasks; Remove drops the agent of a
-	// VM. A new leader waits for the inventories of all enrolled agents.
-	Enrol  *Agent
+	// Enrol adds an agent whose endpoint may run tasks. A new leader waits for the
+	// inventories of all enrolled agents.
+	Enrol *Agent
+	// Remove drops the agent of a VM, whichever enrolment it has. It is in logs of
+	// former versions only; RemoveEnrolment replaces it.
 	Remove string `cbor:"Expel"`
 	// Forget drops final jobs whose retention time has passed.
 	Forget []work.JobID
+	// RemoveEnrolment drops an agent unless it has enrolled again in the meantime.
+	RemoveEnrolment *Enrolment `cbor:",omitempty"`
+}
+
+// Enrolment identifies one enrolment of a VM's agent.
+type Enrolment struct {
+	VM string
+	// Index is the log index of the command that enrolled the agent, 0 if a former
+	// version has recorded it.
+	Index uint64
 }
 
 // Agent is an agent whose endpoint may run tasks.
@@ -41,8 +53,8 @@
 // Result is the outcome of a command.
 type Result struct {
 	// Changed is set for an accepted job that is not a resubmission, for a
-	// cancelled job that was not final, and for a configuration that came into
-	// force.
+	// cancelled job that was not final, for a configuration that came into force,
+	// and for an enrolment that was removed.
 	Changed bool
 	// Closed lists jobs that became final by this command.
 	Closed []work.JobID
@@ -92,11 +104,14 @@
 	jobs    map[work.JobID]*Record
 	// enrolled holds the agents whose endpoints may run tasks, by VM.
 	enrolled map[string]Agent
+	// enrolledAt holds the log indexes of the enrolments, by VM. Enrolments that a
+	// former version has recorded have none.
+	enrolledAt map[string]uint64
 }
 
 // New returns an empty machine.
 func New() *Machine {
-	return &Machine{jobs: map[work.JobID]*Record{}, enrolled: map[string]Agent{}}
+	return &Machine{jobs: map[work.JobID]*Record{}, enrolled: map[string]Agent{}, enrolledAt: map[string]uint64{}}
 }
 
 // Applied returns the log index of the last applied command.
@@ -124,6 +139,11 @@
 	return a, ok
 }
 
+// Enrolment returns the current enrolment of a VM's agent.
+func (m *Machine) Enrolment(vm string) Enrolment {
+	return Enrolment{VM: vm, Index: m.enrolledAt[vm]}
+}
+
 // EnrolledVMs returns the VMs whose endpoints may run tasks, sorted.
 func (m *Machine) EnrolledVMs() []string { return slices.Sorted(maps.Keys(m.enrolled)) }
 
@@ -157,8 +177,12 @@
 		return m.configure(c.Configure)
 	case c.Enrol != nil:
 		m.enrolled[c.Enrol.VM] = *c.Enrol
+		m.enrolledAt[c.Enrol.VM] = index
 	case c.Remove != "":
-		delete(m.enrolled, c.Remove)
+		m.remove(c.Remove)
+	case c.RemoveEnrolment != nil && *c.RemoveEnrolment == m.Enrolment(c.RemoveEnrolment.VM):
+		m.remove(c.RemoveEnrolment.VM)
+		return Result{Changed: true}
 	}
 	for _, id := range c.Forget {
 		if r := m.jobs[id]; r != nil && r.State.Final() {
@@ -168,6 +192,11 @@
 	return Result{}
 }
 
+func (m *Machine) remove(vm string) {
+	delete(m.enrolled, vm)
+	delete(m.enrolledAt, vm)
+}
+
 // accept stores a job unless its ID is already recorded: a resent submission is
 // the same job.
 func (m *Machine) accept(j *work.Job) Result {
@@ -256,11 +285,17 @@
 	Configuration *work.Configuration
 	Jobs          []Record
 	Enrolled      []Agent
+	// Enrolments identifies the enrolments of these agents, without those that a former
+	// version has recorded.
+	Enrolments []Enrolment `cbor:",omitempty"`
 }
 
 // Snapshot returns a copy of the state that later commands do not change.
 func (m *Machine) Snapshot() Snapshot {
 	s := Snapshot{Applied: m.applied, Configuration: m.config, Jobs: make([]Record, 0, len(m.jobs)), Enrolled: m.Agents()}
+	for _, vm := range slices.Sorted(maps.Keys(m.enrolledAt)) {
+		s.Enrolments = append(s.Enrolments, m.Enrolment(vm))
+	}
 	for _, r := range m.jobs {
 		c := *r
 		c.Tasks = append([]Task(nil), r.Tasks...)
@@ -281,6 +316,10 @@
 	for _, a := range s.Enrolled {
 		m.enrolled[a.VM] = a
 	}
+	m.enrolledAt = make(map[string]uint64, len(s.Enrolments))
+	for _, e := range s.Enrolments {
+		m.enrolledAt[e.VM] = e.Index
+	}
 	m.jobs = make(map[work.JobID]*Record, len(s.Jobs))
 	for i := range s.Jobs {
 		r := s.Jobs[i]
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -55,6 +55,42 @@
 	assert.Equal(t, m.Job("a").State, work.JobFailed)
 }
 
+// TestRemovalKeepsLaterEnrolment guards against an agent that is no longer enrolled
+// although its endpoint runs tasks: it enrolled again while its removal was being
+// committed. Replay and snapshots must keep the distinction.
+func TestRemovalKeepsLaterEnrolment(t *testing.T) {
+	agent := Agent{VM: "side-1", Address: "127.0.0.1:1"}
+	for _, restore := range []bool{false, true} {
+		m := New()
+		m.Apply(1, Command{Enrol: &agent})
+		absent := m.Enrolment("side-1")
+		m.Apply(2, Command{Enrol: &agent})
+		if restore {
+			s := m.Snapshot()
+			m = New()
+			m.Restore(s)
+		}
+		assert.Assert(t, !m.Apply(3, Command{RemoveEnrolment: &absent}).Changed)
+		assert.DeepEqual(t, m.EnrolledVMs(), []string{"side-1"})
+		current := m.Enrolment("side-1")
+		assert.Assert(t, m.Apply(4, Command{RemoveEnrolment: &current}).Changed)
+		assert.Equal(t, len(m.EnrolledVMs()), 0)
+		assert.Equal(t, m.Enrolment("side-1").Index, uint64(0))
+	}
+}
+
+// TestFormerEnrolmentsAreRemoved guards against an agent that a former version has
+// enrolled, without an index, and that is never removed.
+func TestFormerEnrolmentsAreRemoved(t *testing.T) {
+	m := New()
+	m.Restore(Snapshot{Applied: 7, Enrolled: []Agent{{VM: "side-1"}, {VM: "side-2"}}})
+	first, second := m.Enrolment("side-1"), m.Enrolment("side-2")
+	m.Apply(8, Command{Enrol: &Agent{VM: "side-2"}})
+	m.Apply(9, Command{RemoveEnrolment: &first})
+	m.Apply(10, Command{RemoveEnrolment: &second})
+	assert.DeepEqual(t, m.EnrolledVMs(), []string{"side-2"})
+}
+
 // TestFinalJobsStay guards against a final state that changes, and against a job
 // that is forgotten before it is final.
 func TestFinalJobsStay(t *testing.T) {
--- a/core/testfill/fill.go
+++ b/core/testfill/fill.go
@@ -27,10 +27,15 @@
 // OneField returns a value for each field of a struct, with only that field set.
 // without is as for Value.
 func OneField[T any](without ...string) []T {
-	list := make([]T, reflect.TypeFor[T]().NumField())
-	for i := range list {
+	var list []T
+	for field := range reflect.TypeFor[T]().Fields() {
+		if slices.Contains(without, field.Name) {
+			continue
+		}
+		var v T
 		f := filler{without: without}
-		f.fill(reflect.ValueOf(&list[i]).Elem().Field(i))
+		f.fill(reflect.ValueOf(&v).Elem().FieldByIndex(field.Index))
+		list = append(list, v)
 	}
 	return list
 }
--- a/daemon/coordinator/agents.go
+++ b/daemon/coordinator/agents.go
@@ -100,7 +100,6 @@
 	s := a.client.service
 	s.mu.Lock()
 	removed := a.term.removed[a.VM]
-	delete(a.term.removed, a.VM)
 	s.mu.Unlock()
 	agent := ledger.Agent{VM: a.VM, Address: a.client.address, Incarnation: incarnation, EndpointDraining: draining}
 	known := false
@@ -111,6 +110,10 @@
 	if _, err = s.propose(ctx, ledger.Command{Enrol: &agent}); err != nil {
 		return false
 	}
+	a.log().Emit(events.Event{ID: events.AgentEnrolled, Peer: a.VM, Text: incarnation.Instance})
+	s.mu.Lock()
+	delete(a.term.removed, a.VM)
+	s.mu.Unlock()
 	s.eachEntry(func(cl *client) {
 		cl.conn.Send(&mesh.Enrolled{Agent: ledger.Agent{VM: agent.VM, Address: agent.Address}})
 	})
--- a/daemon/coordinator/agents_test.go
+++ b/daemon/coordinator/agents_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
+	"github.com/cicadapulley/cicadapulley/core/ledger"
 	"github.com/cicadapulley/cicadapulley/core/work"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 )
@@ -51,6 +53,34 @@
 	c.eventually("the next leader has the record", func() bool { return recorded(next) })
 }
 
+// TestAgentThatReturnsDuringItsRemovalStaysEnrolled guards against a task that runs at two
+// endpoints after a change of the leader: an agent comes back after its removal has been
+// decided and before it is committed, and the next leader does not wait for its runs.
+func TestAgentThatReturnsDuringItsRemovalStaysEnrolled(t *testing.T) {
+	c := newCluster(t, 3)
+	leader := c.leader()
+	c.configure(leader, 1)
+	service := c.managers[leader].service.Load()
+	agent, _ := c.joinAgent(leader)
+	agent.Close()
+	var absent []ledger.Enrolment
+	c.eventually("the agent is found to be absent", func() bool {
+		service.mu.Lock()
+		defer service.mu.Unlock()
+		if service.connected(someAgent.VM) {
+			return false
+		}
+		leaseExpired := now().Add(time.Minute)
+		service.term.Tick(leaseExpired)
+		absent = service.absent(service.term, leaseExpired)
+		return true
+	})
+	assert.Equal(t, len(absent), 1)
+	c.joinAgent(leader)
+	service.removeAbsent(t.Context(), absent)
+	assert.DeepEqual(t, service.machine.EnrolledVMs(), []string{someAgent.VM})
+}
+
 // TestAcknowledgementsFollowRecords guards against the acknowledgement of an end that is
 // not recorded yet: an acknowledgement covers all earlier ends, and the endpoint forgets
 // them. Reports that need no record must not overtake those that do.
--- a/daemon/coordinator/term.go
+++ b/daemon/coordinator/term.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/cicadapulley/cicadapulley/core/lease"
@@ -33,7 +32,8 @@
 	sessionCount uint64
 	// submitting counts the proposals in progress for each job.
 	submitting map[work.JobID]int
-	// removed are the VMs that this term has removed from the enrolled ones. A new
+	// removed are the VMs whose removal from the enrolled ones this term has decided.
+	// The record may still list them while the removal is being committed. A new
 	// leader waits only for the inventories of enrolled VMs, so the agent of a
 	// removed VM enrols again before it joins.
 	removed map[string]bool
@@ -158,11 +158,7 @@
 	}
 	absent := s.absent(t, now)
 	s.mu.Unlock()
-	for _, vm := range absent {
-		if _, err := s.propose(ctx, ledger.Command{Remove: vm}); err != nil {
-			s.opts.Log.Emit(events.Event{ID: events.ForgetFailed, Peer: vm, Err: err})
-		}
-	}
+	s.removeAbsent(ctx, absent)
 	if len(forget) == 0 {
 		return
 	}
@@ -171,19 +167,40 @@
 	}
 }
 
-// absent returns enrolled VMs that have neither a session nor runs, and records
-// them as removed. The caller holds mu.
-func (s *Service) absent(t *term, now time.Time) []string {
+// absent returns the enrolments of VMs that have neither a session nor runs, and
+// records the VMs as removed. The caller holds mu.
+func (s *Service) absent(t *term, now time.Time) []ledger.Enrolment {
 	var enrolled []string
 	s.driver.Local(func() { enrolled = s.machine.EnrolledVMs() })
-	absent := t.Planner.Absent(now, enrolled)
-	absent = slices.DeleteFunc(absent, func(vm string) bool { return t.removed[vm] || s.connected(vm) })
-	for _, vm := range absent {
+	var absent []ledger.Enrolment
+	for _, vm := range t.Planner.Absent(now, enrolled) {
+		if t.removed[vm] || s.connected(vm) {
+			continue
+		}
 		t.removed[vm] = true
+		s.driver.Local(func() { absent = append(absent, s.machine.Enrolment(vm)) })
 	}
 	return absent
 }
 
+// removeAbsent removes enrolments that were found to be absent. The removals wait for
+// their commits without holding mu, so an agent may enrol again before its removal is
+// committed; each removal therefore names the enrolment that it ends.
+func (s *Service) removeAbsent(ctx context.Context, absent []ledger.Enrolment) {
+	for _, e := range absent {
+		result, err := s.propose(ctx, ledger.Command{RemoveEnrolment: &e})
+		if err != nil {
+			s.opts.Log.Emit(events.Event{ID: events.ForgetFailed, Peer: e.VM, Err: err})
+			continue
+		}
+		removed := events.Event{ID: events.AgentRemoved, Peer: e.VM}
+		if !result.Changed {
+			removed.Text = "enrolled again, stays"
+		}
+		s.opts.Log.Emit(removed)
+	}
+}
+
 // connected reports whether a VM's agent has a session. The caller holds mu.
 func (s *Service) connected(vm string) bool {
 	for cl := range s.clients {
--- a/daemon/events/catalogue.go
+++ b/daemon/events/catalogue.go
@@ -74,6 +74,8 @@
 	ForgetFailed        ID = 355
 	RunOrdered          ID = 356
 	RunEnded            ID = 357
+	AgentEnrolled       ID = 358
+	AgentRemoved        ID = 359
 	EndpointJoined      ID = 360
 	ClientLost          ID = 361
 	StartRefused        ID = 362
@@ -202,6 +204,8 @@
 	{ForgetFailed, "forget_failed", zapcore.WarnLevel, "the removal of final jobs or absent VMs from the records could not be confirmed; the next term of a leader repeats it"},
 	{RunOrdered, "run_ordered", zapcore.InfoLevel, "an agent was ordered to start or stop a run"},
 	{RunEnded, "run_ended", zapcore.InfoLevel, "a run ended"},
+	{AgentEnrolled, "agent_enrolled", zapcore.InfoLevel, "an agent is recorded as one whose endpoint may run tasks; a new leader waits for the runs of these"},
+	{AgentRemoved, "agent_removed", zapcore.InfoLevel, "an absent agent is no longer recorded, since nothing can run at its endpoint; the detail says if it has enrolled again in the meantime and stays"},
 	{EndpointJoined, "endpoint_joined", zapcore.InfoLevel, "an agent began a session; the detail counts the running and ended runs that its endpoint lists"},
 	{ClientLost, "client_lost", zapcore.WarnLevel, "the connection of an entry or agent ended; if it repeats, check that VM and the link"},
 	{StartRefused, "start_refused", zapcore.InfoLevel, "an endpoint did not start a run; the task is queued again"},
