--- a/daemon/coordinator/agents_test.go
+++ b/daemon/coordinator/agents_test.go
@@ -79,6 +79,11 @@
 	c.joinAgent(leader)
 	service.removeAbsent(t.Context(), absent)
 	assert.DeepEqual(t, service.machine.EnrolledVMs(), []string{someAgent.VM})
+	// Entries that connect, or receive the next configuration, await and use it as well.
+	entry := c.dial(leader, &mesh.Hello{Role: mesh.RoleEntry, VM: "entry-1"})
+	agents := await[*mesh.Welcome](entry).Agents
+	assert.Equal(t, len(agents), 1)
+	assert.Equal(t, agents[0].VM, someAgent.VM)
 }
 
 // TestAcknowledgementsFollowRecords guards against the acknowledgement of an end that is
