placement: a task waits for a run of it that is being stopped

A task could run twice at once, also at one endpoint: an endpoint lists a run of a task that is placed elsewhere, so that it is stopped; if the start elsewhere is refused before the listed run has ended, the task was queued and placed again at once.

Cause: such a run is kept as one without a job, and requeue did not look for it. Change: requeue makes it the task's current run, whose end queues the task.

TestTaskWaitsForRunThatIsBeingStopped fails before the change (one start beside the listed run).

--- a/core/placement/endpoints.go
+++ b/core/placement/endpoints.go
@@ -123,6 +123,11 @@
 	if t.phase == waiting {
 		j.unqueue(p, l.Task)
 	}
+	p.trackRun(now, j, t, e, l)
+}
+
+// trackRun makes a run that an endpoint lists the current run of its task.
+func (p *Planner) trackRun(now time.Time, j *job, t *task, e *endpoint, l ListedRun) {
 	t.phase = placed
 	p.observeRunNumber(l.Run.Number)
 	t.lastRun = max(t.lastRun, l.Run.Number)
@@ -394,10 +399,28 @@
 		r.job.recordEnd(now, r.Run, "endpoint lost")
 		t.failedOn = append(t.failedOn, r.endpoint.VM)
 	}
+	if p.trackStoppingRun(now, r.job, t, r.Task) {
+		return
+	}
 	p.Stats.Requeues++
 	p.enqueue(r.job, r.Task.Step, r.Task.Index)
 }
 
+// trackStoppingRun makes an unknown run of a task that is being stopped the task's
+// current run, so that the task waits for its end. It returns false if there is none.
+func (p *Planner) trackStoppingRun(now time.Time, j *job, t *task, id work.TaskID) bool {
+	for _, u := range slices.SortedFunc(slices.Values(p.unknown[id.Job]), compareUnknown) {
+		if u.listed.Task != id {
+			continue
+		}
+		p.removeUnknown(u.endpoint, u.listed.Run)
+		p.trackRun(now, j, t, u.endpoint, u.listed)
+		u.endpoint.runs[u.listed.Run].stopping = u.stopping
+		return true
+	}
+	return false
+}
+
 // Refused handles the refusal of a start. The run has not begun and cannot begin
 // any more.
 func (p *Planner) Refused(now time.Time, id SessionID, rn work.Run, reason Refusal) {
--- a/core/placement/planner_test.go
+++ b/core/placement/planner_test.go
@@ -247,6 +247,28 @@
 	assert.Equal(t, len(starts), 1)
 }
 
+// TestTaskWaitsForRunThatIsBeingStopped guards against a task that starts again while
+// another run of it is still being stopped: an endpoint lists a run of a task that was
+// placed elsewhere, and the start there is refused before the listed run has ended.
+func TestTaskWaitsForRunThatIsBeingStopped(t *testing.T) {
+	f := newFixture(t)
+	f.join(1, "vm-1", 1)
+	f.planner.Add(f.now, oneStep("job", 1), PriorState{})
+	first, _ := f.assign()
+	assert.Equal(t, len(first), 1)
+	listed := work.Run{Task: first[0].Run.Task, Number: 3}
+	f.join(2, "vm-2", 1, ListedRun{Run: listed})
+	_, stops := f.assign()
+	assert.Equal(t, len(stops), 1)
+	f.planner.Refused(f.now, 1, first[0].Run, RefusedLease)
+	f.join(3, "vm-3", 1)
+	starts, _ := f.assign()
+	assert.Equal(t, len(starts), 0, "the listed run has not ended")
+	f.planner.Ended(f.now, 2, work.End{Run: listed, Reason: work.Stopped})
+	starts, _ = f.assign()
+	assert.Equal(t, len(starts), 1)
+}
+
 // TestAttemptsAreBounded guards against a start after the last allowed failure.
 func TestAttemptsAreBounded(t *testing.T) {
 	f := newFixture(t)
