runner: a session begins with the deadlines of earlier ones

A task could start elsewhere while its run went on: an agent whose endpoint went silent just after a session began reported the lease as expired after 0.3 s.

Cause: a session counted its own deadlines only, and has none before the leader's first answer. Change: it begins with the endpoint's clock plus the longest lease, which no earlier hold or start exceeds.

TestNewSessionKeepsEarlierDeadlines fails before the change: expiry is reported before the latest deadline that the endpoint has received.

--- a/daemon/runner/session.go
+++ b/daemon/runner/session.go
@@ -231,6 +231,8 @@
 		return err
 	}
 	s.clock.Observe(listing.Clock, now())
+	// The runs may have deadlines from earlier sessions, also of an earlier process.
+	s.latestDeadline = listing.Clock + s.service.opts.MaxHold
 	s.loadRuns(listing)
 	reports := s.recordNewEnds(listing.Ends)
 	peer := "no leader"
--- a/daemon/runner/session_test.go
+++ b/daemon/runner/session_test.go
@@ -118,6 +118,9 @@
 type fakeScheduler struct {
 	conn     *link.Conn
 	messages chan mesh.Message
+	// renewsNothing is set for a scheduler that answers pings without renewing the lease,
+	// as a leader that may have been replaced does.
+	renewsNothing bool
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -153,8 +156,14 @@
 // for the agent.
 func (f *fixture) connect(serve func(near *link.Conn)) *fakeScheduler {
 	near, far := net.Pipe()
-	agent := link.New(near)
 	s := &fakeScheduler{conn: link.New(far), messages: make(chan mesh.Message, 100)}
+	f.start(s, near, serve)
+	return s
+}
+
+// start lets serve handle the agent's end of a scheduler's connection.
+func (f *fixture) start(s *fakeScheduler, near net.Conn, serve func(near *link.Conn)) {
+	agent := link.New(near)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -167,7 +176,6 @@
 		agent.Close()
 		<-done
 	})
-	return s
 }
 
 // connectLeader connects a leader that issues a fencing token.
@@ -199,7 +207,7 @@
 		}
 		switch m := message.(type) {
 		case *mesh.Ping:
-			s.conn.Send(&mesh.Pong{Sequence: m.Sequence, Renewed: true})
+			s.conn.Send(&mesh.Pong{Sequence: m.Sequence, Renewed: !s.renewsNothing})
 		case *mesh.Pong:
 		case *mesh.NewSession:
 			s.conn.Send(&mesh.Welcome{Leading: true, Term: 1, Session: 8})
@@ -322,9 +330,33 @@
 // connectNextLeader connects a leader of the next term, which takes over from the
 // first.
 func (f *fixture) connectNextLeader(session placement.SessionID) *fakeScheduler {
-	return f.connect(func(near *link.Conn) {
+	return f.connect(f.serveNextLeader(session))
+}
+
+func (f *fixture) serveNextLeader(session placement.SessionID) func(near *link.Conn) {
+	return func(near *link.Conn) {
 		_ = f.agent.Serve(f.ctx, &follow.Leader{Conn: near, Welcome: &mesh.Welcome{Leading: true, Term: 2, Session: session}})
-	})
+	}
+}
+
+// TestNewSessionKeepsEarlierDeadlines guards against a second run of a task: an agent
+// whose endpoint goes silent just after a new session began, and before the leader has
+// renewed the lease, must not report the lease as expired while the runs of the session
+// before may go on.
+func TestNewSessionKeepsEarlierDeadlines(t *testing.T) {
+	f := newFixture(t)
+	f.orderRun(someRun)
+	assert.Assert(t, f.awaitRunning(someRun))
+	near, far := net.Pipe()
+	leader := &fakeScheduler{conn: link.New(far), messages: make(chan mesh.Message, 100), renewsNothing: true}
+	f.start(leader, near, f.serveNextLeader(20))
+	awaitMessage[*mesh.Inventory](f, leader)
+	f.endpoint.silence()
+	for awaitMessage[*mesh.Report](f, leader).Reachability != mesh.LeaseExpired {
+	}
+	f.endpoint.mu.Lock()
+	defer f.endpoint.mu.Unlock()
+	assert.Assert(t, f.endpoint.clock() > slices.Max(f.endpoint.deadlines), "runs may go on until their deadline")
 }
 
 // TestSilentEndpointsListPossibleRuns guards against a new leader that waits for the
