ledger, placement: failures count once, in any order

Cause: a failure counted only if its run number was above the highest known one. Two agents bring the failures of a task to the next leader, and if the one with the later run joins first, the earlier failure was not counted, neither by the planner nor by the ledger. Besides, a queued task stayed queued when its last failure arrived, until the record of it had closed the job.

Change: both keep the numbers of the counted runs. A queued task without attempts left leaves the queue. Records of former versions, which have no numbers, count as before.

--- a/api/mesh/golden_test.go
+++ b/api/mesh/golden_test.go
@@ -13,7 +13,7 @@
 
 // addedFields are fields that were added after the first golden files were written.
 // They are absent from messages, commands and snapshots of former code.
-var addedFields = []string{"Waited", "EndpointDraining", "RemoveEnrolment", "Enrolments"}
+var addedFields = []string{"Waited", "EndpointDraining", "RemoveEnrolment", "Enrolments", "FailedRuns"}
 
 // TestGoldenMessages guards against a message that is encoded differently from
 // released code: a renamed field without its former name as a tag, or a kind
@@ -61,6 +61,7 @@
 	testfill.CheckGolden(t, "testdata/command-remove-enrolment.cbor", ledger.Command{RemoveEnrolment: &removal}, EncodeCommand, DecodeCommand)
 	testfill.CheckFileCount(t, "testdata/command-*.cbor", 3+len(commands))
 	testfill.CheckGolden(t, "testdata/snapshot.cbor", testfill.Value[ledger.Snapshot](addedFields...), EncodeSnapshot, DecodeSnapshot)
-	testfill.CheckGolden(t, "testdata/snapshot-draining.cbor", testfill.Value[ledger.Snapshot]("Enrolments"), EncodeSnapshot, DecodeSnapshot)
-	testfill.CheckGolden(t, "testdata/snapshot-enrolments.cbor", testfill.Value[ledger.Snapshot](), EncodeSnapshot, DecodeSnapshot)
+	testfill.CheckGolden(t, "testdata/snapshot-draining.cbor", testfill.Value[ledger.Snapshot]("Enrolments", "FailedRuns"), EncodeSnapshot, DecodeSnapshot)
+	testfill.CheckGolden(t, "testdata/snapshot-enrolments.cbor", testfill.Value[ledger.Snapshot]("FailedRuns"), EncodeSnapshot, DecodeSnapshot)
+	testfill.CheckGolden(t, "testdata/snapshot-failed-runs.cbor", testfill.Value[ledger.Snapshot](), EncodeSnapshot, DecodeSnapshot)
 }
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -67,6 +67,19 @@
 	Failures int
 	// LastRun is the highest run number among recorded ends.
 	LastRun uint64
+	// FailedRuns are the numbers of the counted runs. Failures that a former version has
+	// recorded have none.
+	FailedRuns []uint64 `cbor:",omitempty"`
+}
+
+// hasCounted reports whether the failure of a run has been counted. Failures arrive in
+// any order: two leaders may report the same one, and after a change of the leader that
+// of a later run may be recorded first.
+func (t *Task) hasCounted(run uint64) bool {
+	if len(t.FailedRuns) < t.Failures && run <= t.LastRun {
+		return true // a former version recorded failures in the order of their numbers
+	}
+	return slices.Contains(t.FailedRuns, run)
 }
 
 // Record is an accepted job and its progress.
@@ -237,10 +250,9 @@
 		if r.Open == 0 {
 			r.close(work.Completed)
 		}
-	case e.Reason == work.Failed && e.Run.Number > t.LastRun:
-		// A failure that is reported again, for example after a takeover, counts
-		// once.
-		t.LastRun = e.Run.Number
+	case e.Reason == work.Failed && !t.hasCounted(e.Run.Number):
+		t.LastRun = max(t.LastRun, e.Run.Number)
+		t.FailedRuns = append(t.FailedRuns, e.Run.Number)
 		t.Failures++
 		if t.Failures >= r.Job.MaxAttempts {
 			r.close(work.JobFailed)
@@ -299,6 +311,9 @@
 	for _, r := range m.jobs {
 		c := *r
 		c.Tasks = append([]Task(nil), r.Tasks...)
+		for i := range c.Tasks {
+			c.Tasks[i].FailedRuns = slices.Clone(c.Tasks[i].FailedRuns)
+		}
 		s.Jobs = append(s.Jobs, c)
 	}
 	return s
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -55,6 +55,33 @@
 	assert.Equal(t, m.Job("a").State, work.JobFailed)
 }
 
+// TestFailuresCountInAnyOrder guards against an attempt that is not counted because the
+// failure of a later run is recorded first, as after a change of the leader, so that a
+// task starts more often than its attempts allow.
+func TestFailuresCountInAnyOrder(t *testing.T) {
+	m := New()
+	m.Apply(1, Command{Accept: job("a", 1)})
+	m.Apply(2, ends(end("a", 0, 7, work.Failed)))
+	s := m.Snapshot()
+	m = New()
+	m.Restore(s)
+	m.Apply(3, ends(end("a", 0, 7, work.Failed)))
+	assert.Equal(t, m.Job("a").State, work.Running, "a failure that is reported again counts once")
+	assert.DeepEqual(t, m.Apply(4, ends(end("a", 0, 3, work.Failed))).Closed, []work.JobID{"a"})
+	assert.Equal(t, m.Job("a").State, work.JobFailed)
+}
+
+// TestFormerFailuresCountOnce guards against a failure that a former version recorded,
+// without its run number, and that counts again when it is reported again.
+func TestFormerFailuresCountOnce(t *testing.T) {
+	m := New()
+	m.Restore(Snapshot{Jobs: []Record{{Job: *job("a", 1), State: work.Running, Tasks: []Task{{Failures: 1, LastRun: 5}}, Open: 1}}})
+	m.Apply(1, ends(end("a", 0, 5, work.Failed)))
+	assert.Equal(t, m.Job("a").State, work.Running)
+	m.Apply(2, ends(end("a", 0, 6, work.Failed)))
+	assert.Equal(t, m.Job("a").State, work.JobFailed)
+}
+
 // TestRemovalKeepsLaterEnrolment guards against an agent that is no longer enrolled
 // although its endpoint runs tasks: it enrolled again while its removal was being
 // committed. Replay and snapshots must keep the distinction.
--- a/core/placement/endpoints.go
+++ b/core/placement/endpoints.go
@@ -331,8 +331,13 @@
 	switch {
 	case end.Reason == work.Done:
 		p.markDone(j, t, end.Task)
-	case end.Reason == work.Failed && end.Run.Number > t.lastRun:
-		t.failures++
+	case end.Reason == work.Failed:
+		t.countFailure(end.Run.Number)
+		if t.phase == waiting && t.failures >= j.spec.MaxAttempts {
+			// The record of the failure closes the job; no run may start before that.
+			j.unqueue(p, end.Task)
+			t.phase = blocked
+		}
 	}
 	p.observeRunNumber(end.Run.Number)
 	t.lastRun = max(t.lastRun, end.Run.Number)
@@ -375,7 +380,7 @@
 		p.finishIfFinal(now, r.job, t, r.Task)
 		return
 	case end.Reason == work.Failed:
-		t.failures++
+		t.countFailure(end.Run.Number)
 		t.failedOn = append(t.failedOn, r.endpoint.VM)
 		p.finishIfFinal(now, r.job, t, r.Task)
 	}
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -115,6 +115,9 @@
 	Done     bool
 	Failures int
 	LastRun  uint64
+	// FailedRuns are the numbers of the runs that Failures counts, without those that a
+	// former version recorded.
+	FailedRuns []uint64
 }
 
 // Add adds a newly accepted job. Its runs and ends that endpoints listed before
@@ -143,6 +146,10 @@
 			record := records[i]
 			i++
 			j.tasks[s][t].failures = record.Failures
+			j.tasks[s][t].failedRuns = slices.Clone(record.FailedRuns)
+			if len(record.FailedRuns) < record.Failures {
+				j.tasks[s][t].countedUpTo = record.LastRun
+			}
 			p.observeRunNumber(record.LastRun)
 			j.tasks[s][t].lastRun = record.LastRun
 			if record.Done {
--- a/core/placement/planner_test.go
+++ b/core/placement/planner_test.go
@@ -437,6 +437,49 @@
 	assert.Equal(t, f.planner.Pending("q"), 0)
 }
 
+// TestFailuresCountInAnyOrder guards against a start after all attempts have failed: after
+// a change of the leader, the agent with the failure of a later run joins first. It also
+// guards against a failure that counts twice because its endpoint lists it again.
+func TestFailuresCountInAnyOrder(t *testing.T) {
+	for _, restored := range []TaskRecord{{}, {Failures: 1, LastRun: 1}, {Failures: 1, LastRun: 7, FailedRuns: []uint64{7}}} {
+		f := newFixture(t, "vm-1", "vm-2")
+		job := oneStep("job", 1)
+		job.BestEffort = false
+		job.MaxAttempts = 2 + restored.Failures
+		if len(restored.FailedRuns) > 0 {
+			job.MaxAttempts = 2 // the failure of run 7 below is the recorded one
+		}
+		f.planner.Restore(f.now, job, []TaskRecord{restored})
+		failed := func(run uint64) work.End {
+			return work.End{Run: work.Run{Task: work.TaskID{Job: "job"}, Number: run}, Reason: work.Failed}
+		}
+		info := Endpoint{Pool: "desk", Capacity: work.Resources{CPU: 4000, MemoryMB: 512}}
+		info.Session, info.VM = 1, "vm-2"
+		f.planner.Join(f.now, info, nil, []work.End{failed(7)})
+		info.Session = 2
+		f.planner.Join(f.now, info, nil, []work.End{failed(7)})
+		assert.Equal(t, f.planner.jobs["job"].tasks[0][0].failures, job.MaxAttempts-1)
+		info.Session, info.VM = 3, "vm-1"
+		f.planner.Join(f.now, info, nil, []work.End{failed(3)})
+		f.advance(leaseTimeout)
+		starts, _ := f.assign()
+		assert.Equal(t, len(starts), 0, "%+v", restored)
+	}
+}
+
+// TestLateFailureEndsAttempts guards against a start between the report of the last
+// failure and its record: the failure is reported while its task is queued.
+func TestLateFailureEndsAttempts(t *testing.T) {
+	f := newFixture(t)
+	job := oneStep("job", 1)
+	job.BestEffort = false
+	f.planner.Restore(f.now, job, []TaskRecord{{Failures: 1, LastRun: 7, FailedRuns: []uint64{7}}})
+	late := work.End{Run: work.Run{Task: work.TaskID{Job: "job"}, Number: 3}, Reason: work.Failed}
+	f.planner.Join(f.now, Endpoint{Session: 1, VM: "vm-1", Pool: "desk", Capacity: work.Resources{CPU: 4000, MemoryMB: 512}}, nil, []work.End{late})
+	starts, _ := f.assign()
+	assert.Equal(t, len(starts), 0)
+}
+
 // TestRestoredTaskRecordsCount guards against a next leader that ignores recorded
 // ends.
 func TestRestoredTaskRecordsCount(t *testing.T) {
--- a/core/placement/types.go
+++ b/core/placement/types.go
@@ -7,6 +7,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cicadapulley/cicadapulley/core/work"
@@ -119,13 +120,27 @@
 	moves int
 	// lastRun is the task's highest known run number.
 	lastRun uint64
-	// failures counts reported runs that failed, recorded or not.
-	failures int
+	// failures counts reported runs that failed, recorded or not. failedRuns has their
+	// numbers, without those that a former version recorded, which are at most
+	// countedUpTo.
+	failures    int
+	failedRuns  []uint64
+	countedUpTo uint64
 	// failedOn lists the VMs of failed, lost or moved runs; others are preferred.
 	failedOn   []string
 	checkpoint string
 }
 
+// countFailure counts the failure of a run, once. Failures arrive in any order after a
+// change of the leader: the agent with a later run may join first.
+func (t *task) countFailure(run uint64) {
+	if run <= t.countedUpTo || slices.Contains(t.failedRuns, run) {
+		return
+	}
+	t.failedRuns = append(t.failedRuns, run)
+	t.failures++
+}
+
 // job is the planner's view of an open job.
 type job struct {
 	spec    *work.Job
--- a/daemon/coordinator/term.go
+++ b/daemon/coordinator/term.go
@@ -118,7 +118,7 @@
 func taskRecords(r *ledger.Record) []placement.TaskRecord {
 	list := make([]placement.TaskRecord, len(r.Tasks))
 	for i, t := range r.Tasks {
-		list[i] = placement.TaskRecord{Done: t.Done, Failures: t.Failures, LastRun: t.LastRun}
+		list[i] = placement.TaskRecord{Done: t.Done, Failures: t.Failures, LastRun: t.LastRun, FailedRuns: t.FailedRuns}
 	}
 	return list
 }
