--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
-# Targets: test (what CI runs), pages, build, lint, generate, demo, bench, soak, fuzz.
+# Targets: test (what CI runs), pages, build, lint, generate, demo, bench, soak, platform-soak, fleet-soak, fuzz.
 MODULES := core api daemon client platform
 GO := go
 SEEDS ?= 20
 
-.PHONY: test pages build lint generate bench soak platform-soak fuzz demo
+.PHONY: test pages build lint generate bench soak platform-soak fleet-soak fuzz demo
 test: build lint pages
 	@for m in $(MODULES); do (cd $$m && $(GO) test ./...) || exit 1; done
 
@@ -35,6 +35,10 @@
 platform-soak:
 	cd platform && SOAK_SEED=$(SEED) SOAK_SEEDS=$(SEEDS) $(GO) test . -run 'TestSoak$$' -count=1 -timeout 60m
 
+# SEEDS runs of a larger fleet, of which groups of processes fail together.
+fleet-soak:
+	cd platform && SOAK_SEED=$(SEED) SOAK_SEEDS=$(SEEDS) SOAK_AGENTS=24 SOAK_ENTRIES=4 SOAK_CALLERS=150 SOAK_SECONDS=50 $(GO) test . -run 'TestFleetSoak$$' -parallel 2 -count=1 -timeout 120m
+
 generate:
 	$(GO) run ./daemon/events/gen docs/events.md
 	cd platform && $(GO) test . -run 'TestSettingsPage$$' -count=1 -update-pages
