placement: a failing job doesn't idle endpoints; trials are bounded

Cause: two failures in a row suspended an endpoint, whosever fault they were, and the single run after a suspension had no bound in time.

Change: while no task of a step has succeeded, its failures count against the first two endpoints on which it failed; the trial after a suspension keeps other runs away for a second at most. A faulty endpoint is left after two failures as before.

--- a/core/placement/endpoints.go
+++ b/core/placement/endpoints.go
@@ -447,8 +447,12 @@
 		e.fullUntil = now.Add(refusedBackoff)
 	case RefusedDraining:
 		e.Draining = true
-	case RefusedUnhealthy, RefusedInvalid:
+	case RefusedUnhealthy:
 		e.health.failed(now)
+	case RefusedInvalid:
+		if r.job.outcomes[rn.Task.Step].blames(e.VM) {
+			e.health.failed(now)
+		}
 	case RefusedStale, RefusedUnanswered:
 		// Neither an outdated order nor a lost answer indicates an unhealthy endpoint.
 	}
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -176,6 +176,7 @@
 		expiresAt: arrived.Add(ExpiryFactor * objective),
 		tasks:     make([][]task, len(spec.Steps)),
 		undone:    make([]int, len(spec.Steps)),
+		outcomes:  make([]stepOutcomes, len(spec.Steps)),
 		groups:    make([]*group, len(spec.Steps)),
 	}
 	for s, step := range spec.Steps {
--- a/core/placement/planner_test.go
+++ b/core/placement/planner_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -306,6 +307,70 @@
 	assert.Equal(t, len(starts), 1, "one trial after the suspension")
 }
 
+// TestFailingJobSuspendsFewEndpoints guards against one job that always fails and idles all
+// endpoints of its pool.
+func TestFailingJobSuspendsFewEndpoints(t *testing.T) {
+	const endpoints = 11
+	f := newFixture(t)
+	for i := range endpoints {
+		f.join(SessionID(i+1), fmt.Sprintf("vm-%d", i), 4)
+	}
+	failing := oneStep("failing", 16)
+	failing.MaxAttempts = 4
+	failing.BestEffort = false
+	f.planner.Add(f.now, failing, PriorState{})
+	for starts, _ := f.assign(); len(starts) > 0; starts, _ = f.assign() {
+		for _, o := range starts {
+			f.end(o, work.Failed)
+		}
+	}
+	suspended := 0
+	for _, e := range f.planner.order {
+		if !e.health.available(f.now) {
+			suspended++
+		}
+	}
+	assert.Assert(t, suspended <= maxBlamedEndpoints, "%d of %d endpoints are suspended", suspended, endpoints)
+}
+
+// TestFailuresBesideSuccessesCount guards against a faulty endpoint that stays in use
+// because a job with tasks on several faulty endpoints is taken for the cause, although
+// its tasks succeed elsewhere.
+func TestFailuresBesideSuccessesCount(t *testing.T) {
+	var o stepOutcomes
+	assert.Assert(t, o.blames("vm-1") && o.blames("vm-2") && o.blames("vm-1"))
+	assert.Assert(t, !o.blames("vm-3"))
+	o.succeeded = true
+	assert.Assert(t, o.blames("vm-3"))
+}
+
+// TestTrialEndsWithItsPeriod guards against an endpoint that gets one run at a time for as
+// long as the first run after its suspension goes on, which may be hours.
+func TestTrialEndsWithItsPeriod(t *testing.T) {
+	f := newFixture(t)
+	f.join(1, "vm-1", 4)
+	for _, id := range []string{"a", "b"} {
+		f.planner.Add(f.now, oneStep(id, 1), PriorState{})
+		starts, _ := f.assign()
+		f.end(starts[0], work.Failed)
+		f.planner.Abandon(f.now, work.JobID(id))
+	}
+	long := oneStep("long", 4)
+	long.Steps[0].Estimate = time.Hour
+	f.planner.Add(f.now, long, PriorState{})
+	f.advance(minSuspension)
+	trial, _ := f.assign()
+	assert.Equal(t, len(trial), 1)
+	f.advance(trialPeriod - time.Millisecond)
+	starts, _ := f.assign()
+	assert.Equal(t, len(starts), 0)
+	f.advance(time.Millisecond)
+	starts, _ = f.assign()
+	assert.Equal(t, len(starts), 3)
+	f.end(starts[0], work.Failed)
+	assert.Assert(t, !f.planner.order[0].health.available(f.now), "the next failure suspends it again")
+}
+
 // TestUnansweredStartsDoNotSuspendEndpoint guards against healthy endpoints that are
 // suspended because orders stay unanswered.
 func TestUnansweredStartsDoNotSuspendEndpoint(t *testing.T) {
--- a/core/placement/pools.go
+++ b/core/placement/pools.go
@@ -160,10 +160,10 @@
 
 // reopensAt returns the time before which the endpoint gets no runs.
 func (e *endpoint) reopensAt() time.Time {
-	if e.fullUntil.After(e.health.suspendedUntil) {
-		return e.fullUntil
+	if available := e.health.availableAt(); available.After(e.fullUntil) {
+		return available
 	}
-	return e.health.suspendedUntil
+	return e.fullUntil
 }
 
 // indexNode returns the endpoint's leaf.
--- a/core/placement/types.go
+++ b/core/placement/types.go
@@ -156,6 +156,8 @@
 	tasks [][]task
 	// undone counts the tasks of each step whose end isn't recorded as Done.
 	undone []int
+	// outcomes has what the runs of each step say about the endpoints.
+	outcomes []stepOutcomes
 	// groups holds the queued group of each step, nil if no task of it waits.
 	groups []*group
 	// history records the job's first runs, to explain its end.
