placement: later groups of the queue are considered in turn

Cause: a pass ended after 16 groups without an endpoint, or 128 that fit nowhere, whatever held them up: a limit of their own, a full pool, their size.

Change: a pass considers the head of the queue, with lower bounds, and then a window of later groups that moves on with each pass.

--- a/core/placement/assign.go
+++ b/core/placement/assign.go
@@ -12,13 +12,17 @@
 	// for lack of capacity or of a lease, although the planner counted enough free
 	// resources.
 	refusedBackoff = 100 * time.Millisecond
-	// maxMisses bounds how many groups are searched for in one pass without placing
-	// all of their tasks. Later groups need about the same resources, so trying all
-	// of a long queue would be wasted.
-	maxMisses = 16
-	// maxSkipped bounds how many groups that need more than any endpoint has free are
-	// skipped in one pass. They must not hold up smaller ones behind them.
-	maxSkipped = 128
+	// headMisses bounds how many groups are searched for from the head of the queue in one
+	// pass without placing all of their tasks, and headSkipped how many that need more than
+	// any endpoint has free are skipped. Most groups need about the same resources, so
+	// trying all of a long queue in each pass would be wasted.
+	headMisses  = 10
+	headSkipped = 80
+	// windowMisses and windowSkipped are the same bounds for a window of later groups. It
+	// moves on with each pass, so that every group is considered within seconds, whatever
+	// holds up the groups before it: a full pool, a limit of their own, their size.
+	windowMisses  = 6
+	windowSkipped = 32
 	// failedPenalty multiplies the expected run time of a task on an endpoint
 	// where it has already failed.
 	failedPenalty = 8
@@ -27,12 +31,21 @@
 // Assign places waiting tasks in queue order while endpoints have capacity, and
 // adds the orders.
 func (p *Planner) Assign(now time.Time) {
-	misses, skipped := 0, 0
+	head := p.assignFrom(now, 0, headMisses, headSkipped)
+	if p.window < head || p.window >= len(p.queue.groups) {
+		p.window = head
+	}
+	p.window = p.assignFrom(now, p.window, windowMisses, windowSkipped)
+}
+
+// assignFrom places the groups from an index on until it has met the given number of
+// groups that it could not place. It returns the index of the next group.
+func (p *Planner) assignFrom(now time.Time, i, misses, skipped int) int {
 	var free freeBounds
-	for i := 0; i < len(p.queue.groups) && misses < maxMisses && skipped < maxSkipped; {
+	for i < len(p.queue.groups) && misses > 0 && skipped > 0 {
 		g := p.queue.groups[i]
 		if !free.mayFit(p, now, g) {
-			skipped++
+			skipped--
 			i++
 			continue
 		}
@@ -43,9 +56,10 @@
 			p.queue.removeAt(i)
 			continue
 		}
-		misses++
+		misses--
 		i++
 	}
+	return i
 }
 
 // freeBounds are the largest free amounts of resources among the endpoints of one
--- a/core/placement/endpoints.go
+++ b/core/placement/endpoints.go
@@ -414,6 +414,9 @@
 // trackStoppingRun makes an unknown run of a task that is being stopped the task's
 // current run, so that the task waits for its end. It returns false if there is none.
 func (p *Planner) trackStoppingRun(now time.Time, j *job, t *task, id work.TaskID) bool {
+	if len(p.unknown[id.Job]) == 0 {
+		return false
+	}
 	for _, u := range slices.SortedFunc(slices.Values(p.unknown[id.Job]), compareUnknown) {
 		if u.listed.Task != id {
 			continue
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -36,6 +36,8 @@
 	unknown map[work.JobID][]*unknownRun
 	pools   pools
 	queue   queue
+	// window is the index in the queue at which the next window of later groups begins.
+	window int
 	// held are jobs that may have unconfirmed runs. Those of an earlier term's
 	// leader are held at most until heldUntil.
 	held      []*heldJob
--- a/core/placement/planner_test.go
+++ b/core/placement/planner_test.go
@@ -469,6 +469,48 @@
 	assert.Equal(t, len(starts), 0)
 }
 
+// TestBlockedGroupsHideNoOthers guards against jobs that wait beside free endpoints because
+// the groups before them in the queue can't be placed: steps that have reached their own
+// limit on each endpoint, jobs of a full pool, and jobs that fit on no endpoint.
+func TestBlockedGroupsHideNoOthers(t *testing.T) {
+	limited := func(j *work.Job) {
+		j.Steps[0].MaxPerEndpoint = 1
+		j.Steps[0].Need = work.Resources{CPU: 1, MemoryMB: 1}
+	}
+	otherPool := func(j *work.Job) { j.Pool = "full" }
+	large := func(j *work.Job) { j.Steps[0].Need.CPU = 5000 }
+	for name, block := range map[string]func(*work.Job){"own limit": limited, "full pool": otherPool, "large": large} {
+		t.Run(name, func(t *testing.T) {
+			const blocked = 300
+			f := newFixture(t)
+			f.join(1, "vm-1", 4)
+			f.join(2, "vm-2", 4)
+			f.planner.Join(f.now, Endpoint{Session: 3, VM: "vm-3", Pool: "full"}, nil, nil)
+			for i := range blocked {
+				j := oneStep(fmt.Sprintf("blocked-%d", i), 3)
+				j.Target = time.Second
+				j.Steps[0].Estimate = time.Hour
+				block(j)
+				f.planner.Add(f.now, j, PriorState{})
+			}
+			behind := oneStep("behind", 1)
+			behind.Priority = 1
+			f.planner.Add(f.now, behind, PriorState{})
+			// Passes follow each event, and each tick of 50 ms.
+			const passes = 60
+			for range passes {
+				starts, _ := f.assign()
+				for _, o := range starts {
+					if o.Run.Task.Job == "behind" {
+						return
+					}
+				}
+			}
+			t.Fatalf("the job was not placed in %d passes", passes)
+		})
+	}
+}
+
 // TestPlacementLimits guards against starts on endpoints without the required label
 // and beyond the step's maximum per endpoint.
 func TestPlacementLimits(t *testing.T) {
