placement: a job whose starts were refused is pending

Cause: a job left the count when a start was ordered, and a refusal did not bring it back. Change: a job that is not known to have begun is pending again when its last run is refused, not listed, or lost. Answers to callers still go by the order, so a refusal stays true.

--- a/core/placement/endpoints.go
+++ b/core/placement/endpoints.go
@@ -132,7 +132,7 @@
 	p.observeRunNumber(l.Run.Number)
 	t.lastRun = max(t.lastRun, l.Run.Number)
 	t.checkpoint = l.Checkpoint
-	p.markStarted(j)
+	p.markBegun(j)
 	step := &j.spec.Steps[l.Task.Step]
 	r := &run{Run: l.Run, job: j, need: step.Need, endpoint: e, since: now, expected: e.expectedRunTime(step), percent: l.Percent}
 	p.addRun(r)
@@ -327,7 +327,7 @@
 	if t == nil || t.phase == ended {
 		return
 	}
-	p.markStarted(j)
+	p.markBegun(j)
 	switch {
 	case end.Reason == work.Done:
 		p.markDone(j, t, end.Task)
@@ -372,6 +372,9 @@
 	}
 	t := r.job.task(r.Task)
 	r.job.recordEnd(now, r.Run, end.Reason.String())
+	if end.Reason != work.Lost {
+		p.markBegun(r.job)
+	}
 	switch {
 	case t.phase == ended:
 		return
@@ -396,6 +399,7 @@
 	if p.jobs[r.Task.Job] != r.job {
 		return
 	}
+	p.restorePending(r.job)
 	t := r.job.task(r.Task)
 	if t.phase == ended || t.failures >= r.job.spec.MaxAttempts {
 		return
@@ -472,6 +476,7 @@
 	for _, l := range running {
 		if r := e.runs[l.Run]; r != nil {
 			r.recordProgress(listedAt, l.Percent)
+			r.job.begun = true
 		}
 	}
 }
--- a/core/placement/handover.go
+++ b/core/placement/handover.go
@@ -72,7 +72,7 @@
 // it may have unconfirmed runs.
 func (p *Planner) hold(now time.Time, j *job, prior PriorState) {
 	if prior.Started {
-		p.markStarted(j)
+		p.markBegun(j)
 	}
 	for _, id := range prior.Done {
 		if t := j.task(id); t != nil && !t.recorded {
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -54,7 +54,7 @@
 	// unclaimedEnds are ends of runs of unknown jobs, kept until the job is
 	// submitted again after a change of the leader.
 	unclaimedEnds map[work.JobID]*unclaimedEnds
-	// pending counts the jobs of each queue that have not started.
+	// pending counts the jobs of each queue of which no task has begun.
 	pending map[string]int
 	Stats   Stats
 }
@@ -160,7 +160,7 @@
 				j.undone[s]--
 			}
 			if record.Done || record.Failures > 0 {
-				p.markStarted(j)
+				p.markBegun(j)
 			}
 		}
 	}
@@ -186,16 +186,40 @@
 		j.undone[s] = step.Tasks
 	}
 	p.jobs[spec.ID] = j
-	p.pending[spec.Queue]++
+	p.setPending(j, true)
 	return j
 }
 
-// markStarted records that a task of the job has started.
-func (p *Planner) markStarted(j *job) {
-	if !j.started {
-		j.started = true
+// setPending counts the job among those of its queue of which no task has begun, or no
+// longer.
+func (p *Planner) setPending(j *job, pending bool) {
+	switch {
+	case pending && !j.pending:
+		p.pending[j.spec.Queue]++
+	case !pending && j.pending:
 		p.pending[j.spec.Queue]--
 	}
+	j.pending = pending
+}
+
+// markStarted records that a task of the job was ordered to start.
+func (p *Planner) markStarted(j *job) {
+	j.started = true
+	p.setPending(j, false)
+}
+
+// markBegun records that a task of the job has begun.
+func (p *Planner) markBegun(j *job) {
+	p.markStarted(j)
+	j.begun = true
+}
+
+// restorePending counts a job as pending again after a run of it that had not begun is
+// gone, unless another one may have begun.
+func (p *Planner) restorePending(j *job) {
+	if !j.begun && !slices.ContainsFunc(p.runs[j.spec.ID], func(r *run) bool { return r.job == j }) {
+		p.setPending(j, true)
+	}
 }
 
 // release queues the tasks whose steps are ready, unless the job is held.
@@ -265,7 +289,7 @@
 	if j == nil {
 		return
 	}
-	p.markStarted(j) // so that it no longer counts as pending
+	p.setPending(j, false)
 	delete(p.jobs, id)
 	for _, g := range j.groups {
 		if g != nil {
@@ -302,16 +326,23 @@
 	}
 }
 
-// Started reports whether a task of the job has started in this or an earlier
+// Started reports whether a task of the job may have started in this or an earlier
 // term.
 func (p *Planner) Started(id work.JobID) bool {
 	j := p.jobs[id]
 	return j != nil && j.started
 }
 
-// Pending returns the number of a queue's jobs that have not started.
+// Pending returns the number of a queue's jobs of which no task has begun. A job whose
+// starts were all refused is among them.
 func (p *Planner) Pending(queue string) int { return p.pending[queue] }
 
+// Running reports whether a task of an open job has begun, or may have.
+func (p *Planner) Running(id work.JobID) bool {
+	j := p.jobs[id]
+	return j != nil && !j.pending
+}
+
 // Waiting returns the number of tasks in the queue.
 func (p *Planner) Waiting() int { return p.queue.tasks }
 
--- a/core/placement/planner_test.go
+++ b/core/placement/planner_test.go
@@ -544,6 +544,34 @@
 	assert.Equal(t, f.planner.Pending("q"), 0)
 }
 
+// TestJobsWithRefusedStartsArePending guards against a queue whose pending jobs are not
+// counted because an endpoint has refused their starts, or has never begun their runs.
+func TestJobsWithRefusedStartsArePending(t *testing.T) {
+	f := newFixture(t)
+	f.join(1, "vm-1", 1)
+	f.planner.Add(f.now, oneStep("job", 1), PriorState{})
+	refuse := map[string]func(Order){
+		"refused":  func(o Order) { f.planner.Refused(f.now, o.Session, o.Run, RefusedStale) },
+		"vanished": func(o Order) { f.planner.Vanished(f.now, o.Session, []work.Run{o.Run}) },
+	}
+	for name, end := range refuse {
+		starts, _ := f.assign()
+		assert.Equal(t, len(starts), 1, name)
+		assert.Equal(t, f.planner.Pending("q"), 0, name)
+		assert.Assert(t, f.planner.Running("job"), name)
+		end(starts[0])
+		assert.Equal(t, f.planner.Pending("q"), 1, name)
+		assert.Assert(t, !f.planner.Running("job"), name)
+		assert.Assert(t, f.planner.Started("job"), "%s: answers to callers count the start", name)
+	}
+	starts, _ := f.assign()
+	f.planner.UpdateProgress(f.now, 1, []ListedRun{{Run: starts[0].Run}})
+	f.planner.Leave(f.now, 1)
+	assert.Equal(t, f.planner.Pending("q"), 0, "the run had begun")
+	f.planner.Abandon(f.now, "job")
+	assert.Equal(t, f.planner.Pending("q"), 0)
+}
+
 // TestFailuresCountInAnyOrder guards against a start after all attempts have failed: after
 // a change of the leader, the agent with the failure of a later run joins first. It also
 // guards against a failure that counts twice because its endpoint lists it again.
--- a/core/placement/types.go
+++ b/core/placement/types.go
@@ -149,7 +149,9 @@
 	// the result.
 	due       time.Time
 	expiresAt time.Time
-	started   bool
+	// started is set once a task was ordered to start, and begun once one is known to
+	// have begun. pending is set while the job counts as one of which none has.
+	started, begun, pending bool
 	// held is set while unconfirmed runs from an earlier planner of the job may
 	// exist. None of its tasks is queued then.
 	held  bool
--- a/daemon/coordinator/entries.go
+++ b/daemon/coordinator/entries.go
@@ -94,7 +94,7 @@
 	state := found.state
 	if state == work.Pending {
 		s.mu.Lock()
-		if s.term != nil && s.term.Planner.Started(found.id) {
+		if s.term != nil && s.term.Planner.Running(found.id) {
 			state = work.Running
 		}
 		s.mu.Unlock()
