KNOWN-RED: a held job's task is queued again too early

The new leader adopts the second run of a task from the first endpoint that joins; it fails, and requeue starts the task although its job is held for the endpoint that still lists the first failure.

TestHeldJobsQueueNoTasks shows it.

--- a/core/placement/planner_test.go
+++ b/core/placement/planner_test.go
@@ -602,6 +602,26 @@
 	}
 }
 
+// TestHeldJobsQueueNoTasks guards against a start before all failures of a task are known: a
+// run that a new leader has adopted fails while its job is held, because the endpoint
+// with the failure of an earlier run has not joined yet.
+func TestHeldJobsQueueNoTasks(t *testing.T) {
+	f := newFixture(t, "vm-1", "vm-2")
+	job := oneStep("job", 1)
+	job.BestEffort = false
+	f.planner.Restore(f.now, job, []TaskRecord{{}})
+	id := work.TaskID{Job: "job"}
+	second := work.Run{Task: id, Number: 7}
+	f.join(1, "vm-2", 4, ListedRun{Run: second})
+	f.planner.Ended(f.now, 1, work.End{Run: second, Reason: work.Failed})
+	starts, _ := f.assign()
+	assert.Equal(t, len(starts), 0, "the job is held")
+	info := Endpoint{Session: 2, VM: "vm-1", Pool: "desk", Capacity: work.Resources{CPU: 4000, MemoryMB: 512}}
+	f.planner.Join(f.now, info, nil, []work.End{{Run: work.Run{Task: id, Number: 3}, Reason: work.Failed}})
+	starts, _ = f.assign()
+	assert.Equal(t, len(starts), 0, "both attempts have failed")
+}
+
 // TestLateFailureEndsAttempts guards against a start between the report of the last
 // failure and its record: the failure is reported while its task is queued.
 func TestLateFailureEndsAttempts(t *testing.T) {
