coordinator, gateway: log and count versions of the configuration

Control VMs log each version that they apply and send, entries each that they receive, local placement its version, and the leader requests without a queue.

--- a/daemon/coordinator/clients.go
+++ b/daemon/coordinator/clients.go
@@ -90,6 +90,7 @@
 			w.Incarnation, w.EndpointDraining = s.incarnationOf(cl.vm)
 		} else {
 			s.addFallbackData(w)
+			s.opts.Log.Emit(events.Event{ID: events.ConfigurationSent, Peer: cl.vm, Ticket: w.Version})
 		}
 	}
 	cl.conn.Send(w)
--- a/daemon/coordinator/entries.go
+++ b/daemon/coordinator/entries.go
@@ -13,6 +13,9 @@
 	"github.com/cicadapulley/cicadapulley/daemon/scheduler"
 )
 
+// maxLoggedPath bounds a caller's path in the log.
+const maxLoggedPath = 100
+
 // request handles a caller's request that an entry has forwarded. Requests that
 // need the log run in a goroutine, so that they don't block the connection.
 func (cl *client) request(ctx context.Context, q *mesh.Request) {
@@ -51,18 +54,23 @@
 			outcome = mesh.NotReady
 			return
 		}
+		found.version = s.machine.Configuration().Version
 		queue, id := routes.Resolve(q.Host, q.Path)
 		if queue == nil {
 			outcome = mesh.NoQueue
 			return
 		}
-		found = target{queue: *queue, id: id, version: s.machine.Configuration().Version}
+		found.queue = *queue
+		found.id = id
 		if r := s.machine.Job(found.id); r != nil {
 			found.known = true
 			found.state = r.State
 		}
 		outcome = 0
 	}) // if this VM doesn't lead, the outcome stays uncertain
+	if outcome == mesh.NoQueue {
+		s.opts.Log.Emit(events.Event{ID: events.RouteUnknown, Ticket: found.version, Text: q.Host + q.Path[:min(len(q.Path), maxLoggedPath)]})
+	}
 	return found, outcome
 }
 
--- a/daemon/coordinator/machine.go
+++ b/daemon/coordinator/machine.go
@@ -5,6 +5,7 @@
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
 	"github.com/cicadapulley/cicadapulley/core/ledger"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
 )
 
 // Apply implements consensus.Machine.
@@ -16,7 +17,11 @@
 			return nil, err
 		}
 	}
-	return m.Machine.Apply(index, command), nil
+	result := m.Machine.Apply(index, command)
+	if command.Configure != nil && result.Changed {
+		m.log.Emit(events.Event{ID: events.ConfigurationApplied, Ticket: command.Configure.Version})
+	}
+	return result, nil
 }
 
 // Revision implements consensus.Machine. It is constant, since no watcher waits
--- a/daemon/coordinator/service.go
+++ b/daemon/coordinator/service.go
@@ -104,7 +104,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "open data folder")
 	}
-	s := &Service{opts: o, store: store, machine: &machine{Machine: ledger.New()}, clients: map[*client]bool{}, metrics: metrics}
+	s := &Service{opts: o, store: store, machine: &machine{Machine: ledger.New(), log: o.Log}, clients: map[*client]bool{}, metrics: metrics}
 	if err := s.init(founder); err != nil {
 		return nil, errors.CombineErrors(err, store.Close())
 	}
@@ -221,6 +221,7 @@
 // snapshots.
 type machine struct {
 	*ledger.Machine
+	log *events.Log
 }
 
 // catchPanic runs fn, and reports and returns a panic, which ends only fn. Its goroutine serves one
--- a/daemon/events/catalogue.go
+++ b/daemon/events/catalogue.go
@@ -60,57 +60,61 @@
 	TicketRefused      ID = 321
 	JobTakenOver       ID = 330
 	// Events of coordinators.
-	GroupChangeProposed ID = 340
-	TermBegan           ID = 341
-	TermEnded           ID = 342
-	ConfigurationTaken  ID = 343
-	ConfigurationWrong  ID = 344
-	OperatorAnswered    ID = 345
-	WorkAccepted        ID = 350
-	WorkRefused         ID = 351
-	WorkUncertain       ID = 352
-	WorkCancelled       ID = 353
-	WorkClosed          ID = 354
-	ForgetFailed        ID = 355
-	RunOrdered          ID = 356
-	RunEnded            ID = 357
-	AgentEnrolled       ID = 358
-	AgentRemoved        ID = 359
-	EndpointJoined      ID = 360
-	ClientLost          ID = 361
-	StartRefused        ID = 362
-	EndsUncertain       ID = 363
-	WorkLate            ID = 364
-	WorkFailed          ID = 365
-	WorkAbandoned       ID = 366
-	EndpointUnreachable ID = 367
+	GroupChangeProposed  ID = 340
+	TermBegan            ID = 341
+	TermEnded            ID = 342
+	ConfigurationTaken   ID = 343
+	ConfigurationWrong   ID = 344
+	OperatorAnswered     ID = 345
+	ConfigurationApplied ID = 346
+	ConfigurationSent    ID = 347
+	RouteUnknown         ID = 348
+	WorkAccepted         ID = 350
+	WorkRefused          ID = 351
+	WorkUncertain        ID = 352
+	WorkCancelled        ID = 353
+	WorkClosed           ID = 354
+	ForgetFailed         ID = 355
+	RunOrdered           ID = 356
+	RunEnded             ID = 357
+	AgentEnrolled        ID = 358
+	AgentRemoved         ID = 359
+	EndpointJoined       ID = 360
+	ClientLost           ID = 361
+	StartRefused         ID = 362
+	EndsUncertain        ID = 363
+	WorkLate             ID = 364
+	WorkFailed           ID = 365
+	WorkAbandoned        ID = 366
+	EndpointUnreachable  ID = 367
 )
 
 // Events of entries.
 const (
-	JobAccepted         ID = 400
-	JobJoined           ID = 401
-	JobRefused          ID = 402
-	JobFinished         ID = 403
-	JobCancelled        ID = 404
-	JobRecovered        ID = 405
-	FinishFailed        ID = 406
-	AnsweredUnrecorded  ID = 407
-	CallFinished        ID = 410
-	TaskSent            ID = 420
-	TaskAnswered        ID = 421
-	TaskRetried         ID = 422
-	TaskFateAsked       ID = 423
-	TaskFateLearned     ID = 424
-	PeerConnected       ID = 430
-	PeerLost            ID = 431
-	LeaderFound         ID = 440
-	LeaderGone          ID = 441
-	RequestFailed       ID = 442
-	RequestRefused      ID = 443
-	LocalPlacementBegan ID = 444
-	LocalPlacementEnded ID = 445
-	JobHandedOver       ID = 446
+	JobAccepted           ID = 400
+	JobJoined             ID = 401
+	JobRefused            ID = 402
+	JobFinished           ID = 403
+	JobCancelled          ID = 404
+	JobRecovered          ID = 405
+	FinishFailed          ID = 406
+	AnsweredUnrecorded    ID = 407
+	CallFinished          ID = 410
+	TaskSent              ID = 420
+	TaskAnswered          ID = 421
+	TaskRetried           ID = 422
+	TaskFateAsked         ID = 423
+	TaskFateLearned       ID = 424
+	PeerConnected         ID = 430
+	PeerLost              ID = 431
+	LeaderFound           ID = 440
+	LeaderGone            ID = 441
+	RequestFailed         ID = 442
+	RequestRefused        ID = 443
+	LocalPlacementBegan   ID = 444
+	LocalPlacementEnded   ID = 445
+	JobHandedOver         ID = 446
+	ConfigurationReceived ID = 447
 )
 
 // Events of agents.
@@ -196,6 +200,9 @@
 	{ConfigurationTaken, "configuration_taken", zapcore.InfoLevel, "a configuration is recorded; the detail says whether it came into force (true) or a higher version was in force (false)"},
 	{ConfigurationWrong, "configuration_wrong", zapcore.WarnLevel, "an operator sent an invalid configuration; the error says what is wrong"},
 	{OperatorAnswered, "operator_answered", zapcore.InfoLevel, "a request of an operator was answered; the detail says whether the leader, named as peer, confirmed it, and how long that took"},
+	{ConfigurationApplied, "configuration_applied", zapcore.InfoLevel, "this control VM has applied a configuration; its version is in force unless a higher one is"},
+	{ConfigurationSent, "configuration_sent", zapcore.InfoLevel, "the leader sent the configuration in force to an entry"},
+	{RouteUnknown, "route_unknown", zapcore.InfoLevel, "a request names no queue of the configuration in force"},
 	{WorkAccepted, "work_accepted", zapcore.InfoLevel, "a job with steps is recorded; its tasks may start"},
 	{WorkRefused, "work_refused", zapcore.InfoLevel, "a job was refused because it would complete too late; none of its tasks ran"},
 	{WorkUncertain, "work_uncertain", zapcore.WarnLevel, "a job was being recorded when the leadership was lost or the write failed; whether it is recorded is unknown, and its entry is told so"},
@@ -237,6 +244,7 @@
 	{LocalPlacementBegan, "local_placement_began", zapcore.WarnLevel, "this entry has found no leader and places best-effort jobs itself; check that control has a leader"},
 	{LocalPlacementEnded, "local_placement_ended", zapcore.InfoLevel, "this entry has found a leader and hands its jobs over; the detail counts them"},
 	{JobHandedOver, "job_handed_over", zapcore.InfoLevel, "a job that this entry placed continues with the leader; the detail counts its completed tasks and the endpoints with runs"},
+	{ConfigurationReceived, "configuration_received", zapcore.InfoLevel, "this entry received another version of the configuration from a leader"},
 	{TaskStarted, "task_started", zapcore.DebugLevel, "a task started at the endpoint"},
 	{TaskEnded, "task_ended", zapcore.DebugLevel, "a task ended at the endpoint"},
 	{TaskRefused, "task_refused", zapcore.DebugLevel, "a task was refused; it did not run here"},
--- a/daemon/fallback/fallback.go
+++ b/daemon/fallback/fallback.go
@@ -13,6 +13,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -57,8 +58,9 @@
 	// leader was lost.
 	Term         uint64
 	LeaderLostAt time.Time
-	// Routes are the queues of the last known configuration.
-	Routes *work.Routes
+	// Routes are the queues of the last known configuration, and Version is its version.
+	Routes  *work.Routes
+	Version uint64
 	// Agents are the agents whose endpoints may run tasks.
 	Agents  []ledger.Agent
 	Metrics *scheduler.Metrics
@@ -105,7 +107,7 @@
 func (p *Placer) Run(ctx context.Context) {
 	p.opts.Log.Emit(events.Event{
 		ID: events.LocalPlacementBegan, Ticket: p.opts.Term,
-		Text: scheduler.CountText("agents", len(p.opts.Agents)) + " leader lost " + boottime.Now().Sub(p.opts.LeaderLostAt).Round(time.Millisecond).String() + " ago",
+		Text: scheduler.CountText("agents", len(p.opts.Agents)) + " leader lost " + boottime.Now().Sub(p.opts.LeaderLostAt).Round(time.Millisecond).String() + " ago, configuration " + strconv.FormatUint(p.opts.Version, 10),
 	})
 	agents := supervisor.NewGroup("fallback", p.opts.Log)
 	for _, a := range chooseAgents(p.opts.VM, p.opts.Agents) {
--- a/daemon/gateway/local.go
+++ b/daemon/gateway/local.go
@@ -4,12 +4,14 @@
 	"context"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
 	"github.com/cicadapulley/cicadapulley/core/ledger"
 	"github.com/cicadapulley/cicadapulley/core/work"
 	"github.com/cicadapulley/cicadapulley/daemon/boottime"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
 	"github.com/cicadapulley/cicadapulley/daemon/fallback"
 )
 
@@ -38,6 +40,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if info.version != s.leaderInfo.version {
+		s.opts.Log.Emit(events.Event{ID: events.ConfigurationReceived, Ticket: info.version, Text: "term " + strconv.FormatUint(w.Term, 10)})
+	}
 	s.leaderInfo = info
 	s.version = max(s.version, w.Version)
 }
@@ -74,7 +79,7 @@
 	wait := localPlacementDelay - boottime.Now().Sub(s.lostAt)
 	canPlace := s.leader == nil && s.leaderInfo.routes != nil && s.leaderInfo.version >= s.version
 	opts := fallback.Options{
-		VM: s.opts.VM, Term: s.leaderInfo.term, LeaderLostAt: s.lostAt, Routes: s.leaderInfo.routes,
+		VM: s.opts.VM, Term: s.leaderInfo.term, LeaderLostAt: s.lostAt, Routes: s.leaderInfo.routes, Version: s.leaderInfo.version,
 		Agents: slices.Collect(maps.Values(s.leaderInfo.agents)), Metrics: s.metrics, Log: s.opts.Log,
 	}
 	changed := s.changed
