--- /dev/null
+++ b/daemon/coordinator/configuration_test.go
@@ -0,0 +1,59 @@
+package coordinator
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cicadapulley/cicadapulley/api/mesh"
+	"github.com/cicadapulley/cicadapulley/daemon/link"
+)
+
+// dialEntry connects an entry that keeps its connection alive.
+func (c *cluster) dialEntry(i int) *peerConn {
+	c.Helper()
+	entry := c.dial(i, &mesh.Hello{Role: mesh.RoleEntry, VM: "entry-1"})
+	go link.Ping(c.Context(), entry.Conn, 100*time.Millisecond)
+	return entry
+}
+
+// awaitVersion reports whether an entry receives a version of the configuration within
+// the time.
+func (p *peerConn) awaitVersion(version uint64, within time.Duration) bool {
+	p.Helper()
+	for deadline := time.Now().Add(within); time.Now().Before(deadline); {
+		m, err := p.Receive(within)
+		assert.NilError(p, err)
+		if w, ok := m.(*mesh.Welcome); ok && w.Version >= version {
+			return true
+		}
+	}
+	return false
+}
+
+// TestEntriesReceiveAVersionWhoseProposerLeft guards against entries that go on placing
+// jobs by an older configuration after a change was confirmed: the operator's first
+// request is cancelled before its commit, and the same change, sent again, finds its
+// version in force.
+func TestEntriesReceiveAVersionWhoseProposerLeft(t *testing.T) {
+	c := newCluster(t, 3)
+	leader := c.leader()
+	c.configure(leader, 1)
+	entry := c.dialEntry(leader)
+	assert.Assert(t, entry.awaitVersion(1, time.Second))
+	const rounds = 12
+	missed := 0
+	for n := range rounds {
+		version := uint64(n + 2)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(n)*50*time.Microsecond)
+		_ = c.managers[leader].Configure(ctx, configuration(version)) // cancelled before the commit, or not
+		cancel()
+		c.configure(leader, version)
+		if !entry.awaitVersion(version, 500*time.Millisecond) {
+			missed++
+		}
+	}
+	assert.Equal(t, missed, 0, "confirmed versions that the entry has not received, of %d", rounds)
+}
