coordinator: effects of a command follow its application, not its proposer

What callers saw: after a confirmed change, an entry without a leader ran jobs of a dropped route.

Cause: the goroutine that proposed a command also carried out what follows from it: the new configuration for the entries, the accepted job for the planner, closed jobs, enrolled agents. Propose returns early when its context ends, while the command stays in the log and commits in the same term. The change that is sent again finds its version in force, is confirmed, and nobody sends it to the entries.

Change: while this VM leads, the state machine records each applied command with its result. A cancellation can't overtake its job's acceptance any more either.

--- a/daemon/coordinator/agents.go
+++ b/daemon/coordinator/agents.go
@@ -107,17 +107,8 @@
 	if err != nil || known && !removed {
 		return err == nil
 	}
-	if _, err = s.propose(ctx, ledger.Command{Enrol: &agent}); err != nil {
-		return false
-	}
-	a.log().Emit(events.Event{ID: events.AgentEnrolled, Peer: a.VM, Text: incarnation.Instance})
-	s.mu.Lock()
-	delete(a.term.removed, a.VM)
-	s.mu.Unlock()
-	s.eachEntry(func(cl *client) {
-		cl.conn.Send(&mesh.Enrolled{Agent: ledger.Agent{VM: agent.VM, Address: agent.Address}})
-	})
-	return true
+	_, err = s.propose(ctx, ledger.Command{Enrol: &agent})
+	return err == nil
 }
 
 // report applies an agent's report.
@@ -189,16 +180,10 @@
 	if len(ends) == 0 {
 		return true
 	}
-	result, err := a.client.service.propose(ctx, ledger.Command{Ends: ends})
-	if err != nil {
+	if _, err := a.client.service.propose(ctx, ledger.Command{Ends: ends}); err != nil {
 		a.log().Emit(events.Event{ID: events.EndsUncertain, Peer: a.client.vm, Err: err})
 		return false
 	}
-	a.inTerm(func(t *term, at time.Time) {
-		t.Planner.Recorded(ends)
-		a.client.service.place(t, at)
-	})
-	a.client.service.closeJobs(result.Closed)
 	return true
 }
 
--- a/daemon/coordinator/clients.go
+++ b/daemon/coordinator/clients.go
@@ -123,10 +123,8 @@
 }
 
 // eachEntry calls fn for each connected entry to which this VM has announced
-// itself as the leader. It holds mu during the calls.
+// itself as the leader. The caller holds mu.
 func (s *Service) eachEntry(fn func(*client)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	for cl := range s.clients {
 		if cl.role == mesh.RoleEntry && cl.welcomed {
 			fn(cl)
--- /dev/null
+++ b/daemon/coordinator/effects.go
@@ -0,0 +1,97 @@
+package coordinator
+
+import (
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/api/mesh"
+	"github.com/cicadapulley/cicadapulley/core/ledger"
+	"github.com/cicadapulley/cicadapulley/core/placement"
+	"github.com/cicadapulley/cicadapulley/core/work"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
+	"github.com/cicadapulley/cicadapulley/daemon/scheduler"
+)
+
+// effect is a command that was applied during a term of this VM, with its result. The
+// planner and the clients are updated from it and not by the goroutine that proposed
+// the command: that one may have stopped waiting before the commit.
+type effect struct {
+	command ledger.Command
+	result  ledger.Result
+}
+
+// beginRecording makes Apply record effects. The caller holds the driver's lock.
+func (m *machine) beginRecording() {
+	m.recording = true
+	m.effects = nil
+}
+
+// endRecording drops the recorded effects; the next term restores the planner from the
+// ledger. The caller holds the driver's lock.
+func (m *machine) endRecording() {
+	m.recording = false
+	m.effects = nil
+}
+
+// takeEffects returns the effects recorded since the last call, in the order of the
+// log. The caller holds the driver's lock.
+func (m *machine) takeEffects() []effect {
+	taken := m.effects
+	m.effects = nil
+	return taken
+}
+
+// applyEffects updates the planner and the clients from the commands that were applied
+// since the last call. The caller holds mu.
+func (s *Service) applyEffects() {
+	if s.term == nil {
+		return
+	}
+	var effects []effect
+	s.driver.Local(func() { effects = s.machine.takeEffects() })
+	if len(effects) == 0 {
+		return
+	}
+	at := now()
+	for _, e := range effects {
+		s.applyEffect(s.term, at, e)
+	}
+	s.place(s.term, at)
+}
+
+func (s *Service) applyEffect(t *term, at time.Time, e effect) {
+	c := e.command
+	switch {
+	case c.Accept != nil:
+		if e.result.Changed {
+			s.opts.Log.Emit(events.Event{ID: events.WorkAccepted, Job: scheduler.JobKey(c.Accept.ID), Text: c.Accept.Queue})
+			t.Planner.Add(at, c.Accept, placement.PriorState{})
+		}
+	case len(c.Ends) > 0:
+		t.Planner.Recorded(c.Ends)
+	case c.Cancel != "" && e.result.Changed:
+		s.opts.Log.Emit(events.Event{ID: events.WorkCancelled, Job: scheduler.JobKey(c.Cancel)})
+	case c.Configure != nil && e.result.Changed:
+		s.eachEntry(s.sendWelcome)
+	case c.Enrol != nil:
+		s.opts.Log.Emit(events.Event{ID: events.AgentEnrolled, Peer: c.Enrol.VM, Text: c.Enrol.Incarnation.Instance})
+		delete(t.removed, c.Enrol.VM)
+		enrolled := &mesh.Enrolled{Agent: ledger.Agent{VM: c.Enrol.VM, Address: c.Enrol.Address}}
+		s.eachEntry(func(cl *client) { cl.conn.Send(enrolled) })
+	case c.RemoveEnrolment != nil:
+		removed := events.Event{ID: events.AgentRemoved, Peer: c.RemoveEnrolment.VM}
+		if !e.result.Changed {
+			removed.Text = "enrolled again, stays"
+		}
+		s.opts.Log.Emit(removed)
+	}
+	s.closeJobs(t, at, e.result.Closed)
+}
+
+// closeJobs removes jobs that became final from the planner. The caller holds mu.
+func (s *Service) closeJobs(t *term, at time.Time, ids []work.JobID) {
+	for _, id := range ids {
+		t.Planner.Close(id)
+		s.opts.Log.Emit(events.Event{ID: events.WorkClosed, Job: scheduler.JobKey(id), Text: "recorded"})
+		t.finalJobs = append(t.finalJobs, finalJob{id: id, at: at})
+	}
+}
--- /dev/null
+++ b/daemon/coordinator/effects_test.go
@@ -0,0 +1,81 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cicadapulley/cicadapulley/api/mesh"
+	"github.com/cicadapulley/cicadapulley/core/ledger"
+	"github.com/cicadapulley/cicadapulley/core/work"
+)
+
+// commit commits a command whose proposer takes no part in its effects, as one that has
+// stopped waiting.
+func (s *Service) commit(t *testing.T, c ledger.Command) {
+	t.Helper()
+	data, err := mesh.EncodeCommand(c)
+	assert.NilError(t, err)
+	_, err = s.driver.Propose(t.Context(), data)
+	assert.NilError(t, err)
+}
+
+// inPlanner reports whether the planner has a job.
+func (s *Service) inPlanner(id work.JobID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.term != nil && s.term.Planner.Has(id)
+}
+
+// TestCommittedJobsWhoseProposerLeft guards against an accepted job that no leader places
+// before the next term, and against a cancelled or completed one that goes on, because
+// the goroutine that proposed the command had stopped waiting when it was committed.
+func TestCommittedJobsWhoseProposerLeft(t *testing.T) {
+	c := newCluster(t, 3)
+	leader := c.leader()
+	c.configure(leader, 1)
+	s := c.managers[leader].service.Load()
+	job := func(id work.JobID) *work.Job {
+		return &work.Job{ID: id, Queue: "q", Pool: "desk", MaxAttempts: 1, Steps: []work.Step{{Tasks: 1, Need: work.Resources{CPU: 1000}, Estimate: time.Second}}}
+	}
+	cancelled, completed := work.JobID("00000000000000a1"), work.JobID("00000000000000a2")
+	for _, id := range []work.JobID{cancelled, completed} {
+		s.commit(t, ledger.Command{Accept: job(id)})
+		c.eventually("the planner has the accepted job", func() bool { return s.inPlanner(id) })
+	}
+	s.commit(t, ledger.Command{Cancel: cancelled})
+	c.eventually("the planner has dropped the cancelled job", func() bool { return !s.inPlanner(cancelled) })
+	s.commit(t, ledger.Command{Ends: []work.End{{Run: work.Run{Task: work.TaskID{Job: completed}, Number: 1}, Reason: work.Done}}})
+	c.eventually("the planner has dropped the completed job", func() bool { return !s.inPlanner(completed) })
+	assert.Equal(t, s.visibleState(target{id: completed, state: work.Completed}), work.Completed)
+}
+
+// TestCancellationFollowsItsJob guards against a job that runs although it was cancelled:
+// its cancellation was carried out before the goroutine that had proposed the job added
+// it to the planner.
+func TestCancellationFollowsItsJob(t *testing.T) {
+	c := newCluster(t, 3)
+	leader := c.leader()
+	c.configure(leader, 1)
+	s := c.managers[leader].service.Load()
+	s.mu.Lock() // neither proposer nor tick acts before both commands are committed
+	s.commit(t, ledger.Command{Accept: &work.Job{ID: someJob, Queue: "q", Pool: "desk", Steps: []work.Step{{Tasks: 1, Need: work.Resources{CPU: 1000}}}}})
+	s.commit(t, ledger.Command{Cancel: someJob})
+	s.applyEffects()
+	s.mu.Unlock()
+	assert.Assert(t, !s.inPlanner(someJob))
+}
+
+// TestEntriesReceiveAgentsWhoseProposerLeft guards against entries that place jobs without
+// waiting for the runs of an agent, or without using it, because its enrolment was
+// committed after the agent's connection had ended.
+func TestEntriesReceiveAgentsWhoseProposerLeft(t *testing.T) {
+	c := newCluster(t, 3)
+	leader := c.leader()
+	c.configure(leader, 1)
+	entry := c.dialEntry(leader)
+	assert.Assert(t, entry.awaitVersion(1, time.Second))
+	c.managers[leader].service.Load().commit(t, ledger.Command{Enrol: &ledger.Agent{VM: someAgent.VM, Address: someAgent.Address}})
+	assert.Equal(t, await[*mesh.Enrolled](entry).Agent.VM, someAgent.VM)
+}
--- a/daemon/coordinator/entries.go
+++ b/daemon/coordinator/entries.go
@@ -226,10 +226,9 @@
 	return a, admitted
 }
 
-// accept records a job and adds it to the planner of the term that admitted it.
-// A later term restores the job from the ledger, where it may have progressed.
+// accept records a job that a term has admitted.
 func (s *Service) accept(ctx context.Context, t *term, job *work.Job, r *mesh.Response) {
-	result, err := s.propose(ctx, ledger.Command{Accept: job})
+	_, err := s.propose(ctx, ledger.Command{Accept: job})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if t.submitting[job.ID]--; t.submitting[job.ID] <= 0 {
@@ -242,13 +241,6 @@
 		return
 	}
 	r.Outcome = mesh.Accepted
-	if !result.Changed || s.term != t {
-		return
-	}
-	s.opts.Log.Emit(events.Event{ID: events.WorkAccepted, Job: scheduler.JobKey(job.ID), Text: job.Queue})
-	at := now()
-	t.Planner.Add(at, job, placement.PriorState{})
-	s.place(t, at)
 }
 
 // cancel records the cancellation of a job and stops its runs.
@@ -257,32 +249,9 @@
 		r.Outcome = mesh.NoJob
 		return
 	}
-	result, err := s.propose(ctx, ledger.Command{Cancel: found.id})
-	if err != nil {
+	if _, err := s.propose(ctx, ledger.Command{Cancel: found.id}); err != nil {
 		r.Outcome = mesh.Uncertain
 		return
 	}
-	s.opts.Log.Emit(events.Event{ID: events.WorkCancelled, Job: scheduler.JobKey(found.id)})
-	s.closeJobs(result.Closed)
 	r.Outcome = mesh.Accepted
 }
-
-// closeJobs removes jobs that became final from the planner.
-func (s *Service) closeJobs(ids []work.JobID) {
-	if len(ids) == 0 {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	t := s.term
-	if t == nil {
-		return
-	}
-	at := now()
-	for _, id := range ids {
-		t.Planner.Close(id)
-		s.opts.Log.Emit(events.Event{ID: events.WorkClosed, Job: scheduler.JobKey(id), Text: "recorded"})
-		t.finalJobs = append(t.finalJobs, finalJob{id: id, at: at})
-	}
-	s.place(t, at)
-}
--- a/daemon/coordinator/machine.go
+++ b/daemon/coordinator/machine.go
@@ -21,11 +21,14 @@
 	if command.Configure != nil && result.Changed {
 		m.log.Emit(events.Event{ID: events.ConfigurationApplied, Ticket: command.Configure.Version})
 	}
+	if m.recording && len(data) > 0 {
+		m.effects = append(m.effects, effect{command, result})
+	}
 	return result, nil
 }
 
 // Revision implements consensus.Machine. It is constant, since no watcher waits
-// for changes of the ledger.
+// for changes of the ledger: proposers and ticks apply the effects of commands.
 func (m *machine) Revision() uint64 { return 0 }
 
 // Restore implements consensus.Machine.
@@ -34,6 +37,7 @@
 	if err != nil {
 		return err
 	}
+	m.endRecording()
 	m.Machine.Restore(content)
 	return nil
 }
@@ -44,7 +48,9 @@
 	return func() ([]byte, error) { return mesh.EncodeSnapshot(content) }
 }
 
-// propose replicates a command. Errors are those of consensus.Driver.Propose.
+// propose replicates a command, and returns its result after its effects. The caller
+// must not hold mu. Errors are those of consensus.Driver.Propose; the command may be
+// applied nevertheless, and then the next tick applies its effects.
 func (s *Service) propose(ctx context.Context, c ledger.Command) (ledger.Result, error) {
 	data, err := mesh.EncodeCommand(c)
 	if err != nil {
@@ -54,5 +60,8 @@
 	if err != nil {
 		return ledger.Result{}, err
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.applyEffects()
 	return result.(ledger.Result), nil
 }
--- a/daemon/coordinator/operator.go
+++ b/daemon/coordinator/operator.go
@@ -122,9 +122,6 @@
 		return errors.Wrap(err, "record configuration")
 	}
 	s.opts.Log.Emit(events.Event{ID: events.ConfigurationTaken, Ticket: q.Configure.Version, Text: "in force " + strconv.FormatBool(result.Changed)})
-	if result.Changed {
-		s.eachEntry(s.sendWelcome)
-	}
 	return nil
 }
 
--- a/daemon/coordinator/service.go
+++ b/daemon/coordinator/service.go
@@ -222,6 +222,10 @@
 type machine struct {
 	*ledger.Machine
 	log *events.Log
+	// recording is set during a term, and effects has the commands that were applied in
+	// it and await applyEffects. The driver's lock guards both.
+	recording bool
+	effects   []effect
 }
 
 // catchPanic runs fn, and reports and returns a panic, which ends only fn. Its goroutine serves one
--- a/daemon/coordinator/term.go
+++ b/daemon/coordinator/term.go
@@ -93,6 +93,7 @@
 	t := &term{number: number, submitting: map[work.JobID]int{}, removed: map[string]bool{}}
 	open := 0
 	err := s.driver.Read(func() {
+		s.machine.beginRecording()
 		planner := placement.NewPlanner(number, now.Add(lease.ExpiresAfter), s.machine.EnrolledVMs())
 		t.Scheduler = scheduler.New(planner, s.metrics, s.opts.Log)
 		s.machine.Each(func(r *ledger.Record) {
@@ -133,6 +134,7 @@
 	}
 	s.opts.Log.Emit(events.Event{ID: events.TermEnded, Ticket: s.term.number})
 	s.term = nil
+	s.driver.Local(s.machine.endRecording)
 	for cl := range s.clients {
 		cl.session = nil
 		s.sendWelcome(cl)
@@ -144,6 +146,7 @@
 func (s *Service) tick(ctx context.Context, t *term) {
 	now := boottime.Now()
 	s.mu.Lock()
+	s.applyEffects()
 	t.Tick(now)
 	for cl := range s.clients {
 		if !cl.welcomed {
@@ -188,16 +191,9 @@
 // committed; each removal therefore names the enrolment that it ends.
 func (s *Service) removeAbsent(ctx context.Context, absent []ledger.Enrolment) {
 	for _, e := range absent {
-		result, err := s.propose(ctx, ledger.Command{RemoveEnrolment: &e})
-		if err != nil {
+		if _, err := s.propose(ctx, ledger.Command{RemoveEnrolment: &e}); err != nil {
 			s.opts.Log.Emit(events.Event{ID: events.ForgetFailed, Peer: e.VM, Err: err})
-			continue
-		}
-		removed := events.Event{ID: events.AgentRemoved, Peer: e.VM}
-		if !result.Changed {
-			removed.Text = "enrolled again, stays"
 		}
-		s.opts.Log.Emit(removed)
 	}
 }
 
