leaderless, gateway: an entry acts on the newest version that it can reach

What callers saw: an entry without a leader answers by an older configuration, or, where its guard acts, can't place anything until there is a leader.

Cause: only answers to best-effort jobs carried the leader's version, so that an entry whose callers asked for anything else did not know that it lacked one; and nobody but the leader that confirmed a change could give it to an entry. A message of a replaced connection could also set the configuration and the agents back.

Change: the rule is in core/leaderless, without network: an entry without a leader places jobs by the newest configuration that a control VM in contact has applied, and places nothing while it lacks that one. All answers, and the pongs of every control VM, carry the version; an entry that lacks it requests it from that VM, whether it leads or not. Agents are taken from leaders only, since a VM that is behind may lack one.

Confirming a change only after each entry has acknowledged it was weighed: it would delay each change beside a frozen entry, and the bound of 2 s doesn't need it while control has a majority.

--- a/api/mesh/golden_test.go
+++ b/api/mesh/golden_test.go
@@ -13,7 +13,7 @@
 
 // addedFields are fields that were added after the first golden files were written.
 // They are absent from messages, commands and snapshots of former code.
-var addedFields = []string{"Waited", "EndpointDraining", "RemoveEnrolment", "Enrolments", "FailedRuns"}
+var addedFields = []string{"Waited", "EndpointDraining", "RemoveEnrolment", "Enrolments", "FailedRuns", "ConfigurationVersion"}
 
 // TestGoldenMessages guards against a message that is encoded differently from
 // released code: a renamed field without its former name as a tag, or a kind
@@ -37,7 +37,7 @@
 	}
 	// Messages with fields that were added later have a file of their own.
 	extended := map[string]Message{
-		"05-waited": &Request{}, "02-draining": &Welcome{}, "07-draining": &Inventory{}, "09-draining": &Report{}, "15-draining": &Enrolled{},
+		"05-waited": &Request{}, "02-draining": &Welcome{}, "04-version": &Pong{}, "07-draining": &Inventory{}, "09-draining": &Report{}, "15-draining": &Enrolled{},
 	}
 	for name, m := range extended {
 		testfill.Fill(m)
--- a/api/mesh/mesh.go
+++ b/api/mesh/mesh.go
@@ -57,8 +57,8 @@
 	// there is no leader.
 	Session placement.SessionID
 	// Queues, for entries, are the queues in force, and Version is the
-	// configuration's version. They are sent again with each change of the
-	// configuration.
+	// configuration's version. The leader sends them again with each change of the
+	// configuration. From another control VM they are what it has applied.
 	Queues  []work.Queue
 	Version uint64
 	// Agents, for entries, are the agents whose endpoints may run tasks.
@@ -92,8 +92,8 @@
 }
 
 // NewSession requests another session from the leader, or from an entry that
-// places jobs itself, for example when the endpoint has restarted. Welcome
-// answers it.
+// places jobs itself, for example when the endpoint has restarted. An entry requests
+// with it the configuration that a control VM has applied. Welcome answers it.
 type NewSession struct{}
 
 // Ping keeps a connection and an agent's lease alive.
@@ -114,6 +114,8 @@
 	Sequence uint64
 	// Renewed is set if the sender has renewed the session's lease.
 	Renewed bool
+	// ConfigurationVersion, for entries, is the version that the sender has applied.
+	ConfigurationVersion uint64 `cbor:",omitempty"`
 }
 
 // Operation is the kind of a caller's request.
--- a/daemon/coordinator/clients.go
+++ b/daemon/coordinator/clients.go
@@ -76,7 +76,20 @@
 
 // sendWelcome notifies a client whether this VM leads. If it does, an agent gets a new
 // session. The caller holds mu.
-func (s *Service) sendWelcome(cl *client) {
+func (s *Service) sendWelcome(cl *client) { cl.conn.Send(s.welcome(cl)) }
+
+// sendConfiguration answers an entry that lacks a version which this VM has applied. It
+// may have no leader that could send it. The caller holds mu.
+func (s *Service) sendConfiguration(cl *client) {
+	w := s.welcome(cl)
+	if !w.Leading {
+		s.driver.Local(func() { s.addConfiguration(cl, w) })
+	}
+	cl.conn.Send(w)
+}
+
+// welcome returns a client's next Welcome. The caller holds mu.
+func (s *Service) welcome(cl *client) *mesh.Welcome {
 	w := &mesh.Welcome{Members: s.members()}
 	cl.welcomed = false
 	if s.term != nil && s.driver.Leading() {
@@ -89,25 +102,42 @@
 			w.Session = cl.session.ID
 			w.Incarnation, w.EndpointDraining = s.incarnationOf(cl.vm)
 		} else {
-			s.addFallbackData(w)
-			s.opts.Log.Emit(events.Event{ID: events.ConfigurationSent, Peer: cl.vm, Ticket: w.Version})
+			s.addFallbackData(cl, w)
 		}
 	}
-	cl.conn.Send(w)
+	return w
 }
 
 // addFallbackData adds the agents and queues that entries need to place jobs while
 // there is no leader.
-func (s *Service) addFallbackData(w *mesh.Welcome) {
+func (s *Service) addFallbackData(cl *client, w *mesh.Welcome) {
 	s.driver.Local(func() {
 		for _, a := range s.machine.Agents() {
 			w.Agents = append(w.Agents, ledger.Agent{VM: a.VM, Address: a.Address})
 		}
+		s.addConfiguration(cl, w)
+	})
+}
+
+// addConfiguration adds the configuration that this VM has applied to an entry's Welcome.
+// The caller holds the driver's lock.
+func (s *Service) addConfiguration(cl *client, w *mesh.Welcome) {
+	if c := s.machine.Configuration(); c != nil {
+		w.Queues = c.Queues
+		w.Version = c.Version
+		s.opts.Log.Emit(events.Event{ID: events.ConfigurationSent, Peer: cl.vm, Ticket: c.Version})
+	}
+}
+
+// configurationVersion returns the version that this VM has applied, 0 before the first.
+func (s *Service) configurationVersion() uint64 {
+	version := uint64(0)
+	s.driver.Local(func() {
 		if c := s.machine.Configuration(); c != nil {
-			w.Queues = c.Queues
-			w.Version = c.Version
+			version = c.Version
 		}
 	})
+	return version
 }
 
 // incarnationOf returns the latest recorded incarnation of a VM's endpoint, nil if
@@ -187,9 +217,7 @@
 		cl.service.abandon(cl.conn, m.Sequence, cl.waiting[m.Sequence])
 		delete(cl.waiting, m.Sequence)
 	case *mesh.NewSession:
-		cl.service.mu.Lock()
-		cl.service.sendWelcome(cl)
-		cl.service.mu.Unlock()
+		cl.newSession()
 	case *mesh.Inventory:
 		if a := cl.sessionByID(m.Endpoint.Session); a != nil {
 			a.join(ctx, m)
@@ -205,6 +233,18 @@
 	}
 }
 
+// newSession answers a request for a session, or an entry's for the configuration.
+func (cl *client) newSession() {
+	s := cl.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if cl.role == mesh.RoleEntry {
+		s.sendConfiguration(cl)
+		return
+	}
+	s.sendWelcome(cl)
+}
+
 // ping answers a ping, and renews the lease of the session that it names unless
 // another VM may lead by now.
 func (cl *client) ping(m *mesh.Ping) {
@@ -212,6 +252,9 @@
 	if a := cl.sessionByID(m.Session); a != nil {
 		pong.Renewed = a.renew(m)
 	}
+	if cl.role == mesh.RoleEntry {
+		pong.ConfigurationVersion = cl.service.configurationVersion()
+	}
 	cl.conn.Send(pong)
 }
 
--- a/daemon/coordinator/configuration_test.go
+++ b/daemon/coordinator/configuration_test.go
@@ -57,3 +57,27 @@
 	}
 	assert.Equal(t, missed, 0, "confirmed versions that the entry has not received, of %d", rounds)
 }
+
+// TestEveryControlVMGivesItsVersion guards against an entry that has lost its leader and
+// can't learn from other control VMs that it lacks a confirmed version, or can't get it
+// from them.
+func TestEveryControlVMGivesItsVersion(t *testing.T) {
+	c := newCluster(t, 3)
+	leader := c.leader()
+	c.configure(leader, 4)
+	for i := range c.managers {
+		entry := c.dial(i, &mesh.Hello{Role: mesh.RoleEntry, VM: "entry-1"})
+		c.eventually("the VM reports the version", func() bool {
+			entry.Send(&mesh.Ping{})
+			return await[*mesh.Pong](entry).ConfigurationVersion == 4
+		})
+		entry.Send(&mesh.NewSession{})
+		assert.Assert(t, entry.awaitVersion(4, time.Second))
+		if i == leader {
+			entry.Send(&mesh.Request{Sequence: 1, Operation: mesh.Inspect, Host: "h", Path: "/unknown/"})
+			r := await[*mesh.Response](entry)
+			assert.Equal(t, r.Outcome, mesh.NoQueue)
+			assert.Equal(t, r.Version, uint64(4))
+		}
+	}
+}
--- a/daemon/coordinator/entries.go
+++ b/daemon/coordinator/entries.go
@@ -39,7 +39,8 @@
 	// known is set if the job is recorded in the ledger.
 	known bool
 	state work.State
-	// version is the version of the configuration in force.
+	// version is the version of the configuration in force, set also if it has no such
+	// queue.
 	version uint64
 }
 
@@ -76,8 +77,8 @@
 
 // inspect answers an Inspect request for a job or a queue.
 func (s *Service) inspect(q *mesh.Request) *mesh.Response {
-	r := &mesh.Response{Sequence: q.Sequence}
 	found, outcome := s.resolve(q)
+	r := &mesh.Response{Sequence: q.Sequence, Version: found.version}
 	switch {
 	case outcome != 0:
 		r.Outcome = outcome
@@ -112,8 +113,8 @@
 
 // submitOrCancel handles a request to submit or cancel a job.
 func (s *Service) submitOrCancel(ctx context.Context, q *mesh.Request) *mesh.Response {
-	r := &mesh.Response{Sequence: q.Sequence}
 	found, outcome := s.resolve(q)
+	r := &mesh.Response{Sequence: q.Sequence, Version: found.version}
 	switch {
 	case outcome != 0:
 		r.Outcome = outcome
--- a/daemon/coordinator/manager.go
+++ b/daemon/coordinator/manager.go
@@ -118,15 +118,7 @@
 		m.gauge("cicadapulley_term", "Term of the consensus.", func(s *Service) float64 { return float64(s.driver.Term()) }),
 		m.gauge("cicadapulley_storage_syncs", "Syncs since the data folder was opened.", func(s *Service) float64 { return float64(s.store.Stats().Syncs) }),
 		m.gauge("cicadapulley_storage_log_bytes", "Size of the log on disk.", func(s *Service) float64 { return float64(s.store.Stats().LogBytes) }),
-		m.gauge("cicadapulley_configuration_version", "Version of the configuration that this VM has applied.", func(s *Service) float64 {
-			version := uint64(0)
-			s.driver.Local(func() {
-				if c := s.machine.Configuration(); c != nil {
-					version = c.Version
-				}
-			})
-			return float64(version)
-		}),
+		m.gauge("cicadapulley_configuration_version", "Version of the configuration that this VM has applied.", func(s *Service) float64 { return float64(s.configurationVersion()) }),
 		m.gauge("cicadapulley_storage_available", "0 while the disk refuses writes and this VM has no part in the group.", func(*Service) float64 { return 1 }),
 	)
 }
--- a/daemon/fallback/fallback.go
+++ b/daemon/fallback/fallback.go
@@ -58,7 +58,7 @@
 	// leader was lost.
 	Term         uint64
 	LeaderLostAt time.Time
-	// Routes are the queues of the last known configuration, and Version is its version.
+	// Routes are the queues of the configuration at the start, and Version is its version.
 	Routes  *work.Routes
 	Version uint64
 	// Agents are the agents whose endpoints may run tasks.
@@ -74,6 +74,7 @@
 
 	mu        sync.Mutex
 	scheduler *scheduler.Scheduler
+	routes    *work.Routes
 	// lastSession and lastRequest are the numbers last given.
 	lastSession uint64
 	lastRequest uint64
@@ -100,7 +101,7 @@
 		vms[i] = a.VM
 	}
 	planner := placement.NewSharedPlanner(o.Term, o.LeaderLostAt.Add(lease.ExpiresAfter), vms)
-	return &Placer{opts: o, scheduler: scheduler.New(planner, o.Metrics, o.Log), open: map[uint64]*request{}}
+	return &Placer{opts: o, routes: o.Routes, scheduler: scheduler.New(planner, o.Metrics, o.Log), open: map[uint64]*request{}}
 }
 
 // Run places jobs until ctx ends, then hands the open ones over.
@@ -184,6 +185,21 @@
 	return text
 }
 
+// SetRoutes replaces the queues by those of a newer configuration. Jobs that have been
+// submitted go on.
+func (p *Placer) SetRoutes(routes *work.Routes) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.routes = routes
+}
+
+// resolve returns the queue and the job of a path.
+func (p *Placer) resolve(host, path string) (*work.Queue, work.JobID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.routes.Resolve(host, path)
+}
+
 // ReachesEndpoints reports whether tasks can be placed on any endpoint.
 func (p *Placer) ReachesEndpoints() bool {
 	p.mu.Lock()
@@ -202,7 +218,7 @@
 // has to be sent to a leader instead, with the returned state. A job of which no task
 // has started when startCtx ends is cancelled and answered with NoLeader.
 func (p *Placer) Submit(ctx, startCtx context.Context, q *mesh.Request) (*mesh.Response, placement.PriorState) {
-	queue, id := p.opts.Routes.Resolve(q.Host, q.Path)
+	queue, id := p.resolve(q.Host, q.Path)
 	if queue == nil || id == "" {
 		return &mesh.Response{Outcome: mesh.NoLeader}, q.PriorState // a newer configuration may have the queue
 	}
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -76,7 +76,10 @@
 	// connection fails, the VM loses the leadership, or ctx ends, as when a leader
 	// of a later term has been found.
 	Serve func(ctx context.Context, l *Leader) error
-	Log   *events.Log
+	// Standby receives the messages of control VMs that do not lead; nil drops them. The
+	// goroutine of the connection calls it.
+	Standby func(c *link.Conn, m mesh.Message)
+	Log     *events.Log
 }
 
 // Follower keeps connections to the control VMs. It is safe for concurrent use.
@@ -95,6 +98,9 @@
 
 // New returns a follower; Run opens its connections.
 func New(o Options) *Follower {
+	if o.Standby == nil {
+		o.Standby = func(*link.Conn, mesh.Message) {}
+	}
 	return &Follower{opts: o, group: supervisor.NewGroup("follow", o.Log), addresses: slices.Clone(o.Addresses)}
 }
 
@@ -174,11 +180,14 @@
 			f.updateMembers(members)
 		}
 		w, ok := m.(*mesh.Welcome)
-		if !ok {
+		if ok {
+			f.updateMembers(&mesh.Members{Addresses: w.Members, Leading: w.Leading})
+		}
+		if !ok || !w.Leading {
+			f.opts.Standby(c, m)
 			continue
 		}
-		f.updateMembers(&mesh.Members{Addresses: w.Members, Leading: w.Leading})
-		if w.Leading && !f.serveLeader(ctx, &Leader{Conn: c, Welcome: w, follower: f}) {
+		if !f.serveLeader(ctx, &Leader{Conn: c, Welcome: w, follower: f}) {
 			return
 		}
 	}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -18,7 +18,7 @@
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
 	"github.com/cicadapulley/cicadapulley/core/job"
-	"github.com/cicadapulley/cicadapulley/core/ledger"
+	"github.com/cicadapulley/cicadapulley/core/leaderless"
 	"github.com/cicadapulley/cicadapulley/core/placement"
 	"github.com/cicadapulley/cicadapulley/daemon/boottime"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
@@ -59,15 +59,11 @@
 	mu sync.Mutex
 	// leader is the connection to the leader; nil while there is none.
 	leader *leader
-	// lostAt is when the connection to the last leader ended.
-	lostAt time.Time
 	// local places best-effort jobs; nil while there is a leader.
 	local *fallback.Placer
-	// leaderInfo is what the last leader sent; its routes are nil before that.
-	leaderInfo leaderInfo
-	// version is the highest configuration version that a leader has reported.
-	version uint64
-	// changed is closed and replaced when leader or local changes.
+	// view is what control VMs have sent, by which this entry acts without a leader.
+	view leaderless.View
+	// changed is closed and replaced when leader, local or the view's configuration changes.
 	changed chan struct{}
 	pending map[uint64]chan *mesh.Response
 	latency *prometheus.HistogramVec
@@ -85,7 +81,7 @@
 func New(o Options) *Service {
 	return &Service{
 		opts: o, changed: make(chan struct{}), pending: map[uint64]chan *mesh.Response{},
-		leaderInfo: leaderInfo{agents: map[string]ledger.Agent{}}, latency: newLatency(), metrics: scheduler.NewMetrics(),
+		latency: newLatency(), metrics: scheduler.NewMetrics(),
 	}
 }
 
@@ -95,7 +91,7 @@
 	current := &leader{Leader: l, done: make(chan struct{})}
 	defer close(current.done)
 	s.setLeader(current, nil)
-	s.applyWelcome(l.Welcome)
+	s.applyWelcome(current, l.Welcome)
 	defer s.setLeader(nil, current)
 	stop := context.AfterFunc(ctx, l.Close)
 	defer stop()
@@ -109,9 +105,11 @@
 		case *mesh.Response:
 			s.deliver(m)
 		case *mesh.Welcome:
-			s.applyWelcome(m)
+			s.applyWelcome(current, m)
 		case *mesh.Enrolled:
 			s.addAgent(m.Agent)
+		case *mesh.Pong:
+			s.recordVersion(l.Conn, m.ConfigurationVersion)
 		}
 	}
 }
@@ -123,10 +121,10 @@
 func (s *Service) waitTimeout(q *mesh.Request, mayHaveRun bool) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if q.Job == nil || s.leaderInfo.routes == nil {
+	if q.Job == nil || s.view.Routes() == nil {
 		return leaderTimeout
 	}
-	queue, _ := s.leaderInfo.routes.Match(q.Host, q.Path)
+	queue, _ := s.view.Routes().Match(q.Host, q.Path)
 	if queue == nil {
 		return leaderTimeout
 	}
@@ -149,7 +147,9 @@
 	}
 	s.leader = l
 	if l == nil {
-		s.lostAt = boottime.Now()
+		s.view.LeaderLost(boottime.Now())
+	} else {
+		s.view.LeaderFound()
 	}
 	s.notify()
 }
@@ -165,7 +165,7 @@
 	s.mu.Lock()
 	waiter := s.pending[r.Sequence]
 	delete(s.pending, r.Sequence)
-	s.version = max(s.version, r.Version)
+	s.view.Reported(r.Version)
 	s.mu.Unlock()
 	if waiter != nil {
 		waiter <- r // buffered for the only response
@@ -323,11 +323,14 @@
 }
 
 // awaitDestination waits for a leader or, for a best-effort submission, for the local
-// placer. Both are nil if ctx ends first.
+// placer with the newest configuration. Both are nil if ctx ends first.
 func (s *Service) awaitDestination(ctx context.Context, q *mesh.Request) (*leader, *fallback.Placer) {
 	for {
 		s.mu.Lock()
 		l, local, changed := s.leader, s.local, s.changed
+		if s.view.Outdated() {
+			local = nil
+		}
 		s.mu.Unlock()
 		if l != nil {
 			return l, nil
--- a/daemon/gateway/local.go
+++ b/daemon/gateway/local.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"strconv"
 	"time"
 
@@ -13,44 +11,69 @@
 	"github.com/cicadapulley/cicadapulley/daemon/boottime"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 	"github.com/cicadapulley/cicadapulley/daemon/fallback"
+	"github.com/cicadapulley/cicadapulley/daemon/link"
 )
 
-// localPlacementDelay is how long an entry waits for another leader before it places
-// jobs itself. An election takes 0.2 to 0.4 s from the last message of a leader, most
-// of which has passed when the loss is detected.
-const localPlacementDelay = 150 * time.Millisecond
+// applyWelcome stores what the leader sends at the start of its term and after each
+// change of the configuration. A connection that has been replaced may still deliver a
+// message, which is dropped.
+func (s *Service) applyWelcome(from *leader, w *mesh.Welcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leader != from {
+		return
+	}
+	if s.view.Welcomed(w.Term, w.Agents, configurationOf(w)) {
+		s.configurationChanged("leader of term " + strconv.FormatUint(w.Term, 10))
+	}
+}
 
-// leaderInfo is what an entry has received from the last leader.
-type leaderInfo struct {
-	term    uint64
-	routes  *work.Routes
-	version uint64
-	agents  map[string]ledger.Agent
+func configurationOf(w *mesh.Welcome) *work.Configuration {
+	return &work.Configuration{Version: w.Version, Queues: w.Queues}
 }
 
-// applyWelcome stores what a leader sends at the start of its term and after each
-// change of the configuration.
-func (s *Service) applyWelcome(w *mesh.Welcome) {
-	agents := make(map[string]ledger.Agent, len(w.Agents))
-	for _, a := range w.Agents {
-		agents[a.VM] = a
-	}
-	info := leaderInfo{
-		term: w.Term, routes: work.NewRoutes(&work.Configuration{Queues: w.Queues}), version: w.Version, agents: agents,
+// configurationChanged makes the present configuration the one by which jobs are placed.
+// The caller holds mu.
+func (s *Service) configurationChanged(from string) {
+	s.opts.Log.Emit(events.Event{ID: events.ConfigurationReceived, Ticket: s.view.Version(), Text: from})
+	if s.local != nil {
+		s.local.SetRoutes(s.view.Routes())
 	}
+	s.notify()
+}
+
+// recordVersion records the version that a control VM has applied, and requests the
+// configuration from it if this entry lacks it.
+func (s *Service) recordVersion(c *link.Conn, version uint64) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if info.version != s.leaderInfo.version {
-		s.opts.Log.Emit(events.Event{ID: events.ConfigurationReceived, Ticket: info.version, Text: "term " + strconv.FormatUint(w.Term, 10)})
+	s.view.Reported(version)
+	lacking := version > s.view.Version()
+	s.mu.Unlock()
+	if lacking {
+		c.Send(&mesh.NewSession{})
+	}
+}
+
+// Standby handles the messages of a control VM that does not lead. It implements
+// follow.Options.Standby. Such a VM may have applied a configuration that no leader has
+// sent to this entry.
+func (s *Service) Standby(c *link.Conn, m mesh.Message) {
+	switch m := m.(type) {
+	case *mesh.Pong:
+		s.recordVersion(c, m.ConfigurationVersion)
+	case *mesh.Welcome:
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if m.Version > 0 && s.view.Configured(configurationOf(m)) {
+			s.configurationChanged("control VM " + c.Remote())
+		}
 	}
-	s.leaderInfo = info
-	s.version = max(s.version, w.Version)
 }
 
 func (s *Service) addAgent(a ledger.Agent) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.leaderInfo.agents[a.VM] = a
+	s.view.Enrolled(a)
 }
 
 // Run places best-effort jobs while there is no leader, until ctx ends.
@@ -71,24 +94,22 @@
 	return nil
 }
 
-// awaitLeaderLoss returns the options of a local placer if there has been no leader for
-// localPlacementDelay and this entry has the routes of the latest configuration.
-// Otherwise it waits until that may have changed, or ctx ends, and returns false.
+// awaitLeaderLoss returns the options of a local placer if this entry may place jobs
+// itself. Otherwise it waits until that may have changed, or ctx ends, and returns false.
 func (s *Service) awaitLeaderLoss(ctx context.Context) (fallback.Options, bool) {
 	s.mu.Lock()
-	wait := localPlacementDelay - boottime.Now().Sub(s.lostAt)
-	canPlace := s.leader == nil && s.leaderInfo.routes != nil && s.leaderInfo.version >= s.version
+	ok, wait := s.view.MayPlace(boottime.Now())
 	opts := fallback.Options{
-		VM: s.opts.VM, Term: s.leaderInfo.term, LeaderLostAt: s.lostAt, Routes: s.leaderInfo.routes, Version: s.leaderInfo.version,
-		Agents: slices.Collect(maps.Values(s.leaderInfo.agents)), Metrics: s.metrics, Log: s.opts.Log,
+		VM: s.opts.VM, Term: s.view.Term(), LeaderLostAt: s.view.LeaderLostAt(), Routes: s.view.Routes(), Version: s.view.Version(),
+		Agents: s.view.Agents(), Metrics: s.metrics, Log: s.opts.Log,
 	}
 	changed := s.changed
 	s.mu.Unlock()
-	var due <-chan time.Time
-	if canPlace && wait <= 0 {
+	if ok {
 		return opts, true
 	}
-	if canPlace {
+	var due <-chan time.Time
+	if wait > 0 {
 		due = time.After(wait)
 	}
 	select {
@@ -121,5 +142,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.local = p
+	if p != nil {
+		p.SetRoutes(s.view.Routes()) // a newer configuration may have arrived since p was made
+	}
 	s.notify()
 }
