coordinator: only the planner of the present term places tasks

A VM that loses the leadership and wins a later term before its check of the leadership runs went on with the planner of the earlier term, which lacks what the leader between them has placed; found by reading while the effects of commands were traced. Placement, sessions and admissions now compare the term of the planner with the term in which this VM leads.

--- a/daemon/control/consensus/read.go
+++ b/daemon/control/consensus/read.go
@@ -54,6 +54,14 @@
 // Leading reports whether this VM leads and may serve reads now.
 func (d *Driver) Leading() bool { return d.Read(func() {}) == nil }
 
+// LeadingTerm returns the current term, and whether this VM leads in it and can serve
+// reads.
+func (d *Driver) LeadingTerm() (term uint64, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.Term(), d.canServe()
+}
+
 // Term returns the current term.
 func (d *Driver) Term() uint64 {
 	d.mu.Lock()
--- a/daemon/coordinator/clients.go
+++ b/daemon/coordinator/clients.go
@@ -92,7 +92,7 @@
 func (s *Service) welcome(cl *client) *mesh.Welcome {
 	w := &mesh.Welcome{Members: s.members()}
 	cl.welcomed = false
-	if s.term != nil && s.driver.Leading() {
+	if s.leads(s.term) {
 		cl.welcomed = true
 		w.Leading = true
 		w.Term = s.term.number
--- a/daemon/coordinator/term.go
+++ b/daemon/coordinator/term.go
@@ -210,19 +210,27 @@
 // place answers the requests that wait for finished jobs and, while the leader's
 // lease holds, assigns waiting tasks and sends the orders. The caller holds mu.
 func (s *Service) place(t *term, now time.Time) {
-	if !s.driver.Leading() {
+	if !s.leads(t) {
 		t.AnswerFinished(now)
 		return // the next tick places the waiting tasks
 	}
 	t.Place(now)
 }
 
+// leads reports whether a term, nil for none, is the one in which this VM leads and its
+// lease holds. A VM may have lost the leadership and won a later term before checkLeadership
+// ends the term, and another leader may have placed tasks in between.
+func (s *Service) leads(t *term) bool {
+	number, ok := s.driver.LeadingTerm()
+	return ok && t != nil && t.number == number
+}
+
 // whileLeading runs fn on the term if this VM leads and its lease holds, and
 // reports whether it did.
 func (s *Service) whileLeading(fn func(t *term, now time.Time)) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.term == nil || !s.driver.Leading() {
+	if !s.leads(s.term) {
 		return false
 	}
 	fn(s.term, boottime.Now())
