leaderless: an entry without a list of agents places nothing

An entry that has never had a leader can get a configuration from another control VM. The test fails without the check.

--- a/core/leaderless/leaderless.go
+++ b/core/leaderless/leaderless.go
@@ -93,7 +93,8 @@
 // may only later, unless a leader is found, wait is the time until then; otherwise it
 // is 0.
 func (v *View) MayPlace(now time.Time) (ok bool, wait time.Duration) {
-	if v.hasLeader || v.routes == nil || v.Outdated() {
+	neverHadLeader := v.term == 0 // no list of agents has arrived
+	if v.hasLeader || neverHadLeader || v.routes == nil || v.Outdated() {
 		return false, 0
 	}
 	wait = PlacementDelay - now.Sub(v.lostAt)
--- a/core/leaderless/leaderless_test.go
+++ b/core/leaderless/leaderless_test.go
@@ -66,6 +66,9 @@
 	var v View
 	ok, wait := v.MayPlace(lostAt)
 	assert.Assert(t, !ok && wait == 0, "no configuration yet")
+	v.Configured(configuration(5, "/a/"))
+	ok, _ = v.MayPlace(lostAt)
+	assert.Assert(t, !ok, "no leader has sent the agents yet")
 	v = *withoutLeader()
 	ok, wait = v.MayPlace(lostAt.Add(PlacementDelay - time.Millisecond))
 	assert.Assert(t, !ok)
