coordinator, consensus: a removal is proposed in the term that decided it

A VM that listed an agent as absent, lost the leadership and won it again proposed the removal in the later term, although the agent had joined the leader between them under the same enrolment. Driver.ProposeIn appends a command in one term only. TestRemovalOfAnEarlierTermIsDropped fails without it: the record has no enrolled VM.

--- a/daemon/control/consensus/propose.go
+++ b/daemon/control/consensus/propose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,6 +14,8 @@
 // proposal is a command that waits to be committed and applied.
 type proposal struct {
 	data []byte
+	// onlyIn is the term in which the command may be appended, or AnyTerm.
+	onlyIn uint64
 	// term is the term in which the command was appended.
 	term uint64
 	// answer has a buffer of one, so that the driver doesn't block.
@@ -28,7 +31,16 @@
 // The error is a *raft.NotLeaderError, which means that the command was not
 // appended, or ErrUncertain, or that of ctx.
 func (d *Driver) Propose(ctx context.Context, data []byte) (any, error) {
-	p := &proposal{data: data, answer: make(chan answer, 1)}
+	return d.ProposeIn(ctx, AnyTerm, data)
+}
+
+// AnyTerm is the term of a command that holds whichever leader appends it.
+const AnyTerm = 0
+
+// ProposeIn does as Propose, but appends the command in the given term only. It is for
+// decisions that depend on what this VM knows as the leader of that term.
+func (d *Driver) ProposeIn(ctx context.Context, term uint64, data []byte) (any, error) {
+	p := &proposal{data: data, onlyIn: term, answer: make(chan answer, 1)}
 	select {
 	case d.proposals <- p:
 	case <-ctx.Done():
@@ -59,6 +71,16 @@
 
 // proposeBatch passes a batch of proposals to the node. The caller holds mu.
 func (d *Driver) proposeBatch(now time.Time, batch []*proposal) {
+	batch = slices.DeleteFunc(batch, func(p *proposal) bool {
+		outdated := p.onlyIn != AnyTerm && p.onlyIn != d.node.Term()
+		if outdated {
+			p.answer <- answer{err: d.notLeader()}
+		}
+		return outdated
+	})
+	if len(batch) == 0 {
+		return
+	}
 	payloads := make([][]byte, len(batch))
 	for i, p := range batch {
 		payloads[i] = p.data
--- a/daemon/coordinator/agents_test.go
+++ b/daemon/coordinator/agents_test.go
@@ -64,6 +64,7 @@
 	agent, _ := c.joinAgent(leader)
 	agent.Close()
 	var absent []ledger.Enrolment
+	var decidedIn *term
 	c.eventually("the agent is found to be absent", func() bool {
 		service.mu.Lock()
 		defer service.mu.Unlock()
@@ -72,12 +73,13 @@
 		}
 		leaseExpired := now().Add(time.Minute)
 		service.term.Tick(leaseExpired)
-		absent = service.absent(service.term, leaseExpired)
+		decidedIn = service.term
+		absent = service.absent(decidedIn, leaseExpired)
 		return true
 	})
 	assert.Equal(t, len(absent), 1)
 	c.joinAgent(leader)
-	service.removeAbsent(t.Context(), absent)
+	service.removeAbsent(t.Context(), decidedIn, absent)
 	assert.DeepEqual(t, service.machine.EnrolledVMs(), []string{someAgent.VM})
 	// Entries that connect, or receive the next configuration, await and use it as well.
 	entry := c.dial(leader, &mesh.Hello{Role: mesh.RoleEntry, VM: "entry-1"})
@@ -116,3 +118,22 @@
 		}
 	}
 }
+
+// TestRemovalOfAnEarlierTermIsDropped guards against a task that runs at two endpoints
+// after a change of the leader: a VM that leads again after another one proposes a removal
+// that it decided in its earlier term, while the agent, whose enrolment is the same, has
+// runs again.
+func TestRemovalOfAnEarlierTermIsDropped(t *testing.T) {
+	c := newCluster(t, 1)
+	leader := c.leader()
+	c.configure(leader, 1)
+	service := c.managers[leader].service.Load()
+	c.joinAgent(leader)
+	service.mu.Lock()
+	earlier := &term{number: service.term.number - 1}
+	service.mu.Unlock()
+	var enrolment ledger.Enrolment
+	service.driver.Local(func() { enrolment = service.machine.Enrolment(someAgent.VM) })
+	service.removeAbsent(t.Context(), earlier, []ledger.Enrolment{enrolment})
+	service.driver.Local(func() { assert.DeepEqual(t, service.machine.EnrolledVMs(), []string{someAgent.VM}) })
+}
--- a/daemon/coordinator/machine.go
+++ b/daemon/coordinator/machine.go
@@ -5,6 +5,7 @@
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
 	"github.com/cicadapulley/cicadapulley/core/ledger"
+	"github.com/cicadapulley/cicadapulley/daemon/control/consensus"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 )
 
@@ -52,11 +53,16 @@
 // must not hold mu. Errors are those of consensus.Driver.Propose; the command may be
 // applied nevertheless, and then the next tick applies its effects.
 func (s *Service) propose(ctx context.Context, c ledger.Command) (ledger.Result, error) {
+	return s.proposeIn(ctx, consensus.AnyTerm, c)
+}
+
+// proposeIn proposes a command as propose does, in the given term only.
+func (s *Service) proposeIn(ctx context.Context, term uint64, c ledger.Command) (ledger.Result, error) {
 	data, err := mesh.EncodeCommand(c)
 	if err != nil {
 		return ledger.Result{}, err
 	}
-	result, err := s.driver.Propose(ctx, data)
+	result, err := s.driver.ProposeIn(ctx, term, data)
 	if err != nil {
 		return ledger.Result{}, err
 	}
--- a/daemon/coordinator/term.go
+++ b/daemon/coordinator/term.go
@@ -161,7 +161,7 @@
 	}
 	absent := s.absent(t, now)
 	s.mu.Unlock()
-	s.removeAbsent(ctx, absent)
+	s.removeAbsent(ctx, t, absent)
 	if len(forget) == 0 {
 		return
 	}
@@ -188,10 +188,12 @@
 
 // removeAbsent removes enrolments that were found to be absent. The removals wait for
 // their commits without holding mu, so an agent may enrol again before its removal is
-// committed; each removal therefore names the enrolment that it ends.
-func (s *Service) removeAbsent(ctx context.Context, absent []ledger.Enrolment) {
+// committed; each removal therefore names the enrolment that it ends. It is proposed in
+// the term that decided it only: in a later one the agent may have runs again under the
+// same enrolment.
+func (s *Service) removeAbsent(ctx context.Context, t *term, absent []ledger.Enrolment) {
 	for _, e := range absent {
-		if _, err := s.propose(ctx, ledger.Command{RemoveEnrolment: &e}); err != nil {
+		if _, err := s.proposeIn(ctx, t.number, ledger.Command{RemoveEnrolment: &e}); err != nil {
 			s.opts.Log.Emit(events.Event{ID: events.ForgetFailed, Peer: e.VM, Err: err})
 		}
 	}
