coordinator: a panic in a tick releases the lock and loses one effect only

The effects behind it were lost as well, which is new since they are applied in batches. The tick now unlocks by defer, and effects are taken one at a time.

--- a/daemon/coordinator/effects.go
+++ b/daemon/coordinator/effects.go
@@ -32,12 +32,16 @@
 	m.effects = nil
 }
 
-// takeEffects returns the effects recorded since the last call, in the order of the
-// log. The caller holds the driver's lock.
-func (m *machine) takeEffects() []effect {
-	taken := m.effects
-	m.effects = nil
-	return taken
+// takeEffect removes and returns the first recorded effect. They are taken one at a time,
+// so that a panic in one of them does not lose the others. The caller holds the driver's
+// lock.
+func (m *machine) takeEffect() (first effect, found bool) {
+	if len(m.effects) == 0 {
+		return effect{}, false
+	}
+	first = m.effects[0]
+	m.effects = m.effects[1:]
+	return first, true
 }
 
 // applyEffects updates the planner and the clients from the commands that were applied
@@ -46,16 +50,21 @@
 	if s.term == nil {
 		return
 	}
-	var effects []effect
-	s.driver.Local(func() { effects = s.machine.takeEffects() })
-	if len(effects) == 0 {
-		return
-	}
 	at := now()
-	for _, e := range effects {
-		s.applyEffect(s.term, at, e)
+	applied := false
+	for {
+		var next effect
+		found := false
+		s.driver.Local(func() { next, found = s.machine.takeEffect() })
+		if !found {
+			break
+		}
+		s.applyEffect(s.term, at, next)
+		applied = true
+	}
+	if applied {
+		s.place(s.term, at)
 	}
-	s.place(s.term, at)
 }
 
 func (s *Service) applyEffect(t *term, at time.Time, e effect) {
--- a/daemon/coordinator/term.go
+++ b/daemon/coordinator/term.go
@@ -144,8 +144,22 @@
 // tick runs the planner's due work, removes absent agents, and forgets final jobs
 // whose retention time has passed.
 func (s *Service) tick(ctx context.Context, t *term) {
-	now := boottime.Now()
+	forget, absent := s.tickTerm(t)
+	s.removeAbsent(ctx, t, absent)
+	if len(forget) == 0 {
+		return
+	}
+	if _, err := s.propose(ctx, ledger.Command{Forget: forget}); err != nil {
+		s.opts.Log.Emit(events.Event{ID: events.ForgetFailed, Err: err})
+	}
+}
+
+// tickTerm runs what needs no commit, and returns the final jobs to forget and the
+// enrolments to remove.
+func (s *Service) tickTerm(t *term) (forget []work.JobID, absent []ledger.Enrolment) {
 	s.mu.Lock()
+	defer s.mu.Unlock() // also after a panic in the planner
+	now := boottime.Now()
 	s.applyEffects()
 	t.Tick(now)
 	for cl := range s.clients {
@@ -154,20 +168,11 @@
 		}
 	}
 	s.place(t, now)
-	var forget []work.JobID
 	for len(t.finalJobs) > 0 && now.Sub(t.finalJobs[0].at) > s.opts.KeepFinal && len(forget) < maxForgetPerCommand {
 		forget = append(forget, t.finalJobs[0].id)
 		t.finalJobs = t.finalJobs[1:]
 	}
-	absent := s.absent(t, now)
-	s.mu.Unlock()
-	s.removeAbsent(ctx, t, absent)
-	if len(forget) == 0 {
-		return
-	}
-	if _, err := s.propose(ctx, ledger.Command{Forget: forget}); err != nil {
-		s.opts.Log.Emit(events.Event{ID: events.ForgetFailed, Err: err})
-	}
+	return forget, s.absent(t, now)
 }
 
 // absent returns the enrolments of VMs that have neither a session nor runs, and
