--- a/daemon/coordinator/effects_test.go
+++ b/daemon/coordinator/effects_test.go
@@ -79,3 +79,26 @@
 	c.managers[leader].service.Load().commit(t, ledger.Command{Enrol: &ledger.Agent{VM: someAgent.VM, Address: someAgent.Address}})
 	assert.Equal(t, await[*mesh.Enrolled](entry).Agent.VM, someAgent.VM)
 }
+
+// TestPanicInOneEffectKeepsTheOthers guards against a leader that stands still, while no
+// other VM takes over, after a panic in its planner: the tick kept the lock. The commands
+// behind the one that caused it must take effect.
+func TestPanicInOneEffectKeepsTheOthers(t *testing.T) {
+	c := newCluster(t, 1)
+	leader := c.leader()
+	c.configure(leader, 1)
+	s := c.managers[leader].service.Load()
+	c.eventually("the term has begun", func() bool { return s.whileLeading(func(*term, time.Time) {}) })
+	s.mu.Lock()
+	const beyondSteps = 5
+	s.commit(t, ledger.Command{Accept: &work.Job{ID: "00000000000000b1", Queue: "q", Pool: "desk", Steps: []work.Step{{Tasks: 1, After: []int{beyondSteps}}}}})
+	s.commit(t, ledger.Command{Accept: &work.Job{ID: someJob, Queue: "q", Pool: "desk", Steps: []work.Step{{Tasks: 1, Need: work.Resources{CPU: 1000}}}}})
+	s.mu.Unlock()
+	c.eventually("the planner has the second job", func() bool {
+		if !s.mu.TryLock() {
+			return false // the tick may have kept it
+		}
+		defer s.mu.Unlock()
+		return s.term != nil && s.term.Planner.Has(someJob)
+	})
+}
