--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -15,6 +15,9 @@
 
 var plays = map[string]play{
 	"cut-pair": playCutPair,
+	"shed":     playShed,
+	"signals":  playSignals,
+	"roll":     playRoll,
 }
 
 func main() {
--- a/review/standin-2/record.go
+++ b/review/standin-2/record.go
@@ -168,3 +168,21 @@
 	}
 	return longest, begun
 }
+
+// lastStart returns when the last run of a job began.
+func (r *record) lastStart(job string) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var last time.Time
+	for task, runs := range r.runs {
+		if !strings.HasPrefix(task, job+".") {
+			continue
+		}
+		for _, n := range runs {
+			if n.start.After(last) {
+				last = n.start
+			}
+		}
+	}
+	return last
+}
