--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -18,6 +18,7 @@
 	"shed":     playShed,
 	"signals":  playSignals,
 	"roll":     playRoll,
+	"slow":     playSlow,
 }
 
 func main() {
