--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -17,6 +17,7 @@
 	"cut-pair": playCutPair,
 	"shed":     playShed,
 	"signals":  playSignals,
+	"late":     playLate,
 	"roll":     playRoll,
 	"slow":     playSlow,
 }
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -5,8 +5,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,6 +22,8 @@
 	heartbeat   = 1500 * time.Millisecond
 	clockStart  = 5000 // ms
 	maxListed   = 500
+	minLate     = 135 * time.Millisecond
+	maxLate     = 240 * time.Millisecond
 	workerPort  = "8165"
 	controlPort = "8166"
 )
@@ -32,22 +37,26 @@
 	server             *http.Server
 	stop               chan struct{}
 
-	mu        sync.Mutex
-	born      time.Time
-	sequence  int
-	draining  bool
-	fence     uint64
-	lease     int64 // on the worker's clock, ms
-	freeCPU   int
-	running   map[runKey]*work
-	highest   map[string]uint64
-	ends      []listedEnd
-	nextEnd   uint64
-	changed   chan struct{}
-	needs     func(task string) int
-	slowdown  float64
-	shedding  bool
-	pausedFor bool
+	mu       sync.Mutex
+	born     time.Time
+	sequence int
+	draining bool
+	fence    uint64
+	lease    int64 // on the worker's clock, ms
+	freeCPU  int
+	running  map[runKey]*work
+	highest  map[string]uint64
+	ends     []listedEnd
+	nextEnd  uint64
+	changed  chan struct{}
+	needs    func(task string) int
+	slowdown float64
+	shedding bool
+	// lateShare is the share of orders that get no answer and are carried out lateBy later.
+	lateShare  float64
+	lateOrders map[runKey]bool
+	// holdJitter bounds the delay of the answers to hold after they have been made.
+	holdJitter time.Duration
 }
 
 type runKey struct {
@@ -74,7 +83,7 @@
 func newWorker(ip, id, kind, rack string, cpu int, rec *record, needs func(string) int) (*worker, error) {
 	w := &worker{
 		ip: ip, id: id, kind: kind, rack: rack, cpu: cpu, freeCPU: cpu, rec: rec, stop: make(chan struct{}), born: time.Now(),
-		running: map[runKey]*work{}, highest: map[string]uint64{}, nextEnd: 1, changed: make(chan struct{}), needs: needs, slowdown: 1,
+		running: map[runKey]*work{}, lateOrders: map[runKey]bool{}, highest: map[string]uint64{}, nextEnd: 1, changed: make(chan struct{}), needs: needs, slowdown: 1,
 	}
 	l, err := net.Listen("tcp", net.JoinHostPort(ip, workerPort))
 	if err != nil {
@@ -103,10 +112,56 @@
 			rw.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
+		if strings.HasSuffix(r.URL.Path, "/run-start") {
+			body, _ := io.ReadAll(r.Body)
+			if w.isLate(body) {
+				w.carryOutLate(r, body, h)
+			}
+			r.Body = io.NopCloser(bytes.NewReader(body))
+		}
 		h(rw, r)
 	}
 }
 
+// isLate decides whether an order is carried out late. The calls that repeat an order
+// share its fate, in the time in which the share is set.
+func (w *worker) isLate(body []byte) bool {
+	var order runKey
+	var q struct {
+		Task string `json:"task"`
+		Run  uint64 `json:"run"`
+	}
+	if json.Unmarshal(body, &q) != nil {
+		return false
+	}
+	order = runKey{q.Task, q.Run}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.lateShare == 0 {
+		return false
+	}
+	late, known := w.lateOrders[order]
+	if !known {
+		late = rand.Float64() < w.lateShare
+		w.lateOrders[order] = late
+	}
+	return late
+}
+
+// carryOutLate gives an order no answer and carries it out later. It doesn't return.
+func (w *worker) carryOutLate(r *http.Request, body []byte, h http.HandlerFunc) {
+	delay := minLate + time.Duration(rand.Int64N(int64(maxLate-minLate)))
+	time.AfterFunc(delay, func() {
+		q := r.Clone(context.Background())
+		q.Body = io.NopCloser(bytes.NewReader(body))
+		answer := httptest.NewRecorder()
+		h(answer, q)
+		w.rec.printf("%s carried out %.0f ms late, without an answer: status %d for %s", w.id, float64(delay.Milliseconds()), answer.Code, body)
+	})
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
 // clock returns the worker's clock in ms. The caller holds mu.
 func (w *worker) clock() int64 { return time.Since(w.born).Milliseconds() + clockStart }
 
@@ -179,10 +234,16 @@
 	w.changed = make(chan struct{})
 }
 
-func (w *worker) answer(rw http.ResponseWriter, status int, body map[string]any) {
+// encode returns a body with the worker's clock and start. The caller holds mu.
+func (w *worker) encode(body map[string]any) []byte {
 	body["clock_ms"] = w.clock()
 	body["born"] = w.born.UnixMilli()
 	data, _ := json.Marshal(body)
+	return data
+}
+
+func (w *worker) answer(rw http.ResponseWriter, status int, body map[string]any) {
+	data := w.encode(body)
 	rw.Header().Set("Content-Type", "application/json")
 	rw.WriteHeader(status)
 	_, _ = rw.Write(data)
@@ -339,7 +400,15 @@
 	for _, e := range w.ends[:min(len(w.ends), maxListed)] {
 		finished = append(finished, []any{e.number, e.key.task, e.key.run, e.how, ""})
 	}
-	w.answer(rw, http.StatusOK, map[string]any{"running": running, "finished": finished})
+	data := w.encode(map[string]any{"running": running, "finished": finished})
+	if w.holdJitter > 0 {
+		delay := time.Duration(rand.Int64N(int64(w.holdJitter)))
+		w.mu.Unlock()
+		time.Sleep(delay)
+		w.mu.Lock()
+	}
+	rw.Header().Set("Content-Type", "application/json")
+	_, _ = rw.Write(data)
 }
 
 // awaitEnd waits for an end without the lock.
