entry: answer every request before the grace period of a planned stop ends

Cause: a stopping entry accepted connections for 4.1 s and then waited 1 s for open requests, 0.9 s less than its grace period, and took each request whatever time it needed.

core/drain derives the schedule of a stop from the grace period and decides which requests are taken. What may take too long is refused at once with 504 and Retry-After; what is still open 0.5 s before the end gets a 504.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
+	"github.com/cicadapulley/cicadapulley/core/drain"
 	"github.com/cicadapulley/cicadapulley/core/job"
 	"github.com/cicadapulley/cicadapulley/core/leaderless"
 	"github.com/cicadapulley/cicadapulley/core/placement"
@@ -54,7 +55,8 @@
 	// lastContact is the time of a leader's last message on the clock of package
 	// boottime, in nanoseconds; 0 before the first message.
 	lastContact atomic.Int64
-	draining    atomic.Bool
+	// stop is the schedule of the planned stop; nil before it begins.
+	stop atomic.Pointer[drain.Schedule]
 
 	mu sync.Mutex
 	// leader is the connection to the leader; nil while there is none.
@@ -119,22 +121,32 @@
 // have run, it may also be done already, so the submission waits until the result has
 // no more value. What happens to the job is decided by the leader or the local placer.
 func (s *Service) waitTimeout(q *mesh.Request, mayHaveRun bool) time.Duration {
+	objective, ok := s.objective(q)
+	switch {
+	case !ok:
+		return leaderTimeout
+	case mayHaveRun:
+		return min(placement.ExpiryFactor*objective, leaderTimeout)
+	}
+	return min(objective, leaderTimeout)
+}
+
+// objective returns the objective of a submitted job, by the configuration that this entry has.
+// It returns false for other requests and for an unknown queue.
+func (s *Service) objective(q *mesh.Request) (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if q.Job == nil || s.view.Routes() == nil {
-		return leaderTimeout
+		return 0, false
 	}
 	queue, _ := s.view.Routes().Match(q.Host, q.Path)
 	if queue == nil {
-		return leaderTimeout
+		return 0, false
 	}
 	spec := *q.Job
 	spec.Stretch = queue.Stretch
 	spec.Target = queue.Target
-	if mayHaveRun {
-		return min(placement.ExpiryFactor*spec.Objective(), leaderTimeout)
-	}
-	return min(spec.Objective(), leaderTimeout)
+	return spec.Objective(), true
 }
 
 // setLeader replaces the leader. If old is set and no longer the leader, it has no
@@ -173,7 +185,7 @@
 }
 
 // Ready reports whether this entry is connected and not draining.
-func (s *Service) Ready() bool { return !s.draining.Load() && s.Connected() }
+func (s *Service) Ready() bool { return s.stop.Load() == nil && s.Connected() }
 
 // Connected reports whether this entry has received a message from a leader within
 // readyGrace or reaches endpoints on which it places jobs itself.
@@ -185,12 +197,38 @@
 	return last > 0 && boottime.Now().UnixNano()-last < int64(readyGrace) || local != nil && local.ReachesEndpoints()
 }
 
-// Drain makes Ready report false from now on.
-func (s *Service) Drain() {
-	s.draining.Store(true)
+// Drain makes Ready report false from now on, and refuses requests that may take too long for the
+// schedule, whose times are on the clock of package boottime. The caller ends the contexts of the
+// remaining requests at the schedule's AnswerBy.
+func (s *Service) Drain(schedule drain.Schedule) {
+	s.stop.Store(&schedule)
 	s.opts.Log.Emit(events.Event{ID: events.ProcessDraining})
 }
 
+// accepts reports whether there is time for a request before the end of a planned stop.
+func (s *Service) accepts(ctx context.Context, q *mesh.Request) bool {
+	schedule := s.stop.Load()
+	if schedule == nil {
+		return true
+	}
+	longest := leaderTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		longest = time.Until(deadline)
+	}
+	if objective, ok := s.objective(q); ok {
+		longest = min(longest, placement.ExpiryFactor*objective)
+	}
+	return schedule.Accepts(boottime.Now(), longest)
+}
+
+// stoppingResponse refuses a request during a planned stop. An earlier submission of the same
+// job may have gone through another entry, so the answer is the same as without a leader.
+func (s *Service) stoppingResponse(q *mesh.Request) *mesh.Response {
+	const detail = "the entry is stopping and has no time for the request"
+	s.opts.Log.Emit(events.Event{ID: events.RequestRefused, Job: jobKey(q), Text: detail})
+	return &mesh.Response{Outcome: mesh.NoLeader, RetryAfterMS: int(noLeaderRetryAfter.Milliseconds()), Detail: detail}
+}
+
 // Do forwards a request and returns the leader's answer. All requests may be
 // repeated, since a job's ID makes its submission idempotent, so an unanswered
 // request is sent again to the next leader until ctx ends.
@@ -199,6 +237,9 @@
 // finds too many requests waiting, ends with NoLeader if no leader can have received
 // it, and with Uncertain otherwise.
 func (s *Service) Do(ctx context.Context, q *mesh.Request) *mesh.Response {
+	if !s.accepts(ctx, q) {
+		return s.stoppingResponse(q)
+	}
 	return s.recordLatency(time.Now(), s.forward(ctx, q))
 }
 
