--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -12,6 +12,7 @@
 package runner
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync"
@@ -28,8 +29,8 @@
 )
 
 const (
-	// drainTimeout limits the wait for runs at a planned stop of the agent.
-	drainTimeout = 4500 * time.Millisecond
+	// defaultDrainTimeout is the DrainTimeout of options without one.
+	defaultDrainTimeout = 4500 * time.Millisecond
 	// sessionRetryDelay is the delay before the next session after one that failed.
 	sessionRetryDelay = 50 * time.Millisecond
 )
@@ -41,7 +42,10 @@
 	MaxHold time.Duration
 	// Listener accepts connections of entries; nil for none.
 	Listener net.Listener
-	Log      *events.Log
+	// DrainTimeout limits the wait for runs at a planned stop of the agent; 0 means
+	// defaultDrainTimeout.
+	DrainTimeout time.Duration
+	Log          *events.Log
 }
 
 // Service is an agent.
@@ -138,7 +142,7 @@
 	}
 }
 
-// Run runs sessions until ctx ends, then waits up to drainTimeout for the runs to
+// Run runs sessions until ctx ends, then waits up to DrainTimeout for the runs to
 // end.
 func (s *Service) Run(ctx context.Context) error {
 	childCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -285,7 +289,7 @@
 	s.draining = true
 	s.notify()
 	s.mu.Unlock()
-	deadline := time.Now().Add(drainTimeout)
+	deadline := time.Now().Add(cmp.Or(s.opts.DrainTimeout, defaultDrainTimeout))
 	// Reports of the last ends take some time after the runs have ended.
 	const pollInterval = 200 * time.Millisecond
 	for time.Now().Before(deadline) {
