--- a/api/mesh/mesh.go
+++ b/api/mesh/mesh.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"math"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -492,6 +493,18 @@
 // DecodeSnapshot decodes the content of a snapshot.
 func DecodeSnapshot(data []byte) (ledger.Snapshot, error) {
 	var s ledger.Snapshot
-	err := cbor.Unmarshal(data, &s)
+	err := snapshotDecMode.Unmarshal(data, &s)
 	return s, err
 }
+
+// snapshotDecMode accepts as many jobs as a snapshot may hold. The usual limit of the library,
+// 131,072 elements, is reached by 900 jobs a second that are kept for 150 s.
+var snapshotDecMode = newSnapshotDecMode()
+
+func newSnapshotDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: math.MaxInt32}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}
--- a/api/mesh/mesh_test.go
+++ b/api/mesh/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strconv"
 	"testing"
 	"time"
 
@@ -97,3 +98,18 @@
 		}
 	})
 }
+
+// TestSnapshotOfManyJobs guards against a control VM that can't read its own snapshot: the usual
+// limit of the library is 131,072 elements of a list.
+func TestSnapshotOfManyJobs(t *testing.T) {
+	s := ledger.Snapshot{Applied: 7, Jobs: make([]ledger.Record, 200_000)}
+	for i := range s.Jobs {
+		s.Jobs[i].Job.ID = work.JobID(strconv.Itoa(i))
+	}
+	data, err := EncodeSnapshot(s)
+	assert.NilError(t, err)
+	got, err := DecodeSnapshot(data)
+	assert.NilError(t, err)
+	assert.Equal(t, len(got.Jobs), len(s.Jobs))
+	assert.Equal(t, got.Jobs[199_999].Job.ID, s.Jobs[199_999].Job.ID)
+}
--- a/core/raft/status.go
+++ b/core/raft/status.go
@@ -38,6 +38,9 @@
 // Leader returns the ID of the current leader, empty if unknown.
 func (n *Node) Leader() ServerID { return n.leader }
 
+// FirstIndex returns the index of the first entry that has not been compacted.
+func (n *Node) FirstIndex() uint64 { return n.log.offset + 1 }
+
 // Status returns the current state.
 func (n *Node) Status() Status {
 	latest := n.groups.latest()
--- a/daemon/control/consensus/driver.go
+++ b/daemon/control/consensus/driver.go
@@ -71,8 +71,10 @@
 	// Address is the address at which other control VMs reach this one.
 	Address         string
 	ElectionTimeout time.Duration
-	// SnapshotEntries is the number of applied entries between snapshots.
+	// SnapshotEntries is the number of applied entries between snapshots, and SnapshotBytes
+	// their size. The first that is reached counts.
 	SnapshotEntries uint64
+	SnapshotBytes   int
 	Transport       Transport
 	Log             *events.Log
 	// Now is the clock of leases and elections; nil means time.Now, whose readings
@@ -93,8 +95,7 @@
 	proposals chan *proposal
 	inbox     chan raft.Message
 	saves     chan raft.Ready
-	saved     chan raft.Ready
-	snapshots chan raft.Snapshot
+	saved     savedChannels
 	// wakeups makes the loop process the node's ready work after a call from another
 	// goroutine.
 	wakeups chan struct{}
@@ -119,9 +120,13 @@
 	senderAddresses map[raft.ServerID]string
 	// deferredState is a hard state that is saved with the next sync.
 	deferredState *raft.HardState
-	// snapshotIndex is the log index of the last snapshot that was started or
-	// restored.
-	snapshotIndex uint64
+	snapshots     snapshots
+}
+
+// savedChannels receive what has been saved.
+type savedChannels struct {
+	log       chan raft.Ready
+	snapshots chan savedSnapshot
 }
 
 // New returns a driver that starts from recovered state.
@@ -134,8 +139,7 @@
 		proposals:       make(chan *proposal, maxProposalsPerAppend),
 		inbox:           make(chan raft.Message, inboxSize),
 		saves:           make(chan raft.Ready, 1),
-		saved:           make(chan raft.Ready, 1),
-		snapshots:       make(chan raft.Snapshot, 1),
+		saved:           savedChannels{log: make(chan raft.Ready, 1), snapshots: make(chan savedSnapshot, 1)},
 		group:           supervisor.NewGroup("control/consensus", o.Log),
 		machine:         o.Machine,
 		pending:         map[uint64]*proposal{},
@@ -184,7 +188,10 @@
 	if err := d.machine.Restore(s.Data); err != nil {
 		return errors.Wrapf(err, "snapshot at index %d", s.Index)
 	}
-	d.snapshotIndex = s.Index
+	d.snapshots.index = s.Index
+	d.snapshots.bytes = len(s.Data)
+	d.snapshots.loggedBytes = 0
+	d.snapshots.compactTo = s.Index
 	return nil
 }
 
@@ -224,9 +231,9 @@
 			d.withLock(func(now time.Time) { d.proposeBatch(now, d.collectProposals(p)) })
 		case m := <-d.inbox:
 			d.withLock(func(now time.Time) { d.stepMessages(now, m) })
-		case rd := <-d.saved:
+		case rd := <-d.saved.log:
 			d.withLock(func(time.Time) { d.finishSave(rd) })
-		case s := <-d.snapshots:
+		case s := <-d.saved.snapshots:
 			d.withLock(func(time.Time) { d.finishSnapshot(s) })
 		}
 		if err := d.processReady(); err != nil {
@@ -282,7 +289,7 @@
 		if !rd.MustSync && rd.Snapshot == nil {
 			d.deferSave(rd)
 			d.send(rd.MessagesAfterSync)
-			d.node.Advance(rd)
+			d.advance(rd)
 			continue
 		}
 		d.saves <- d.withDeferred(rd) // doesn't block: the node returns the next part to save only after Advance
@@ -324,7 +331,7 @@
 				failures <- err
 				return
 			}
-			d.saved <- rd
+			d.saved.log <- rd
 		}
 	}
 }
@@ -342,7 +349,13 @@
 // finishSave sends the messages that had to wait for the sync. The caller holds mu.
 func (d *Driver) finishSave(rd raft.Ready) {
 	d.send(rd.MessagesAfterSync)
+	d.advance(rd)
+}
+
+// advance confirms to the node that rd has been processed. The caller holds mu.
+func (d *Driver) advance(rd raft.Ready) {
 	d.node.Advance(rd)
+	d.startSnapshot()
 }
 
 // updateServing notifies watchers when this VM, after its election, can serve reads:
--- a/daemon/control/consensus/propose.go
+++ b/daemon/control/consensus/propose.go
@@ -112,9 +112,6 @@
 			return err
 		}
 	}
-	if len(rd.CommittedEntries) > 0 {
-		d.startSnapshot()
-	}
 	if rd.Snapshot != nil || d.machine.Revision() != before {
 		d.notifyWatchers()
 	}
@@ -126,6 +123,7 @@
 		d.opts.Log.Emit(events.Event{ID: events.GroupChanged})
 		e.Data = nil
 	}
+	d.snapshots.loggedBytes += len(e.Data)
 	result, err := d.machine.Apply(e.Index, e.Data)
 	if err != nil {
 		return errors.Wrapf(err, "log index %d", e.Index)
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -30,6 +30,8 @@
 	transferTimeout = time.Second
 	// defaultSnapshotEntries is the number of log entries between snapshots.
 	defaultSnapshotEntries = 10_000
+	// snapshotBytes is the size of the log entries between snapshots.
+	snapshotBytes = 8 << 20
 )
 
 // Options configure a control VM.
@@ -92,6 +94,7 @@
 		Address:         s.advertiseAddress(),
 		ElectionTimeout: s.opts.Settings.ElectionTimeout(),
 		SnapshotEntries: s.snapshotEntries(),
+		SnapshotBytes:   snapshotBytes,
 		Transport:       newRaftTransport(s.opts, recovered.Identity, s.advertiseAddress()),
 		Log:             s.opts.Log,
 	}, s.opts.Retention)
--- a/daemon/coordinator/service.go
+++ b/daemon/coordinator/service.go
@@ -9,6 +9,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"net"
@@ -34,8 +35,11 @@
 	// covers many syncs of 9 ms each, and a CPU quota that stops the process for
 	// the rest of a 100 ms period.
 	electionTimeout = 200 * time.Millisecond
-	// snapshotEntries is the number of log entries between snapshots.
-	snapshotEntries = 20_000
+	// defaultSnapshotEntries and defaultSnapshotBytes are the limits of options without them.
+	// Two snapshots and the log since the older one are kept, so that 8 MiB bounds the data
+	// folder to about 40 MiB as long as the state is smaller.
+	defaultSnapshotEntries = 20_000
+	defaultSnapshotBytes   = 8 << 20
 	// transferTimeout bounds how long a planned stop waits for another leader.
 	transferTimeout = 500 * time.Millisecond
 	// stopTimeout bounds the stop of one child.
@@ -62,7 +66,11 @@
 	Voters int
 	// KeepFinal is how long the state of a final job is kept.
 	KeepFinal time.Duration
-	Log       *events.Log
+	// SnapshotEntries is the number of log entries after which a snapshot is saved, and
+	// SnapshotBytes their size; 0 means the default.
+	SnapshotEntries uint64
+	SnapshotBytes   int
+	Log             *events.Log
 }
 
 // Service is a control VM.
@@ -130,7 +138,8 @@
 		Recovered:       recovered,
 		Address:         s.opts.Address,
 		ElectionTimeout: electionTimeout,
-		SnapshotEntries: snapshotEntries,
+		SnapshotEntries: cmp.Or(s.opts.SnapshotEntries, defaultSnapshotEntries),
+		SnapshotBytes:   cmp.Or(s.opts.SnapshotBytes, defaultSnapshotBytes),
 		Transport:       s.peers,
 		Log:             s.opts.Log,
 		Now:             boottime.Now,
--- a/daemon/storage/errors.go
+++ b/daemon/storage/errors.go
@@ -17,6 +17,9 @@
 // is full. The folder may be opened again once the disk accepts writes.
 var ErrUnavailable = errors.New("the disk refuses writes")
 
+// ErrOutdatedSnapshot is returned for a snapshot that is older than the newest one.
+var ErrOutdatedSnapshot = errors.New("a newer snapshot is saved")
+
 // CorruptError reports a damaged or missing file of a data folder.
 type CorruptError struct {
 	// File is the path of the damaged file.
--- a/daemon/storage/savesnapshot.go
+++ b/daemon/storage/savesnapshot.go
@@ -14,7 +14,8 @@
 // it makes obsolete: all but the newest two snapshots, and the log before the
 // older of them. If the log does not contain the snapshot's index and term, the
 // snapshot replaces the whole log, and the caller must not call Save
-// concurrently. Otherwise Save may run while the snapshot is written. A failure
+// concurrently. Otherwise Save may run while the snapshot is written. An older snapshot than the
+// newest is refused with ErrOutdatedSnapshot, and nothing is written. Any other failure
 // is permanent, as for Save.
 func (s *Store) SaveSnapshot(snapshot raft.Snapshot) error {
 	s.snapshotMu.Lock()
@@ -62,8 +63,9 @@
 	if s.err != nil {
 		return header{}, s.err
 	}
-	invariant.Check(snapshot.Index >= s.snapshotIndex(), invariant.DurableAck,
-		"snapshot at index %d is not allowed after one at index %d", snapshot.Index, s.snapshotIndex())
+	if snapshot.Index < s.snapshotIndex() {
+		return header{}, errors.Wrapf(ErrOutdatedSnapshot, "index %d after %d", snapshot.Index, s.snapshotIndex())
+	}
 	return header{
 		kind:     kindSnapshot,
 		reset:    !s.index.contains(snapshot.Index, snapshot.Term),
--- a/daemon/storage/store_test.go
+++ b/daemon/storage/store_test.go
@@ -199,3 +199,23 @@
 		assert.ErrorContains(t, err, "does not continue "+filepath.Base(name))
 	}
 }
+
+// TestOutdatedSnapshotIsRefused guards against a store that fails, or goes back, because a snapshot of
+// this VM is saved after a newer one that the leader has sent.
+func TestOutdatedSnapshotIsRefused(t *testing.T) {
+	dir := t.TempDir() + "/data"
+	s, err := Open(dir, Options{})
+	assert.NilError(t, err)
+	fill(t, s, 9, 4)
+	newest := raft.Snapshot{Index: 30, Term: 2, Data: []byte("newest")}
+	assert.NilError(t, s.SaveSnapshot(newest))
+	assert.ErrorIs(t, s.SaveSnapshot(raft.Snapshot{Index: 11, Term: 1, Data: []byte("older")}), ErrOutdatedSnapshot)
+	assert.NilError(t, s.Save(nil, 0, []raft.Entry{{Term: 2, Index: 31}}), "the store goes on")
+	assert.NilError(t, s.Close())
+	s, err = Open(dir, Options{})
+	assert.NilError(t, err)
+	r := s.Recovered()
+	assert.DeepEqual(t, r.Snapshot, newest)
+	assert.Equal(t, len(r.Entries), 1)
+	assert.NilError(t, s.Close())
+}
