agent: let the lease lapse while an end awaits a leader's record

Cause: an entry that was cut off from control together with an agent renewed the lease of the endpoint. The agent bounds the lease by the owners of the runs in its table; a run of the leader left that table with its end, though no leader had recorded it.

Change: such an end is disputed until a leader acknowledges it or the lease has lapsed. Until then the lease is bounded by the contact with the leader, and entries get no capacity there.

--- a/daemon/runner/entries_test.go
+++ b/daemon/runner/entries_test.go
@@ -189,3 +189,49 @@
 	inventory := awaitMessage[*mesh.Inventory](restarted, leader)
 	assert.Assert(t, inventory.Endpoint.Draining && inventory.EndpointDraining)
 }
+
+// TestUnrecordedEndsLetTheLeaseLapse guards against a task of a stored job that starts again after its
+// end (review/7): entries renewed the lease of an endpoint after the leader was lost, so that an end
+// that no leader had recorded stayed valid, while the leader took the run for lapsed after
+// lease.ExpiresAfter and started it elsewhere.
+func TestUnrecordedEndsLetTheLeaseLapse(t *testing.T) {
+	for name, endsLater := range map[string]bool{"the run ends before an entry joins": false, "the run ends beside a run of an entry": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.orderStored(7, someRun)
+			assert.Assert(t, f.awaitRunning(someRun))
+			if !endsLater {
+				f.endpoint.finish(someRun)
+				awaitMessage[*mesh.Report](f, f.fakeScheduler)
+			}
+			f.conn.Close()
+			lostAt := time.Now()
+			entry := f.connectEntry("entry-1", 1)
+			awaitMessage[*mesh.Inventory](f, entry)
+			entry.order(1, runOf("b", 11))
+			if endsLater {
+				assert.Assert(t, f.awaitRunning(runOf("b", 11)))
+				f.endpoint.finish(someRun)
+			} else {
+				report := awaitMessage[*mesh.Report](f, entry)
+				assert.Equal(t, len(report.Refused), 1, "the run would end with the lease")
+				assert.Equal(t, report.Refused[0].Reason, placement.RefusedCapacity)
+			}
+			for f.endpoint.lapseCount() == 0 {
+				time.Sleep(5 * time.Millisecond)
+				if time.Since(lostAt) > lease.ExpiresAfter+100*time.Millisecond {
+					t.Fatal("the lease goes on although the leader takes the run for lapsed")
+				}
+			}
+			for n := uint64(12); ; n++ {
+				entry.order(1, runOf("c", n))
+				if f.awaitRunning(runOf("c", n)) {
+					break
+				}
+				assert.Assert(t, time.Since(lostAt) < 2*lease.ExpiresAfter, "entries can't use the endpoint after the lapse")
+			}
+			time.Sleep(2 * lease.Grant)
+			assert.Equal(t, f.endpoint.lapseCount(), 1, "one lapse settles the end")
+		})
+	}
+}
--- a/daemon/runner/hold.go
+++ b/daemon/runner/hold.go
@@ -84,7 +84,7 @@
 // deadline returns the time on the endpoint's clock until which its runs, and
 // those of the given owners, may continue. The caller holds mu.
 func (s *session) deadline(at time.Time, owners ...owner) time.Duration {
-	if s.leader != nil {
+	if s.leader != nil || s.hasDisputedEnds() {
 		owners = append(owners, owner{})
 	}
 	for _, r := range s.runs {
@@ -149,6 +149,7 @@
 	defer s.mu.Unlock()
 	s.clock.Observe(l.Clock, now())
 	reports = s.recordNewEnds(l.Ends)
+	s.settleEnds(l.Clock)
 	s.acknowledgeBestEffort()
 	s.missedHolds = 0
 	if answered = s.silent; answered {
--- a/daemon/runner/orders.go
+++ b/daemon/runner/orders.go
@@ -71,7 +71,7 @@
 		return 0, placement.RefusedDraining
 	case s.participants[p.vm] != p, deadline <= s.clock.At(at):
 		return 0, placement.RefusedLease
-	case p.vm != "" && (!o.Need.Fits(s.freeCapacity()) || len(s.unacked) >= maxUnacked):
+	case p.vm != "" && (s.hasDisputedEnds() || !o.Need.Fits(s.freeCapacity()) || len(s.unacked) >= maxUnacked):
 		return 0, placement.RefusedCapacity
 	}
 	started := startedRun{owner: p.owner, need: o.Need, bestEffort: o.BestEffort}
--- a/daemon/runner/session.go
+++ b/daemon/runner/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -37,6 +38,9 @@
 	// ackTimeout limits the wait for the leader to record ends before the next hold:
 	// the endpoint answers immediately while it lists ends.
 	ackTimeout = 15 * time.Millisecond
+	// lapseMargin is the time after the latest deadline, on the endpoint's clock, after which its
+	// lease has certainly lapsed.
+	lapseMargin = 50 * time.Millisecond
 	// holdRetryDelay is the delay after a failed hold, and stopRetryDelay the delay
 	// before a stop is repeated.
 	holdRetryDelay = 50 * time.Millisecond
@@ -144,6 +148,10 @@
 	run        work.Run
 	number     uint64
 	bestEffort bool
+	// disputed is set for an end that a leader must record. A leader out of contact takes
+	// the run for lapsed and may start the task elsewhere, so until the end is acknowledged or the
+	// endpoint's lease has lapsed, the lease must not outlast the contact with the leader.
+	disputed bool
 }
 
 func newSession(s *Service, params sessionParams) *session {
@@ -324,13 +332,17 @@
 }
 
 // usedByOthers returns the resources that runs of other owners take; the whole
-// capacity while the need of a run is unknown. It returns none for the leader, which
+// capacity while the need of a run is unknown, or while ends are disputed, since further
+// runs would end with the lease. It returns none for the leader, which
 // tracks the resources of all runs. The caller holds mu.
 func (s *session) usedByOthers(p *participant) work.Resources {
 	used := work.Resources{}
 	if p.vm == "" {
 		return used
 	}
+	if s.hasDisputedEnds() {
+		return s.registration.Capacity
+	}
 	for _, r := range s.runs {
 		switch {
 		case r.unknownNeed:
@@ -375,13 +387,32 @@
 		started, _ := s.service.records.lookup(e.End.Run)
 		s.service.records.recordEnd(now(), e.End)
 		delete(s.runs, e.End.Run)
-		s.unacked = append(s.unacked, unackedEnd{run: e.End.Run, number: e.Number, bestEffort: started.bestEffort})
+		s.unacked = append(s.unacked, unackedEnd{
+			run: e.End.Run, number: e.Number, bestEffort: started.bestEffort,
+			disputed: !started.bestEffort && e.End.Reason.Durable(),
+		})
 		r := reportFor(reports, started.owner)
 		r.Ends = append(r.Ends, mesh.NumberedEnd{Number: e.Number, End: e.End, BestEffort: started.bestEffort})
 	}
 	return reports
 }
 
+// hasDisputedEnds reports whether an end is disputed. The caller holds mu.
+func (s *session) hasDisputedEnds() bool {
+	return slices.ContainsFunc(s.unacked, func(e unackedEnd) bool { return e.disputed })
+}
+
+// settleEnds settles the disputed ends if the endpoint's lease has lapsed, which a listing
+// shows by its clock: ends from before a lapse are void. The caller holds mu.
+func (s *session) settleEnds(clock time.Duration) {
+	if s.leader != nil || clock <= s.latestDeadline+lapseMargin {
+		return
+	}
+	for i := range s.unacked {
+		s.unacked[i].disputed = false
+	}
+}
+
 func reportFor(reports map[owner]*mesh.Report, o owner) *mesh.Report {
 	if reports[o] == nil {
 		reports[o] = &mesh.Report{}
--- a/daemon/runner/session_test.go
+++ b/daemon/runner/session_test.go
@@ -37,6 +37,10 @@
 	ends                         []End
 	stops                        []work.Run
 	deadlines                    []time.Duration
+	// lease is the time on its clock until which runs may go on, and lapses counts the times when
+	// a call arrived after it. A lapse kills what runs.
+	lease  time.Duration
+	lapses int
 }
 
 func newFakeEndpoint() *fakeEndpoint {
@@ -45,6 +49,25 @@
 
 func (f *fakeEndpoint) clock() time.Duration { return time.Since(f.startedAt) + time.Minute }
 
+// extend extends the lease to a deadline, at most by a second. The caller holds mu.
+func (f *fakeEndpoint) extend(deadline time.Duration) {
+	clock := f.clock()
+	if f.lease > 0 && clock > f.lease {
+		f.lapses++
+		f.lease = 0
+	}
+	if deadline > clock {
+		f.lease = max(f.lease, min(deadline, clock+time.Second))
+	}
+}
+
+// lapseCount returns how often the lease has lapsed.
+func (f *fakeEndpoint) lapseCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lapses
+}
+
 var errSilent = errors.New("no answer")
 
 func (f *fakeEndpoint) Start(ctx context.Context, _ string, q StartRequest) (Answer, error) {
@@ -53,6 +76,7 @@
 	if f.silent || f.dropStarts {
 		return Answer{}, errSilent
 	}
+	f.extend(q.Deadline)
 	f.running[q.Run] = true
 	if f.dropStartAnswers {
 		return Answer{}, errSilent
@@ -97,6 +121,7 @@
 	if f.silent {
 		return Listing{}, errSilent
 	}
+	f.extend(q.Deadline)
 	f.ends = slices.DeleteFunc(f.ends, func(e End) bool { return e.Number <= q.AckedUpTo })
 	l := Listing{Verdict: Done, Clock: f.clock(), StartTimeMS: 1, Ends: slices.Clone(f.ends)}
 	for r := range f.running {
@@ -253,10 +278,19 @@
 	f.order(7, r)
 }
 
-// order orders a run of one core in a session.
+// order orders a run of a best-effort job, of one core, in a session.
 func (s *fakeScheduler) order(session placement.SessionID, r work.Run) {
+	s.orderOf(session, r, true)
+}
+
+// orderStored orders a run of a stored job.
+func (s *fakeScheduler) orderStored(session placement.SessionID, r work.Run) {
+	s.orderOf(session, r, false)
+}
+
+func (s *fakeScheduler) orderOf(session placement.SessionID, r work.Run, bestEffort bool) {
 	s.conn.Send(&mesh.Orders{Orders: []placement.Order{{
-		Session: session, Run: r, Spec: "x", Need: work.Resources{CPU: 1000}, BestEffort: true,
+		Session: session, Run: r, Spec: "x", Need: work.Resources{CPU: 1000}, BestEffort: bestEffort,
 	}}})
 }
 
