placement: queue no task of a held job when its run ends

Cause: a run that a new leader has adopted fails while its job is held, because the endpoint with the failure of an earlier run has not joined yet. requeue put the task into the queue at once.

Change: the task stays blocked until release, which checks the attempts.

TestHeldJobsQueueNoTasks fails without it and passes now.

--- a/core/placement/endpoints.go
+++ b/core/placement/endpoints.go
@@ -412,6 +412,11 @@
 		return
 	}
 	p.Stats.Requeues++
+	if r.job.held {
+		// An end of an earlier run may not be known yet; release queues the task.
+		t.phase = blocked
+		return
+	}
 	p.enqueue(r.job, r.Task.Step, r.Task.Index)
 }
 
