agent: order listings by the endpoint's clock

Cause: an answer to a hold that was given before a late start arrived after one that lists the run. The run was confirmed by then, so that its absence looked as if it had vanished, and the leader started the task elsewhere.

Change: a listing that is older by the endpoint's clock than the last one brings ends only.

TestOvertakenListingEndsNoRun fails without it for both orders of the holds and passes now.

--- a/daemon/runner/hold.go
+++ b/daemon/runner/hold.go
@@ -156,6 +156,12 @@
 		s.silent = false
 		s.service.opts.Log.Emit(events.Event{ID: events.EndpointAnswers, Peer: s.registration.Instance})
 	}
+	if l.Clock < s.listedClock {
+		// The answers to two holds have overtaken each other. The endpoint's clock shows which is
+		// newer; what this one lacks may have begun since.
+		return reports, nil, answered
+	}
+	s.listedClock = l.Clock
 	s.running = l.Running
 	s.listedAt = now()
 	for _, p := range s.participants {
@@ -183,6 +189,7 @@
 	switch {
 	case listed && local.state == unanswered:
 		local.state = confirmed
+		local.sinceHold = s.holdsSent // an answer of the same millisecond may be older
 	case listed, local.state == ordered:
 	case local.state == unanswered:
 		local.sinceHold = ^uint64(0) // set again once the stop is answered
--- a/daemon/runner/session.go
+++ b/daemon/runner/session.go
@@ -123,8 +123,10 @@
 	// contacts holds the endpoint's clock at the last contact with each owner of runs.
 	contacts map[owner]time.Duration
 	runs     map[work.Run]*localRun
-	// running is the latest listing, and listedAt the time when it arrived.
+	// running is the latest listing, listedClock its time on the endpoint's clock, and
+	// listedAt the time when it arrived.
 	running      []placement.ListedRun
+	listedClock  time.Duration
 	listedAt     time.Time
 	holdsSent    uint64
 	reportedUpTo uint64
@@ -275,6 +277,7 @@
 		s.runs[r.Run] = &localRun{startedRun: started, unknownNeed: !known, state: confirmed}
 	}
 	s.running = l.Running
+	s.listedClock = l.Clock
 	s.listedAt = now()
 }
 
--- a/daemon/runner/session_test.go
+++ b/daemon/runner/session_test.go
@@ -426,3 +426,29 @@
 	assert.Equal(t, possible.Session, placement.SessionID(20))
 	assert.Equal(t, len(possible.Runs), 0)
 }
+
+// TestOvertakenListingEndsNoRun guards against a task that runs twice at the same time (review/8): the
+// answer to one hold, given before a late start was carried out, arrives after the answer to another
+// one that lists the run, so that the run seems to have vanished.
+func TestOvertakenListingEndsNoRun(t *testing.T) {
+	for name, numbers := range map[string][2]uint64{"the earlier hold is overtaken": {2, 1}, "the later hold is executed first": {1, 2}} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			s := newSession(f.agent, sessionParams{fence: 7, registration: Registration{Incarnation: someIncarnation}})
+			s.holdsSent = 2
+			s.runs[someRun] = &localRun{state: unanswered}
+			s.reconcile(numbers[0], Listing{Clock: 2 * time.Second, Running: []placement.ListedRun{{Run: someRun}}})
+			reports, stops, _ := s.reconcile(numbers[1], Listing{Clock: time.Second, Ends: []End{{Number: 1, End: work.End{Run: runOf("b", 3), Reason: work.Done}}}})
+			assert.Equal(t, len(stops), 0)
+			for _, r := range reports {
+				assert.Equal(t, len(r.Vanished), 0, "the run is listed by the newer answer")
+				assert.Equal(t, len(r.Ends), 1, "its ends count")
+			}
+			assert.Equal(t, len(reports), 1)
+			assert.Equal(t, len(s.running), 1, "the newer listing stays")
+			s.holdsSent = 3
+			reports, _, _ = s.reconcile(3, Listing{Clock: 3 * time.Second})
+			assert.Equal(t, len(reports[owner{}].Vanished), 1, "a newer listing counts")
+		})
+	}
+}
