agent: conclude nothing about runs from a cut list of ends

An endpoint lists 500 ends at a time. A run whose end came after them was in neither list, so that a confirmed run was reported as vanished and a stopped one as never started, and the task started again after its end.

Change: a listing with 500 ends says nothing about runs that it doesn't list; the next listings have their ends once these are acknowledged.

TestCutListOfEndsEndsNoRun fails without it and passes now.

--- a/daemon/runner/hold.go
+++ b/daemon/runner/hold.go
@@ -171,8 +171,9 @@
 	for _, r := range l.Running {
 		listed[r.Run] = true
 	}
+	endsMayFollow := len(l.Ends) >= maxListedEnds
 	for r, local := range s.runs {
-		if local.sinceHold >= number {
+		if local.sinceHold >= number || endsMayFollow && !listed[r] {
 			continue
 		}
 		if stop := s.reconcileRun(r, local, listed[r], reports); stop {
--- a/daemon/runner/session.go
+++ b/daemon/runner/session.go
@@ -45,9 +45,11 @@
 	// before a stop is repeated.
 	holdRetryDelay = 50 * time.Millisecond
 	stopRetryDelay = 100 * time.Millisecond
+	// maxListedEnds is the number of ends that an endpoint lists at a time.
+	maxListedEnds = 500
 	// maxUnacked limits the ends that wait for the next leader to record them. At
-	// the limit the agent accepts no more runs from entries: an endpoint lists 500
-	// ends at a time, and later ones would not be reported.
+	// the limit the agent accepts no more runs from entries, so that fewer than
+	// maxListedEnds are listed: later ones would not be reported.
 	maxUnacked = 400
 	// lostEndWindow is the time before the last contact with a leader in which a
 	// reported end may have been lost with that leader. Jobs that are open then are
--- a/daemon/runner/session_test.go
+++ b/daemon/runner/session_test.go
@@ -452,3 +452,27 @@
 		})
 	}
 }
+
+// TestCutListOfEndsEndsNoRun guards against a task that starts again after its end: an endpoint lists 500
+// ends at a time, and a run whose end came after them was taken for vanished, or for never started.
+func TestCutListOfEndsEndsNoRun(t *testing.T) {
+	f := newFixture(t)
+	s := newSession(f.agent, sessionParams{fence: 7, registration: Registration{Incarnation: someIncarnation}})
+	states := map[work.Run]runState{runOf("confirmed", 1): confirmed, runOf("unanswered", 2): unanswered, runOf("stopped", 3): stopped}
+	for r, state := range states {
+		s.runs[r] = &localRun{state: state}
+	}
+	l := Listing{Clock: time.Second}
+	for n := range uint64(maxListedEnds) {
+		l.Ends = append(l.Ends, End{Number: n + 1, End: work.End{Run: runOf("b", n+10), Reason: work.Done}})
+	}
+	s.holdsSent = 1
+	reports, stops, _ := s.reconcile(1, l)
+	assert.Equal(t, len(stops), 0)
+	assert.Equal(t, len(reports[owner{}].Vanished)+len(reports[owner{}].Refused), 0, "their ends may follow")
+	s.holdsSent = 2
+	reports, _, _ = s.reconcile(2, Listing{Clock: 2 * time.Second, Ends: []End{{Number: maxListedEnds + 1, End: work.End{Run: runOf("confirmed", 1), Reason: work.Done}}}})
+	assert.Equal(t, len(reports[owner{}].Ends), 1)
+	assert.Equal(t, len(reports[owner{}].Vanished), 0)
+	assert.Equal(t, len(reports[owner{}].Refused), 1, "a stopped run that is in no list never started")
+}
