placement: refusals of one moment suspend an endpoint once

Cause: each refusal doubles the suspension, also those of starts that had been ordered together before the first refusal.

Change: the refusal of a start that was ordered before the present suspension doesn't prolong it. Failures of runs count as before.

--- a/core/placement/endpoints.go
+++ b/core/placement/endpoints.go
@@ -460,10 +460,10 @@
 	case RefusedDraining:
 		e.Draining = true
 	case RefusedUnhealthy:
-		e.health.failed(now)
+		e.health.refused(now, r.since)
 	case RefusedInvalid:
 		if r.job.outcomes[rn.Task.Step].blames(e.VM) {
-			e.health.failed(now)
+			e.health.refused(now, r.since)
 		}
 	case RefusedStale, RefusedUnanswered:
 		// Neither an outdated order nor a lost answer indicates an unhealthy endpoint.
--- a/core/placement/health.go
+++ b/core/placement/health.go
@@ -34,6 +34,7 @@
 type health struct {
 	consecutiveFailures int
 	failedAt            time.Time
+	suspendedAt         time.Time
 	suspendedUntil      time.Time
 	// trial is set while the single run after a suspension has not ended. It keeps other
 	// runs from the endpoint until trialUntil.
@@ -49,9 +50,18 @@
 		return
 	}
 	suspension := minSuspension << min(h.consecutiveFailures-suspendAfter, 3)
+	h.suspendedAt = now
 	h.suspendedUntil = now.Add(min(suspension, maxSuspension))
 }
 
+// refused records that a start which was ordered at a time was refused as unhealthy or invalid.
+// Starts from before the suspension are refused for the cause that led to it, and don't prolong it.
+func (h *health) refused(now, orderedAt time.Time) {
+	if orderedAt.After(h.suspendedAt) {
+		h.failed(now)
+	}
+}
+
 func (h *health) succeeded() { *h = health{} }
 
 // available reports whether the endpoint may get a run.
