placement: wait for faster endpoints only if they have the label

Cause: worthWaiting compares with the fastest endpoint of the pool, with or without the label that the step requires.

Change: bestRatio takes a label; the indexes by label exist already. The random test of the indexes compares it for every label.

TestWaitsForNoEndpointWithoutTheLabel fails without it and passes now.

--- a/core/placement/assign.go
+++ b/core/placement/assign.go
@@ -98,9 +98,9 @@
 }
 
 // minRunTime returns the run time of a task of the step on the fastest usable
-// endpoint of its pool, whether or not that has capacity.
+// endpoint of its pool with the label that it requires, whether or not that has capacity.
 func (p *Planner) minRunTime(now time.Time, j *job, step int) time.Duration {
-	return time.Duration(float64(j.spec.Steps[step].Estimate) * p.bestRatio(now, j.spec.Pool))
+	return time.Duration(float64(j.spec.Steps[step].Estimate) * p.bestRatio(now, j.spec.Pool, j.spec.Steps[step].RequiredLabel))
 }
 
 // worthWaiting reports whether a task that would be late on the endpoints that
--- a/core/placement/index_test.go
+++ b/core/placement/index_test.go
@@ -29,7 +29,7 @@
 func (p *Planner) verify(t assert.TestingT, now time.Time) {
 
 	runs, unknown := 0, 0
-	bestRatios, rates := map[string]float64{}, map[string]float64{}
+	bestRatios, rates := map[indexKey]float64{}, map[string]float64{}
 	for _, e := range p.order {
 		for _, r := range e.runs {
 			runs++
@@ -40,9 +40,11 @@
 			assert.Assert(t, slices.Contains(p.unknown[u.listed.Task.Job], u))
 		}
 		if e.usable(now) {
-			if ratio, ok := bestRatios[e.Pool]; !ok || e.slowdown.ratio < ratio {
-				bestRatios[e.Pool] = e.slowdown.ratio
-			}
+			e.keys(func(key indexKey) {
+				if ratio, ok := bestRatios[key]; !ok || e.slowdown.ratio < ratio {
+					bestRatios[key] = e.slowdown.ratio
+				}
+			})
 			rates[e.Pool] += float64(e.Capacity.CPU) / 1000 / e.slowdown.ratio
 		}
 	}
@@ -55,7 +57,7 @@
 	assert.Equal(t, runs, 0, "runs of jobs that no endpoint has")
 	assert.Equal(t, unknown, 0, "unknown runs that no endpoint has")
 	for key := range p.pools.members {
-		assert.Equal(t, p.bestRatio(now, key.pool), bestRatios[key.pool])
+		assert.Equal(t, p.bestRatio(now, key.pool, key.label), bestRatios[key])
 		difference := p.rate(now, key.pool) - rates[key.pool]
 		assert.Assert(t, difference < 1e-6 && difference > -1e-6)
 	}
--- a/core/placement/pools.go
+++ b/core/placement/pools.go
@@ -181,10 +181,10 @@
 	return node
 }
 
-// bestRatio returns the lowest slowdown among the usable endpoints of a pool, 0 if
-// there are none.
-func (p *Planner) bestRatio(now time.Time, pool string) float64 {
-	index := p.index(now, pool, "")
+// bestRatio returns the lowest slowdown among the usable endpoints of a pool with a label, 0
+// if there are none. An empty label stands for all endpoints.
+func (p *Planner) bestRatio(now time.Time, pool, label string) float64 {
+	index := p.index(now, pool, label)
 	if index == nil || math.IsInf(index.root().usableRatio, 1) {
 		return 0
 	}
--- a/core/placement/refusals_test.go
+++ b/core/placement/refusals_test.go
@@ -34,3 +34,20 @@
 	starts, _ = f.assign()
 	assert.Equal(t, len(starts), 1)
 }
+
+// TestWaitsForNoEndpointWithoutTheLabel guards against a task that waits beside the only endpoint with the
+// label that it requires, because endpoints without the label are faster.
+func TestWaitsForNoEndpointWithoutTheLabel(t *testing.T) {
+	f := newFixture(t)
+	f.join(1, "vm-fast", 1)
+	f.join(2, "vm-slow", 1)
+	f.planner.endpoints[2].slowdown.raise(6)
+	job := oneStep("job", 1)
+	job.BestEffort = false
+	job.Steps[0].Estimate = 7 * time.Second
+	job.Steps[0].RequiredLabel = "rack-vm-slow"
+	f.planner.Add(f.now, job, PriorState{})
+	starts, _ := f.assign()
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Session, SessionID(2))
+}
