agent: keep the record of an ended run while its end is listed

The record that says that a run belongs to a best-effort job was deleted with its end, while the endpoint lists the end until it is acknowledged, so the next session of the agent took it for one of a stored job.

Change: the record stays as long as the end is listed.

TestBestEffortEndsDontLetTheLeaseLapse fails without it and passes now.

--- a/daemon/runner/entries_test.go
+++ b/daemon/runner/entries_test.go
@@ -235,3 +235,21 @@
 		})
 	}
 }
+
+// TestBestEffortEndsDontLetTheLeaseLapse guards against runs of entries that end with the lease because an end
+// of a best-effort job, which needs no record, is taken for one of a stored job by the next session of the agent.
+func TestBestEffortEndsDontLetTheLeaseLapse(t *testing.T) {
+	f := newFixture(t)
+	f.orderRun(someRun)
+	assert.Assert(t, f.awaitRunning(someRun))
+	f.endpoint.finish(someRun)
+	awaitMessage[*mesh.Report](f, f.fakeScheduler)
+	leader := f.connectLeader(20)
+	leader.conn.Close() // without an acknowledgement
+	entry := f.connectEntry("entry-1", 1)
+	awaitMessage[*mesh.Inventory](f, entry)
+	entry.order(1, runOf("b", 11))
+	assert.Assert(t, f.awaitRunning(runOf("b", 11)), "the end needs no record")
+	time.Sleep(2 * lease.Grant)
+	assert.Equal(t, f.endpoint.lapseCount(), 0)
+}
--- a/daemon/runner/hold.go
+++ b/daemon/runner/hold.go
@@ -172,6 +172,9 @@
 		listed[r.Run] = true
 	}
 	endsMayFollow := len(l.Ends) >= maxListedEnds
+	if !endsMayFollow {
+		s.service.records.retainEnded(l.Ends)
+	}
 	for r, local := range s.runs {
 		if local.sinceHold >= number || endsMayFollow && !listed[r] {
 			continue
--- a/daemon/runner/records.go
+++ b/daemon/runner/records.go
@@ -22,7 +22,9 @@
 type runRecords struct {
 	mu      sync.Mutex
 	started map[work.Run]startedRun
-	ends    []recentEnd
+	// ended has the runs in started whose end was listed.
+	ended map[work.Run]bool
+	ends  []recentEnd
 	// lastRun is the highest run number so far.
 	lastRun uint64
 }
@@ -34,7 +36,9 @@
 	at    time.Time
 }
 
-func newRunRecords() *runRecords { return &runRecords{started: map[work.Run]startedRun{}} }
+func newRunRecords() *runRecords {
+	return &runRecords{started: map[work.Run]startedRun{}, ended: map[work.Run]bool{}}
+}
 
 // recordStart records a run before the endpoint is asked to start it.
 func (rec *runRecords) recordStart(r work.Run, s startedRun) {
@@ -58,7 +62,7 @@
 	defer rec.mu.Unlock()
 	for r := range rec.started {
 		if !listed[r] {
-			delete(rec.started, r)
+			rec.delete(r)
 		}
 	}
 	for r := range listed {
@@ -76,15 +80,21 @@
 	}
 }
 
-// recordEnd removes the record of a run that has ended, and keeps the end if it is
-// durable and the run belonged to a best-effort job.
+// recordEnd marks a run as ended, and keeps the end if it is durable and the run
+// belonged to a best-effort job. The record of the run stays as long as the endpoint
+// lists the end, since the next session reads it again.
 func (rec *runRecords) recordEnd(at time.Time, e work.End) {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
-	s, known := rec.started[e.Run]
-	delete(rec.started, e.Run)
 	rec.expireEnds(at)
-	if known && s.bestEffort && e.Reason.Durable() && len(rec.ends) < maxRecentEnds {
+	s, known := rec.started[e.Run]
+	if !known || s.ended {
+		return
+	}
+	s.ended = true
+	rec.started[e.Run] = s
+	rec.ended[e.Run] = true
+	if s.bestEffort && e.Reason.Durable() && len(rec.ends) < maxRecentEnds {
 		rec.ends = append(rec.ends, recentEnd{end: e, owner: s.owner, at: at})
 	}
 }
@@ -101,7 +111,31 @@
 func (rec *runRecords) remove(r work.Run) {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
+	rec.delete(r)
+}
+
+// delete removes the record of a run. The caller holds mu.
+func (rec *runRecords) delete(r work.Run) {
 	delete(rec.started, r)
+	delete(rec.ended, r)
+}
+
+// retainEnded removes the records of ended runs whose end the endpoint no longer lists.
+func (rec *runRecords) retainEnded(listed []End) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	if len(rec.ended) == 0 {
+		return
+	}
+	still := make(map[work.Run]bool, len(listed))
+	for _, e := range listed {
+		still[e.End.Run] = true
+	}
+	for r := range rec.ended {
+		if !still[r] {
+			rec.delete(r)
+		}
+	}
 }
 
 // endsSince returns the kept ends since a time that a scheduler may see: an entry
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -325,4 +325,6 @@
 	owner      owner
 	need       work.Resources
 	bestEffort bool
+	// ended is set once the end was listed.
+	ended bool
 }
