coordinator: report what held the leader up

TestPlannedStops failed once because a leader sent nothing for 350 ms without being stopped. The logs could not tell a paused process from work, a lock or a commit that took long.

Change: leader_stalled (368) with the time that the leader's own work took, or for which the process did not run, from 150 ms on. TestStallCause fixes the threshold.

--- a/daemon/coordinator/term.go
+++ b/daemon/coordinator/term.go
@@ -16,6 +16,9 @@
 const (
 	// tickInterval is the time between checks for due work.
 	tickInterval = 50 * time.Millisecond
+	// stallThreshold is how late a tick of the leader may be, or how long its work may take, before
+	// that is reported. Clients take a leader for lost after 350 ms without a message.
+	stallThreshold = 150 * time.Millisecond
 	// sessionBits is the number of low bits of a fencing token that count the
 	// sessions of a term.
 	sessionBits = 20
@@ -53,7 +56,9 @@
 	defer ticker.Stop()
 	for {
 		changed := s.driver.Changed()
+		begun := boottime.Now()
 		s.checkLeadership(ctx)
+		worked := boottime.Now()
 		select {
 		case <-ctx.Done():
 			s.endTerm()
@@ -61,7 +66,22 @@
 		case <-ticker.C:
 		case <-changed:
 		}
+		if cause := stallCause(worked.Sub(begun), boottime.Now().Sub(worked)); cause != "" && s.driver.Leading() {
+			s.opts.Log.Emit(events.Event{ID: events.LeaderStalled, Text: cause})
+		}
+	}
+}
+
+// stallCause describes what held the leader up, empty if nothing did: its own work, which
+// includes waiting for locks and commits, or a process that didn't run when its tick was due.
+func stallCause(work, wait time.Duration) string {
+	switch {
+	case work > stallThreshold:
+		return "work took " + work.Round(time.Millisecond).String()
+	case wait > tickInterval+stallThreshold:
+		return "did not run for " + (wait - tickInterval).Round(time.Millisecond).String()
 	}
+	return ""
 }
 
 // checkLeadership begins or ends the term when the leadership has changed, and
--- a/daemon/coordinator/term_test.go
+++ b/daemon/coordinator/term_test.go
@@ -31,3 +31,11 @@
 		return current
 	})
 }
+
+// TestStallCause guards against a leader that is silent for a while without a line that tells a paused process
+// from work that took long (TestPlannedStops, 350 ms without a message).
+func TestStallCause(t *testing.T) {
+	assert.Equal(t, stallCause(time.Millisecond, tickInterval), "")
+	assert.Equal(t, stallCause(350*time.Millisecond, time.Millisecond), "work took 350ms")
+	assert.Equal(t, stallCause(time.Millisecond, 400*time.Millisecond), "did not run for 350ms")
+}
--- a/daemon/events/catalogue.go
+++ b/daemon/events/catalogue.go
@@ -87,6 +87,7 @@
 	WorkFailed           ID = 365
 	WorkAbandoned        ID = 366
 	EndpointUnreachable  ID = 367
+	LeaderStalled        ID = 368
 )
 
 // Events of entries.
@@ -221,6 +222,7 @@
 	{WorkFailed, "work_failed", zapcore.WarnLevel, "a job failed: a task used up its attempts; the history in the detail names the endpoints"},
 	{WorkAbandoned, "work_abandoned", zapcore.WarnLevel, "the caller of a best-effort job stopped waiting before the job ended; the history in the detail shows the job's progress"},
 	{EndpointUnreachable, "endpoint_unreachable", zapcore.WarnLevel, "an agent joined whose endpoint does not answer it; the detail counts the runs that may exist there; check that endpoint"},
+	{LeaderStalled, "leader_stalled", zapcore.WarnLevel, "the leader was held up for so long that entries and agents may take it for lost; the detail says whether its own work took the time, or the process did not run"},
 	{JobAccepted, "job_accepted", zapcore.DebugLevel, "a job is recorded; its tasks may start"},
 	{JobJoined, "job_joined", zapcore.DebugLevel, "a resubmission was attached to the existing job"},
 	{JobRefused, "job_refused", zapcore.DebugLevel, "a job was refused as a whole; none of its tasks ran"},
