--- a/daemon/runner/records.go
+++ b/daemon/runner/records.go
@@ -88,11 +88,9 @@
 	defer rec.mu.Unlock()
 	rec.expireEnds(at)
 	s, known := rec.started[e.Run]
-	if !known || s.ended {
+	if !known || rec.ended[e.Run] {
 		return
 	}
-	s.ended = true
-	rec.started[e.Run] = s
 	rec.ended[e.Run] = true
 	if s.bestEffort && e.Reason.Durable() && len(rec.ends) < maxRecentEnds {
 		rec.ends = append(rec.ends, recentEnd{end: e, owner: s.owner, at: at})
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -325,6 +325,4 @@
 	owner      owner
 	need       work.Resources
 	bestEffort bool
-	// ended is set once the end was listed.
-	ended bool
 }
