runtable: an agent's decisions about its runs, as a module of their own

Change: core/runtable has these decisions. A Table covers one session and Records what an agent keeps across sessions; they take events and the time and return what to send. daemon/runner keeps its goroutines, one for each connection, hold and call, and carries the results out. Runs are listed in the order of their numbers, so that no result depends on the order of a map. How long an entry counts its runs after a takeover moves to core/lease. Messages and stored bytes are unchanged; the golden files are.

The two tests of single listings moved with the code, with the same checks.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -21,6 +21,10 @@
 	// (the leader, or an entry that places jobs itself) assumes that they have
 	// ended.
 	ExpiresAfter = Grant + Grant*maxLagPercent/100 + margin
+	// ExpiresAfterTakeover is how long an entry assumes that its runs may go on at an endpoint
+	// that a leader has taken over before the leader has their job: the leader stops runs
+	// that no job claims after 0.4 s, or the agent's lease from the leader expires.
+	ExpiresAfterTakeover = ExpiresAfter + 600*time.Millisecond
 	// StopAfter is how long after its last contact with an owner an agent stops
 	// that owner's runs if runs of other owners share the endpoint. The rest of
 	// Grant is for the stops and their answers, since the lease of the other runs
--- a/daemon/runner/records.go
+++ b/core/runtable/records.go
@@ -1,10 +1,8 @@
-package runner
+package runtable
 
 import (
-	"sync"
 	"time"
 
-	"github.com/cicadapulley/cicadapulley/api/mesh"
 	"github.com/cicadapulley/cicadapulley/core/work"
 )
 
@@ -15,54 +13,54 @@
 	endTTL = 2 * time.Second
 	// maxRecentEnds limits the number of ends kept.
 	maxRecentEnds = 512
+	// lostEndWindow is the time before the last contact with a leader in which a
+	// reported end may have been lost with that leader. Jobs that are open then are
+	// seldom older.
+	lostEndWindow = 400 * time.Millisecond
 )
 
-// runRecords holds the runs and recent ends of an agent across its sessions. It is
-// safe for concurrent use.
-type runRecords struct {
-	mu      sync.Mutex
+// startedRun is the record of a run that the agent started.
+type startedRun struct {
+	owner      Owner
+	need       work.Resources
+	bestEffort bool
+}
+
+// Records holds the runs and recent ends of an agent across its sessions.
+type Records struct {
 	started map[work.Run]startedRun
 	// ended has the runs in started whose end was listed.
 	ended map[work.Run]bool
 	ends  []recentEnd
 	// lastRun is the highest run number so far.
 	lastRun uint64
+	// leaderContactAt is when a leader last answered.
+	leaderContactAt time.Time
 }
 
 // recentEnd is the end of a best-effort run.
 type recentEnd struct {
 	end   work.End
-	owner owner
+	owner Owner
 	at    time.Time
 }
 
-func newRunRecords() *runRecords {
-	return &runRecords{started: map[work.Run]startedRun{}, ended: map[work.Run]bool{}}
+// NewRecords returns the records of an agent that has just started.
+func NewRecords() *Records {
+	return &Records{started: map[work.Run]startedRun{}, ended: map[work.Run]bool{}}
 }
 
 // recordStart records a run before the endpoint is asked to start it.
-func (rec *runRecords) recordStart(r work.Run, s startedRun) {
-	rec.mu.Lock()
-	defer rec.mu.Unlock()
+func (rec *Records) recordStart(r work.Run, s startedRun) {
 	rec.started[r] = s
 	rec.lastRun = max(rec.lastRun, r.Number)
 }
 
-// lookup returns the record of a run, and false if there is none.
-func (rec *runRecords) lookup(r work.Run) (startedRun, bool) {
-	rec.mu.Lock()
-	defer rec.mu.Unlock()
-	s, known := rec.started[r]
-	return s, known
-}
-
 // retain removes the records of all runs that the endpoint does not list.
-func (rec *runRecords) retain(listed map[work.Run]bool) {
-	rec.mu.Lock()
-	defer rec.mu.Unlock()
+func (rec *Records) retain(listed map[work.Run]bool) {
 	for r := range rec.started {
 		if !listed[r] {
-			rec.delete(r)
+			rec.remove(r)
 		}
 	}
 	for r := range listed {
@@ -71,11 +69,9 @@
 }
 
 // assignToLeader makes the leader the owner of all runs.
-func (rec *runRecords) assignToLeader() {
-	rec.mu.Lock()
-	defer rec.mu.Unlock()
+func (rec *Records) assignToLeader() {
 	for r, s := range rec.started {
-		s.owner = owner{}
+		s.owner = Owner{}
 		rec.started[r] = s
 	}
 }
@@ -83,9 +79,7 @@
 // recordEnd marks a run as ended, and keeps the end if it is durable and the run
 // belonged to a best-effort job. The record of the run stays as long as the endpoint
 // lists the end, since the next session reads it again.
-func (rec *runRecords) recordEnd(at time.Time, e work.End) {
-	rec.mu.Lock()
-	defer rec.mu.Unlock()
+func (rec *Records) recordEnd(at time.Time, e work.End) {
 	rec.expireEnds(at)
 	s, known := rec.started[e.Run]
 	if !known || rec.ended[e.Run] {
@@ -97,7 +91,7 @@
 	}
 }
 
-func (rec *runRecords) expireEnds(at time.Time) {
+func (rec *Records) expireEnds(at time.Time) {
 	expired := 0
 	for expired < len(rec.ends) && at.Sub(rec.ends[expired].at) > endTTL {
 		expired++
@@ -106,22 +100,13 @@
 }
 
 // remove removes the record of a run without keeping an end.
-func (rec *runRecords) remove(r work.Run) {
-	rec.mu.Lock()
-	defer rec.mu.Unlock()
-	rec.delete(r)
-}
-
-// delete removes the record of a run. The caller holds mu.
-func (rec *runRecords) delete(r work.Run) {
+func (rec *Records) remove(r work.Run) {
 	delete(rec.started, r)
 	delete(rec.ended, r)
 }
 
 // retainEnded removes the records of ended runs whose end the endpoint no longer lists.
-func (rec *runRecords) retainEnded(listed []End) {
-	rec.mu.Lock()
-	defer rec.mu.Unlock()
+func (rec *Records) retainEnded(listed []End) {
 	if len(rec.ended) == 0 {
 		return
 	}
@@ -131,29 +116,21 @@
 	}
 	for r := range rec.ended {
 		if !still[r] {
-			rec.delete(r)
+			rec.remove(r)
 		}
 	}
 }
 
-// endsSince returns the kept ends since a time that a scheduler may see: an entry
-// sees the ends of its own runs and of the last leader's runs, the leader sees all.
-// vm is the entry's VM; it is empty for the leader.
-func (rec *runRecords) endsSince(from time.Time, vm string) []mesh.NumberedEnd {
-	rec.mu.Lock()
-	defer rec.mu.Unlock()
-	var list []mesh.NumberedEnd
+// LostEnds returns the kept ends that may have been lost with the last leader, as far as a
+// scheduler may see them: an entry sees the ends of its own runs and of the last leader's
+// runs, the leader sees all. vm is the entry's VM; it is empty for the leader.
+func (rec *Records) LostEnds(vm string) []ReportedEnd {
+	from := rec.leaderContactAt.Add(-lostEndWindow)
+	var list []ReportedEnd
 	for _, e := range rec.ends {
-		if !e.at.Before(from) && visibleTo(e.owner, vm) {
-			list = append(list, mesh.NumberedEnd{End: e.end, BestEffort: true})
+		if !e.at.Before(from) && e.owner.VisibleTo(vm) {
+			list = append(list, ReportedEnd{End: e.end, BestEffort: true})
 		}
 	}
 	return list
 }
-
-// highestRun returns the highest run number so far.
-func (rec *runRecords) highestRun() uint64 {
-	rec.mu.Lock()
-	defer rec.mu.Unlock()
-	return rec.lastRun
-}
--- /dev/null
+++ b/core/runtable/table_test.go
@@ -0,0 +1,72 @@
+package runtable
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cicadapulley/cicadapulley/core/placement"
+	"github.com/cicadapulley/cicadapulley/core/work"
+)
+
+func runOf(job string, number uint64) work.Run {
+	return work.Run{Task: work.TaskID{Job: work.JobID(job)}, Number: number}
+}
+
+var (
+	someRun  = runOf("a", 1)
+	someTime = time.Unix(1_000_000, 0)
+)
+
+func newTable() *Table {
+	return New(Options{Fence: 7, MaxHold: time.Second, Records: NewRecords()})
+}
+
+// TestOvertakenListingEndsNoRun guards against a task that runs twice at the same time (review/8): the
+// answer to one hold, given before a late start was carried out, arrives after the answer to another
+// one that lists the run, so that the run seems to have vanished.
+func TestOvertakenListingEndsNoRun(t *testing.T) {
+	for name, numbers := range map[string][2]uint64{"the earlier hold is overtaken": {2, 1}, "the later hold is executed first": {1, 2}} {
+		t.Run(name, func(t *testing.T) {
+			table := newTable()
+			table.holdsSent = 2
+			table.runs[someRun] = &run{state: unanswered}
+			table.ApplyListing(someTime, numbers[0], Listing{Clock: 2 * time.Second, Running: []placement.ListedRun{{Run: someRun}}})
+			c := table.ApplyListing(someTime, numbers[1], Listing{Clock: time.Second, Ends: []End{{Number: 1, End: work.End{Run: runOf("b", 3), Reason: work.Done}}}})
+			assert.Equal(t, len(c.Stops), 0)
+			for _, r := range c.Reports {
+				assert.Equal(t, len(r.Vanished), 0, "the run is listed by the newer answer")
+				assert.Equal(t, len(r.Ends), 1, "its ends count")
+			}
+			assert.Equal(t, len(c.Reports), 1)
+			assert.Equal(t, len(table.running), 1, "the newer listing stays")
+			table.holdsSent = 3
+			c = table.ApplyListing(someTime, 3, Listing{Clock: 3 * time.Second})
+			assert.Equal(t, len(c.Reports[Owner{}].Vanished), 1, "a newer listing counts")
+		})
+	}
+}
+
+// TestCutListOfEndsEndsNoRun guards against a task that starts again after its end: an endpoint lists 500
+// ends at a time, and a run whose end came after them was taken for vanished, or for never started.
+func TestCutListOfEndsEndsNoRun(t *testing.T) {
+	table := newTable()
+	states := map[work.Run]runState{runOf("confirmed", 1): confirmed, runOf("unanswered", 2): unanswered, runOf("stopped", 3): stopped}
+	for r, state := range states {
+		table.runs[r] = &run{state: state}
+	}
+	l := Listing{Clock: time.Second}
+	for n := range uint64(maxListedEnds) {
+		l.Ends = append(l.Ends, End{Number: n + 1, End: work.End{Run: runOf("b", n+10), Reason: work.Done}})
+	}
+	table.holdsSent = 1
+	c := table.ApplyListing(someTime, 1, l)
+	assert.Equal(t, len(c.Stops), 0)
+	assert.Equal(t, len(c.Reports[Owner{}].Vanished)+len(c.Reports[Owner{}].Refused), 0, "their ends may follow")
+	table.holdsSent = 2
+	c = table.ApplyListing(someTime, 2, Listing{Clock: 2 * time.Second, Ends: []End{{Number: maxListedEnds + 1, End: work.End{Run: runOf("confirmed", 1), Reason: work.Done}}}})
+	assert.Equal(t, len(c.Reports[Owner{}].Ends), 1)
+	assert.Equal(t, len(c.Reports[Owner{}].Vanished), 0)
+	assert.Equal(t, len(c.Reports[Owner{}].Refused), 1, "a stopped run that is in no list never started")
+}
--- a/daemon/fallback/agent.go
+++ b/daemon/fallback/agent.go
@@ -79,7 +79,7 @@
 	case *mesh.SessionEnded:
 		if m.Session == a.session.ID {
 			a.session.RenewedAt = boottime.Now()
-			a.endSession(expiresAfterTakeover)
+			a.endSession(lease.ExpiresAfterTakeover)
 			a.offerSession()
 		}
 	}
--- a/daemon/fallback/fallback.go
+++ b/daemon/fallback/fallback.go
@@ -44,10 +44,6 @@
 	// leader may have started wait until its leases have expired, since some agents that
 	// may run them are not asked.
 	maxAgents = 96
-	// expiresAfterTakeover is how long runs may go on at an endpoint that a leader
-	// has taken over before it receives their job: the leader stops unknown runs
-	// after 0.4 s, or the agent's lease from the leader expires.
-	expiresAfterTakeover = lease.ExpiresAfter + 600*time.Millisecond
 )
 
 // Options configure a Placer.
--- a/daemon/runner/calls.go
+++ b/daemon/runner/calls.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cicadapulley/cicadapulley/core/retry"
+	"github.com/cicadapulley/cicadapulley/core/runtable"
 	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
 )
 
@@ -38,7 +39,7 @@
 // Further attempts run beside the earlier ones, whose answers are still welcome, and all
 // are cancelled when order returns. A refusal is the result only if every attempt was
 // refused: one without an answer may be carried out later.
-func (c *calls) order(ctx context.Context, send func(context.Context) (Answer, error)) (Answer, error) {
+func (c *calls) order(ctx context.Context, send func(context.Context) (runtable.Answer, error)) (runtable.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	c.budget.Called()
@@ -65,7 +66,7 @@
 			}
 			late.Reset(c.latency.LateAfter())
 		case <-ctx.Done():
-			return Answer{}, ctx.Err()
+			return runtable.Answer{}, ctx.Err()
 		}
 	}
 }
@@ -77,17 +78,17 @@
 	sent, open int
 	// unanswered is set once a call has failed without an answer.
 	unanswered bool
-	refusal    Answer
+	refusal    runtable.Answer
 	err        error
 }
 
 type orderResult struct {
-	answer Answer
+	answer runtable.Answer
 	err    error
 }
 
 // start makes one more call.
-func (a *orderAttempts) start(ctx context.Context, latency *retry.Latency, send func(context.Context) (Answer, error)) {
+func (a *orderAttempts) start(ctx context.Context, latency *retry.Latency, send func(context.Context) (runtable.Answer, error)) {
 	a.sent++
 	a.open++
 	go func() {
@@ -112,7 +113,7 @@
 		a.unanswered = true
 		a.err = r.err
 		return false
-	case r.answer.Verdict == Refused:
+	case r.answer.Verdict == runtable.Refused:
 		a.refusal = r.answer
 		return false
 	}
@@ -120,9 +121,9 @@
 }
 
 // last returns the result when no call is open and none has settled the order.
-func (a *orderAttempts) last() (Answer, error) {
+func (a *orderAttempts) last() (runtable.Answer, error) {
 	if a.unanswered {
-		return Answer{}, a.err
+		return runtable.Answer{}, a.err
 	}
 	return a.refusal, nil
 }
--- a/daemon/runner/calls_test.go
+++ b/daemon/runner/calls_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cicadapulley/cicadapulley/core/placement"
+	"github.com/cicadapulley/cicadapulley/core/runtable"
 )
 
 // scriptedCalls answers the n-th call of an order after a delay.
@@ -21,18 +22,18 @@
 
 type scriptedAnswer struct {
 	after  time.Duration
-	answer Answer
+	answer runtable.Answer
 	err    error
 }
 
-func (s *scriptedCalls) send(ctx context.Context) (Answer, error) {
+func (s *scriptedCalls) send(ctx context.Context) (runtable.Answer, error) {
 	n := int(s.made.Add(1)) - 1
 	a := s.answers[min(n, len(s.answers)-1)]
 	select {
 	case <-time.After(a.after):
 		return a.answer, a.err
 	case <-ctx.Done():
-		return Answer{}, ctx.Err()
+		return runtable.Answer{}, ctx.Err()
 	}
 }
 
@@ -49,8 +50,8 @@
 const never = time.Hour
 
 var (
-	done        = scriptedAnswer{after: time.Millisecond, answer: Answer{Verdict: Done}}
-	noRoom      = scriptedAnswer{after: time.Millisecond, answer: Answer{Verdict: Refused, Reason: placement.RefusedCapacity}}
+	done        = scriptedAnswer{after: time.Millisecond, answer: runtable.Answer{Verdict: runtable.Done}}
+	noRoom      = scriptedAnswer{after: time.Millisecond, answer: runtable.Answer{Verdict: runtable.Refused, Reason: placement.RefusedCapacity}}
 	unansweredA = scriptedAnswer{after: never}
 	reset       = scriptedAnswer{after: time.Millisecond, err: errors.New("connection reset")}
 )
@@ -65,7 +66,7 @@
 			start := time.Now()
 			answer, err := warmCalls().order(context.Background(), script.send)
 			assert.NilError(t, err, name)
-			assert.Equal(t, answer.Verdict, Done)
+			assert.Equal(t, answer.Verdict, runtable.Done)
 			assert.Assert(t, time.Since(start) <= 2*minLateAfter, "%s: %s", name, time.Since(start))
 		})
 	}
--- a/daemon/runner/entries_test.go
+++ b/daemon/runner/entries_test.go
@@ -9,6 +9,7 @@
 	"github.com/cicadapulley/cicadapulley/api/mesh"
 	"github.com/cicadapulley/cicadapulley/core/lease"
 	"github.com/cicadapulley/cicadapulley/core/placement"
+	"github.com/cicadapulley/cicadapulley/core/runtable"
 	"github.com/cicadapulley/cicadapulley/core/work"
 	"github.com/cicadapulley/cicadapulley/daemon/follow"
 	"github.com/cicadapulley/cicadapulley/daemon/link"
@@ -132,8 +133,8 @@
 	entry := f.connectEntry("entry-1", 1)
 	awaitMessage[*mesh.Inventory](f, entry)
 	f.endpoint.mu.Lock()
-	for n := range uint64(maxUnacked) {
-		f.endpoint.ends = append(f.endpoint.ends, End{Number: n + 1, End: work.End{Run: runOf("stored", n+1), Reason: work.Done}})
+	for n := range uint64(runtable.MaxUnacked) {
+		f.endpoint.ends = append(f.endpoint.ends, runtable.End{Number: n + 1, End: work.End{Run: runOf("stored", n+1), Reason: work.Done}})
 	}
 	f.endpoint.mu.Unlock()
 	time.Sleep(200 * time.Millisecond)
--- a/daemon/runner/hold.go
+++ b/daemon/runner/hold.go
@@ -5,8 +5,7 @@
 	"time"
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
-	"github.com/cicadapulley/cicadapulley/core/placement"
-	"github.com/cicadapulley/cicadapulley/core/work"
+	"github.com/cicadapulley/cicadapulley/core/runtable"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
 )
@@ -16,7 +15,9 @@
 func (s *session) holdLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		s.awaitAcknowledgement(ctx)
-		number, q := s.nextHold()
+		s.mu.Lock()
+		number, q := s.table.NextHold(now())
+		s.mu.Unlock()
 		callCtx, cancel := context.WithTimeout(ctx, q.Wait+callTimeout)
 		listing, err := s.service.opts.Endpoint.Hold(callCtx, s.registration.Instance, q)
 		cancel()
@@ -40,9 +41,9 @@
 // the same ends.
 func (s *session) awaitAcknowledgement(ctx context.Context) {
 	s.mu.Lock()
-	unacknowledged := s.reportedUpTo > s.ackedUpTo
+	unacknowledged := s.table.Unacknowledged()
 	timeout := ackTimeout
-	if s.leader == nil {
+	if !s.table.HasLeader() {
 		timeout = holdRetryDelay // only the next leader can record them
 	}
 	s.mu.Unlock()
@@ -56,70 +57,22 @@
 	}
 }
 
-// nextHold returns the next request and its number. The request waits for a shorter
-// time, or not at all, while holds are unanswered or a listing has to show the
-// result of a start or stop.
-func (s *session) nextHold() (uint64, HoldRequest) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.holdsSent++
-	q := HoldRequest{Fence: s.fence, AckedUpTo: s.ackedUpTo, Wait: holdWait}
-	if s.missedHolds > 0 {
-		q.Wait = 0
-	}
-	// A hold to a silent endpoint carries no deadline: it may be executed late and
-	// would postpone the time after which nothing can run there.
-	if !s.silent {
-		q.Deadline = max(s.deadline(now()), 1)
-		s.latestDeadline = max(s.latestDeadline, q.Deadline)
-	}
-	for _, r := range s.runs {
-		if r.state == unanswered || r.state == stopped {
-			q.Wait = stopRetryDelay / 2
-		}
-	}
-	return s.holdsSent, q
-}
-
-// deadline returns the time on the endpoint's clock until which its runs, and
-// those of the given owners, may continue. The caller holds mu.
-func (s *session) deadline(at time.Time, owners ...owner) time.Duration {
-	if s.leader != nil || s.hasDisputedEnds() {
-		owners = append(owners, owner{})
-	}
-	for _, r := range s.runs {
-		owners = append(owners, r.owner)
-	}
-	if len(owners) == 0 {
-		return 0
-	}
-	contact := s.contacts[owners[0]]
-	for _, o := range owners {
-		contact = min(contact, s.contacts[o])
-	}
-	return s.clock.Deadline(at, contact)
-}
-
 // handleMissedHold handles a hold without an answer. Once the latest deadline has
 // passed on the endpoint's clock, nothing runs there any more.
 func (s *session) handleMissedHold(ctx context.Context, err error) {
 	s.mu.Lock()
-	s.missedHolds++
-	becameSilent := !s.silent && s.missedHolds >= silentAfterHolds
-	retry := s.missedHolds < silentAfterHolds
-	s.silent = s.silent || becameSilent
-	expired := s.clock.At(now()) > s.latestDeadline+holdRetryDelay
+	missed := s.table.MissHold(now())
 	s.mu.Unlock()
-	if retry {
+	if missed.Retry {
 		return
 	}
-	if becameSilent {
+	if missed.BecameSilent {
 		s.service.opts.Log.Emit(events.Event{ID: events.EndpointSilent, Peer: s.registration.Instance, Err: err})
-		s.reportToOwner(owner{}, &mesh.Report{Reachability: mesh.Unreachable})
+		s.reportToOwner(runtable.Owner{}, &mesh.Report{Reachability: mesh.Unreachable})
 	}
-	if expired {
+	if missed.Expired {
 		s.service.opts.Log.Emit(events.Event{ID: events.EndpointLapsed, Peer: s.registration.Instance})
-		s.reportToOwner(owner{}, &mesh.Report{Reachability: mesh.LeaseExpired})
+		s.reportToOwner(runtable.Owner{}, &mesh.Report{Reachability: mesh.LeaseExpired})
 		s.endIncarnation(errLeaseExpired)
 		return
 	}
@@ -127,91 +80,37 @@
 }
 
 // applyListing reports the changes in a listing and stops runs where necessary.
-func (s *session) applyListing(ctx context.Context, number uint64, l Listing) {
-	reports, stops, answered := s.reconcile(number, l)
-	for _, r := range stops {
+func (s *session) applyListing(ctx context.Context, number uint64, l runtable.Listing) {
+	s.mu.Lock()
+	c := s.table.ApplyListing(now(), number, l)
+	busy := s.table.Busy()
+	s.mu.Unlock()
+	s.service.setBusy(busy)
+	for _, r := range c.Stops {
 		s.spawn(func() { s.stopRun(ctx, r) })
 	}
-	if answered {
-		s.reportToOwner(owner{}, &mesh.Report{Reachability: mesh.Reachable})
-	}
-	for o, r := range reports {
-		s.reportToOwner(o, r)
-	}
-}
-
-// reconcile compares the listing of a numbered hold with the known runs. It
-// returns reports of ends, of vanished runs and of refused starts by owner, the
-// runs with an unanswered start that must be stopped before they start late, and
-// whether a silent endpoint answers again.
-func (s *session) reconcile(number uint64, l Listing) (reports map[owner]*mesh.Report, stops []work.Run, answered bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.clock.Observe(l.Clock, now())
-	reports = s.recordNewEnds(l.Ends)
-	s.settleEnds(l.Clock)
-	s.acknowledgeBestEffort()
-	s.missedHolds = 0
-	if answered = s.silent; answered {
-		s.silent = false
+	if c.Answered {
 		s.service.opts.Log.Emit(events.Event{ID: events.EndpointAnswers, Peer: s.registration.Instance})
+		s.reportToOwner(runtable.Owner{}, &mesh.Report{Reachability: mesh.Reachable})
 	}
-	if l.Clock < s.listedClock {
-		// The answers to two holds have overtaken each other. The endpoint's clock shows which is
-		// newer; what this one lacks may have begun since.
-		return reports, nil, answered
-	}
-	s.listedClock = l.Clock
-	s.running = l.Running
-	s.listedAt = now()
-	for _, p := range s.participants {
-		p.listingUnsent = true
+	for o, r := range c.Reports {
+		s.reportToOwner(o, meshReport(r))
 	}
-	listed := make(map[work.Run]bool, len(l.Running))
-	for _, r := range l.Running {
-		listed[r.Run] = true
-	}
-	endsMayFollow := len(l.Ends) >= maxListedEnds
-	if !endsMayFollow {
-		s.service.records.retainEnded(l.Ends)
-	}
-	for r, local := range s.runs {
-		if local.sinceHold >= number || endsMayFollow && !listed[r] {
-			continue
-		}
-		if stop := s.reconcileRun(r, local, listed[r], reports); stop {
-			stops = append(stops, r)
-		}
-	}
-	s.service.setBusy(len(s.runs) > 0 || len(l.Running) > 0 || s.reportedUpTo > s.ackedUpTo)
-	return reports, stops, answered
 }
 
-// reconcileRun compares one run with the listing. It reports whether the run must
-// be stopped.
-func (s *session) reconcileRun(r work.Run, local *localRun, listed bool, reports map[owner]*mesh.Report) bool {
-	switch {
-	case listed && local.state == unanswered:
-		local.state = confirmed
-		local.sinceHold = s.holdsSent // an answer of the same millisecond may be older
-	case listed, local.state == ordered:
-	case local.state == unanswered:
-		local.sinceHold = ^uint64(0) // set again once the stop is answered
-		return true
-	case local.state == stopped:
-		s.removeRun(r)
-		report := reportFor(reports, local.owner)
-		report.Refused = append(report.Refused, mesh.RefusedStart{Run: r, Reason: placement.RefusedUnanswered})
-	case local.state == confirmed:
-		s.removeRun(r)
-		report := reportFor(reports, local.owner)
-		report.Vanished = append(report.Vanished, r)
+// meshReport returns the message for a report.
+func meshReport(r *runtable.Report) *mesh.Report {
+	m := &mesh.Report{Ends: numberedEnds(r.Ends), Vanished: r.Vanished}
+	for _, refused := range r.Refused {
+		m.Refused = append(m.Refused, mesh.RefusedStart(refused))
 	}
-	return false
+	return m
 }
 
-// removeRun removes a run that is neither listed nor ended. The caller holds mu.
-func (s *session) removeRun(r work.Run) {
-	delete(s.runs, r)
-	s.service.records.remove(r)
+func numberedEnds(ends []runtable.ReportedEnd) []mesh.NumberedEnd {
+	var list []mesh.NumberedEnd
+	for _, e := range ends {
+		list = append(list, mesh.NumberedEnd(e))
+	}
+	return list
 }
--- a/daemon/runner/participants.go
+++ b/daemon/runner/participants.go
@@ -7,6 +7,7 @@
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
 	"github.com/cicadapulley/cicadapulley/core/placement"
+	"github.com/cicadapulley/cicadapulley/core/runtable"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 	"github.com/cicadapulley/cicadapulley/daemon/link"
 )
@@ -23,8 +24,8 @@
 // or an entry while there is no leader.
 type schedulerConn struct {
 	// owner identifies the scheduler as the owner of the runs that it orders.
-	owner
-	conn *link.Conn
+	owner runtable.Owner
+	conn  *link.Conn
 
 	mu sync.Mutex
 	// participant is the scheduler's participation in the current session; nil if
@@ -89,7 +90,7 @@
 	if hello.Role != mesh.RoleEntry {
 		return link.ErrUnexpected
 	}
-	entry := &schedulerConn{owner: owner{vm: hello.VM, period: hello.Period}, conn: c}
+	entry := &schedulerConn{owner: runtable.Owner{VM: hello.VM, Period: hello.Period}, conn: c}
 	s.attachEntry(entry)
 	defer s.detachEntry(entry)
 	for {
@@ -114,18 +115,18 @@
 func (s *Service) attachEntry(entry *schedulerConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if old := s.entries[entry.vm]; old != nil {
+	if old := s.entries[entry.owner.VM]; old != nil {
 		old.conn.Close()
 	}
-	s.entries[entry.vm] = entry
+	s.entries[entry.owner.VM] = entry
 	s.notify()
 }
 
 func (s *Service) detachEntry(entry *schedulerConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.entries[entry.vm] == entry {
-		delete(s.entries, entry.vm)
+	if s.entries[entry.owner.VM] == entry {
+		delete(s.entries, entry.owner.VM)
 		s.notify()
 	}
 }
@@ -158,17 +159,14 @@
 	return state, s.changed
 }
 
-// participant is the participation of one scheduler in one session.
+// participant is the participation of one scheduler in one session. The session's lock
+// guards its Scheduler.
 type participant struct {
 	*schedulerConn
+	*runtable.Scheduler
 	session *session
-	// id identifies the session to the scheduler.
-	id placement.SessionID
-	// pings counts the pings sent. sentClocks holds the endpoint's clock at the
-	// time of each unanswered ping. The session's lock guards these fields and
-	// listingUnsent.
-	pings      uint64
-	sentClocks map[uint64]time.Duration
-	// listingUnsent is set while the latest listing has not been sent.
-	listingUnsent bool
+}
+
+func newParticipant(s *session, c *schedulerConn, id placement.SessionID) *participant {
+	return &participant{schedulerConn: c, Scheduler: runtable.NewScheduler(c.owner, id), session: s}
 }
--- a/daemon/runner/possible.go
+++ b/daemon/runner/possible.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
+	"github.com/cicadapulley/cicadapulley/core/runtable"
 	"github.com/cicadapulley/cicadapulley/core/work"
 )
 
@@ -32,28 +31,22 @@
 func (s *Service) possibleRuns(r *Registration) ([]work.Run, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.possible == nil || s.possible.incarnation != incarnationName(*r) {
+	if s.possible == nil || s.possible.incarnation != runtable.InstanceName(r.Incarnation) {
 		return nil, false
 	}
 	return s.possible.runs, true
 }
 
-// possibleRuns returns the runs that may exist at the endpoint after the session, and
-// those whose ends a leader has to record and may not have recorded.
+// possibleRuns returns the runs that may exist at the endpoint after the session.
 func (s *session) possibleRuns() *possibleRuns {
-	p := &possibleRuns{incarnation: incarnationName(s.registration)}
+	p := &possibleRuns{incarnation: runtable.InstanceName(s.registration.Incarnation)}
 	if cause := context.Cause(s.ctx); errors.Is(cause, errLeaseExpired) || errors.Is(cause, errOtherInstance) {
 		p.ended = true
 		return p
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p.runs = slices.Collect(maps.Keys(s.runs))
-	for _, e := range s.unacked {
-		if !e.bestEffort {
-			p.runs = append(p.runs, e.run)
-		}
-	}
+	p.runs = s.table.PossibleRuns()
 	return p
 }
 
@@ -64,6 +57,8 @@
 	if s.leader == nil || !known {
 		return
 	}
-	from := s.service.lastLeaderContact().Add(-lostEndWindow)
-	s.leader.conn.Send(&mesh.PossibleRuns{Session: s.fence, Runs: runs, Ends: s.service.records.endsSince(from, "")})
+	s.mu.Lock()
+	ends := s.service.records.LostEnds("")
+	s.mu.Unlock()
+	s.leader.conn.Send(&mesh.PossibleRuns{Session: s.fence, Runs: runs, Ends: numberedEnds(ends)})
 }
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -22,7 +22,7 @@
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
 	"github.com/cicadapulley/cicadapulley/core/placement"
-	"github.com/cicadapulley/cicadapulley/core/work"
+	"github.com/cicadapulley/cicadapulley/core/runtable"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 	"github.com/cicadapulley/cicadapulley/daemon/follow"
 	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
@@ -73,10 +73,9 @@
 	leader *schedulerConn
 	// entries are the connections of entries by VM.
 	entries map[string]*schedulerConn
-	// leaderContactAt is when a leader last answered.
-	leaderContactAt time.Time
-	// records are the runs and recent ends that are kept across sessions.
-	records *runRecords
+	// records are the runs and recent ends that are kept across sessions. The present
+	// session's lock guards them.
+	records *runtable.Records
 	// possible are the runs that may exist at the endpoint since the last session,
 	// nil before the first one. All runs go through sessions of this agent.
 	possible *possibleRuns
@@ -84,7 +83,7 @@
 
 // New returns an agent. Run starts it.
 func New(o Options) *Service {
-	return &Service{opts: o, calls: newCalls(), changed: make(chan struct{}), entries: map[string]*schedulerConn{}, records: newRunRecords()}
+	return &Service{opts: o, calls: newCalls(), changed: make(chan struct{}), entries: map[string]*schedulerConn{}, records: runtable.NewRecords()}
 }
 
 // notify wakes the goroutines that wait for a change. The caller holds mu.
@@ -308,21 +307,3 @@
 	defer s.mu.Unlock()
 	s.busy = busy
 }
-
-// owner identifies the scheduler that ordered a run and renews its lease; the zero
-// value is a leader. An entry that has handed its jobs over does not renew their
-// runs in a later period.
-type owner struct {
-	// vm is the entry's VM; empty for a leader.
-	vm string
-	// period identifies the period without a leader in which the entry orders runs;
-	// 0 for a leader.
-	period uint64
-}
-
-// startedRun is the record of a run that the agent started.
-type startedRun struct {
-	owner      owner
-	need       work.Resources
-	bestEffort bool
-}
--- a/daemon/runner/session_test.go
+++ b/daemon/runner/session_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
 	"github.com/cicadapulley/cicadapulley/core/placement"
+	"github.com/cicadapulley/cicadapulley/core/runtable"
 	"github.com/cicadapulley/cicadapulley/core/work"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 	"github.com/cicadapulley/cicadapulley/daemon/follow"
@@ -34,7 +35,7 @@
 	// execute them.
 	dropStartAnswers, dropStarts bool
 	running                      map[work.Run]bool
-	ends                         []End
+	ends                         []runtable.End
 	stops                        []work.Run
 	deadlines                    []time.Duration
 	// lease is the time on its clock until which runs may go on, and lapses counts the times when
@@ -70,29 +71,29 @@
 
 var errSilent = errors.New("no answer")
 
-func (f *fakeEndpoint) Start(ctx context.Context, _ string, q StartRequest) (Answer, error) {
+func (f *fakeEndpoint) Start(ctx context.Context, _ string, q StartRequest) (runtable.Answer, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.silent || f.dropStarts {
-		return Answer{}, errSilent
+		return runtable.Answer{}, errSilent
 	}
 	f.extend(q.Deadline)
 	f.running[q.Run] = true
 	if f.dropStartAnswers {
-		return Answer{}, errSilent
+		return runtable.Answer{}, errSilent
 	}
-	return Answer{Verdict: Done, Clock: f.clock()}, nil
+	return runtable.Answer{Verdict: runtable.Done, Clock: f.clock()}, nil
 }
 
-func (f *fakeEndpoint) Stop(_ context.Context, _ string, q StopRequest) (Answer, error) {
+func (f *fakeEndpoint) Stop(_ context.Context, _ string, q StopRequest) (runtable.Answer, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.silent {
-		return Answer{}, errSilent
+		return runtable.Answer{}, errSilent
 	}
 	f.stops = append(f.stops, q.Run)
 	delete(f.running, q.Run)
-	return Answer{Verdict: Done, Clock: f.clock()}, nil
+	return runtable.Answer{Verdict: runtable.Done, Clock: f.clock()}, nil
 }
 
 // silence lets the endpoint answer no more calls.
@@ -107,10 +108,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.running, r)
-	f.ends = append(f.ends, End{Number: 1, End: work.End{Run: r, Reason: work.Done}})
+	f.ends = append(f.ends, runtable.End{Number: 1, End: work.End{Run: r, Reason: work.Done}})
 }
 
-func (f *fakeEndpoint) Hold(_ context.Context, _ string, q HoldRequest) (Listing, error) {
+func (f *fakeEndpoint) Hold(_ context.Context, _ string, q runtable.HoldRequest) (runtable.Listing, error) {
 	f.holdCalls.Add(1)
 	time.Sleep(min(q.Wait, 20*time.Millisecond))
 	f.mu.Lock()
@@ -119,11 +120,11 @@
 		f.deadlines = append(f.deadlines, q.Deadline)
 	}
 	if f.silent {
-		return Listing{}, errSilent
+		return runtable.Listing{}, errSilent
 	}
 	f.extend(q.Deadline)
-	f.ends = slices.DeleteFunc(f.ends, func(e End) bool { return e.Number <= q.AckedUpTo })
-	l := Listing{Verdict: Done, Clock: f.clock(), StartTimeMS: 1, Ends: slices.Clone(f.ends)}
+	f.ends = slices.DeleteFunc(f.ends, func(e runtable.End) bool { return e.Number <= q.AckedUpTo })
+	l := runtable.Listing{Verdict: runtable.Done, Clock: f.clock(), StartTimeMS: 1, Ends: slices.Clone(f.ends)}
 	for r := range f.running {
 		l.Running = append(l.Running, placement.ListedRun{Run: r})
 	}
@@ -426,53 +427,3 @@
 	assert.Equal(t, possible.Session, placement.SessionID(20))
 	assert.Equal(t, len(possible.Runs), 0)
 }
-
-// TestOvertakenListingEndsNoRun guards against a task that runs twice at the same time (review/8): the
-// answer to one hold, given before a late start was carried out, arrives after the answer to another
-// one that lists the run, so that the run seems to have vanished.
-func TestOvertakenListingEndsNoRun(t *testing.T) {
-	for name, numbers := range map[string][2]uint64{"the earlier hold is overtaken": {2, 1}, "the later hold is executed first": {1, 2}} {
-		t.Run(name, func(t *testing.T) {
-			f := newFixture(t)
-			s := newSession(f.agent, sessionParams{fence: 7, registration: Registration{Incarnation: someIncarnation}})
-			s.holdsSent = 2
-			s.runs[someRun] = &localRun{state: unanswered}
-			s.reconcile(numbers[0], Listing{Clock: 2 * time.Second, Running: []placement.ListedRun{{Run: someRun}}})
-			reports, stops, _ := s.reconcile(numbers[1], Listing{Clock: time.Second, Ends: []End{{Number: 1, End: work.End{Run: runOf("b", 3), Reason: work.Done}}}})
-			assert.Equal(t, len(stops), 0)
-			for _, r := range reports {
-				assert.Equal(t, len(r.Vanished), 0, "the run is listed by the newer answer")
-				assert.Equal(t, len(r.Ends), 1, "its ends count")
-			}
-			assert.Equal(t, len(reports), 1)
-			assert.Equal(t, len(s.running), 1, "the newer listing stays")
-			s.holdsSent = 3
-			reports, _, _ = s.reconcile(3, Listing{Clock: 3 * time.Second})
-			assert.Equal(t, len(reports[owner{}].Vanished), 1, "a newer listing counts")
-		})
-	}
-}
-
-// TestCutListOfEndsEndsNoRun guards against a task that starts again after its end: an endpoint lists 500
-// ends at a time, and a run whose end came after them was taken for vanished, or for never started.
-func TestCutListOfEndsEndsNoRun(t *testing.T) {
-	f := newFixture(t)
-	s := newSession(f.agent, sessionParams{fence: 7, registration: Registration{Incarnation: someIncarnation}})
-	states := map[work.Run]runState{runOf("confirmed", 1): confirmed, runOf("unanswered", 2): unanswered, runOf("stopped", 3): stopped}
-	for r, state := range states {
-		s.runs[r] = &localRun{state: state}
-	}
-	l := Listing{Clock: time.Second}
-	for n := range uint64(maxListedEnds) {
-		l.Ends = append(l.Ends, End{Number: n + 1, End: work.End{Run: runOf("b", n+10), Reason: work.Done}})
-	}
-	s.holdsSent = 1
-	reports, stops, _ := s.reconcile(1, l)
-	assert.Equal(t, len(stops), 0)
-	assert.Equal(t, len(reports[owner{}].Vanished)+len(reports[owner{}].Refused), 0, "their ends may follow")
-	s.holdsSent = 2
-	reports, _, _ = s.reconcile(2, Listing{Clock: 2 * time.Second, Ends: []End{{Number: maxListedEnds + 1, End: work.End{Run: runOf("confirmed", 1), Reason: work.Done}}}})
-	assert.Equal(t, len(reports[owner{}].Ends), 1)
-	assert.Equal(t, len(reports[owner{}].Vanished), 0)
-	assert.Equal(t, len(reports[owner{}].Refused), 1, "a stopped run that is in no list never started")
-}
--- a/daemon/runner/watch.go
+++ b/daemon/runner/watch.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
+	"github.com/cicadapulley/cicadapulley/core/runtable"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 )
 
@@ -44,8 +44,8 @@
 	}
 	if lostLeader != nil {
 		s.leader = nil
-		delete(s.participants, lostLeader.vm)
-		s.acknowledgeBestEffort()
+		delete(s.participants, lostLeader.VM)
+		s.table.LoseLeader()
 	}
 	hasLeader := s.leader != nil
 	s.mu.Unlock()
@@ -59,8 +59,12 @@
 	s.removeDisconnected(state.entries)
 	for _, entry := range state.entries {
 		if id := entry.takeOffer(); id != 0 {
-			s.addParticipant(&participant{schedulerConn: entry, session: s, id: id, sentClocks: map[uint64]time.Duration{}}, nil)
-			s.service.opts.Log.Emit(events.Event{ID: events.EntryJoined, Peer: entry.vm, Ticket: uint64(id)})
+			p := newParticipant(s, entry, id)
+			s.mu.Lock()
+			inventory := s.table.Join(p.Scheduler)
+			s.mu.Unlock()
+			s.addParticipant(p, inventory)
+			s.service.opts.Log.Emit(events.Event{ID: events.EntryJoined, Peer: entry.owner.VM, Ticket: uint64(id)})
 		}
 	}
 }
@@ -76,6 +80,7 @@
 		}
 		if !found {
 			delete(s.participants, vm)
+			s.table.Remove(p.Scheduler)
 		}
 	}
 }
@@ -85,11 +90,11 @@
 func (s *session) releaseParticipants() {
 	for _, p := range s.participantList() {
 		p.clearParticipant(p)
-		if p.vm == "" {
+		if p.VM == "" {
 			continue
 		}
 		if errors.Is(context.Cause(s.ctx), errFenceReplaced) {
-			p.conn.Send(&mesh.SessionEnded{Session: p.id})
+			p.conn.Send(&mesh.SessionEnded{Session: p.ID})
 		} else {
 			p.conn.Send(&mesh.NewSession{})
 		}
@@ -100,11 +105,9 @@
 // because the endpoint does.
 func (s *session) startDraining(endpoint bool) {
 	s.mu.Lock()
-	already := s.draining && (s.endpointDraining || !endpoint)
-	s.draining = true
-	s.endpointDraining = s.endpointDraining || endpoint
+	changed := s.table.StartDraining(endpoint)
 	s.mu.Unlock()
-	if already {
+	if !changed {
 		return
 	}
 	for _, p := range s.participantList() {
@@ -115,9 +118,9 @@
 // sendReport sends a report to a participant.
 func (s *session) sendReport(p *participant, r *mesh.Report) {
 	report := *r
-	report.Session = p.id
+	report.Session = p.ID
 	s.mu.Lock()
-	report.UsedByOthers = s.usedByOthers(p)
+	report.UsedByOthers = s.table.UsedByOthers(p.Scheduler)
 	s.mu.Unlock()
 	p.conn.Send(&report)
 }
@@ -125,23 +128,10 @@
 // reportToOwner sends a report on runs to their owner, and to the leader if there is
 // one. Reports on the last leader's runs go to all entries, since each may have taken
 // over some of its jobs.
-func (s *session) reportToOwner(o owner, r *mesh.Report) {
+func (s *session) reportToOwner(o runtable.Owner, r *mesh.Report) {
 	for _, p := range s.participantList() {
-		if visibleTo(o, p.vm) {
+		if o.VisibleTo(p.VM) {
 			s.sendReport(p, r)
 		}
 	}
 }
-
-// lastLeaderContact returns when a leader last answered.
-func (s *Service) lastLeaderContact() time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.leaderContactAt
-}
-
-func (s *Service) recordLeaderContact() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.leaderContactAt = now()
-}
