placement, runtable: stop an entry's run before the entry takes it for ended

A best-effort task could run on two endpoints at once, for up to 0.4 s (TWICE).

Cause: an entry that is cut off from an agent takes its runs there for ended 1.344 s after the contact. A leader that takes the agent over in that time renews their lease and stops unclaimed ones only 0.4 s after it has joined.

Change: the agent lists with each run of an entry for how long that entry has been silent (OwnerSilence, optional, golden files of its own), and the leader stops an unclaimed run lease.StopAfter after the contact, at once if that has passed. Agents of former versions list none; their runs go on as before.

Result: the two new unit tests fail without the change and pass.

--- a/api/mesh/golden_test.go
+++ b/api/mesh/golden_test.go
@@ -13,7 +13,7 @@
 
 // addedFields are fields that were added after the first golden files were written.
 // They are absent from messages, commands and snapshots of former code.
-var addedFields = []string{"Waited", "EndpointDraining", "RemoveEnrolment", "Enrolments", "FailedRuns", "ConfigurationVersion"}
+var addedFields = []string{"Waited", "EndpointDraining", "RemoveEnrolment", "Enrolments", "FailedRuns", "ConfigurationVersion", "OwnerSilence"}
 
 // TestGoldenMessages guards against a message that is encoded differently from
 // released code: a renamed field without its former name as a tag, or a kind
@@ -40,10 +40,15 @@
 		"05-waited": &Request{}, "02-draining": &Welcome{}, "04-version": &Pong{}, "07-draining": &Inventory{}, "09-draining": &Report{}, "15-draining": &Enrolled{},
 	}
 	for name, m := range extended {
+		testfill.FillWithout(m, "OwnerSilence")
+		check(name, m)
+	}
+	silence := map[string]Message{"03-silence": &Ping{}, "07-silence": &Inventory{}}
+	for name, m := range silence {
 		testfill.Fill(m)
 		check(name, m)
 	}
-	testfill.CheckFileCount(t, "testdata/message-*.cbor", len(messages)+len(extended))
+	testfill.CheckFileCount(t, "testdata/message-*.cbor", len(messages)+len(extended)+len(silence))
 }
 
 // TestGoldenCommands guards against commands and snapshots of released code that
--- a/core/placement/besteffort.go
+++ b/core/placement/besteffort.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/cicadapulley/cicadapulley/core/lease"
 	"github.com/cicadapulley/cicadapulley/core/work"
 )
 
@@ -47,6 +48,15 @@
 	}
 }
 
+// claimTimeout returns how long a listed run may go on without a job. An entry that is out of
+// contact takes its runs for ended lease.ExpiresAfter after the contact, so they are stopped before.
+func claimTimeout(l ListedRun) time.Duration {
+	if l.OwnerSilence == 0 {
+		return unknownRunTimeout
+	}
+	return min(unknownRunTimeout, max(lease.StopAfter-l.OwnerSilence, 0))
+}
+
 // inherit assigns to a job the runs of an abandoned earlier job with the same id.
 // Their tasks start again once these runs have ended.
 func (p *Planner) inherit(j *job) {
@@ -75,7 +85,7 @@
 	kept.ends = append(kept.ends, end)
 }
 
-// expireUnclaimed stops runs that no job has claimed within unknownRunTimeout, and
+// expireUnclaimed stops runs that no job has claimed in time, and
 // drops old ends. A shared planner stops none, as they may belong to other planners.
 func (p *Planner) expireUnclaimed(now time.Time) {
 	for _, e := range p.order {
@@ -83,7 +93,7 @@
 			continue
 		}
 		for _, u := range e.sortedUnknown() {
-			if !p.shared && !u.stopping && now.Sub(u.since) > unknownRunTimeout {
+			if !p.shared && !u.stopping && now.After(u.claimUntil) {
 				u.stopping = true
 				p.orders = append(p.orders, Order{Session: e.Session, Run: u.listed.Run, Stop: true})
 			}
--- a/core/placement/endpoints.go
+++ b/core/placement/endpoints.go
@@ -112,12 +112,17 @@
 	}
 	j := p.jobs[l.Task.Job]
 	if j == nil {
-		p.addUnknown(&unknownRun{endpoint: e, listed: l, since: now})
+		timeout := claimTimeout(l)
+		if timeout == 0 && !p.shared {
+			p.stopUnknownRun(e, l)
+			return
+		}
+		p.addUnknown(&unknownRun{endpoint: e, listed: l, claimUntil: now.Add(timeout)})
 		return
 	}
 	t := j.task(l.Task)
 	if t == nil || t.phase == placed || t.phase == ended {
-		p.stopUnknownRun(now, e, l)
+		p.stopUnknownRun(e, l)
 		return
 	}
 	if t.phase == waiting {
@@ -149,8 +154,8 @@
 	}
 }
 
-func (p *Planner) stopUnknownRun(now time.Time, e *endpoint, l ListedRun) {
-	p.addUnknown(&unknownRun{endpoint: e, listed: l, since: now, stopping: true})
+func (p *Planner) stopUnknownRun(e *endpoint, l ListedRun) {
+	p.addUnknown(&unknownRun{endpoint: e, listed: l, stopping: true})
 	p.orders = append(p.orders, Order{Session: e.Session, Run: l.Run, Stop: true})
 }
 
--- a/core/placement/planner_test.go
+++ b/core/placement/planner_test.go
@@ -201,6 +201,31 @@
 	assert.Equal(t, stops[0].Run, orphan.Run)
 }
 
+// TestUnclaimedRunsEndBeforeTheirEntryForgetsThem guards against a task that runs twice at the same
+// time: an entry out of contact with an agent starts it again after lease.ExpiresAfter, while a
+// leader that has taken the agent over lets the run go on.
+func TestUnclaimedRunsEndBeforeTheirEntryForgetsThem(t *testing.T) {
+	run := ListedRun{Run: work.Run{Task: work.TaskID{Job: "job"}, Number: 3}, OwnerSilence: 1100 * time.Millisecond}
+	f := newFixture(t, "vm-1")
+	f.join(1, "vm-1", 4, run)
+	_, stops := f.assign()
+	assert.Equal(t, len(stops), 1)
+	for silence, after := range map[time.Duration]time.Duration{
+		300 * time.Millisecond: unknownRunTimeout,
+		700 * time.Millisecond: 200 * time.Millisecond,
+	} {
+		run.OwnerSilence = silence
+		f := newFixture(t, "vm-1")
+		f.join(1, "vm-1", 4, run)
+		f.advance(after)
+		_, stops := f.assign()
+		assert.Equal(t, len(stops), 0, "%s", silence)
+		f.advance(time.Millisecond)
+		_, stops = f.assign()
+		assert.Equal(t, len(stops), 1, "%s", silence)
+	}
+}
+
 // TestUnclaimedEndsCount guards against a task that runs again although its endpoint
 // listed it as done before the job was submitted to the new leader.
 func TestUnclaimedEndsCount(t *testing.T) {
--- a/core/placement/types.go
+++ b/core/placement/types.go
@@ -95,6 +95,9 @@
 	Percent int
 	// Checkpoint is where the task can be resumed from.
 	Checkpoint string
+	// OwnerSilence is for how long the entry that ordered the run had been out of contact with the
+	// agent when a leader took the agent over. It is 0 for other runs.
+	OwnerSilence time.Duration `cbor:",omitempty"`
 }
 
 // phase is the state of a task.
@@ -203,8 +206,9 @@
 type unknownRun struct {
 	endpoint *endpoint
 	listed   ListedRun
-	since    time.Time
-	stopping bool
+	// claimUntil is when the run is stopped unless its job was added before.
+	claimUntil time.Time
+	stopping   bool
 }
 
 // FinishedJob is a best-effort job that has reached a final state.
--- a/core/runtable/records.go
+++ b/core/runtable/records.go
@@ -24,6 +24,9 @@
 	owner      Owner
 	need       work.Resources
 	bestEffort bool
+	// ownerContactAt is the last contact with the entry that owned the run when a leader took it
+	// over; zero for other runs.
+	ownerContactAt time.Time
 }
 
 // Records holds the runs and recent ends of an agent across its sessions.
@@ -36,6 +39,8 @@
 	lastRun uint64
 	// leaderContactAt is when a leader last answered.
 	leaderContactAt time.Time
+	// contactAt has when the last ping was sent that an owner of runs has answered.
+	contactAt map[Owner]time.Time
 }
 
 // recentEnd is the end of a best-effort run.
@@ -47,7 +52,7 @@
 
 // NewRecords returns the records of an agent that has just started.
 func NewRecords() *Records {
-	return &Records{started: map[work.Run]startedRun{}, ended: map[work.Run]bool{}}
+	return &Records{started: map[work.Run]startedRun{}, ended: map[work.Run]bool{}, contactAt: map[Owner]time.Time{}}
 }
 
 // recordStart records a run before the endpoint is asked to start it.
@@ -71,9 +76,14 @@
 // assignToLeader makes the leader the owner of all runs.
 func (rec *Records) assignToLeader() {
 	for r, s := range rec.started {
+		s.ownerContactAt = time.Time{}
+		if s.owner.VM != "" {
+			s.ownerContactAt = rec.contactAt[s.owner]
+		}
 		s.owner = Owner{}
 		rec.started[r] = s
 	}
+	clear(rec.contactAt)
 }
 
 // recordEnd marks a run as ended, and keeps the end if it is durable and the run
--- a/core/runtable/table.go
+++ b/core/runtable/table.go
@@ -18,17 +18,22 @@
 	Owner
 	// ID identifies the session to the scheduler.
 	ID placement.SessionID
-	// pings counts the pings sent. sentClocks holds the endpoint's clock at the
-	// time of each unanswered ping.
+	// pings counts the pings sent, and unanswered has those without an answer.
 	pings      uint64
-	sentClocks map[uint64]time.Duration
+	unanswered map[uint64]sentPing
 	// listingUnsent is set while the latest listing has not been sent.
 	listingUnsent bool
 }
 
+// sentPing has when a ping was sent, also on the endpoint's clock.
+type sentPing struct {
+	at    time.Time
+	clock time.Duration
+}
+
 // NewScheduler returns a scheduler that may join one session.
 func NewScheduler(o Owner, id placement.SessionID) *Scheduler {
-	return &Scheduler{Owner: o, ID: id, sentClocks: map[uint64]time.Duration{}}
+	return &Scheduler{Owner: o, ID: id, unanswered: map[uint64]sentPing{}}
 }
 
 // runState is the state of a run as far as the agent has confirmed it.
@@ -125,7 +130,7 @@
 	if t.leader == nil {
 		return Inventory{}
 	}
-	inventory := t.Join(t.leader)
+	inventory := t.Join(now, t.leader)
 	if r := reports[Owner{}]; r != nil {
 		inventory.Ends = append(inventory.Ends, r.Ends...)
 	}
@@ -165,11 +170,11 @@
 }
 
 // Join lets a scheduler order runs, and returns the endpoint's state for it.
-func (t *Table) Join(s *Scheduler) Inventory {
+func (t *Table) Join(now time.Time, s *Scheduler) Inventory {
 	t.schedulers[s.VM] = s
 	return Inventory{
 		Endpoint:         t.describeEndpoint(s),
-		Running:          t.visibleRuns(s),
+		Running:          t.visibleRuns(now, s),
 		Ends:             t.opts.Records.LostEnds(s.VM),
 		EndpointDraining: t.opts.EndpointDraining,
 	}
@@ -197,7 +202,7 @@
 
 // visibleRuns returns the runs that may exist and that a scheduler may see, in the order of their
 // numbers, with their progress in the latest listing.
-func (t *Table) visibleRuns(s *Scheduler) []placement.ListedRun {
+func (t *Table) visibleRuns(now time.Time, s *Scheduler) []placement.ListedRun {
 	listed := make(map[work.Run]placement.ListedRun, len(t.running))
 	for _, r := range t.running {
 		listed[r.Run] = r
@@ -209,6 +214,9 @@
 		}
 		l := listed[r]
 		l.Run = r
+		if !local.ownerContactAt.IsZero() {
+			l.OwnerSilence = now.Sub(local.ownerContactAt)
+		}
 		list = append(list, l)
 	}
 	slices.SortFunc(list, func(a, b placement.ListedRun) int { return compareRuns(a.Run, b.Run) })
@@ -280,7 +288,7 @@
 // Ping returns the next ping to a scheduler.
 func (t *Table) Ping(now time.Time, s *Scheduler) Ping {
 	s.pings++
-	s.sentClocks[s.pings] = t.clock.At(now)
+	s.unanswered[s.pings] = sentPing{at: now, clock: t.clock.At(now)}
 	m := Ping{Sequence: s.pings, UsedByOthers: t.UsedByOthers(s)}
 	if s.listingUnsent { // an old listing would look like a lack of progress
 		s.listingUnsent = false
@@ -306,12 +314,13 @@
 
 // Pong handles the answer to a ping that has renewed the lease.
 func (t *Table) Pong(now time.Time, s *Scheduler, sequence uint64) {
-	if sent, ok := s.sentClocks[sequence]; ok {
-		t.contacts[s.Owner] = max(t.contacts[s.Owner], sent)
+	if sent, ok := s.unanswered[sequence]; ok {
+		t.contacts[s.Owner] = max(t.contacts[s.Owner], sent.clock)
+		t.opts.Records.contactAt[s.Owner] = sent.at
 	}
-	for n := range s.sentClocks {
+	for n := range s.unanswered {
 		if n <= sequence {
-			delete(s.sentClocks, n)
+			delete(s.unanswered, n)
 		}
 	}
 	if s == t.leader {
--- a/core/runtable/table_test.go
+++ b/core/runtable/table_test.go
@@ -48,6 +48,29 @@
 	}
 }
 
+// TestTakenOverRunsTellOfTheirEntry guards against a leader that lets the run of an entry go on for
+// longer than the entry, out of contact, takes it to go on.
+func TestTakenOverRunsTellOfTheirEntry(t *testing.T) {
+	records := NewRecords()
+	leaderless := New(Options{Fence: 7, MaxHold: time.Second, Records: records})
+	leaderless.Begin(someTime, Listing{Clock: time.Second})
+	entry := NewScheduler(Owner{VM: "entry", Period: 1}, 1)
+	leaderless.Join(someTime, entry)
+	ping := leaderless.Ping(someTime, entry)
+	leaderless.Pong(someTime.Add(5*time.Millisecond), entry, ping.Sequence)
+	_, refusal := leaderless.AdmitStart(someTime, entry, placement.Order{Run: someRun})
+	assert.Equal(t, refusal, placement.Refusal(0))
+	leaderless.StartAnswered(someTime, someRun, Answer{Verdict: Done, Clock: time.Second})
+
+	listing := Listing{Clock: 2 * time.Second, Running: []placement.ListedRun{{Run: someRun}}}
+	takenOver := New(Options{Fence: 8, MaxHold: time.Second, Records: records, Leader: NewScheduler(Owner{}, 8)})
+	list := takenOver.Begin(someTime.Add(800*time.Millisecond), listing).Running
+	assert.Equal(t, list[0].OwnerSilence, 800*time.Millisecond)
+	next := New(Options{Fence: 9, MaxHold: time.Second, Records: records, Leader: NewScheduler(Owner{}, 9)})
+	list = next.Begin(someTime.Add(900*time.Millisecond), listing).Running
+	assert.Equal(t, list[0].OwnerSilence, time.Duration(0), "the earlier leader owned it since")
+}
+
 // TestCutListOfEndsEndsNoRun guards against a task that starts again after its end: an endpoint lists 500
 // ends at a time, and a run whose end came after them was taken for vanished, or for never started.
 func TestCutListOfEndsEndsNoRun(t *testing.T) {
--- a/daemon/runner/watch.go
+++ b/daemon/runner/watch.go
@@ -61,7 +61,7 @@
 		if id := entry.takeOffer(); id != 0 {
 			p := newParticipant(s, entry, id)
 			s.mu.Lock()
-			inventory := s.table.Join(p.Scheduler)
+			inventory := s.table.Join(now(), p.Scheduler)
 			s.mu.Unlock()
 			s.addParticipant(p, inventory)
 			s.service.opts.Log.Emit(events.Event{ID: events.EntryJoined, Peer: entry.owner.VM, Ticket: uint64(id)})
