runsearch: explore the orders of events around runs, over the real decisions

Change: make model searches breadth first over the planner, the ledger, the lease accounting of leader and entry and the agent's run table, with a model of endpoints, connections and processes. It checks TWICE, BUDGET, UNASKED, LIMIT and that calm ends every job; a break prints the shortest trace.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: test (what CI runs), pages, build, lint, generate, demo, bench, soak, platform-soak, fleet-soak, fuzz.
+# Targets: test (what CI runs), pages, build, lint, model, generate, demo, bench, soak, platform-soak, fleet-soak, fuzz.
 MODULES := core api daemon client platform
 GO := go
 SEEDS ?= 20
@@ -8,8 +8,8 @@
 empty :=
 SKIP_KNOWN_RED := $(if $(KNOWN_RED),-skip '^($(subst $(empty) $(empty),|,$(KNOWN_RED)))$$')
 
-.PHONY: test pages build lint generate bench soak platform-soak fleet-soak fuzz demo
-test: build lint pages
+.PHONY: test pages build lint model generate bench soak platform-soak fleet-soak fuzz demo
+test: build lint pages model
 	@for t in $(KNOWN_RED); do echo "passed over, see KNOWN-RED.txt: $$t"; done
 	@for m in $(MODULES); do (cd $$m && $(GO) test $(SKIP_KNOWN_RED) ./...) || exit 1; done
 
@@ -20,6 +20,12 @@
 	@cd client && $(GO) test -count=1 ./internal/ticketfile
 	@cd platform && $(GO) test -count=1 -run 'TestSettingsPage$$' .
 
+# Explores the orders of events around the runs of tasks for MODEL_SECONDS in all, shared out
+# among the scenarios, on all cores; a break prints the shortest trace. MODEL_SCENARIO names a single one.
+MODEL_SECONDS ?= 45
+model:
+	cd daemon && MODEL_SECONDS=$(MODEL_SECONDS) $(GO) test ./internal/runsearch -run TestNoOrderOfEventsBreaksARule -v -count=1 -timeout 120m
+
 build:
 	$(GO) build -o bin/ ./daemon/cmd/... ./client/cmd/... ./platform/cmd/...
 
