coordinator: tell the operator that a control VM's disk refuses writes

Cause: a control VM whose disk is full answered an operator "no control VM that leads has confirmed the request", which is the answer of any election.

Change: the answer names the disk, the error and what to do.

Result: TestFullDiskDoesNotEndTheProcess checks the text; it fails without the change and passes.

--- a/daemon/coordinator/manager.go
+++ b/daemon/coordinator/manager.go
@@ -29,6 +29,8 @@
 	metrics *scheduler.Metrics
 	// service is nil while the storage is unavailable.
 	service atomic.Pointer[Service]
+	// storageError is why the disk refuses writes, while there is no service.
+	storageError atomic.Pointer[string]
 }
 
 // NewManager returns a manager; Run opens the data folder.
@@ -47,6 +49,8 @@
 		if !errors.Is(err, storage.ErrUnavailable) {
 			return supervisor.Fatal(err)
 		}
+		text := err.Error()
+		m.storageError.Store(&text)
 		m.opts.Log.Emit(events.Event{ID: events.StorageUnavailable, Text: m.opts.DataDir, Err: err})
 		if m.awaitStorage(ctx) {
 			m.opts.Log.Emit(events.Event{ID: events.StorageAvailable, Text: m.opts.DataDir})
@@ -60,6 +64,7 @@
 	if err != nil {
 		return err
 	}
+	m.storageError.Store(nil)
 	m.service.Store(s)
 	defer m.service.Store(nil)
 	return s.Run(ctx)
@@ -86,7 +91,7 @@
 func (m *Manager) Configure(ctx context.Context, c *work.Configuration) error {
 	s := m.service.Load()
 	if s == nil {
-		return ErrUnavailable
+		return m.unavailable()
 	}
 	return s.Configure(ctx, c)
 }
@@ -95,11 +100,19 @@
 func (m *Manager) Configuration(ctx context.Context) ([]byte, error) {
 	s := m.service.Load()
 	if s == nil {
-		return nil, ErrUnavailable
+		return nil, m.unavailable()
 	}
 	return s.Configuration(ctx)
 }
 
+// unavailable returns the error of a VM without a service.
+func (m *Manager) unavailable() error {
+	if text := m.storageError.Load(); text != nil {
+		return errors.Wrapf(ErrUnavailable, "the disk of this control VM refuses writes, free space or ask another control VM: %s", *text)
+	}
+	return errors.Wrap(ErrUnavailable, "this control VM is starting")
+}
+
 // Ready reports whether this VM knows a leader, which may be itself.
 func (m *Manager) Ready() bool {
 	s := m.service.Load()
@@ -119,6 +132,12 @@
 		m.gauge("cicadapulley_storage_syncs", "Syncs since the data folder was opened.", func(s *Service) float64 { return float64(s.store.Stats().Syncs) }),
 		m.gauge("cicadapulley_storage_log_bytes", "Size of the log on disk.", func(s *Service) float64 { return float64(s.store.Stats().LogBytes) }),
 		m.gauge("cicadapulley_configuration_version", "Version of the configuration that this VM has applied.", func(s *Service) float64 { return float64(s.configurationVersion()) }),
+		m.gauge("cicadapulley_memory_short", "1 while this VM leads and refuses work for lack of memory.", func(s *Service) float64 {
+			if s.memory.isShort() && s.driver.Leading() {
+				return 1
+			}
+			return 0
+		}),
 		m.gauge("cicadapulley_storage_available", "0 while the disk refuses writes and this VM has no part in the group.", func(*Service) float64 { return 1 }),
 	)
 }
--- a/daemon/coordinator/manager_test.go
+++ b/daemon/coordinator/manager_test.go
@@ -48,6 +48,7 @@
 	c.eventually("the VM with the full disk is not ready", func() bool { return !c.managers[leader].Ready() })
 	err := c.managers[leader].Configure(context.Background(), configuration(3))
 	assert.Assert(t, errors.Is(err, ErrUnavailable))
+	assert.ErrorContains(t, err, "the disk of this control VM refuses writes")
 	assert.Equal(t, c.managers[leader].opts.Log.Count(events.StorageUnavailable), uint64(1))
 	c.configure(other, 4)
 	c.disks[leader].full.Store(false)
