coordinator: refuse work before the leader's memory is used up

Change: while live objects take over 35% of memory_mb, the leader refuses new jobs with 429 and Retry-After, and configurations larger than the present one with 503 and the reason; what is stored, cancellations and jobs that may have run are never refused. Between collections it counts what it accepts by an estimate, and collects the heap, at most once a second, to see what is in use.

--- a/daemon/coordinator/entries.go
+++ b/daemon/coordinator/entries.go
@@ -137,6 +137,10 @@
 	if !prepare(q.Job, found, r) {
 		return
 	}
+	if s.memory.isShort() && !q.PriorState.MayHaveRun() && !s.isSubmitting(q.Job.ID) {
+		s.memory.refuse(r)
+		return
+	}
 	admission, t := s.admit(q.Job, q.PriorState)
 	switch {
 	case t == nil:
@@ -146,6 +150,7 @@
 		r.Outcome = refusal.Outcome
 		r.RetryAfterMS = refusal.RetryAfterMS
 	default:
+		s.memory.accept(q.Job)
 		s.accept(ctx, t, q.Job, r)
 	}
 }
@@ -180,6 +185,11 @@
 		c.Send(r)
 	}
 	s.whileLeading(func(t *term, now time.Time) {
+		if s.memory.isShort() && !q.PriorState.MayHaveRun() && !t.Planner.Has(q.Job.ID) {
+			s.memory.refuse(r)
+			return
+		}
+		s.memory.accept(q.Job)
 		r = t.Submit(now, scheduler.Waiter{Conn: c, Sequence: q.Sequence, Answer: answer}, q.Job, q.PriorState)
 		s.place(t, now)
 	})
@@ -227,6 +237,14 @@
 	return a, admitted
 }
 
+// isSubmitting reports whether a submission of the job is in progress. Another one must not be
+// refused then, since the first may succeed.
+func (s *Service) isSubmitting(id work.JobID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.term != nil && s.term.submitting[id] > 0
+}
+
 // accept records a job that a term has admitted.
 func (s *Service) accept(ctx context.Context, t *term, job *work.Job, r *mesh.Response) {
 	_, err := s.propose(ctx, ledger.Command{Accept: job})
--- /dev/null
+++ b/daemon/coordinator/memory_test.go
@@ -0,0 +1,94 @@
+package coordinator
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/cicadapulley/cicadapulley/api/mesh"
+	"github.com/cicadapulley/cicadapulley/core/placement"
+	"github.com/cicadapulley/cicadapulley/core/work"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
+)
+
+// submission returns a request to submit a job with one short task.
+func submission(id string, bestEffort bool) *mesh.Request {
+	step := work.Step{Tasks: 1, Need: work.Resources{CPU: 1000}, Estimate: 10 * time.Millisecond}
+	return &mesh.Request{Operation: mesh.Submit, Host: "h", Path: "/q/" + id, Job: &work.Job{BestEffort: bestEffort, Steps: []work.Step{step}}}
+}
+
+// TestMemoryBoundsWhatIsAccepted guards against a leader that accepts jobs and larger configurations
+// until its process is killed, and against one that then refuses what it has accepted or what
+// frees memory.
+func TestMemoryBoundsWhatIsAccepted(t *testing.T) {
+	c := newCluster(t, 3)
+	leader := c.leader()
+	c.joinAgent(leader)
+	c.configure(leader, 9)
+	s := c.managers[leader].service.Load()
+	submit := func(id string) mesh.Outcome { return s.submitOrCancel(t.Context(), submission(id, false)).Outcome }
+	const known, other = "00000000000000a1", "00000000000000a2"
+	assert.Equal(t, submit(known), mesh.Accepted)
+
+	s.memory.short.Store(true)
+	r := s.submitOrCancel(t.Context(), submission(other, false))
+	assert.Equal(t, r.Outcome, mesh.Overloaded)
+	assert.Assert(t, r.RetryAfterMS > 0)
+	assert.Equal(t, submit(known), mesh.Accepted, "a job that is stored stays accepted")
+	best := submission("00000000000000a3", true)
+	assert.Equal(t, s.placeBestEffort(nil, target{}, best).Outcome, mesh.Overloaded)
+	best.PriorState = placement.PriorState{SentToLeader: true}
+	best.Job.ID = "00000000000000a3"
+	assert.Assert(t, s.placeBestEffort(nil, target{}, best) == nil, "a job that may have run is never refused")
+	s.memory.short.Store(false)
+	assert.Equal(t, submit(other), mesh.Accepted)
+
+	s.memory.short.Store(true)
+	err := c.managers[(leader+1)%3].Configure(context.Background(), configuration(10))
+	assert.Assert(t, errors.Is(err, ErrUnavailable))
+	assert.ErrorContains(t, err, errMemory.Error())
+	larger := configuration(9)
+	larger.Version = 10
+	assert.NilError(t, c.managers[leader].Configure(context.Background(), larger), "one of the same size takes no more memory")
+	cancel := s.submitOrCancel(t.Context(), &mesh.Request{Operation: mesh.Cancel, Host: "h", Path: "/q/" + known})
+	assert.Equal(t, cancel.Outcome, mesh.Accepted)
+}
+
+// TestMemoryMonitor guards against a monitor that takes garbage for memory in use, and one that does
+// not notice that memory is free again.
+func TestMemoryMonitor(t *testing.T) {
+	log := events.NewLog("control", testLogger(), events.NewClock())
+	h := heap{}
+	m := newMemoryMonitor(100<<20, log)
+	m.read = func() heap { return h }
+	at := time.Now()
+	for _, step := range []struct {
+		objects, live int64
+		short         bool
+	}{{30, 10, false}, {45, 34, false}, {90, 34, false}, {45, 36, true}, {90, 60, true}, {45, 10, false}} {
+		h = heap{objects: step.objects << 20, live: step.live << 20, collections: 1}
+		at = at.Add(memoryInterval)
+		m.check(at)
+		assert.Equal(t, m.isShort(), step.short, "%+v", step)
+	}
+	large := &work.Job{Steps: []work.Step{{Tasks: 80_000}}}
+	m.accept(large)
+	assert.Assert(t, !m.isShort(), "25 MB of 35 are free by the last collection")
+	m.accept(large)
+	assert.Assert(t, m.isShort(), "before a collection shows it")
+	h.live, h.collections = 20<<20, 2
+	m.check(at.Add(memoryInterval))
+	assert.Assert(t, m.isShort(), "the collection may not have seen all of it")
+	h.collections = 3
+	m.check(at.Add(2 * memoryInterval))
+	assert.Assert(t, !m.isShort())
+	assert.Equal(t, log.Count(events.MemoryShort), uint64(1))
+	assert.Equal(t, log.Count(events.MemoryAvailable), uint64(1))
+	unlimited := newMemoryMonitor(0, log)
+	unlimited.accept(large)
+	unlimited.check(at)
+	assert.Assert(t, !unlimited.isShort())
+}
--- a/daemon/coordinator/operator.go
+++ b/daemon/coordinator/operator.go
@@ -117,6 +117,17 @@
 	if err := q.Configure.Validate(); err != nil {
 		return err
 	}
+	if s.memory.isShort() {
+		present := 0
+		err := s.driver.Read(func() {
+			if c := s.machine.Configuration(); c != nil {
+				present = len(c.Document)
+			}
+		})
+		if err != nil || len(q.Configure.Document) > present {
+			return errors.CombineErrors(err, errMemory)
+		}
+	}
 	result, err := s.propose(ctx, ledger.Command{Configure: q.Configure})
 	if err != nil {
 		return errors.Wrap(err, "record configuration")
--- a/daemon/coordinator/service.go
+++ b/daemon/coordinator/service.go
@@ -70,7 +70,9 @@
 	// SnapshotBytes their size; 0 means the default.
 	SnapshotEntries uint64
 	SnapshotBytes   int
-	Log             *events.Log
+	// MemoryBytes is the memory of this VM, which bounds what a leader accepts; 0 means no bound.
+	MemoryBytes int64
+	Log         *events.Log
 }
 
 // Service is a control VM.
@@ -83,6 +85,7 @@
 	peers        *peerTransport
 	groupManager *groupManager
 	metrics      *scheduler.Metrics
+	memory       *memoryMonitor
 
 	// mu guards the fields below. It is taken before the driver's lock.
 	mu sync.Mutex
@@ -113,6 +116,7 @@
 		return nil, errors.Wrap(err, "open data folder")
 	}
 	s := &Service{opts: o, store: store, machine: &machine{Machine: ledger.New(), log: o.Log}, clients: map[*client]bool{}, metrics: metrics}
+	s.memory = newMemoryMonitor(o.MemoryBytes, o.Log)
 	if err := s.init(founder); err != nil {
 		return nil, errors.CombineErrors(err, store.Close())
 	}
--- a/daemon/coordinator/term.go
+++ b/daemon/coordinator/term.go
@@ -164,6 +164,7 @@
 // tick runs the planner's due work, removes absent agents, and forgets final jobs
 // whose retention time has passed.
 func (s *Service) tick(ctx context.Context, t *term) {
+	s.memory.check(boottime.Now())
 	forget, absent := s.tickTerm(t)
 	s.removeAbsent(ctx, t, absent)
 	if len(forget) == 0 {
--- a/daemon/events/catalogue.go
+++ b/daemon/events/catalogue.go
@@ -88,6 +88,9 @@
 	WorkAbandoned        ID = 366
 	EndpointUnreachable  ID = 367
 	LeaderStalled        ID = 368
+	// The leader refuses work for lack of memory, and accepts it again.
+	MemoryShort     ID = 369
+	MemoryAvailable ID = 370
 )
 
 // Events of entries.
@@ -223,6 +226,8 @@
 	{WorkAbandoned, "work_abandoned", zapcore.WarnLevel, "the caller of a best-effort job stopped waiting before the job ended; the history in the detail shows the job's progress"},
 	{EndpointUnreachable, "endpoint_unreachable", zapcore.WarnLevel, "an agent joined whose endpoint does not answer it; the detail counts the runs that may exist there; check that endpoint"},
 	{LeaderStalled, "leader_stalled", zapcore.WarnLevel, "the leader was held up for so long that entries and agents may take it for lost; the detail says whether its own work took the time, or the process did not run"},
+	{MemoryShort, "memory_short", zapcore.WarnLevel, "the leader refuses new jobs and larger configurations, since what it has accepted takes too much of its memory; cancel jobs, or give the control VMs more memory"},
+	{MemoryAvailable, "memory_available", zapcore.InfoLevel, "the leader has memory for new jobs again"},
 	{JobAccepted, "job_accepted", zapcore.DebugLevel, "a job is recorded; its tasks may start"},
 	{JobJoined, "job_joined", zapcore.DebugLevel, "a resubmission was attached to the existing job"},
 	{JobRefused, "job_refused", zapcore.DebugLevel, "a job was refused as a whole; none of its tasks ran"},
