runsearch: keep the trace of a leader that is lost after an entry

A search of 60 s found TWICE of a best-effort task after 9 events (1,346,408 states): an entry cut off from the leader and from an agent takes the leader's runs for ended 1.344 s after its own loss, while the leader, lost up to 1.1 s later, leaves runs that last for longer. It isn't mended: a mend lengthens a wait or abandons the jobs of entries that pause.

--- a/daemon/internal/runsearch/search_test.go
+++ b/daemon/internal/runsearch/search_test.go
@@ -340,6 +340,20 @@
 	}
 }
 
+// TestLeaderLostAfterEntry guards against a best-effort task that runs twice at the same time: the
+// leader is lost after the entry has lost contact with it and before it would have abandoned the entry's
+// job, so that its runs last for longer than the entry, which counts from its own loss, takes them to.
+func TestLeaderLostAfterEntry(t *testing.T) {
+	list := scenarios()
+	w := newWorld(newTools(), list[slices.IndexFunc(list, func(s *scenario) bool { return s.name == "best-effort jobs" })])
+	for _, ev := range []event{
+		{kind: submitBestEffort}, {kind: tick}, {kind: cutControl}, {kind: tick}, {kind: tick}, {kind: tick}, {kind: cutEntry}, {kind: loseLeader}, {kind: wait},
+	} {
+		w.apply(ev)
+		assert.Equal(t, w.judge.broken, "", "after %s", ev)
+	}
+}
+
 // TestReplaysAreEqual guards against a search that loses its way: the same events must lead to the
 // same state each time, so nothing may depend on the order of a map.
 func TestReplaysAreEqual(t *testing.T) {
