coordinator: force no collection while the leader has memory

Cause: the bound on memory collected the heap once a second whenever objects took over half of the VM's memory. The heap grows to that by itself at large systems, and each collection holds up the leader's tick.

Change: the heap is collected only while work is refused. What is accepted between two collections is bounded by the estimate alone.

--- a/daemon/coordinator/memory.go
+++ b/daemon/coordinator/memory.go
@@ -18,11 +18,9 @@
 	// maxLivePercent is the share of the VM's memory that live objects may take before more is
 	// refused. A snapshot takes a copy of the state, and the garbage between two collections as much again.
 	maxLivePercent = 35
-	// collectPercent is the share of the VM's memory at which the heap is collected to see what of it
-	// is live, at most once in collectInterval, and also when work is refused by estimate. While it is
-	// refused for live objects, the heap is collected in each shortCollectInterval, since nothing else
-	// may show that memory is free again.
-	collectPercent       = 50
+	// While work is refused by estimate, the heap is collected in each collectInterval to see what is
+	// live, and while it is refused for live objects, in each shortCollectInterval, since nothing
+	// else may show that memory is free again. Otherwise no collection is forced.
 	collectInterval      = time.Second
 	shortCollectInterval = 5 * time.Second
 	// memoryInterval is the interval between checks.
@@ -40,17 +38,16 @@
 
 // heap is the memory in use.
 type heap struct {
-	// objects is the size of all objects, and live that of the objects that the last
-	// collection found in use.
-	objects, live int64
+	// live is the size of the objects that the last collection found in use.
+	live int64
 	// collections counts the collections so far.
 	collections uint64
 }
 
 func readHeap() heap {
-	samples := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}, {Name: "/gc/heap/live:bytes"}, {Name: "/gc/cycles/total:gc-cycles"}}
+	samples := []metrics.Sample{{Name: "/gc/heap/live:bytes"}, {Name: "/gc/cycles/total:gc-cycles"}}
 	metrics.Read(samples)
-	return heap{objects: int64(samples[0].Value.Uint64()), live: int64(samples[1].Value.Uint64()), collections: samples[2].Value.Uint64()}
+	return heap{live: int64(samples[0].Value.Uint64()), collections: samples[1].Value.Uint64()}
 }
 
 // memoryMonitor decides whether there is memory for more work. Jobs that are stored take memory
@@ -96,12 +93,11 @@
 	}
 	m.checkedAt = now
 	h := m.read()
-	full := h.objects > m.limit*collectPercent/100
 	wait := collectInterval
-	if m.short.Load() && !full {
+	if m.short.Load() {
 		wait = shortCollectInterval
 	}
-	if (full || m.isShort()) && now.Sub(m.collected) >= wait {
+	if m.isShort() && now.Sub(m.collected) >= wait {
 		m.collected = now
 		runtime.GC()
 		h = m.read()
