placement: ignore the list of a session that a newer one has overtaken

Cause: an agent's connection breaks while its enrolment is committed. Both connections wait for the commit, each in its goroutine, and the list of the former session may join after that of the present one.

Change: the planner keeps each agent's latest session and ignores older lists. The search keeps such a list too; a new scenario and a known trace cover it.

--- a/core/placement/endpoints.go
+++ b/core/placement/endpoints.go
@@ -12,7 +12,12 @@
 // Join adds a new session of an agent with the runs and ends that its endpoint
 // lists. The endpoint received the session's fencing token before it made the list,
 // so it no longer executes orders of earlier sessions.
+// A session older than the agent's latest is ignored: its list waited on a former connection, and what it
+// lacks may have begun since.
 func (p *Planner) Join(now time.Time, info Endpoint, running []ListedRun, ends []work.End) {
+	if info.Session < p.lastSession[info.VM] {
+		return
+	}
 	e := p.newEndpoint(info)
 	previous := p.byVM[info.VM]
 	if previous != nil && previous.Instance == info.Instance {
@@ -37,7 +42,7 @@
 // would be held because of one such endpoint, although the agent knows that it has
 // none of their runs.
 func (p *Planner) JoinUnreachable(now time.Time, info Endpoint, running []work.Run, ends []work.End, leaseExpiry time.Time) {
-	if p.byVM[info.VM] != nil {
+	if p.byVM[info.VM] != nil || info.Session < p.lastSession[info.VM] {
 		return
 	}
 	e := p.newEndpoint(info)
@@ -67,6 +72,7 @@
 func (p *Planner) addEndpoint(now time.Time, e *endpoint) {
 	p.endpoints[e.Session] = e
 	p.byVM[e.VM] = e
+	p.lastSession[e.VM] = e.Session
 	p.order = append(p.order, e)
 	p.pools.add(e)
 	delete(p.awaitedVMs, e.VM)
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -28,6 +28,8 @@
 	endpoints map[SessionID]*endpoint
 	// byVM has the latest session of each VM.
 	byVM map[string]*endpoint
+	// lastSession has the latest session that has joined of each VM, also after its end.
+	lastSession map[string]SessionID
 	// order lists the endpoints in a fixed order.
 	order []*endpoint
 	// runs has the runs that may exist by their task's job, which may be closed.
@@ -74,6 +76,7 @@
 		jobs:          map[work.JobID]*job{},
 		endpoints:     map[SessionID]*endpoint{},
 		byVM:          map[string]*endpoint{},
+		lastSession:   map[string]SessionID{},
 		runs:          map[work.JobID][]*run{},
 		unknown:       map[work.JobID][]*unknownRun{},
 		pools:         newPools(),
--- a/core/placement/planner_test.go
+++ b/core/placement/planner_test.go
@@ -201,6 +201,27 @@
 	assert.Equal(t, stops[0].Run, orphan.Run)
 }
 
+// TestOvertakenSessionEndsNoRuns guards against a task that runs twice at the same time (TestMixedSoak
+// 5203): the list of an agent's former session, which waited for the agent's enrolment on its old connection,
+// joined after that of the present session, whose runs seemed to have ended.
+func TestOvertakenSessionEndsNoRuns(t *testing.T) {
+	f := newFixture(t)
+	f.planner.Add(f.now, oneStep("job", 1), PriorState{})
+	f.join(2, "vm-1", 4)
+	f.join(9, "vm-2", 4)
+	starts, _ := f.assign()
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Session, SessionID(2))
+	f.join(1, "vm-1", 4)
+	f.planner.JoinUnreachable(f.now, Endpoint{Session: 1, VM: "vm-1"}, nil, nil, f.now)
+	again, stops := f.assign()
+	assert.Equal(t, len(again)+len(stops), 0)
+	f.end(starts[0], work.Done)
+	f.planner.Leave(f.now, 2)
+	f.join(1, "vm-1", 4)
+	assert.DeepEqual(t, f.planner.Absent(f.now.Add(leaseTimeout), []string{"vm-1"}), []string{"vm-1"})
+}
+
 // TestUnclaimedRunsEndBeforeTheirEntryForgetsThem guards against a task that runs twice at the same
 // time: an entry out of contact with an agent starts it again after lease.ExpiresAfter, while a
 // leader that has taken the agent over lets the run go on.
--- a/daemon/internal/runsearch/schedulers_test.go
+++ b/daemon/internal/runsearch/schedulers_test.go
@@ -77,7 +77,7 @@
 	// agent is the index of the agent that waits for the commit.
 	agent   int
 	session placement.SessionID
-	// inventory joins once the agent is enrolled.
+	// inventory joins once the agent is enrolled, even if another connection has replaced its own.
 	inventory *mesh.Inventory
 	// upTo is acknowledged, unless 0.
 	upTo uint64
@@ -190,6 +190,7 @@
 
 // commit applies the proposals and updates the planner from the result.
 func (l *leader) commit() {
+	var overtaken []proposal
 	proposals := l.proposals
 	l.proposals = nil
 	for _, p := range proposals {
@@ -218,10 +219,21 @@
 		for _, id := range result.Closed {
 			l.Planner.Close(id)
 		}
-		if p.inventory != nil && l.sessions[p.agent] != nil && l.sessions[p.agent].ID == p.session {
+		switch session := l.sessions[p.agent]; {
+		case p.inventory == nil:
+		case session != nil && session.ID == p.session:
 			l.join(p.agent, p.inventory)
+		default:
+			overtaken = append(overtaken, p)
 		}
 		l.acknowledge(p)
+		l.place()
+	}
+	// Each connection waits for its commit on its own, so a former one may go on last.
+	for _, p := range overtaken {
+		session := &scheduler.Session{ID: p.session, VM: l.w.agents[p.agent].vm, RenewedAt: l.w.now}
+		l.Join(l.w.now, session, p.inventory)
+		l.Lost(session, session.RenewedAt.Add(lease.ExpiresAfter))
 	}
 }
 
--- a/daemon/internal/runsearch/search_test.go
+++ b/daemon/internal/runsearch/search_test.go
@@ -239,6 +239,11 @@
 			allowed: []kind{cutLeader, cutControl, replaceLeader, loseLeader},
 			limits:  map[kind]int{done: 0, failed: 0, wait: 0, healLeader: 0, healEntry: 0, healControl: 0, cutLeader: 1},
 		},
+		{
+			name: "sessions that overtake each other", capacity: two, storedTasks: []int{2}, faults: 4, cutDirections: 1,
+			allowed: []kind{cutLeader, keepUncommitted, restartAgent},
+			limits:  map[kind]int{done: 0, failed: 0, cancel: 0, cutLeader: 1, keepUncommitted: 2},
+		},
 		{
 			name: "endpoints that fail", capacity: two, storedTasks: []int{1}, submitted: 1, bestEffortTasks: 1, faults: 3, cutDirections: 1,
 			allowed: []kind{silence, restartEndpoint, restartAgent, replaceLeader, startLate},
@@ -321,6 +326,10 @@
 			{kind: keepUncommitted}, {kind: failed}, {kind: tick}, {kind: replaceLeader}, {kind: tick}, {kind: cutLeader}, {kind: tick},
 			{kind: failed, agent: 1}, {kind: tick},
 		}},
+		"a former session joins after the present one": {"sessions that overtake each other", []event{
+			{kind: cutLeader}, {kind: wait}, {kind: healLeader}, {kind: keepUncommitted}, {kind: tick}, {kind: restartAgent}, {kind: keepUncommitted},
+			{kind: tick}, {kind: submit}, {kind: tick}, {kind: tick},
+		}},
 		"a run outlasts what its entry assumes after a takeover": {"the next leader takes over", []event{
 			{kind: cutEntry}, {kind: tick}, {kind: tick}, {kind: tick}, {kind: tick}, {kind: elect}, {kind: cutLeader, agent: 1}, {kind: cutControl},
 			{kind: tick}, {kind: tick}, {kind: tick}, {kind: tick}, {kind: tick},
