--- a/daemon/internal/runsearch/schedulers_test.go
+++ b/daemon/internal/runsearch/schedulers_test.go
@@ -205,8 +205,6 @@
 			}
 		case len(c.Ends) > 0:
 			l.Planner.Recorded(c.Ends)
-		case c.Cancel != "":
-			l.w.jobs[c.Cancel].cancelled = true
 		case c.Enrol != nil:
 			delete(l.removed, c.Enrol.VM)
 			if e := l.w.entry; e.connected {
--- a/daemon/internal/runsearch/world_test.go
+++ b/daemon/internal/runsearch/world_test.go
@@ -97,12 +97,12 @@
 	receive(i int, m mesh.Message)
 }
 
-// job is a job that a caller has handed in.
+// jobState is a job that a caller has handed in, and what the caller knows of it.
 type jobState struct {
 	spec work.Job
-	// accepted and cancelled are set once the caller knows, answered once a best-effort job has ended.
-	accepted, cancelled, answered bool
-	cancelling                    bool
+	// accepted is set for a stored job that is recorded, answered for a best-effort job that has ended,
+	// and cancelling once the caller has asked to cancel the job.
+	accepted, answered, cancelling bool
 }
 
 // scenario is what a search starts from.
