runsearch: one check of life and fencing token in the endpoint's model

Cause: starts, stops and holds of the model each compared the life and the fencing token on their own.

Change: check does it for all three. The answer to a call for another life now carries the clock, as the interface says; the agent ends its session then.

--- a/daemon/internal/runsearch/endpoint_test.go
+++ b/daemon/internal/runsearch/endpoint_test.go
@@ -105,24 +105,25 @@
 	e.w.tracef("%s: run %d of %s ends %s", e.name, r.Number, r.Task.Job, reason)
 }
 
-func (e *endpoint) fenced(fence placement.SessionID) bool {
-	if fence < e.fence {
-		return true
+// check returns Done if a call is meant for this life and no higher fencing token was seen.
+func (e *endpoint) check(life int, fence placement.SessionID) runtable.Verdict {
+	switch {
+	case life != e.life:
+		return runtable.OtherInstance
+	case fence < e.fence:
+		return runtable.Fenced
 	}
 	e.fence = fence
-	return false
+	return runtable.Done
 }
 
 // start carries out a start call.
 func (e *endpoint) start(c startCall) runtable.Answer {
-	answer := runtable.Answer{Verdict: runtable.Refused, Clock: e.clock()}
-	if c.life != e.life {
-		return runtable.Answer{Verdict: runtable.OtherInstance}
-	}
-	if e.fenced(c.fence) {
-		answer.Verdict = runtable.Fenced
+	answer := runtable.Answer{Verdict: e.check(c.life, c.fence), Clock: e.clock()}
+	if answer.Verdict != runtable.Done {
 		return answer
 	}
+	answer.Verdict = runtable.Refused
 	e.extend(c.deadline)
 	_, runs := e.running[c.run]
 	switch {
@@ -143,12 +144,8 @@
 
 // stop carries out a stop call.
 func (e *endpoint) stop(c stopCall) runtable.Answer {
-	answer := runtable.Answer{Verdict: runtable.Done, Clock: e.clock()}
-	if c.life != e.life {
-		return runtable.Answer{Verdict: runtable.OtherInstance}
-	}
-	if e.fenced(c.fence) {
-		answer.Verdict = runtable.Fenced
+	answer := runtable.Answer{Verdict: e.check(c.life, c.fence), Clock: e.clock()}
+	if answer.Verdict != runtable.Done {
 		return answer
 	}
 	if _, runs := e.running[c.run]; runs {
@@ -160,13 +157,8 @@
 
 // hold carries out a hold call.
 func (e *endpoint) hold(life int, q runtable.HoldRequest) runtable.Listing {
-	l := runtable.Listing{Verdict: runtable.Done, Clock: e.clock(), StartTimeMS: int64(e.life)}
-	if life != e.life {
-		l.Verdict = runtable.OtherInstance
-		return l
-	}
-	if e.fenced(q.Fence) {
-		l.Verdict = runtable.Fenced
+	l := runtable.Listing{Verdict: e.check(life, q.Fence), Clock: e.clock(), StartTimeMS: int64(e.life)}
+	if l.Verdict != runtable.Done {
 		return l
 	}
 	e.extend(q.Deadline)
