--- a/api/mesh/golden_test.go
+++ b/api/mesh/golden_test.go
@@ -13,7 +13,7 @@
 
 // addedFields are fields that were added after the first golden files were written.
 // They are absent from messages, commands and snapshots of former code.
-var addedFields = []string{"Waited", "EndpointDraining", "RemoveEnrolment", "Enrolments", "FailedRuns", "ConfigurationVersion", "OwnerSilence"}
+var addedFields = []string{"Waited", "EndpointDraining", "RemoveEnrolment", "Enrolments", "FailedRuns", "ConfigurationVersion", "OwnerSilence", "DataCentre"}
 
 // TestGoldenMessages guards against a message that is encoded differently from
 // released code: a renamed field without its former name as a tag, or a kind
@@ -23,7 +23,7 @@
 	messages := []Message{
 		&Hello{}, &Welcome{}, &Ping{}, &Pong{}, &Request{}, &Response{}, &Inventory{}, &Orders{}, &Report{},
 		&Acknowledge{}, &RaftMessages{}, &Join{}, &Abandon{}, &NewSession{}, &Enrolled{}, &SessionEnded{}, &Members{},
-		&OperatorRequest{}, &OperatorResponse{}, &PossibleRuns{},
+		&OperatorRequest{}, &OperatorResponse{}, &PossibleRuns{}, &Drains{},
 	}
 	assert.Assert(t, newMessage(byte(len(messages)+1)) == nil, "a message kind has no golden file")
 	check := func(name string, m Message) {
@@ -40,15 +40,20 @@
 		"05-waited": &Request{}, "02-draining": &Welcome{}, "04-version": &Pong{}, "07-draining": &Inventory{}, "09-draining": &Report{}, "15-draining": &Enrolled{},
 	}
 	for name, m := range extended {
-		testfill.FillWithout(m, "OwnerSilence")
+		testfill.FillWithout(m, "OwnerSilence", "DataCentre")
 		check(name, m)
 	}
 	silence := map[string]Message{"03-silence": &Ping{}, "07-silence": &Inventory{}}
 	for name, m := range silence {
+		testfill.FillWithout(m, "DataCentre")
+		check(name, m)
+	}
+	dataCentre := map[string]Message{"07-data-centre": &Inventory{}}
+	for name, m := range dataCentre {
 		testfill.Fill(m)
 		check(name, m)
 	}
-	testfill.CheckFileCount(t, "testdata/message-*.cbor", len(messages)+len(extended)+len(silence))
+	testfill.CheckFileCount(t, "testdata/message-*.cbor", len(messages)+len(extended)+len(silence)+len(dataCentre))
 }
 
 // TestGoldenCommands guards against commands and snapshots of released code that
--- a/api/mesh/mesh.go
+++ b/api/mesh/mesh.go
@@ -280,6 +280,13 @@
 	Messages []raft.Message
 }
 
+// Drains is sent by every control VM to entries and agents, before the first Welcome of
+// a connection and after each change that it has applied. A control VM that is behind
+// sends an older revision.
+type Drains struct {
+	State work.DataCentreDrains
+}
+
 // Join asks the leader to add the sender to the group of control VMs.
 type Join struct {
 	Server raft.Server
@@ -309,6 +316,7 @@
 	kindOperatorRequest
 	kindOperatorResponse
 	kindPossibleRuns
+	kindDrains
 )
 
 func kindOf(m Message) byte {
@@ -353,6 +361,8 @@
 		return kindOperatorResponse
 	case *PossibleRuns:
 		return kindPossibleRuns
+	case *Drains:
+		return kindDrains
 	}
 	return 0
 }
@@ -399,6 +409,8 @@
 		return &OperatorResponse{}
 	case kindPossibleRuns:
 		return &PossibleRuns{}
+	case kindDrains:
+		return &Drains{}
 	}
 	return nil
 }
--- a/core/placement/types.go
+++ b/core/placement/types.go
@@ -25,6 +25,8 @@
 	VM       string
 	Instance string
 	Pool     string
+	// DataCentre is that of the agent's VM; empty if it is not known.
+	DataCentre string `cbor:",omitempty"`
 	// Labels are the endpoint's kind (first), its rack, and others that jobs may
 	// require.
 	Labels   []string
