leaderless, gateway: a running job's request outlives its leader

Cause: a request waited for a leader for at most 1.5 s from its arrival.

Change: leaderless.Wait decides how long a request waits. One that a leader may have started waits for 1.5 s from the loss, or until the result has no more value.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -30,8 +30,6 @@
 )
 
 const (
-	// leaderTimeout bounds the wait for a leader; it covers two elections.
-	leaderTimeout = 1500 * time.Millisecond
 	// readyGrace is how long after a leader's last message this entry still reports
 	// ready although it can't place jobs itself. It covers an election, during which the
 	// other entries have no leader either. An entry that is cut off must leave the
@@ -116,21 +114,6 @@
 	}
 }
 
-// waitTimeout returns how long a request may wait for a leader, or for this entry to
-// place jobs itself. A submission waits until its objective has passed. If the job may
-// have run, it may also be done already, so the submission waits until the result has
-// no more value. What happens to the job is decided by the leader or the local placer.
-func (s *Service) waitTimeout(q *mesh.Request, mayHaveRun bool) time.Duration {
-	objective, ok := s.objective(q)
-	switch {
-	case !ok:
-		return leaderTimeout
-	case mayHaveRun:
-		return min(placement.ExpiryFactor*objective, leaderTimeout)
-	}
-	return min(objective, leaderTimeout)
-}
-
 // objective returns the objective of a submitted job, by the configuration that this entry has.
 // It returns false for other requests and for an unknown queue.
 func (s *Service) objective(q *mesh.Request) (time.Duration, bool) {
@@ -211,7 +194,7 @@
 	if schedule == nil {
 		return true
 	}
-	longest := leaderTimeout
+	longest := leaderless.LeaderTimeout
 	if deadline, ok := ctx.Deadline(); ok {
 		longest = time.Until(deadline)
 	}
@@ -233,7 +216,7 @@
 // repeated, since a job's ID makes its submission idempotent, so an unanswered
 // request is sent again to the next leader until ctx ends.
 //
-// A request that has no answer when ctx ends, finds no leader within waitTimeout, or
+// A request that has no answer when ctx ends, finds no leader within the time of leaderless.Wait, or
 // finds too many requests waiting, ends with NoLeader if no leader can have received
 // it, and with Uncertain otherwise.
 func (s *Service) Do(ctx context.Context, q *mesh.Request) *mesh.Response {
@@ -244,19 +227,17 @@
 }
 
 func (s *Service) forward(ctx context.Context, q *mesh.Request) *mesh.Response {
-	newJobCtx, cancelNewJob := context.WithTimeout(ctx, s.waitTimeout(q, false))
-	defer cancelNewJob()
-	priorJobCtx, cancelPriorJob := context.WithTimeout(ctx, s.waitTimeout(q, true))
-	defer cancelPriorJob()
 	forwarded := *q
-	start := boottime.Now()
+	wait := leaderless.Wait{Arrived: boottime.Now(), MayHaveRun: q.PriorState.MayHaveRun()}
+	wait.Objective, _ = s.objective(q)
 	for ctx.Err() == nil && !s.pendingFull() {
-		waitCtx := newJobCtx
-		if forwarded.PriorState.MayHaveRun() {
-			waitCtx = priorJobCtx
-		}
-		r := s.forwardOnce(ctx, waitCtx, &forwarded, start)
+		waitCtx, cancel := context.WithTimeout(ctx, wait.Until().Sub(boottime.Now()))
+		r := s.forwardOnce(ctx, waitCtx, &forwarded, wait.Arrived)
+		cancel()
 		if r == nil {
+			if !wait.MayHaveRun && forwarded.PriorState.MayHaveRun() {
+				wait.MayHaveRun, wait.LeaderLostAt = true, boottime.Now()
+			}
 			continue
 		}
 		if r.Outcome == mesh.NoLeader || r.Outcome == mesh.Uncertain {
