placement, scheduler: admitted jobs that can be of no more use are refused at once

Cause: a job that had been admitted waited in the queue until its caller's time-out when endpoints were lost or a burst began after it.

Change: at each tick the planner walks the queue. A best-effort job of which nothing has begun, and which the work before it leaves no time within three objectives, is refused with Retry-After. If an earlier planner or a lost endpoint may have started it, the outcome stays uncertain. The random simulation checks that no such refusal is false.

--- a/core/placement/assign.go
+++ b/core/placement/assign.go
@@ -189,7 +189,8 @@
 
 // Tick applies what depends on time: it removes endpoints with an expired lease,
 // releases held jobs, expires unclaimed runs and ends, moves groups that can no
-// longer be in time back in the queue, and moves stalled runs.
+// longer be in time back in the queue, refuses those of no more value, and moves stalled
+// runs.
 func (p *Planner) Tick(now time.Time) {
 	for _, e := range slices.Clone(p.order) {
 		if !e.leaseExpiry.IsZero() && !now.Before(e.leaseExpiry) {
@@ -199,6 +200,7 @@
 	p.releaseHeld(now)
 	p.expireUnclaimed(now)
 	p.queue.demote(now, func(g *group) time.Duration { return p.minRunTime(now, g.job, g.step) })
+	p.shed(now)
 	p.moveStalled(now)
 	for _, e := range p.order {
 		if e.slowdown.decay(now.Sub(p.lastTick)) {
--- /dev/null
+++ b/core/placement/shed.go
@@ -0,0 +1,69 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/core/work"
+)
+
+// RejectedJob is a best-effort job that was admitted and is refused before any of its tasks
+// has begun.
+type RejectedJob struct {
+	Job *work.Job
+	// MayHaveRun is set if this planner or an earlier one may have started a task, as on an
+	// endpoint that was lost. The refusal must not say that the job has not run.
+	MayHaveRun bool
+	// Admission is the decision at the time of the refusal.
+	Admission Admission
+}
+
+// shed refuses queued best-effort jobs of which nothing has run and whose results would
+// come when they have no more value for their callers. It answers a load that grows, or
+// endpoints that are lost, after jobs were admitted: without it these callers wait until
+// their own time-outs and learn nothing about whether the job has run.
+//
+// The work ahead of a job is that of the groups before it in the queue, without those
+// that are refused. Runs in progress aren't counted, so that the estimate is too low
+// rather than too high.
+func (p *Planner) shed(now time.Time) {
+	ahead := map[string]workload{}
+	var rejected []RejectedJob
+	for _, g := range p.queue.groups {
+		pool := g.job.spec.Pool
+		if a, hopeless := p.rejects(now, g, ahead[pool]); hopeless {
+			rejected = append(rejected, RejectedJob{Job: g.job.spec, MayHaveRun: g.job.mayHaveRun || g.job.started, Admission: a})
+			continue
+		}
+		ahead[pool] += workload(len(g.tasks)) * g.taskWorkload()
+	}
+	for _, r := range rejected {
+		p.Close(r.Job.ID)
+	}
+	p.Stats.Shed += uint64(len(rejected))
+	p.rejected = append(p.rejected, rejected...)
+}
+
+// rejects decides whether a group's job is refused, with the given work ahead of it.
+func (p *Planner) rejects(now time.Time, g *group, ahead workload) (Admission, bool) {
+	j := g.job
+	if !j.spec.BestEffort || j.begun || len(p.runs[j.spec.ID]) > 0 {
+		return Admission{}, false
+	}
+	wait := time.Duration(0)
+	if rate := p.rate(now, j.spec.Pool); rate > 0 {
+		wait = time.Duration(ahead.seconds() / rate * float64(time.Second))
+	}
+	limit := j.expiresAt.Sub(j.arrived)
+	expected := now.Sub(j.arrived) + wait + j.spec.CriticalPath()
+	if expected <= limit {
+		return Admission{}, false
+	}
+	return Admission{Expected: expected, Limit: limit, Wait: wait, RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter)}, true
+}
+
+// TakeRejected returns the jobs that were refused since the last call.
+func (p *Planner) TakeRejected() []RejectedJob {
+	rejected := p.rejected
+	p.rejected = nil
+	return rejected
+}
--- a/core/placement/simulation_test.go
+++ b/core/placement/simulation_test.go
@@ -42,6 +42,8 @@
 	done map[work.TaskID]bool
 	// started has the highest run number started for each task.
 	started map[work.TaskID]uint64
+	// falseRefusals are jobs that were refused as not run although a task has started.
+	falseRefusals []work.JobID
 }
 
 // simVM is an endpoint with its agent.
@@ -244,6 +246,12 @@
 			}
 		}
 	}
+	for _, rejected := range sim.planner.TakeRejected() {
+		delete(sim.open, rejected.Job.ID)
+		if !rejected.MayHaveRun && sim.hasStarted(rejected.Job.ID) {
+			sim.falseRefusals = append(sim.falseRefusals, rejected.Job.ID)
+		}
+	}
 	for _, s := range sim.planner.TakeFinished() {
 		delete(sim.open, s.ID)
 		for t := range sim.done {
@@ -254,6 +262,16 @@
 	}
 }
 
+// hasStarted reports whether a task of the job has started.
+func (sim *simulation) hasStarted(id work.JobID) bool {
+	for t := range sim.started {
+		if t.Job == id {
+			return true
+		}
+	}
+	return false
+}
+
 // execute lets an endpoint execute or refuse an order, and checks the invariants.
 func (sim *simulation) execute(t *rapid.T, vm *simVM, index int, refuse bool) {
 	o := vm.inFlight[index]
@@ -313,7 +331,8 @@
 // starts beyond an endpoint's capacity and run numbers that do not increase, under
 // lost agents, changes of the leader, entries that place jobs while there is none,
 // refused and delayed orders, abandoned jobs and jobs that are submitted again. It
-// also guards against tasks that never run.
+// also guards against tasks that never run, and against refusals that say that a job
+// has not run although it has.
 func TestInvariantsHoldInRandomSimulations(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation()
@@ -321,10 +340,16 @@
 			"": func(t *rapid.T) {
 				sim.planner.verify(t, sim.now)
 				sim.dispatch()
+				if len(sim.falseRefusals) > 0 {
+					t.Fatalf("refused as not run, but a task has started: %v", sim.falseRefusals)
+				}
 			},
 			"submit": func(t *rapid.T) {
 				sim.nextJob++
 				j := oneStep(fmt.Sprintf("job-%d", sim.nextJob), rapid.IntRange(1, 3).Draw(t, "tasks"))
+				if sim.nextJob%2 == 1 {
+					j.Target = time.Hour // it is never refused, so that it has to end
+				}
 				sim.open[j.ID] = j
 				sim.planner.Add(sim.now, j, PriorState{})
 			},
--- a/daemon/scheduler/scheduler.go
+++ b/daemon/scheduler/scheduler.go
@@ -227,8 +227,20 @@
 }
 
 // AnswerFinished answers the requests that wait for best-effort jobs that have
-// ended.
+// ended or are refused.
 func (s *Scheduler) AnswerFinished(now time.Time) {
+	for _, rejected := range s.Planner.TakeRejected() {
+		refusal := s.Refuse(rejected.Job, rejected.Admission)
+		if rejected.MayHaveRun {
+			refusal = &mesh.Response{Outcome: mesh.Uncertain, Detail: "the job would complete too late"}
+		}
+		for _, w := range s.waiters[rejected.Job.ID] {
+			answer := *refusal
+			answer.Sequence = w.Sequence
+			w.Answer(&answer)
+		}
+		delete(s.waiters, rejected.Job.ID)
+	}
 	for _, finished := range s.Planner.TakeFinished() {
 		s.results[finished.ID] = result{state: finished.State, recordedAt: now}
 		s.logFinished(finished)
