ledger, mesh: the drain of a data centre is a command of the replicated log

Cause: an operator's order to drain a data centre has to survive restarts, lost disks and new leaders, and an order that was delayed between control VMs must not undo a later one.

Change: Command.Drain names the revision (log index) of the data centre's latest change that its proposer knew. A command that would undo another change is rejected with Result.Conflict. OperatorRequest.Drain, OperatorResponse.Drains and DrainRevision carry an order to the leader and its answer back.

Existing golden files are unchanged; the new fields have their own.

--- a/api/mesh/golden_test.go
+++ b/api/mesh/golden_test.go
@@ -13,7 +13,7 @@
 
 // addedFields are fields that were added after the first golden files were written.
 // They are absent from messages, commands and snapshots of former code.
-var addedFields = []string{"Waited", "EndpointDraining", "RemoveEnrolment", "Enrolments", "FailedRuns", "ConfigurationVersion", "OwnerSilence", "DataCentre"}
+var addedFields = []string{"Waited", "EndpointDraining", "RemoveEnrolment", "Enrolments", "FailedRuns", "ConfigurationVersion", "OwnerSilence", "DataCentre", "Drain", "Drains", "DrainRevision"}
 
 // TestGoldenMessages guards against a message that is encoded differently from
 // released code: a renamed field without its former name as a tag, or a kind
@@ -48,12 +48,12 @@
 		testfill.FillWithout(m, "DataCentre")
 		check(name, m)
 	}
-	dataCentre := map[string]Message{"07-data-centre": &Inventory{}}
-	for name, m := range dataCentre {
+	last := map[string]Message{"07-data-centre": &Inventory{}, "18-drain": &OperatorRequest{}, "19-drains": &OperatorResponse{}}
+	for name, m := range last {
 		testfill.Fill(m)
 		check(name, m)
 	}
-	testfill.CheckFileCount(t, "testdata/message-*.cbor", len(messages)+len(extended)+len(silence)+len(dataCentre))
+	testfill.CheckFileCount(t, "testdata/message-*.cbor", len(messages)+len(extended)+len(silence)+len(last))
 }
 
 // TestGoldenCommands guards against commands and snapshots of released code that
@@ -69,9 +69,12 @@
 	testfill.CheckGolden(t, "testdata/command-enrol-draining.cbor", ledger.Command{Enrol: &enrol}, EncodeCommand, DecodeCommand)
 	removal := testfill.Value[ledger.Enrolment]()
 	testfill.CheckGolden(t, "testdata/command-remove-enrolment.cbor", ledger.Command{RemoveEnrolment: &removal}, EncodeCommand, DecodeCommand)
-	testfill.CheckFileCount(t, "testdata/command-*.cbor", 3+len(commands))
+	drain := testfill.Value[ledger.DrainCommand]()
+	testfill.CheckGolden(t, "testdata/command-drain.cbor", ledger.Command{Drain: &drain}, EncodeCommand, DecodeCommand)
+	testfill.CheckFileCount(t, "testdata/command-*.cbor", 4+len(commands))
 	testfill.CheckGolden(t, "testdata/snapshot.cbor", testfill.Value[ledger.Snapshot](addedFields...), EncodeSnapshot, DecodeSnapshot)
-	testfill.CheckGolden(t, "testdata/snapshot-draining.cbor", testfill.Value[ledger.Snapshot]("Enrolments", "FailedRuns"), EncodeSnapshot, DecodeSnapshot)
-	testfill.CheckGolden(t, "testdata/snapshot-enrolments.cbor", testfill.Value[ledger.Snapshot]("FailedRuns"), EncodeSnapshot, DecodeSnapshot)
-	testfill.CheckGolden(t, "testdata/snapshot-failed-runs.cbor", testfill.Value[ledger.Snapshot](), EncodeSnapshot, DecodeSnapshot)
+	testfill.CheckGolden(t, "testdata/snapshot-draining.cbor", testfill.Value[ledger.Snapshot]("Enrolments", "FailedRuns", "Drains"), EncodeSnapshot, DecodeSnapshot)
+	testfill.CheckGolden(t, "testdata/snapshot-enrolments.cbor", testfill.Value[ledger.Snapshot]("FailedRuns", "Drains"), EncodeSnapshot, DecodeSnapshot)
+	testfill.CheckGolden(t, "testdata/snapshot-failed-runs.cbor", testfill.Value[ledger.Snapshot]("Drains"), EncodeSnapshot, DecodeSnapshot)
+	testfill.CheckGolden(t, "testdata/snapshot-drains.cbor", testfill.Value[ledger.Snapshot](), EncodeSnapshot, DecodeSnapshot)
 }
--- a/api/mesh/operator.go
+++ b/api/mesh/operator.go
@@ -1,6 +1,9 @@
 package mesh
 
-import "github.com/cicadapulley/cicadapulley/core/work"
+import (
+	"github.com/cicadapulley/cicadapulley/core/ledger"
+	"github.com/cicadapulley/cicadapulley/core/work"
+)
 
 // OperatorRequest is an operator's request, forwarded to the leader by another
 // control VM.
@@ -9,6 +12,9 @@
 	// Configure is the configuration to bring into force; nil to read the one in
 	// force.
 	Configure *work.Configuration
+	// Drain is the order to drain a data centre, or to withdraw that order. Former code
+	// ignores it and answers as to a request to read.
+	Drain *ledger.DrainCommand `cbor:",omitempty"`
 }
 
 // OperatorResponse answers an OperatorRequest.
@@ -21,4 +27,10 @@
 	// Document is the configuration in force, for a request to read it; empty
 	// before the first.
 	Document []byte
+	// Drains are the data centres that are drained, for Drain and for a request to read;
+	// nil from former code.
+	Drains *work.DataCentreDrains `cbor:",omitempty"`
+	// DrainRevision, for Drain, is the revision of the data centre's latest change, 0 for
+	// none. It is set too if the order was rejected because it named another revision.
+	DrainRevision uint64 `cbor:",omitempty"`
 }
--- /dev/null
+++ b/core/ledger/drains.go
@@ -0,0 +1,81 @@
+package ledger
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/cicadapulley/cicadapulley/core/work"
+)
+
+// DrainCommand orders that no more tasks start on the endpoints of a data centre, or
+// withdraws that order.
+type DrainCommand struct {
+	DataCentre string
+	Drained    bool
+	// Revision is that of the data centre's latest change which the proposer knew, 0 for
+	// none. A command that would undo a later change is rejected: it may have been
+	// delayed on its way to the log.
+	Revision uint64
+}
+
+// DrainRecord is the latest change of a data centre's drain.
+type DrainRecord struct {
+	DataCentre string
+	Drained    bool
+	// Revision is the log index of the change.
+	Revision uint64
+}
+
+// Drains returns the data centres that are drained.
+func (m *Machine) Drains() work.DataCentreDrains {
+	d := work.DataCentreDrains{Revision: m.drainsRevision}
+	for _, name := range slices.Sorted(maps.Keys(m.drains)) {
+		if m.drains[name].Drained {
+			d.DataCentres = append(d.DataCentres, name)
+		}
+	}
+	return d
+}
+
+// DrainsRevision returns the revision of Drains.
+func (m *Machine) DrainsRevision() uint64 { return m.drainsRevision }
+
+// DrainRevision returns the log index of the latest change of a data centre's drain, 0
+// if there is none.
+func (m *Machine) DrainRevision(dataCentre string) uint64 { return m.drains[dataCentre].Revision }
+
+// drain changes the drain of a data centre. The record of a withdrawal stays, so that a
+// delayed command is still recognised.
+func (m *Machine) drain(index uint64, c *DrainCommand) Result {
+	record := m.drains[c.DataCentre]
+	switch {
+	case record.Drained == c.Drained:
+		return Result{}
+	case record.Revision != c.Revision:
+		return Result{Conflict: true}
+	}
+	m.setDrain(DrainRecord{DataCentre: c.DataCentre, Drained: c.Drained, Revision: index})
+	return Result{Changed: true}
+}
+
+func (m *Machine) setDrain(r DrainRecord) {
+	m.drains[r.DataCentre] = r
+	m.drainsRevision = max(m.drainsRevision, r.Revision)
+}
+
+// drainRecords returns the latest change of each data centre, sorted by name.
+func (m *Machine) drainRecords() []DrainRecord {
+	var list []DrainRecord
+	for _, name := range slices.Sorted(maps.Keys(m.drains)) {
+		list = append(list, m.drains[name])
+	}
+	return list
+}
+
+func (m *Machine) restoreDrains(records []DrainRecord) {
+	m.drains = make(map[string]DrainRecord, len(records))
+	m.drainsRevision = 0
+	for _, r := range records {
+		m.setDrain(r)
+	}
+}
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -27,6 +27,8 @@
 	Forget []work.JobID
 	// RemoveEnrolment drops an agent unless it has enrolled again in the meantime.
 	RemoveEnrolment *Enrolment `cbor:",omitempty"`
+	// Drain changes the drain of a data centre.
+	Drain *DrainCommand `cbor:",omitempty"`
 }
 
 // Enrolment identifies one enrolment of a VM's agent.
@@ -54,8 +56,12 @@
 type Result struct {
 	// Changed is set for an accepted job that is not a resubmission, for a
 	// cancelled job that was not final, for a configuration that came into force,
-	// and for an enrolment that was removed.
+	// for an enrolment that was removed, and for a data centre whose drain was ordered
+	// or withdrawn.
 	Changed bool
+	// Conflict is set for a drain that would undo a change which its proposer did not
+	// know. It changed nothing.
+	Conflict bool
 	// Closed lists jobs that became final by this command.
 	Closed []work.JobID
 }
@@ -120,11 +126,15 @@
 	// enrolledAt holds the log indexes of the enrolments, by VM. Enrolments that a
 	// former version has recorded have none.
 	enrolledAt map[string]uint64
+	// drains holds the latest change of the drain of each data centre, by name, and
+	// drainsRevision the highest revision among them.
+	drains         map[string]DrainRecord
+	drainsRevision uint64
 }
 
 // New returns an empty machine.
 func New() *Machine {
-	return &Machine{jobs: map[work.JobID]*Record{}, enrolled: map[string]Agent{}, enrolledAt: map[string]uint64{}}
+	return &Machine{jobs: map[work.JobID]*Record{}, enrolled: map[string]Agent{}, enrolledAt: map[string]uint64{}, drains: map[string]DrainRecord{}}
 }
 
 // Applied returns the log index of the last applied command.
@@ -196,6 +206,8 @@
 	case c.RemoveEnrolment != nil && *c.RemoveEnrolment == m.Enrolment(c.RemoveEnrolment.VM):
 		m.remove(c.RemoveEnrolment.VM)
 		return Result{Changed: true}
+	case c.Drain != nil:
+		return m.drain(index, c.Drain)
 	}
 	for _, id := range c.Forget {
 		if r := m.jobs[id]; r != nil && r.State.Final() {
@@ -300,11 +312,13 @@
 	// Enrolments identifies the enrolments of these agents, without those that a former
 	// version has recorded.
 	Enrolments []Enrolment `cbor:",omitempty"`
+	// Drains are the latest changes of the data centres' drains, withdrawals included.
+	Drains []DrainRecord `cbor:",omitempty"`
 }
 
 // Snapshot returns a copy of the state that later commands do not change.
 func (m *Machine) Snapshot() Snapshot {
-	s := Snapshot{Applied: m.applied, Configuration: m.config, Jobs: make([]Record, 0, len(m.jobs)), Enrolled: m.Agents()}
+	s := Snapshot{Applied: m.applied, Configuration: m.config, Jobs: make([]Record, 0, len(m.jobs)), Enrolled: m.Agents(), Drains: m.drainRecords()}
 	for _, vm := range slices.Sorted(maps.Keys(m.enrolledAt)) {
 		s.Enrolments = append(s.Enrolments, m.Enrolment(vm))
 	}
@@ -335,6 +349,7 @@
 	for _, e := range s.Enrolments {
 		m.enrolledAt[e.VM] = e.Index
 	}
+	m.restoreDrains(s.Drains)
 	m.jobs = make(map[work.JobID]*Record, len(s.Jobs))
 	for i := range s.Jobs {
 		r := s.Jobs[i]
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -167,6 +167,10 @@
 		}
 		assert.DeepEqual(t, a.Agents(), b.Agents())
 		assert.Equal(t, a.Applied(), b.Applied())
+		assert.DeepEqual(t, a.Drains(), b.Drains())
+		for _, name := range dataCentres {
+			assert.Equal(t, a.DrainRevision(name), b.DrainRevision(name))
+		}
 	})
 }
 
@@ -174,7 +178,7 @@
 	ids := []string{"a", "b", "c"}
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Command {
 		id := rapid.SampledFrom(ids).Draw(t, "id")
-		switch rapid.IntRange(0, 5).Draw(t, "kind") {
+		switch rapid.IntRange(0, 6).Draw(t, "kind") {
 		case 0:
 			return Command{Accept: job(id, 2)}
 		case 1:
@@ -185,6 +189,11 @@
 			return Command{Remove: id}
 		case 4:
 			return Command{Configure: &work.Configuration{Version: rapid.Uint64Range(1, 5).Draw(t, "version"), Queues: []work.Queue{{Name: id, Timeout: time.Second}}}}
+		case 5:
+			return Command{Drain: &DrainCommand{
+				DataCentre: rapid.SampledFrom(dataCentres).Draw(t, "data centre"), Drained: rapid.Bool().Draw(t, "drained"),
+				Revision: rapid.Uint64Range(0, 20).Draw(t, "revision"),
+			}}
 		}
 		reason := rapid.SampledFrom([]work.EndReason{work.Done, work.Failed, work.Stopped}).Draw(t, "how")
 		return ends(end(id, rapid.IntRange(0, 2).Draw(t, "index"), rapid.Uint64Range(1, 4).Draw(t, "run"), reason))
