coordinator, placement, events: control VMs record and announce drained data centres

Cause: the order has to reach every entry and agent within 5 s of its acknowledgement, also while there is no leader, and effects of the log were recorded during a term only.

Change: Manager.Drain forwards an order to the leader as Configure does. It names the latest revision that the VM knows, reads the clock of package boottime after that, and gives up 0.9 s after its arrival. A rejected order is tried again with the revision of the answer.

--- a/daemon/coordinator/clients.go
+++ b/daemon/coordinator/clients.go
@@ -46,7 +46,9 @@
 	}
 	cl := &client{service: s, conn: c, role: hello.Role, vm: hello.VM, address: hello.Address, waiting: map[uint64]work.JobID{}}
 	s.mu.Lock()
+	s.updateDrains()
 	s.clients[cl] = true
+	s.sendDrains(cl)
 	s.sendWelcome(cl)
 	s.mu.Unlock()
 	defer cl.goroutines.Wait()
--- a/daemon/coordinator/machine.go
+++ b/daemon/coordinator/machine.go
@@ -22,15 +22,18 @@
 	if command.Configure != nil && result.Changed {
 		m.log.Emit(events.Event{ID: events.ConfigurationApplied, Ticket: command.Configure.Version})
 	}
+	if command.Drain != nil && result.Changed {
+		m.logDrain(index, command.Drain)
+	}
 	if m.recording && len(data) > 0 {
 		m.effects = append(m.effects, effect{command, result})
 	}
 	return result, nil
 }
 
-// Revision implements consensus.Machine. It is constant, since no watcher waits
-// for changes of the ledger: proposers and ticks apply the effects of commands.
-func (m *machine) Revision() uint64 { return 0 }
+// Revision implements consensus.Machine. Watchers wait for changes of the drains only:
+// proposers and ticks apply the effects of other commands.
+func (m *machine) Revision() uint64 { return m.DrainsRevision() }
 
 // Restore implements consensus.Machine.
 func (m *machine) Restore(data []byte) error {
--- a/daemon/coordinator/manager.go
+++ b/daemon/coordinator/manager.go
@@ -105,6 +105,15 @@
 	return s.Configuration(ctx)
 }
 
+// Drain drains a data centre or withdraws that, as Service.Drain.
+func (m *Manager) Drain(ctx context.Context, dataCentre string, drained bool) (work.DataCentreDrains, error) {
+	s := m.service.Load()
+	if s == nil {
+		return work.DataCentreDrains{}, m.unavailable()
+	}
+	return s.Drain(ctx, dataCentre, drained)
+}
+
 // unavailable returns the error of a VM without a service.
 func (m *Manager) unavailable() error {
 	if text := m.storageError.Load(); text != nil {
@@ -122,6 +131,7 @@
 // Collectors returns the coordinator's metrics.
 func (m *Manager) Collectors() []prometheus.Collector {
 	return append(m.metrics.Collectors(),
+		newDrainCollector(m),
 		m.plannerGauge("cicadapulley_leads", "1 while this VM leads.", func(*placement.Planner) float64 { return 1 }),
 		m.plannerGauge("cicadapulley_work_waiting_tasks", "Tasks that wait for room.", func(p *placement.Planner) float64 { return float64(p.Waiting()) }),
 		m.plannerGauge("cicadapulley_runs_started_total", "Starts ordered in this term.", func(p *placement.Planner) float64 { return float64(p.Stats.Starts) }),
--- a/daemon/coordinator/operator.go
+++ b/daemon/coordinator/operator.go
@@ -10,6 +10,7 @@
 	"github.com/cicadapulley/cicadapulley/api/mesh"
 	"github.com/cicadapulley/cicadapulley/core/ledger"
 	"github.com/cicadapulley/cicadapulley/core/work"
+	"github.com/cicadapulley/cicadapulley/daemon/boottime"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
 )
@@ -50,10 +51,32 @@
 	return r.Document, nil
 }
 
+// arrivalKey is the key of the time in the context of WithArrival.
+type arrivalKey struct{}
+
+// WithArrival returns the context of an operator's request that reached this VM at a time
+// on the clock of package boottime, before the process read it.
+func WithArrival(ctx context.Context, at time.Time) context.Context {
+	return context.WithValue(ctx, arrivalKey{}, at)
+}
+
+// deadlineOf returns the time at which a request is given up. It is on a clock that counts
+// suspension, unlike that of the context: after a suspension the operator may have sent
+// the request elsewhere and then given another order.
+func deadlineOf(ctx context.Context) time.Time {
+	at, ok := ctx.Value(arrivalKey{}).(time.Time)
+	if !ok {
+		at = boottime.Now()
+	}
+	return at.Add(operatorTimeout)
+}
+
 // operate carries out an operator's request here or at the leader. All requests may
-// be repeated: a configuration whose version is in force changes nothing. So a
-// request without an answer is tried again until operatorTimeout has passed.
+// be repeated: a configuration whose version is in force changes nothing, and neither
+// does the drain of a drained data centre. So a request without an answer is tried again
+// until operatorTimeout has passed.
 func (s *Service) operate(ctx context.Context, q *mesh.OperatorRequest) (*mesh.OperatorResponse, error) {
+	deadline := deadlineOf(ctx)
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
 	start := time.Now()
@@ -61,15 +84,24 @@
 	r := &mesh.OperatorResponse{Detail: "no leader is known"}
 	leader := ""
 	for ctx.Err() == nil {
+		// The time is read after the revision. If the VM is suspended after this check, the
+		// revision tells the leader that the request may be outdated.
+		attempt := s.withRevision(q, r)
+		if !boottime.Now().Before(deadline) {
+			r = &mesh.OperatorResponse{Detail: "given up after " + operatorTimeout.String() + ": " + r.Detail}
+			break
+		}
 		leader = s.leaderAddress()
 		if leader != "" {
 			attempts++
-			r = s.operateAt(ctx, leader, q)
+			r = s.operateAt(ctx, leader, attempt)
 		}
 		if r.Done {
 			break
 		}
-		supervisor.Sleep(ctx, forwardRetryDelay)
+		if !rejectedForRevision(attempt, r) {
+			supervisor.Sleep(ctx, forwardRetryDelay)
+		}
 	}
 	s.logOperation(q, r, leader, attempts, time.Since(start))
 	if !r.Done {
@@ -89,6 +121,9 @@
 	if err != nil {
 		return &mesh.OperatorResponse{Detail: err.Error()}
 	}
+	if q.Drain != nil && r.Done && r.Drains == nil {
+		return &mesh.OperatorResponse{Detail: errFormerLeader.Error()}
+	}
 	return r
 }
 
@@ -107,8 +142,13 @@
 }
 
 func (s *Service) carryOut(ctx context.Context, q *mesh.OperatorRequest, r *mesh.OperatorResponse) error {
+	if q.Drain != nil {
+		return s.recordDrain(ctx, q.Drain, r)
+	}
 	if q.Configure == nil {
 		return s.driver.Read(func() {
+			d := s.machine.Drains()
+			r.Drains = &d
 			if c := s.machine.Configuration(); c != nil {
 				r.Document = c.Document
 			}
@@ -139,9 +179,14 @@
 // logOperation emits the event of an operator's request.
 func (s *Service) logOperation(q *mesh.OperatorRequest, r *mesh.OperatorResponse, leader string, attempts int, took time.Duration) {
 	e := events.Event{ID: events.OperatorAnswered, Peer: leader, Text: "read"}
-	if q.Configure != nil {
+	switch {
+	case q.Configure != nil:
 		e.Ticket = q.Configure.Version
 		e.Text = "configure"
+	case q.Drain != nil && q.Drain.Drained:
+		e.Text = "drain " + q.Drain.DataCentre
+	case q.Drain != nil:
+		e.Text = "withdraw drain " + q.Drain.DataCentre
 	}
 	e.Text += " confirmed " + strconv.FormatBool(r.Done) + " attempts " + strconv.Itoa(attempts) + " took " + took.Round(time.Millisecond).String()
 	if !r.Done {
--- a/daemon/coordinator/service.go
+++ b/daemon/coordinator/service.go
@@ -1,8 +1,8 @@
 // Package coordinator runs a control VM for jobs with steps. Parent: the root of
 // its process, through Manager. Children, rest-for-one in this order: consensus (the replicated
 // log), peers (one connection to each other control VM), group (additions and
-// replacements of members), leader (the placement of tasks while this VM leads),
-// server (connections of entries, agents and control VMs). A disk that refuses
+// replacements of members), leader (the placement of tasks while this VM leads), drains
+// (sends the data centres that are drained to entries and agents), server (connections of entries, agents and control VMs). A disk that refuses
 // writes stops them all until it accepts writes again; other failures are fatal to
 // the daemon. State: the data folder and, on the leader, the planner of
 // package placement.
@@ -22,6 +22,7 @@
 	"github.com/cicadapulley/cicadapulley/api/mesh"
 	"github.com/cicadapulley/cicadapulley/core/ledger"
 	"github.com/cicadapulley/cicadapulley/core/raft"
+	"github.com/cicadapulley/cicadapulley/core/work"
 	"github.com/cicadapulley/cicadapulley/daemon/boottime"
 	"github.com/cicadapulley/cicadapulley/daemon/control/consensus"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
@@ -66,6 +67,8 @@
 	Voters int
 	// KeepFinal is how long the state of a final job is kept.
 	KeepFinal time.Duration
+	// DataCentres are the data centres that operators may drain; empty means any.
+	DataCentres []string
 	// SnapshotEntries is the number of log entries after which a snapshot is saved, and
 	// SnapshotBytes their size; 0 means the default.
 	SnapshotEntries uint64
@@ -95,6 +98,8 @@
 	clients map[*client]bool
 	// lastMembers are the member addresses that were last sent to the clients.
 	lastMembers []string
+	// drains are the latest that were sent to all clients.
+	drains work.DataCentreDrains
 }
 
 // founderIdentity derives the identity of a founder's data folder from its
@@ -115,7 +120,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "open data folder")
 	}
-	s := &Service{opts: o, store: store, machine: &machine{Machine: ledger.New(), log: o.Log}, clients: map[*client]bool{}, metrics: metrics}
+	s := &Service{opts: o, store: store, machine: &machine{Machine: ledger.New(), log: o.Log, dataCentres: o.DataCentres}, clients: map[*client]bool{}, metrics: metrics}
 	s.memory = newMemoryMonitor(o.MemoryBytes, o.Log)
 	if err := s.init(founder); err != nil {
 		return nil, errors.CombineErrors(err, store.Close())
@@ -184,6 +189,7 @@
 	tree.Add(supervisor.Child{Name: "peers", Run: s.peers.Run})
 	tree.Add(supervisor.Child{Name: "group", Run: s.groupManager.Run})
 	tree.Add(supervisor.Child{Name: "leader", Run: s.lead})
+	tree.Add(supervisor.Child{Name: "drains", Run: s.watchDrains})
 	tree.Add(supervisor.Child{Name: "server", Run: s.serve})
 	treeCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -235,6 +241,8 @@
 type machine struct {
 	*ledger.Machine
 	log *events.Log
+	// dataCentres are those of Options.
+	dataCentres []string
 	// recording is set during a term, and effects has the commands that were applied in
 	// it and await applyEffects. The driver's lock guards both.
 	recording bool
--- a/daemon/coordinator/term.go
+++ b/daemon/coordinator/term.go
@@ -129,6 +129,8 @@
 	if err != nil {
 		return // this VM has already lost the leadership
 	}
+	s.updateDrains()
+	t.Planner.SetDrained(now, s.drains)
 	s.term = t
 	s.opts.Log.Emit(events.Event{ID: events.TermBegan, Ticket: number, Text: scheduler.CountText("open jobs", open)})
 	for cl := range s.clients {
--- a/daemon/events/catalogue.go
+++ b/daemon/events/catalogue.go
@@ -91,6 +91,11 @@
 	// The leader refuses work for lack of memory, and accepts it again.
 	MemoryShort     ID = 369
 	MemoryAvailable ID = 370
+	// Drains of data centres. Numbers from 371 are left to other parts of the leader.
+	DataCentreDrained ID = 380
+	DrainWithdrawn    ID = 381
+	NoDataCentreLeft  ID = 382
+	DrainRejected     ID = 383
 )
 
 // Events of entries.
@@ -228,6 +233,10 @@
 	{LeaderStalled, "leader_stalled", zapcore.WarnLevel, "the leader was held up for so long that entries and agents may take it for lost; the detail says whether its own work took the time, or the process did not run"},
 	{MemoryShort, "memory_short", zapcore.WarnLevel, "the leader refuses new jobs and larger configurations, since what it has accepted takes too much of its memory; cancel jobs, or give the control VMs more memory"},
 	{MemoryAvailable, "memory_available", zapcore.InfoLevel, "the leader has memory for new jobs again"},
+	{DataCentreDrained, "data_centre_drained", zapcore.InfoLevel, "this control VM has applied an operator's order: no more tasks start on the endpoints of the data centre in the detail; it is repeated when a restarted VM reads its log"},
+	{DrainWithdrawn, "drain_withdrawn", zapcore.InfoLevel, "this control VM has applied the withdrawal of the drain of the data centre in the detail; it is repeated when a restarted VM reads its log"},
+	{NoDataCentreLeft, "no_data_centre_left", zapcore.WarnLevel, "all data centres of the settings are drained, the one in the detail last, and no task starts anywhere; withdraw the drain of one if that is not intended"},
+	{DrainRejected, "drain_rejected", zapcore.InfoLevel, "an order about the data centre in the detail was rejected, because its drain has changed since the order was forwarded; the control VM that took the order tries it again for up to 0.9 s"},
 	{JobAccepted, "job_accepted", zapcore.DebugLevel, "a job is recorded; its tasks may start"},
 	{JobJoined, "job_joined", zapcore.DebugLevel, "a resubmission was attached to the existing job"},
 	{JobRefused, "job_refused", zapcore.DebugLevel, "a job was refused as a whole; none of its tasks ran"},
