--- a/daemon/coordinator/cluster_test.go
+++ b/daemon/coordinator/cluster_test.go
@@ -106,7 +106,7 @@
 			}
 			return net.Listen("tcp", c.addresses[i])
 		},
-		Bootstrap: true, Founders: c.addresses, Voters: len(c.addresses), KeepFinal: time.Minute,
+		Bootstrap: true, Founders: c.addresses, Voters: len(c.addresses), KeepFinal: time.Minute, DataCentres: dataCentres,
 		Log: events.NewLog(fmt.Sprintf("control-%d", i), testLogger(), events.NewClock()),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
