--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -45,7 +45,9 @@
 	// DrainTimeout limits the wait for runs at a planned stop of the agent; 0 means
 	// defaultDrainTimeout.
 	DrainTimeout time.Duration
-	Log          *events.Log
+	// DataCentre is the data centre of the agent's VM; empty if it is not known.
+	DataCentre string
+	Log        *events.Log
 }
 
 // Service is an agent.
