ledger, coordinator: an order that changes nothing counts as the latest of its data centre

Cause: a withdrawal that found nothing to withdraw was confirmed without an entry of the log. An order to drain that was still under way named the current revision and took effect afterwards.

Change: each order that is not rejected sets the revision of its data centre. The leader records every order. A data centre that the settings lack is looked up with ReadDrain, so that misspelt names leave no record; both requests share the deadline of the order.

--- a/core/ledger/drains.go
+++ b/core/ledger/drains.go
@@ -12,17 +12,18 @@
 type DrainCommand struct {
 	DataCentre string
 	Drained    bool
-	// Revision is that of the data centre's latest change which the proposer knew, 0 for
-	// none. A command that would undo a later change is rejected: it may have been
+	// Revision is that of the data centre which the proposer knew, 0 for none. A command
+	// that would change the drain after a later command is rejected: it may have been
 	// delayed on its way to the log.
 	Revision uint64
 }
 
-// DrainRecord is the latest change of a data centre's drain.
+// DrainRecord is the drain of a data centre.
 type DrainRecord struct {
 	DataCentre string
 	Drained    bool
-	// Revision is the log index of the change.
+	// Revision is the log index of the latest command that was not rejected. Commands that
+	// changed nothing count: a delayed one must not undo what they have confirmed.
 	Revision uint64
 }
 
@@ -40,22 +41,19 @@
 // DrainsRevision returns the revision of Drains.
 func (m *Machine) DrainsRevision() uint64 { return m.drainsRevision }
 
-// DrainRevision returns the log index of the latest change of a data centre's drain, 0
-// if there is none.
+// DrainRevision returns the revision of a data centre, 0 before the first command.
 func (m *Machine) DrainRevision(dataCentre string) uint64 { return m.drains[dataCentre].Revision }
 
-// drain changes the drain of a data centre. The record of a withdrawal stays, so that a
-// delayed command is still recognised.
+// drain drains a data centre or withdraws that. The record of a withdrawal stays, so that
+// a delayed command is still recognised.
 func (m *Machine) drain(index uint64, c *DrainCommand) Result {
 	record := m.drains[c.DataCentre]
-	switch {
-	case record.Drained == c.Drained:
-		return Result{}
-	case record.Revision != c.Revision:
+	changes := record.Drained != c.Drained
+	if changes && record.Revision != c.Revision {
 		return Result{Conflict: true}
 	}
 	m.setDrain(DrainRecord{DataCentre: c.DataCentre, Drained: c.Drained, Revision: index})
-	return Result{Changed: true}
+	return Result{Changed: changes}
 }
 
 func (m *Machine) setDrain(r DrainRecord) {
@@ -63,7 +61,7 @@
 	m.drainsRevision = max(m.drainsRevision, r.Revision)
 }
 
-// drainRecords returns the latest change of each data centre, sorted by name.
+// drainRecords returns the records, sorted by name.
 func (m *Machine) drainRecords() []DrainRecord {
 	var list []DrainRecord
 	for _, name := range slices.Sorted(maps.Keys(m.drains)) {
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -59,8 +59,8 @@
 	// for an enrolment that was removed, and for a data centre whose drain was ordered
 	// or withdrawn.
 	Changed bool
-	// Conflict is set for a drain that would undo a change which its proposer did not
-	// know. It changed nothing.
+	// Conflict is set for a drain command that was rejected: it would have changed the
+	// drain after a command that its proposer did not know.
 	Conflict bool
 	// Closed lists jobs that became final by this command.
 	Closed []work.JobID
@@ -126,8 +126,8 @@
 	// enrolledAt holds the log indexes of the enrolments, by VM. Enrolments that a
 	// former version has recorded have none.
 	enrolledAt map[string]uint64
-	// drains holds the latest change of the drain of each data centre, by name, and
-	// drainsRevision the highest revision among them.
+	// drains holds the drains and withdrawals by data centre, and drainsRevision the
+	// highest revision among them.
 	drains         map[string]DrainRecord
 	drainsRevision uint64
 }
@@ -312,7 +312,7 @@
 	// Enrolments identifies the enrolments of these agents, without those that a former
 	// version has recorded.
 	Enrolments []Enrolment `cbor:",omitempty"`
-	// Drains are the latest changes of the data centres' drains, withdrawals included.
+	// Drains are the drains of data centres, withdrawals included.
 	Drains []DrainRecord `cbor:",omitempty"`
 }
 
--- a/core/work/drains.go
+++ b/core/work/drains.go
@@ -5,7 +5,8 @@
 // DataCentreDrains are the data centres whose endpoints get no new tasks, by order of
 // the operator.
 type DataCentreDrains struct {
-	// Revision is the log index of the latest change, 0 before the first one.
+	// Revision is the log index of the latest order, 0 before the first one. An order that
+	// changes nothing counts.
 	Revision uint64
 	// DataCentres are sorted.
 	DataCentres []string
--- a/daemon/coordinator/drains.go
+++ b/daemon/coordinator/drains.go
@@ -18,7 +18,7 @@
 var ErrUnknownDataCentre = errors.New("the data centre is not known")
 
 var (
-	errDrainChanged = errors.New("the drain of the data centre has changed since the order was forwarded")
+	errDrainChanged = errors.New("there was another order about the data centre since this one was forwarded")
 	// errFormerLeader is returned while a leader of former code takes the order for a
 	// request to read.
 	errFormerLeader = errors.New("the leader runs a version that knows no drains")
@@ -29,36 +29,42 @@
 // durable. An error wraps ErrUnknownDataCentre, or ErrUnavailable; then the outcome is
 // unknown, and the order may be repeated.
 func (s *Service) Drain(ctx context.Context, dataCentre string, drained bool) (work.DataCentreDrains, error) {
-	listed := work.ValidName(dataCentre) && (len(s.opts.DataCentres) == 0 || slices.Contains(s.opts.DataCentres, dataCentre))
-	if drained && !listed {
-		return s.readDrained(ctx, dataCentre)
+	ctx = WithArrival(ctx, arrivalOf(ctx)) // both requests below have one deadline
+	if err := s.checkDataCentre(ctx, dataCentre, drained); err != nil {
+		return work.DataCentreDrains{}, err
 	}
 	r, err := s.operate(ctx, &mesh.OperatorRequest{Drain: &ledger.DrainCommand{DataCentre: dataCentre, Drained: drained}})
 	if err != nil {
 		return work.DataCentreDrains{}, err
 	}
-	if !listed && r.DrainRevision == 0 {
-		return work.DataCentreDrains{}, unknownDataCentre(dataCentre)
-	}
 	return *r.Drains, nil
 }
 
-// readDrained returns the drains if they have a data centre that the settings lack, as
-// after a change of the settings.
-func (s *Service) readDrained(ctx context.Context, dataCentre string) (work.DataCentreDrains, error) {
-	r, err := s.operate(ctx, &mesh.OperatorRequest{})
-	switch {
-	case err != nil:
-		return work.DataCentreDrains{}, err
-	case r.Drains == nil:
-		return work.DataCentreDrains{}, errors.Wrap(ErrUnavailable, errFormerLeader.Error())
-	case !r.Drains.Contains(dataCentre):
-		return work.DataCentreDrains{}, unknownDataCentre(dataCentre)
+// checkDataCentre returns an error for a data centre that the settings lack, unless the
+// order has been given before they changed: it is drained, or its withdrawal is repeated.
+func (s *Service) checkDataCentre(ctx context.Context, dataCentre string, drained bool) error {
+	if !work.ValidName(dataCentre) {
+		return errors.Wrapf(ErrUnknownDataCentre, "name of %d bytes is not valid", len(dataCentre))
 	}
-	return *r.Drains, nil
+	if len(s.opts.DataCentres) == 0 || slices.Contains(s.opts.DataCentres, dataCentre) {
+		return nil
+	}
+	r, err := s.operate(ctx, &mesh.OperatorRequest{ReadDrain: dataCentre})
+	if err != nil {
+		return err
+	}
+	if r.Drains.Contains(dataCentre) || !drained && r.DrainRevision > 0 {
+		return nil
+	}
+	return errors.Wrapf(ErrUnknownDataCentre, "%q", dataCentre)
 }
 
-func unknownDataCentre(name string) error { return errors.Wrapf(ErrUnknownDataCentre, "%q", name) }
+// setDrains sets the drains that this VM has applied. The caller holds the driver's lock.
+func (s *Service) setDrains(dataCentre string, r *mesh.OperatorResponse) {
+	d := s.machine.Drains()
+	r.Drains = &d
+	r.DrainRevision = s.machine.DrainRevision(dataCentre)
+}
 
 // withRevision returns the request with the latest revision of its data centre that this
 // VM knows: from its copy of the log, or from the leader's last answer. The copy is behind
@@ -78,29 +84,15 @@
 	return q.Drain != nil && !r.Done && r.DrainRevision > q.Drain.Revision
 }
 
-// recordDrain carries out an order on the leader. One that changes nothing needs no entry
-// of the log: what this VM reads as the leader is committed.
+// recordDrain carries out an order on the leader. One that changes nothing is an entry of
+// the log too, so that a delayed order does not undo what it has confirmed.
 func (s *Service) recordDrain(ctx context.Context, c *ledger.DrainCommand, r *mesh.OperatorResponse) error {
-	unchanged := false
-	err := s.driver.Read(func() {
-		d := s.machine.Drains()
-		unchanged = d.Contains(c.DataCentre) == c.Drained
-	})
+	result, err := s.propose(ctx, ledger.Command{Drain: c})
 	if err != nil {
-		return err
-	}
-	var result ledger.Result
-	if !unchanged {
-		if result, err = s.propose(ctx, ledger.Command{Drain: c}); err != nil {
-			return errors.Wrap(err, "record drain")
-		}
+		return errors.Wrap(err, "record drain")
 	}
 	s.announceDrains()
-	s.driver.Local(func() {
-		d := s.machine.Drains()
-		r.Drains = &d
-		r.DrainRevision = s.machine.DrainRevision(c.DataCentre)
-	})
+	s.driver.Local(func() { s.setDrains(c.DataCentre, r) })
 	if result.Conflict {
 		s.opts.Log.Emit(events.Event{ID: events.DrainRejected, Ticket: r.DrainRevision, Text: c.DataCentre})
 		return errDrainChanged
--- a/daemon/coordinator/operator.go
+++ b/daemon/coordinator/operator.go
@@ -60,15 +60,12 @@
 	return context.WithValue(ctx, arrivalKey{}, at)
 }
 
-// deadlineOf returns the time at which a request is given up. It is on a clock that counts
-// suspension, unlike that of the context: after a suspension the operator may have sent
-// the request elsewhere and then given another order.
-func deadlineOf(ctx context.Context) time.Time {
-	at, ok := ctx.Value(arrivalKey{}).(time.Time)
-	if !ok {
-		at = boottime.Now()
+// arrivalOf returns the time of WithArrival, or the present time without it.
+func arrivalOf(ctx context.Context) time.Time {
+	if at, ok := ctx.Value(arrivalKey{}).(time.Time); ok {
+		return at
 	}
-	return at.Add(operatorTimeout)
+	return boottime.Now()
 }
 
 // operate carries out an operator's request here or at the leader. All requests may
@@ -76,25 +73,29 @@
 // does the drain of a drained data centre. So a request without an answer is tried again
 // until operatorTimeout has passed.
 func (s *Service) operate(ctx context.Context, q *mesh.OperatorRequest) (*mesh.OperatorResponse, error) {
-	deadline := deadlineOf(ctx)
-	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	// The deadline is on a clock that counts suspension, unlike that of the context. After a
+	// suspension the operator may have sent the request elsewhere and given another order.
+	deadline := arrivalOf(ctx).Add(operatorTimeout)
+	ctx, cancel := context.WithTimeout(ctx, deadline.Sub(boottime.Now()))
 	defer cancel()
 	start := time.Now()
 	attempts := 0
-	r := &mesh.OperatorResponse{Detail: "no leader is known"}
+	r := &mesh.OperatorResponse{Detail: "not tried"}
 	leader := ""
-	for ctx.Err() == nil {
+	for {
 		// The time is read after the revision. If the VM is suspended after this check, the
 		// revision tells the leader that the request may be outdated.
 		attempt := s.withRevision(q, r)
-		if !boottime.Now().Before(deadline) {
-			r = &mesh.OperatorResponse{Detail: "given up after " + operatorTimeout.String() + ": " + r.Detail}
+		if ctx.Err() != nil || !boottime.Now().Before(deadline) {
+			r = &mesh.OperatorResponse{Detail: "given up: " + r.Detail}
 			break
 		}
 		leader = s.leaderAddress()
 		if leader != "" {
 			attempts++
 			r = s.operateAt(ctx, leader, attempt)
+		} else {
+			r = &mesh.OperatorResponse{Detail: "no leader is known"}
 		}
 		if r.Done {
 			break
@@ -121,7 +122,7 @@
 	if err != nil {
 		return &mesh.OperatorResponse{Detail: err.Error()}
 	}
-	if q.Drain != nil && r.Done && r.Drains == nil {
+	if (q.Drain != nil || q.ReadDrain != "") && r.Done && r.Drains == nil {
 		return &mesh.OperatorResponse{Detail: errFormerLeader.Error()}
 	}
 	return r
@@ -142,13 +143,13 @@
 }
 
 func (s *Service) carryOut(ctx context.Context, q *mesh.OperatorRequest, r *mesh.OperatorResponse) error {
-	if q.Drain != nil {
+	switch {
+	case q.Drain != nil:
 		return s.recordDrain(ctx, q.Drain, r)
-	}
-	if q.Configure == nil {
+	case q.ReadDrain != "":
+		return s.driver.Read(func() { s.setDrains(q.ReadDrain, r) })
+	case q.Configure == nil:
 		return s.driver.Read(func() {
-			d := s.machine.Drains()
-			r.Drains = &d
 			if c := s.machine.Configuration(); c != nil {
 				r.Document = c.Document
 			}
@@ -187,6 +188,8 @@
 		e.Text = "drain " + q.Drain.DataCentre
 	case q.Drain != nil:
 		e.Text = "withdraw drain " + q.Drain.DataCentre
+	case q.ReadDrain != "":
+		e.Text = "read drain " + q.ReadDrain
 	}
 	e.Text += " confirmed " + strconv.FormatBool(r.Done) + " attempts " + strconv.Itoa(attempts) + " took " + took.Round(time.Millisecond).String()
 	if !r.Done {
--- a/daemon/events/catalogue.go
+++ b/daemon/events/catalogue.go
@@ -236,7 +236,7 @@
 	{DataCentreDrained, "data_centre_drained", zapcore.InfoLevel, "this control VM has applied an operator's order: no more tasks start on the endpoints of the data centre in the detail; it is repeated when a restarted VM reads its log"},
 	{DrainWithdrawn, "drain_withdrawn", zapcore.InfoLevel, "this control VM has applied the withdrawal of the drain of the data centre in the detail; it is repeated when a restarted VM reads its log"},
 	{NoDataCentreLeft, "no_data_centre_left", zapcore.WarnLevel, "all data centres of the settings are drained, the one in the detail last, and no task starts anywhere; withdraw the drain of one if that is not intended"},
-	{DrainRejected, "drain_rejected", zapcore.InfoLevel, "an order about the data centre in the detail was rejected, because its drain has changed since the order was forwarded; the control VM that took the order tries it again for up to 0.9 s"},
+	{DrainRejected, "drain_rejected", zapcore.InfoLevel, "an order about the data centre in the detail was rejected, because there was another order about it since this one was forwarded; the control VM that took the order tries it again for up to 0.9 s"},
 	{JobAccepted, "job_accepted", zapcore.DebugLevel, "a job is recorded; its tasks may start"},
 	{JobJoined, "job_joined", zapcore.DebugLevel, "a resubmission was attached to the existing job"},
 	{JobRefused, "job_refused", zapcore.DebugLevel, "a job was refused as a whole; none of its tasks ran"},
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -45,7 +45,7 @@
 	// DrainTimeout limits the wait for runs at a planned stop of the agent; 0 means
 	// defaultDrainTimeout.
 	DrainTimeout time.Duration
-	// DataCentre is the data centre of the agent's VM; empty if it is not known.
+	// DataCentre is that of the agent's VM; empty if it is not known.
 	DataCentre string
 	Log        *events.Log
 }
