placement: data centre drains, and a return of the capacity in steps

Cause: an operator needs to keep new tasks from the endpoints of a data centre, and endpoints that come back after minutes may be cold.

Change: Planner.SetDrained makes the endpoints of drained data centres unusable, also those that join later; their runs go on. Admission refuses jobs for which the drains leave no endpoint. An agent refuses a start with RefusedDrained, which closes the endpoint for 100 ms only, since drains end. After the withdrawal an endpoint gets a quarter of its capacity, more with each run that ends in time and less with slow ones, and all of it after 15 s in any case. The limit yields for tasks that find no other room and would be late if they waited.

--- a/core/placement/assign.go
+++ b/core/placement/assign.go
@@ -80,7 +80,7 @@
 			b.free = index.root().free
 		}
 	}
-	return s.Need.Fits(b.free)
+	return s.Need.Fits(b.free) || len(p.ramped) > 0 && p.rampsYield(now, g.job, g.step)
 }
 
 // placeGroup places the group's tasks until one finds no endpoint.
@@ -123,6 +123,9 @@
 	if candidates := p.index(now, j.spec.Pool, s.RequiredLabel); candidates != nil {
 		candidates.search(1, &q)
 	}
+	if q.best == nil && len(p.ramped) > 0 && p.rampsYield(now, j, step) {
+		p.searchRamped(&q)
+	}
 	if q.best != nil && p.worthWaiting(now, j, step, q.best.expectedRunTime(s)) {
 		return nil
 	}
@@ -131,7 +134,7 @@
 
 // usable reports whether the endpoint may get runs at all.
 func (e *endpoint) usable(now time.Time) bool {
-	return !e.Draining && !e.unreachable && e.leaseExpiry.IsZero() && e.health.available(now)
+	return !e.Draining && !e.drained && !e.unreachable && e.leaseExpiry.IsZero() && e.health.available(now)
 }
 
 // open reports whether a usable endpoint may get a run now that fits into its free
@@ -141,10 +144,11 @@
 	return (len(e.unknown) == 0 || shared) && !now.Before(e.fullUntil)
 }
 
-// accepts reports whether the endpoint may run a task of the step now.
-func (e *endpoint) accepts(now time.Time, j *job, step int, shared bool) bool {
+// accepts reports whether the endpoint may run a task of the step now, within the given
+// free resources.
+func (e *endpoint) accepts(now time.Time, j *job, step int, shared bool, free *work.Resources) bool {
 	s := &j.spec.Steps[step]
-	if !e.usable(now) || !e.open(now, shared) || e.Pool != j.spec.Pool || !s.Need.Fits(e.free) {
+	if !e.usable(now) || !e.open(now, shared) || e.Pool != j.spec.Pool || !s.Need.Fits(*free) {
 		return false
 	}
 	if s.RequiredLabel != "" && !slices.Contains(e.Labels, s.RequiredLabel) {
@@ -200,6 +204,7 @@
 	p.expireUnclaimed(now)
 	p.queue.demote(now, func(g *group) time.Duration { return p.minRunTime(now, g.job, g.step) })
 	p.moveStalled(now)
+	p.endRamps(now)
 	for _, e := range p.order {
 		if e.slowdown.decay(now.Sub(p.lastTick)) {
 			p.pools.mark(e)
--- /dev/null
+++ b/core/placement/drain.go
@@ -0,0 +1,71 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/core/work"
+)
+
+// drainedRetryAfter is the time after which a caller may retry that was refused because all
+// endpoints for its job are drained. Drains last for minutes.
+const drainedRetryAfter = maxRetryAfter
+
+// SetDrained applies the operator's drains of data centres. Endpoints of a drained data
+// centre get no starts and don't count in admission; their runs continue. Endpoints that
+// join later are drained too. After the withdrawal an endpoint's capacity returns in
+// steps. Drains of an older revision are ignored.
+func (p *Planner) SetDrained(now time.Time, d work.DataCentreDrains) {
+	if d.Revision < p.drains.Revision {
+		return
+	}
+	p.drains = work.DataCentreDrains{Revision: d.Revision, DataCentres: slices.Clone(d.DataCentres)}
+	for _, e := range p.order {
+		drained := p.drains.Contains(e.DataCentre)
+		if drained == e.drained {
+			continue
+		}
+		e.drained = drained
+		if drained {
+			p.endRamp(e)
+		} else {
+			p.beginRamp(e, newRamp(now, e.slowdown.ratio))
+		}
+		p.pools.mark(e)
+	}
+}
+
+// allDrained reports whether the drains leave no endpoint for a job: in its pool, or with
+// a label that one of its steps requires.
+func (p *Planner) allDrained(j *work.Job) bool {
+	if p.drainsLeaveNone(j.Pool, "") {
+		return true
+	}
+	return slices.ContainsFunc(j.Steps, func(s work.Step) bool {
+		return s.RequiredLabel != "" && p.drainsLeaveNone(j.Pool, s.RequiredLabel)
+	})
+}
+
+// drainsLeaveNone reports whether a pool has drained endpoints with a label, and every
+// other one gets no runs either until it has a new session or answers again. An endpoint
+// that is suspended for some seconds is left. An empty label stands for all endpoints.
+func (p *Planner) drainsLeaveNone(pool, label string) bool {
+	drained := false
+	for _, e := range p.order {
+		if e.Pool != pool || label != "" && !slices.Contains(e.Labels, label) {
+			continue
+		}
+		if !e.drained && !e.Draining && !e.unreachable && e.leaseExpiry.IsZero() {
+			return false
+		}
+		drained = drained || e.drained
+	}
+	return drained
+}
+
+// hasAlternative reports whether the task of a run on a drained endpoint could start on
+// another endpoint. Otherwise the run is not stopped for a new start: until the
+// withdrawal there would be none.
+func (p *Planner) hasAlternative(now time.Time, r *run) bool {
+	return !r.endpoint.drained || p.bestRatio(now, r.job.spec.Pool, r.job.spec.Steps[r.Task.Step].RequiredLabel) > 0
+}
--- a/core/placement/endpoints.go
+++ b/core/placement/endpoints.go
@@ -23,6 +23,9 @@
 	if previous != nil && previous.Instance == info.Instance {
 		e.health = previous.health
 		e.health.trial = false
+		if previous.ramp != nil && !e.drained {
+			p.beginRamp(e, previous.ramp)
+		}
 	}
 	for _, l := range running {
 		p.adopt(now, e, previous, l)
@@ -59,6 +62,7 @@
 func (p *Planner) newEndpoint(info Endpoint) *endpoint {
 	return &endpoint{
 		Endpoint: info,
+		drained:  p.drains.Contains(info.DataCentre),
 		free:     info.Capacity.Minus(info.UsedByOthers),
 		runs:     map[work.Run]*run{},
 		unknown:  map[work.Run]*unknownRun{},
@@ -246,6 +250,7 @@
 	for r := range e.unknown {
 		p.removeUnknown(e, r)
 	}
+	p.endRamp(e)
 	p.pools.remove(e)
 	delete(p.endpoints, e.Session)
 	if p.byVM[e.VM] == e {
@@ -466,7 +471,8 @@
 	p.removeRun(r)
 	e.health.trial = false
 	switch reason {
-	case RefusedCapacity, RefusedLease:
+	case RefusedCapacity, RefusedLease, RefusedDrained:
+		// An agent may know of a drain before this planner, or of its withdrawal after it.
 		e.fullUntil = now.Add(refusedBackoff)
 	case RefusedDraining:
 		e.Draining = true
--- a/core/placement/health.go
+++ b/core/placement/health.go
@@ -105,6 +105,7 @@
 	case work.Done:
 		r.job.outcomes[r.Task.Step].succeeded = true
 		e.health.succeeded()
+		e.observeRamp(now, r)
 		e.slowdown.observe(r.job.spec.Steps[r.Task.Step].Estimate, now.Sub(r.since))
 	case work.Failed:
 		if r.job.outcomes[r.Task.Step].blames(e.VM) {
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -58,7 +58,11 @@
 	unclaimedEnds map[work.JobID]*unclaimedEnds
 	// pending counts the jobs of each queue of which no task has begun.
 	pending map[string]int
-	Stats   Stats
+	// drains are the newest drains of data centres, and ramped the endpoints that have a
+	// ramp after one.
+	drains work.DataCentreDrains
+	ramped []*endpoint
+	Stats  Stats
 }
 
 // Stats counts decisions since the term began.
--- a/core/placement/pools.go
+++ b/core/placement/pools.go
@@ -173,9 +173,9 @@
 		return node
 	}
 	node.usableRatio = e.slowdown.ratio
-	node.rate = float64(e.Capacity.CPU) / 1000 / e.slowdown.ratio
+	node.rate = float64(e.Capacity.CPU) / 1000 / e.slowdown.ratio * e.share()
 	if e.open(now, shared) {
-		node.free = e.free
+		node.free = e.available()
 		node.ratio = e.slowdown.ratio
 	}
 	return node
--- a/core/placement/query.go
+++ b/core/placement/query.go
@@ -19,9 +19,13 @@
 	// outsideRack is set while the search covers endpoints outside the preferred rack,
 	// where the task takes longer.
 	outsideRack bool
+	// ignoreRamps is set while the search covers the capacity that ramps withhold.
+	ignoreRamps bool
 	best        *endpoint
-	// expected is the expected run time on best, increased by the penalties.
-	expected time.Duration
+	// bestFreeCPU is what a run may take of best, and expected is the expected run time
+	// there, increased by the penalties.
+	bestFreeCPU int
+	expected    time.Duration
 }
 
 // lowerBound returns the lowest expected run time on an endpoint of this slowdown.
@@ -32,12 +36,16 @@
 // better reports whether an endpoint with this expected run time and free CPU is
 // preferred to the best one so far.
 func (q *query) better(expected time.Duration, freeCPU int) bool {
-	return q.best == nil || expected < q.expected || expected == q.expected && freeCPU > q.best.free.CPU
+	return q.best == nil || expected < q.expected || expected == q.expected && freeCPU > q.bestFreeCPU
 }
 
 // consider makes an endpoint the best one if it accepts the task and is preferred.
 func (q *query) consider(e *endpoint) {
-	if !e.accepts(q.now, q.job, q.index, q.shared) {
+	free := e.free
+	if e.ramp != nil && !q.ignoreRamps {
+		free = e.available()
+	}
+	if !e.accepts(q.now, q.job, q.index, q.shared, &free) {
 		return
 	}
 	expected := e.expectedRunTime(q.step)
@@ -45,7 +53,7 @@
 		expected *= failedPenalty
 	}
 	expected = e.health.penalize(q.now, expected)
-	if q.better(expected, e.free.CPU) {
-		q.best, q.expected = e, expected
+	if q.better(expected, free.CPU) {
+		q.best, q.bestFreeCPU, q.expected = e, free.CPU, expected
 	}
 }
--- a/core/placement/stall.go
+++ b/core/placement/stall.go
@@ -86,11 +86,14 @@
 		slowness := e.slowness()
 		if slowness > 1 {
 			e.slowdown.raise(slowness)
+			if e.ramp != nil {
+				e.ramp.slow()
+			}
 			p.pools.mark(e)
 		}
 		var moves []*run
 		for _, r := range e.runs {
-			if p.movable(r) && (p.stalledOrOverdue(now, r) || p.fasterElsewhere(now, r, slowness)) {
+			if p.movable(r) && p.hasAlternative(now, r) && (p.stalledOrOverdue(now, r) || p.fasterElsewhere(now, r, slowness)) {
 				moves = append(moves, r)
 			}
 		}
@@ -120,6 +123,9 @@
 	if other == nil || other == r.endpoint {
 		return false
 	}
+	if other.ramp != nil && !r.need.Fits(other.available()) {
+		return false // a move is no reason to exceed the limit of a ramp
+	}
 	remaining := r.projectedRunTime() - now.Sub(r.since)
 	return remaining > 2*other.expectedRunTime(&r.job.spec.Steps[r.Task.Step])+minMoveGain
 }
--- a/core/placement/types.go
+++ b/core/placement/types.go
@@ -78,9 +78,12 @@
 	RefusedUnanswered
 	// RefusedInvalid means that the endpoint could not decode the order.
 	RefusedInvalid
+	// RefusedDrained means that the agent's data centre is drained by order of the
+	// operator, as far as the agent knows. Unlike RefusedDraining it may end.
+	RefusedDrained
 )
 
-var refusalNames = [...]string{"", "room", "unhealthy", "stale", "lease", "draining", "unanswered", "invalid"}
+var refusalNames = [...]string{"", "room", "unhealthy", "stale", "lease", "draining", "unanswered", "invalid", "data centre drained"}
 
 // String returns the reason's name.
 func (r Refusal) String() string {
@@ -247,9 +250,14 @@
 	leaseExpiry time.Time
 	// unreachable is set while the endpoint does not answer its agent.
 	unreachable bool
-	slowdown    *slowdown
-	health      health
-	// fullUntil delays starts after a refusal for lack of capacity or of a lease.
+	// drained is set while the endpoint's data centre is drained, and ramp limits the
+	// endpoint for some time after that; nil for no limit.
+	drained  bool
+	ramp     *ramp
+	slowdown *slowdown
+	health   health
+	// fullUntil delays starts after a refusal for lack of capacity or of a lease, or because
+	// the agent knows of a drain that this planner doesn't know.
 	fullUntil time.Time
 	// leaves has the endpoint's leaf in each index that contains it.
 	leaves map[*endpointIndex]int
