leaderless, gateway, fallback: an entry uses the newest drains of data centres

Cause: an entry that places jobs itself without a leader would start tasks in a drained data centre.

Change: the view keeps the newest drains that any control VM has sent, on a connection to a leader or to another one. A Placer gets them at its start and each later change.

--- a/core/leaderless/leaderless.go
+++ b/core/leaderless/leaderless.go
@@ -6,6 +6,10 @@
 // contact with it has applied, and places nothing while it lacks that one. How long it
 // places jobs isn't limited: without a majority of control no change is confirmed, and an
 // entry that reaches no control VM can't distinguish its own isolation from that.
+//
+// It keeps the newest drains of data centres that any control VM has sent, for as long as
+// it is cut off too. Drains don't need the version check of the configuration: a control
+// VM sends them unasked, before anything else on a connection.
 package leaderless
 
 import (
@@ -35,6 +39,7 @@
 	version uint64
 	// reported is the highest version that a control VM has reported as applied.
 	reported uint64
+	drains   work.DataCentreDrains
 	agents   map[string]ledger.Agent
 }
 
@@ -85,6 +90,20 @@
 // Reported records that a control VM has applied a version.
 func (v *View) Reported(version uint64) { v.reported = max(v.reported, version) }
 
+// Drained records the drains of data centres that a control VM has applied, and reports
+// whether they are newer than those known. Older ones are ignored, as from a VM that is
+// behind.
+func (v *View) Drained(d work.DataCentreDrains) bool {
+	if d.Revision <= v.drains.Revision {
+		return false
+	}
+	v.drains = d
+	return true
+}
+
+// Drains returns the newest drains of data centres.
+func (v *View) Drains() work.DataCentreDrains { return v.drains }
+
 // Outdated reports whether a control VM has applied a newer configuration than this
 // entry has.
 func (v *View) Outdated() bool { return v.version < v.reported }
--- a/core/leaderless/leaderless_test.go
+++ b/core/leaderless/leaderless_test.go
@@ -60,6 +60,21 @@
 	assert.Equal(t, len(v.Agents()), 2)
 }
 
+// TestNewestDrainsAreKept guards against an entry that places tasks in a drained data
+// centre, because a control VM that is behind, or a former connection, sends older drains.
+func TestNewestDrainsAreKept(t *testing.T) {
+	v := withoutLeader()
+	assert.Assert(t, !v.Drained(work.DataCentreDrains{}))
+	assert.Assert(t, v.Drained(work.DataCentreDrains{Revision: 8, DataCentres: []string{"east"}}))
+	assert.Assert(t, !v.Drained(work.DataCentreDrains{Revision: 5}))
+	assert.Assert(t, !v.Drained(work.DataCentreDrains{Revision: 8, DataCentres: []string{"east"}}))
+	drains := v.Drains()
+	assert.Assert(t, drains.Contains("east"))
+	assert.Assert(t, v.Drained(work.DataCentreDrains{Revision: 9}))
+	drains = v.Drains()
+	assert.Assert(t, !drains.Contains("east"))
+}
+
 // TestPlacementWaitsForAnElection guards against entries that compete with a leader, or
 // place jobs before they have a configuration.
 func TestPlacementWaitsForAnElection(t *testing.T) {
--- a/core/placement/drain.go
+++ b/core/placement/drain.go
@@ -35,6 +35,9 @@
 	}
 }
 
+// Drained reports whether a data centre is drained.
+func (p *Planner) Drained(dataCentre string) bool { return p.drains.Contains(dataCentre) }
+
 // allDrained reports whether the drains leave no endpoint for a job: in its pool, or with
 // a label that one of its steps requires.
 func (p *Planner) allDrained(j *work.Job) bool {
--- a/daemon/fallback/fallback.go
+++ b/daemon/fallback/fallback.go
@@ -58,7 +58,9 @@
 	Routes  *work.Routes
 	Version uint64
 	// Agents are the agents whose endpoints may run tasks.
-	Agents  []ledger.Agent
+	Agents []ledger.Agent
+	// Drains are those of data centres at the start.
+	Drains  work.DataCentreDrains
 	Metrics *scheduler.Metrics
 	Log     *events.Log
 }
@@ -97,6 +99,7 @@
 		vms[i] = a.VM
 	}
 	planner := placement.NewSharedPlanner(o.Term, o.LeaderLostAt.Add(lease.ExpiresAfter), vms)
+	planner.SetDrained(boottime.Now(), o.Drains)
 	return &Placer{opts: o, routes: o.Routes, scheduler: scheduler.New(planner, o.Metrics, o.Log), open: map[uint64]*request{}}
 }
 
@@ -189,6 +192,18 @@
 	p.routes = routes
 }
 
+// SetDrained applies the drains of data centres. Those of an older revision are ignored.
+func (p *Placer) SetDrained(d work.DataCentreDrains) {
+	p.update(func(now time.Time) { p.scheduler.Planner.SetDrained(now, d) })
+}
+
+// Drained reports whether a data centre is drained.
+func (p *Placer) Drained(dataCentre string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.scheduler.Planner.Drained(dataCentre)
+}
+
 // resolve returns the queue and the job of a path.
 func (p *Placer) resolve(host, path string) (*work.Queue, work.JobID) {
 	p.mu.Lock()
--- a/daemon/fallback/fallback_test.go
+++ b/daemon/fallback/fallback_test.go
@@ -62,7 +62,7 @@
 			c.Send(&mesh.Pong{})
 		case *mesh.Welcome:
 			c.Send(&mesh.Inventory{Endpoint: placement.Endpoint{
-				Session: m.Session, Fence: fakeFence, Pool: "desk", Capacity: work.Resources{CPU: 2000, MemoryMB: 100},
+				Session: m.Session, Fence: fakeFence, Pool: "desk", DataCentre: "east", Capacity: work.Resources{CPU: 2000, MemoryMB: 100},
 			}})
 		case *mesh.Orders:
 			for _, o := range m.Orders {
@@ -135,6 +135,28 @@
 
 const jobPath = "/q/00000000000000a1"
 
+// TestDrainWithoutLeader guards against an entry that starts tasks in a drained data centre,
+// or lets the callers wait there, and against one that doesn't use the data centre after the
+// withdrawal.
+func TestDrainWithoutLeader(t *testing.T) {
+	f := newFixture(t)
+	f.placer.SetDrained(work.DataCentreDrains{Revision: 4, DataCentres: []string{"east"}})
+	f.placer.SetDrained(work.DataCentreDrains{Revision: 3})
+	conn := <-f.agent.conns
+	for !f.placer.ReachesEndpoints() {
+		time.Sleep(time.Millisecond)
+	}
+	r := (<-f.submit(context.Background(), jobPath, time.Second, placement.PriorState{})).response
+	assert.Assert(t, r.Outcome.NotRun() && r.RetryAfterMS > 0, "%+v", r)
+	assert.Equal(t, len(f.agent.orders), 0)
+	f.placer.SetDrained(work.DataCentreDrains{Revision: 5})
+	got := f.submit(context.Background(), jobPath, time.Second, placement.PriorState{})
+	for range 2 {
+		f.agent.reportEnd(conn, <-f.agent.orders)
+	}
+	assert.Equal(t, (<-got).response.State, work.Completed)
+}
+
 // TestJobCompletesWithoutLeader guards against an entry that can't place a job on
 // its own.
 func TestJobCompletesWithoutLeader(t *testing.T) {
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -112,6 +112,8 @@
 			s.addAgent(m.Agent)
 		case *mesh.Pong:
 			s.recordVersion(l.Conn, m.ConfigurationVersion)
+		case *mesh.Drains:
+			s.applyDrains(m.State)
 		}
 	}
 }
--- a/daemon/gateway/local.go
+++ b/daemon/gateway/local.go
@@ -54,13 +54,25 @@
 	}
 }
 
+// applyDrains uses the drains of data centres that a control VM has sent, if they are the
+// newest.
+func (s *Service) applyDrains(d work.DataCentreDrains) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.view.Drained(d) && s.local != nil {
+		s.local.SetDrained(d)
+	}
+}
+
 // Standby handles the messages of a control VM that does not lead. It implements
-// follow.Options.Standby. Such a VM may have applied a configuration that no leader has
-// sent to this entry.
+// follow.Options.Standby. Such a VM may have applied a configuration, or drains, that no
+// leader has sent to this entry.
 func (s *Service) Standby(c *link.Conn, m mesh.Message) {
 	switch m := m.(type) {
 	case *mesh.Pong:
 		s.recordVersion(c, m.ConfigurationVersion)
+	case *mesh.Drains:
+		s.applyDrains(m.State)
 	case *mesh.Welcome:
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -101,7 +113,7 @@
 	ok, wait := s.view.MayPlace(boottime.Now())
 	opts := fallback.Options{
 		VM: s.opts.VM, Term: s.view.Term(), LeaderLostAt: s.view.LeaderLostAt(), Routes: s.view.Routes(), Version: s.view.Version(),
-		Agents: s.view.Agents(), Metrics: s.metrics, Log: s.opts.Log,
+		Agents: s.view.Agents(), Drains: s.view.Drains(), Metrics: s.metrics, Log: s.opts.Log,
 	}
 	changed := s.changed
 	s.mu.Unlock()
@@ -143,7 +155,9 @@
 	defer s.mu.Unlock()
 	s.local = p
 	if p != nil {
-		p.SetRoutes(s.view.Routes()) // a newer configuration may have arrived since p was made
+		// A newer configuration, or newer drains, may have arrived since p was made.
+		p.SetRoutes(s.view.Routes())
+		p.SetDrained(s.view.Drains())
 	}
 	s.notify()
 }
--- a/daemon/gateway/local_test.go
+++ b/daemon/gateway/local_test.go
@@ -14,6 +14,7 @@
 	"github.com/cicadapulley/cicadapulley/core/ledger"
 	"github.com/cicadapulley/cicadapulley/core/work"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
+	"github.com/cicadapulley/cicadapulley/daemon/fallback"
 	"github.com/cicadapulley/cicadapulley/daemon/link"
 )
 
@@ -72,6 +73,28 @@
 	assert.Assert(t, queue != nil)
 }
 
+// TestDrainsOfAnyControlVMAreUsed guards against an entry that places tasks in a drained data
+// centre: with drains from before it lost the leader, with a change that a control VM which
+// doesn't lead sends later, or after older drains of one that is behind.
+func TestDrainsOfAnyControlVMAreUsed(t *testing.T) {
+	s := newService()
+	lost := &leader{}
+	s.setLeader(lost, nil)
+	s.applyWelcome(lost, welcome(1, 5, "/a/"))
+	s.setLeader(nil, lost)
+	entry, _ := newConn(t)
+	s.Standby(entry, &mesh.Drains{State: work.DataCentreDrains{Revision: 4, DataCentres: []string{"east"}}})
+	s.Standby(entry, &mesh.Drains{State: work.DataCentreDrains{Revision: 3}})
+	time.Sleep(leaderless.PlacementDelay)
+	opts, ok := s.awaitLeaderLoss(t.Context())
+	assert.Assert(t, ok && opts.Drains.Contains("east"))
+	p := fallback.New(opts)
+	s.setLocal(p)
+	assert.Assert(t, p.Drained("east"))
+	s.Standby(entry, &mesh.Drains{State: work.DataCentreDrains{Revision: 6, DataCentres: []string{"west"}}})
+	assert.Assert(t, !p.Drained("east") && p.Drained("west"))
+}
+
 // TestReplacedConnectionChangesNothing guards against an entry whose agents or
 // configuration are set back by a message that arrives on the connection to a replaced
 // leader.
