runtable, runner: an agent refuses starts while its data centre is drained

Cause: a scheduler that has not received a drain yet, or is cut off, may still order starts in a drained data centre.

Change: the agent keeps the newest drains that any control VM has sent, on a connection to a leader or to another one, and refuses starts with RefusedDrained while they name its own data centre. It asks for them again before each call, so that a start without an answer is not repeated in a drain. The inventory tells the data centre, which Options.DataCentre has.

--- a/core/runtable/starts.go
+++ b/core/runtable/starts.go
@@ -15,6 +15,8 @@
 	switch {
 	case t.opts.Draining:
 		return 0, placement.RefusedDraining
+	case t.drained:
+		return 0, placement.RefusedDrained
 	case t.schedulers[s.VM] != s, deadline <= t.clock.At(now):
 		return 0, placement.RefusedLease
 	case s.VM != "" && (t.hasDisputedEnds() || !o.Need.Fits(t.freeCapacity()) || len(t.unacked) >= MaxUnacked):
--- a/core/runtable/table.go
+++ b/core/runtable/table.go
@@ -75,12 +75,16 @@
 	// Draining is set if no runs are accepted, EndpointDraining if the endpoint has
 	// announced that.
 	Draining, EndpointDraining bool
-	Records                    *Records
+	// DataCentre is that of the agent; empty if it is not known.
+	DataCentre string
+	Records    *Records
 }
 
 // Table has the runs that may exist at an endpoint during one session.
 type Table struct {
 	opts Options
+	// drained is set while the agent's data centre is drained.
+	drained bool
 	// leader is the participating leader; nil if the session has none or has lost it.
 	leader *Scheduler
 	// schedulers are the leader or the entries that may order runs, by VM.
@@ -243,6 +247,7 @@
 		Fence:        t.opts.Fence,
 		Instance:     InstanceName(i),
 		Pool:         i.Pool,
+		DataCentre:   t.opts.DataCentre,
 		Labels:       i.Labels,
 		Capacity:     i.Capacity,
 		Draining:     t.opts.Draining,
@@ -285,6 +290,10 @@
 	return true
 }
 
+// SetDrained records whether the agent's data centre is drained. Unlike a draining agent, a
+// drained one accepts runs again after the withdrawal, in the same session.
+func (t *Table) SetDrained(drained bool) { t.drained = drained }
+
 // Ping returns the next ping to a scheduler.
 func (t *Table) Ping(now time.Time, s *Scheduler) Ping {
 	s.pings++
--- a/core/runtable/table_test.go
+++ b/core/runtable/table_test.go
@@ -93,3 +93,33 @@
 	assert.Equal(t, len(c.Reports[Owner{}].Vanished), 0)
 	assert.Equal(t, len(c.Reports[Owner{}].Refused), 1, "a stopped run that is in no list never started")
 }
+
+// TestDrainedAgentAdmitsNoStart guards against starts in a drained data centre, against an
+// agent that loses the drain to older ones, and against one that refuses starts for the rest
+// of its session or because of another data centre.
+func TestDrainedAgentAdmitsNoStart(t *testing.T) {
+	table := newTable()
+	table.Begin(someTime, Listing{Clock: time.Second})
+	entry := NewScheduler(Owner{VM: "entry", Period: 1}, 1)
+	table.Join(someTime, entry)
+	ping := table.Ping(someTime, entry)
+	table.Pong(someTime.Add(time.Millisecond), entry, ping.Sequence)
+	drains := NewDrains("east")
+	for n, c := range []struct {
+		received work.DataCentreDrains
+		refusal  placement.Refusal
+	}{
+		{work.DataCentreDrains{}, 0},
+		{work.DataCentreDrains{Revision: 4, DataCentres: []string{"east"}}, placement.RefusedDrained},
+		{work.DataCentreDrains{Revision: 3}, placement.RefusedDrained},
+		{work.DataCentreDrains{Revision: 5, DataCentres: []string{"west"}}, 0},
+	} {
+		drains.Received(c.received)
+		table.SetDrained(drains.Drained())
+		_, refusal := table.AdmitStart(someTime.Add(2*time.Millisecond), entry, placement.Order{Run: runOf("a", uint64(n+1))})
+		assert.Equal(t, refusal, c.refusal, "%+v", c.received)
+	}
+	unknown := NewDrains("")
+	unknown.Received(work.DataCentreDrains{Revision: 4, DataCentres: []string{"east"}})
+	assert.Assert(t, !unknown.Drained())
+}
--- a/daemon/runner/orders.go
+++ b/daemon/runner/orders.go
@@ -24,10 +24,13 @@
 	})
 }
 
-// startRun starts a run, unless the lease has expired, the endpoint is draining or
-// it lacks the capacity.
+// startRun starts a run, unless the lease has expired, the endpoint is draining, its data
+// centre is drained or it lacks the capacity. Each call asks for drains again: one that is
+// repeated after an unanswered one may come after a drain.
 func (s *session) startRun(ctx context.Context, p *participant, o placement.Order) {
+	drained := s.service.drained()
 	s.mu.Lock()
+	s.table.SetDrained(drained)
 	deadline, refusal := s.table.AdmitStart(now(), p.Scheduler, o)
 	s.mu.Unlock()
 	if refusal != 0 {
@@ -35,6 +38,9 @@
 		return
 	}
 	answer, err := s.service.calls.order(ctx, func(callCtx context.Context) (runtable.Answer, error) {
+		if s.service.drained() {
+			return runtable.Answer{Verdict: runtable.Refused, Reason: placement.RefusedDrained}, nil
+		}
 		return s.service.opts.Endpoint.Start(callCtx, s.registration.Instance, StartRequest{
 			Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Fence: s.fence, Deadline: deadline,
 		})
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -23,8 +23,10 @@
 	"github.com/cicadapulley/cicadapulley/api/mesh"
 	"github.com/cicadapulley/cicadapulley/core/placement"
 	"github.com/cicadapulley/cicadapulley/core/runtable"
+	"github.com/cicadapulley/cicadapulley/core/work"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 	"github.com/cicadapulley/cicadapulley/daemon/follow"
+	"github.com/cicadapulley/cicadapulley/daemon/link"
 	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
 )
 
@@ -45,7 +47,9 @@
 	// DrainTimeout limits the wait for runs at a planned stop of the agent; 0 means
 	// defaultDrainTimeout.
 	DrainTimeout time.Duration
-	Log          *events.Log
+	// DataCentre is that of the agent's VM; empty if it is not known.
+	DataCentre string
+	Log        *events.Log
 }
 
 // Service is an agent.
@@ -64,6 +68,8 @@
 	changed  chan struct{}
 	draining bool
 	busy     bool
+	// drains is what control VMs have sent of the drains of data centres.
+	drains *runtable.Drains
 	// fence is the fencing token of the latest session with a leader, 0 if there is
 	// none that the endpoint would accept. While its leader is connected, a token
 	// is used for one session only, which fenceUsed marks.
@@ -83,7 +89,10 @@
 
 // New returns an agent. Run starts it.
 func New(o Options) *Service {
-	return &Service{opts: o, calls: newCalls(), changed: make(chan struct{}), entries: map[string]*schedulerConn{}, records: runtable.NewRecords()}
+	return &Service{
+		opts: o, calls: newCalls(), changed: make(chan struct{}), entries: map[string]*schedulerConn{},
+		records: runtable.NewRecords(), drains: runtable.NewDrains(o.DataCentre),
+	}
 }
 
 // notify wakes the goroutines that wait for a change. The caller holds mu.
@@ -230,14 +239,40 @@
 		if err != nil {
 			return err
 		}
-		if w, ok := m.(*mesh.Welcome); ok {
-			s.attachLeader(leader, w)
-			continue
+		switch m := m.(type) {
+		case *mesh.Welcome:
+			s.attachLeader(leader, m)
+		case *mesh.Drains:
+			s.receiveDrains(m.State)
+		default:
+			leader.deliver(m)
 		}
-		leader.deliver(m)
 	}
 }
 
+// Standby handles the messages of a control VM that does not lead, or not yet. It
+// implements follow.Options.Standby. Drains come before the first Welcome, so that the
+// orders of a leader find those that it has sent.
+func (s *Service) Standby(_ *link.Conn, m mesh.Message) {
+	if m, ok := m.(*mesh.Drains); ok {
+		s.receiveDrains(m.State)
+	}
+}
+
+// receiveDrains records the drains of data centres that a control VM has sent.
+func (s *Service) receiveDrains(d work.DataCentreDrains) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drains.Received(d)
+}
+
+// drained reports whether the agent's data centre is drained.
+func (s *Service) drained() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.drains.Drained()
+}
+
 // attachLeader sets the leader and its fencing token for the next session.
 func (s *Service) attachLeader(leader *schedulerConn, w *mesh.Welcome) {
 	s.mu.Lock()
--- a/daemon/runner/session.go
+++ b/daemon/runner/session.go
@@ -79,7 +79,7 @@
 	o := runtable.Options{
 		Fence: params.fence, Incarnation: params.registration.Incarnation, MaxHold: s.opts.MaxHold,
 		Draining: params.registration.Draining || params.draining, EndpointDraining: params.registration.Draining,
-		Records: s.records,
+		DataCentre: s.opts.DataCentre, Records: s.records,
 	}
 	if params.leader != nil {
 		n.leader = newParticipant(n, params.leader, params.fence)
--- a/daemon/runner/session_test.go
+++ b/daemon/runner/session_test.go
@@ -160,7 +160,7 @@
 func newUnregisteredFixture(t *testing.T) *fixture {
 	f := &fixture{T: t, endpoint: newFakeEndpoint()}
 	log := events.NewLog("agent", zap.NewNop(), events.NewClock())
-	f.agent = New(Options{Endpoint: f.endpoint, MaxHold: time.Second, Log: log})
+	f.agent = New(Options{Endpoint: f.endpoint, MaxHold: time.Second, DataCentre: "east", Log: log})
 	ctx, cancel := context.WithCancel(context.Background())
 	f.ctx = ctx
 	done := make(chan struct{})
