placement: a ramp lasts for 10 s at most

Cause: the search of event orders tells no times apart that are older than 10 s, and a ramp looked back for 15 s.

Change: rampDuration is 10 s. Endpoints are cold for some seconds only.

Result: the tests of core/placement pass; their simulated returns end before 10 s and have the same figures.

--- a/core/placement/ramp.go
+++ b/core/placement/ramp.go
@@ -22,7 +22,7 @@
 	rampShrink = 0.7
 	// rampDuration ends every ramp. Endpoints are cold for some seconds only, and one that
 	// gets no runs, or very long ones, must not stay limited.
-	rampDuration = 15 * time.Second
+	rampDuration = 10 * time.Second
 	// rampSlackFactor and rampSlack are what a task that waits for another endpoint than a
 	// ramped one keeps of its time: this multiple of the rest of its job's longest chain,
 	// and a duration. A single step of 100 ms with a stretch of 1.6 waits for up to 75 ms.
