runsearch: drains and withdrawals are events of their own

Cause: the search did not cover which process may start tasks while a data centre is drained.

Change: two scenarios with drains, withdrawals, control VMs that send the newest drains before the leader applies them, or older ones. No process that has received a drain may start a task there. The calm at the end withdraws all drains, and every job must end. A known trace guards against a refusal that keeps an endpoint unused.

A refusal that lasts for the session breaks the known trace.

--- a/daemon/internal/runsearch/agent_test.go
+++ b/daemon/internal/runsearch/agent_test.go
@@ -15,12 +15,15 @@
 	// toLeader and toEntry are its connections.
 	toLeader, toEntry *link
 	records           *runtable.Records
-	registration      *work.Incarnation
-	fromRecord        bool
-	everRegistered    bool
-	fence             placement.SessionID
-	fenceUsed         bool
-	hasLeader         bool
+	// drains are those that the agent goes by, and received those of the model's record.
+	drains         *runtable.Drains
+	received       work.DataCentreDrains
+	registration   *work.Incarnation
+	fromRecord     bool
+	everRegistered bool
+	fence          placement.SessionID
+	fenceUsed      bool
+	hasLeader      bool
 	// offer is the session that the entry has offered, 0 for none.
 	offer  placement.SessionID
 	period uint64
@@ -65,7 +68,7 @@
 func (a *agent) restart() {
 	a.toLeader.close(agentSide)
 	a.toEntry.close(agentSide)
-	*a = agent{w: a.w, vm: a.vm, endpoint: a.endpoint, toLeader: a.toLeader, toEntry: a.toEntry, records: runtable.NewRecords()}
+	*a = agent{w: a.w, vm: a.vm, endpoint: a.endpoint, toLeader: a.toLeader, toEntry: a.toEntry, records: runtable.NewRecords(), drains: runtable.NewDrains(a.vm)}
 }
 
 // heartbeat handles the endpoint's announcement.
@@ -85,6 +88,8 @@
 // fromLeader handles a message of the leader.
 func (a *agent) fromLeader(m mesh.Message) {
 	switch m := m.(type) {
+	case *mesh.Drains:
+		a.receiveDrains(m.State)
 	case *mesh.Welcome:
 		a.attachLeader(m)
 	default:
@@ -188,7 +193,7 @@
 		return
 	}
 	a.tableFence = a.fence
-	o := runtable.Options{Fence: a.fence, Incarnation: a.session, MaxHold: maxHold, Records: a.records}
+	o := runtable.Options{Fence: a.fence, Incarnation: a.session, MaxHold: maxHold, DataCentre: a.vm, Records: a.records}
 	if a.hasLeader {
 		a.leader = runtable.NewScheduler(runtable.Owner{}, a.fence)
 		o.Leader = a.leader
@@ -278,11 +283,13 @@
 }
 
 func (a *agent) start(s *runtable.Scheduler, o placement.Order) {
+	a.table.SetDrained(a.drains.Drained())
 	deadline, refusal := a.table.AdmitStart(a.w.now, s, o)
 	if refusal != 0 {
 		a.report(s, &mesh.Report{Refused: []mesh.RefusedStart{{Run: o.Run, Reason: refusal}}})
 		return
 	}
+	a.w.judge.startsOn("an agent", a.received, a.vm, o.Run)
 	e := a.endpoint
 	c := startCall{run: o.Run, need: o.Need, fence: a.tableFence, deadline: deadline, life: int(a.session.StartTimeMS)}
 	next := e.nextStart
--- a/daemon/internal/runsearch/events_test.go
+++ b/daemon/internal/runsearch/events_test.go
@@ -29,6 +29,12 @@
 	// runLate carries out the calls to an endpoint that were held up.
 	runLate
 	answer
+	// drain and withdraw change the drains of data centres. A control VM that doesn't lead
+	// sends them with agentDrains and entryDrains.
+	drain
+	withdraw
+	agentDrains
+	entryDrains
 	cutLeader
 	cutEntry
 	// cutControl cuts the entry off from the leader.
@@ -57,7 +63,9 @@
 var kindNames = [kinds]string{
 	"0.2 s pass", "1.4 s pass", "a stored job is submitted", "a best-effort job is submitted", "a stored job is cancelled", "a run ends done", "a run ends failed",
 	"leader and agent are in contact again", "entry and agent are in contact again", "leader and entry are in contact again", "a leader is elected",
-	"held up calls are carried out", "the endpoint answers again", "leader and agent are cut", "entry and agent are cut", "leader and entry are cut", "the leader is lost", "another leader is elected",
+	"held up calls are carried out", "the endpoint answers again",
+	"its data centre is drained", "the drain of its data centre is withdrawn", "another control VM sends the agent drains", "another control VM sends the entry drains",
+	"leader and agent are cut", "entry and agent are cut", "leader and entry are cut", "the leader is lost", "another leader is elected",
 	"what is proposed is not committed for 0.2 s", "the agent restarts", "the endpoint restarts", "the endpoint answers nothing",
 	"the next start is carried out without an answer", "the next start is held up", "the next stop is carried out without an answer", "the next stop is held up",
 	"a hold is carried out, and newer answers overtake its own", "a hold is held up",
@@ -77,6 +85,8 @@
 	switch e.kind {
 	case tick, wait, submit, submitBestEffort, healControl, elect, cutControl, loseLeader, replaceLeader, keepUncommitted:
 		return text
+	case agentDrains, entryDrains:
+		return fmt.Sprintf("%d: %s, %s", e.agent+1, text, [...]string{"the newest", "older ones"}[e.detail])
 	case cancel:
 		return fmt.Sprintf("%s (%d)", text, e.detail)
 	case cutLeader, cutEntry:
@@ -115,8 +125,17 @@
 	add(w.leader != nil, loseLeader, 0, 0)
 	add(w.leader != nil, replaceLeader, 0, 0)
 	add(w.leader != nil && !w.noCommit, keepUncommitted, 0, 0)
+	for detail := range w.sentDrainsCount() {
+		add(true, entryDrains, 0, detail)
+	}
 	for i, a := range w.agents {
 		e := w.endpoints[i]
+		drained := w.drains.Contains(a.vm)
+		add(w.scenario.drains && w.leader != nil && !drained, drain, i, 0)
+		add(w.leader != nil && drained, withdraw, i, 0)
+		for detail := range w.sentDrainsCount() {
+			add(true, agentDrains, i, detail)
+		}
 		for n := range len(e.running) {
 			add(true, done, i, n)
 			add(true, failed, i, n)
@@ -198,6 +217,14 @@
 		e.runLate()
 	case answer:
 		e.silent = false
+	case drain:
+		w.drain(a.vm)
+	case withdraw:
+		w.withdraw(a.vm)
+	case agentDrains:
+		a.receiveDrains(w.sentDrains(ev.detail))
+	case entryDrains:
+		w.entry.receiveDrains(w.sentDrains(ev.detail))
 	case cutLeader:
 		w.leaderLinks[ev.agent].cut = directions[ev.detail]
 	case cutEntry:
--- a/daemon/internal/runsearch/schedulers_test.go
+++ b/daemon/internal/runsearch/schedulers_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
+	"github.com/cicadapulley/cicadapulley/core/leaderless"
 	"github.com/cicadapulley/cicadapulley/core/lease"
 	"github.com/cicadapulley/cicadapulley/core/ledger"
 	"github.com/cicadapulley/cicadapulley/core/placement"
@@ -19,6 +20,8 @@
 	*scheduler.Scheduler
 	sessions [agents]*scheduler.Session
 	links    [agents]*link
+	// received are the newest drains that the process has received.
+	received work.DataCentreDrains
 }
 
 // place assigns waiting tasks and sends the orders.
@@ -29,6 +32,9 @@
 	for _, o := range s.Planner.TakeOrders() {
 		for i, session := range s.sessions {
 			if session != nil && session.ID == o.Session {
+				if !o.Stop {
+					s.w.judge.startsOn("a planner", s.received, s.w.agents[i].vm, o.Run)
+				}
 				orders[i] = append(orders[i], o)
 			}
 		}
@@ -88,6 +94,7 @@
 	l := &leader{term: w.term, removed: map[string]bool{}}
 	planner := placement.NewPlanner(w.term, w.now.Add(lease.ExpiresAfter), w.ledger.EnrolledVMs())
 	l.scheduling = scheduling{w: w, Scheduler: scheduler.New(planner, w.metrics, w.log), links: w.leaderLinks}
+	l.receiveDrains(w.drains)
 	w.ledger.Each(func(r *ledger.Record) {
 		if r.State.Final() {
 			return
@@ -123,6 +130,9 @@
 	if recorded, ok := l.w.ledger.Agent(l.w.agents[i].vm); ok {
 		welcome.Incarnation = &recorded.Incarnation
 	}
+	if l.w.scenario.drains {
+		l.links[i].send(schedulerSide, &mesh.Drains{State: l.received})
+	}
 	l.links[i].send(schedulerSide, welcome)
 }
 
@@ -190,6 +200,7 @@
 
 // commit applies the proposals and updates the planner from the result.
 func (l *leader) commit() {
+	l.applyDrains()
 	var overtaken []proposal
 	proposals := l.proposals
 	l.proposals = nil
@@ -284,6 +295,9 @@
 	prior    placement.PriorState
 	// placer places the job while there is no leader.
 	placer *placer
+	// view has the drains that the entry goes by, and received those of the model's record.
+	view     leaderless.View
+	received work.DataCentreDrains
 }
 
 type placer struct {
@@ -331,6 +345,9 @@
 
 // receive takes what the leader has sent.
 func (e *entry) receive() {
+	if e.w.leader != nil {
+		e.receiveDrains(e.w.leader.received)
+	}
 	for _, vm := range e.enrolled {
 		if !slices.Contains(e.known, vm) {
 			e.known = append(e.known, vm)
@@ -361,7 +378,8 @@
 func (e *entry) placeLocally() {
 	p := &placer{period: uint64(e.lostAt.UnixNano())}
 	planner := placement.NewSharedPlanner(e.term, e.lostAt.Add(lease.ExpiresAfter), e.known)
-	p.scheduling = scheduling{w: e.w, Scheduler: scheduler.New(planner, e.w.metrics, e.w.log), links: e.w.entryLinks}
+	p.scheduling = scheduling{w: e.w, Scheduler: scheduler.New(planner, e.w.metrics, e.w.log), links: e.w.entryLinks, received: e.received}
+	planner.SetDrained(e.w.now, e.view.Drains())
 	e.placer = p
 	e.submitLocally()
 }
--- a/daemon/internal/runsearch/search_test.go
+++ b/daemon/internal/runsearch/search_test.go
@@ -252,6 +252,17 @@
 			name: "full endpoints", capacity: one, storedTasks: []int{2, 1}, submitted: 1, faults: 2, cutDirections: 1,
 			allowed: []kind{startLate, stopLate, overtakenHold, cutLeader, replaceLeader},
 		},
+		{
+			name: "drains", capacity: one, storedTasks: []int{1}, submitted: 1, faults: 2, cutDirections: 1, drains: true,
+			allowed: []kind{cutLeader, replaceLeader, restartAgent},
+			limits:  map[kind]int{wait: 1, done: 0, failed: 1, cancel: 0, drain: 2, withdraw: 2, agentDrains: 2, entryDrains: 0, cutLeader: 1},
+		},
+		{
+			name: "drains without a leader", capacity: one, bestEffortTasks: 1, faults: 2, cutDirections: 1, drains: true,
+			prefix:  []kind{cutControl, tick, tick},
+			allowed: []kind{loseLeader, cutEntry, restartAgent},
+			limits:  map[kind]int{wait: 1, done: 0, failed: 1, healControl: 0, elect: 0, drain: 2, withdraw: 1, agentDrains: 2, entryDrains: 2, cutEntry: 1},
+		},
 		{name: "everything", slowPercent: 2, capacity: two, storedTasks: []int{1}, submitted: 1, bestEffortTasks: 1, faults: 4, cutDirections: 3},
 	}
 }
@@ -330,6 +341,10 @@
 			{kind: cutLeader}, {kind: wait}, {kind: healLeader}, {kind: keepUncommitted}, {kind: tick}, {kind: restartAgent}, {kind: keepUncommitted},
 			{kind: tick}, {kind: submit}, {kind: tick}, {kind: tick},
 		}},
+		"a refusal for a drain lasts for the session": {"drains", []event{
+			{kind: drain}, {kind: drain, agent: 1}, {kind: agentDrains}, {kind: agentDrains, agent: 1}, {kind: failed}, {kind: keepUncommitted},
+			{kind: tick}, {kind: tick}, {kind: withdraw}, {kind: withdraw, agent: 1}, {kind: tick},
+		}},
 		"a run outlasts what its entry assumes after a takeover": {"the next leader takes over", []event{
 			{kind: cutEntry}, {kind: tick}, {kind: tick}, {kind: tick}, {kind: tick}, {kind: elect}, {kind: cutLeader, agent: 1}, {kind: cutControl},
 			{kind: tick}, {kind: tick}, {kind: tick}, {kind: tick}, {kind: tick},
--- a/daemon/internal/runsearch/world_test.go
+++ b/daemon/internal/runsearch/world_test.go
@@ -121,24 +121,28 @@
 	faults  int
 	// cutDirections is 1 for cuts of both directions only, 3 for those of a single one too.
 	cutDirections int
+	// drains is set if the operator drains data centres.
+	drains bool
 	// limits bound how often each kind of event happens.
 	limits map[kind]int
 }
 
 // world is one state of everything.
 type world struct {
-	scenario  *scenario
-	metrics   *scheduler.Metrics
-	log       *events.Log
-	now       time.Time
-	ticks     int
-	ledger    *ledger.Machine
-	applied   uint64
-	term      uint64
-	leader    *leader
-	entry     *entry
-	agents    [agents]*agent
-	endpoints [agents]*endpoint
+	scenario *scenario
+	metrics  *scheduler.Metrics
+	log      *events.Log
+	now      time.Time
+	ticks    int
+	ledger   *ledger.Machine
+	applied  uint64
+	term     uint64
+	// drains are the newest that control has committed, and formerDrains those before.
+	drains, formerDrains work.DataCentreDrains
+	leader               *leader
+	entry                *entry
+	agents               [agents]*agent
+	endpoints            [agents]*endpoint
 	// leaderLinks and entryLinks are the connections to the agents.
 	leaderLinks, entryLinks [agents]*link
 	jobs                    map[work.JobID]*jobState
@@ -172,7 +176,7 @@
 		e := &endpoint{w: w, name: fmt.Sprintf("%dw", i+1)}
 		e.restart()
 		w.endpoints[i] = e
-		w.agents[i] = &agent{w: w, vm: fmt.Sprintf("%da", i+1), endpoint: e, toLeader: w.leaderLinks[i], toEntry: w.entryLinks[i], records: runtable.NewRecords()}
+		w.agents[i] = &agent{w: w, vm: fmt.Sprintf("%da", i+1), endpoint: e, toLeader: w.leaderLinks[i], toEntry: w.entryLinks[i], records: runtable.NewRecords(), drains: runtable.NewDrains(fmt.Sprintf("%da", i+1))}
 	}
 	w.entry = &entry{w: w, up: true, lostAt: w.now}
 	w.elect()
@@ -367,6 +371,9 @@
 	if w.leader == nil {
 		w.elect()
 	}
+	if len(w.drains.DataCentres) > 0 {
+		w.setDrains(nil)
+	}
 	const calmTicks = 100 // 20 s: longer than the longest suspension of an endpoint, twice
 	for range calmTicks {
 		for _, e := range w.endpoints {
