placement: the check for another endpoint comes last when runs are moved

Cause: Tick asked for each run, whether or not it was to be moved, if its endpoint was drained, and the ramp's pointer moved fields that each tick reads.

Change: the check follows the others, and the pointer is the last field.

The tests of core/placement pass.

--- a/core/placement/stall.go
+++ b/core/placement/stall.go
@@ -93,7 +93,7 @@
 		}
 		var moves []*run
 		for _, r := range e.runs {
-			if p.movable(r) && p.hasAlternative(now, r) && (p.stalledOrOverdue(now, r) || p.fasterElsewhere(now, r, slowness)) {
+			if p.movable(r) && (p.stalledOrOverdue(now, r) || p.fasterElsewhere(now, r, slowness)) && p.hasAlternative(now, r) {
 				moves = append(moves, r)
 			}
 		}
--- a/core/placement/types.go
+++ b/core/placement/types.go
@@ -250,10 +250,8 @@
 	leaseExpiry time.Time
 	// unreachable is set while the endpoint does not answer its agent.
 	unreachable bool
-	// drained is set while the endpoint's data centre is drained, and ramp limits the
-	// endpoint for some time after that; nil for no limit.
+	// drained is set while the endpoint's data centre is drained.
 	drained  bool
-	ramp     *ramp
 	slowdown *slowdown
 	health   health
 	// fullUntil delays starts after a refusal for lack of capacity or of a lease, or because
@@ -265,4 +263,6 @@
 	dirty bool
 	// reopening is set while the endpoint is in Planner.reopening.
 	reopening bool
+	// ramp limits the endpoint for some time after a drain; nil for no limit.
+	ramp *ramp
 }
