placement, scheduler: a drain refuses jobs that wait for its endpoints

Cause: the caller of a best-effort job that was accepted just before the drain of the last endpoints of its pool, or while a new leader expected endpoints, waited until its own time limit.

Change: such a job is refused with a Retry-After, as at admission, unless a start was ordered or another planner may have started a task of it.

--- a/core/placement/admit.go
+++ b/core/placement/admit.go
@@ -44,7 +44,7 @@
 		factor = ExpiryFactor
 	}
 	limit := time.Duration(factor * float64(j.Objective()))
-	if len(p.drains.DataCentres) > 0 && p.allDrained(j) && !p.awaitingEndpoints(now) {
+	if len(p.drains.DataCentres) > 0 && allDrained(j, p.drainsLeaveNone) && !p.awaitingEndpoints(now) {
 		return Admission{Expected: expected, Limit: limit, Wait: wait, RetryAfter: drainedRetryAfter}
 	}
 	if expected <= limit {
--- a/core/placement/assign.go
+++ b/core/placement/assign.go
@@ -201,6 +201,7 @@
 		}
 	}
 	p.releaseHeld(now)
+	p.refuseDrained(now)
 	p.expireUnclaimed(now)
 	p.queue.demote(now, func(g *group) time.Duration { return p.minRunTime(now, g.job, g.step) })
 	p.moveStalled(now)
--- a/core/placement/drain.go
+++ b/core/placement/drain.go
@@ -33,22 +33,69 @@
 		}
 		p.pools.mark(e)
 	}
+	p.refuseDrained(now)
 }
 
 // Drained reports whether a data centre is drained.
 func (p *Planner) Drained(dataCentre string) bool { return p.drains.Contains(dataCentre) }
 
 // allDrained reports whether the drains leave no endpoint for a job: in its pool, or with
-// a label that one of its steps requires.
-func (p *Planner) allDrained(j *work.Job) bool {
-	if p.drainsLeaveNone(j.Pool, "") {
+// a label that one of its steps requires. leaveNone reports it for a pool and a label.
+func allDrained(j *work.Job, leaveNone func(pool, label string) bool) bool {
+	if leaveNone(j.Pool, "") {
 		return true
 	}
 	return slices.ContainsFunc(j.Steps, func(s work.Step) bool {
-		return s.RequiredLabel != "" && p.drainsLeaveNone(j.Pool, s.RequiredLabel)
+		return s.RequiredLabel != "" && leaveNone(j.Pool, s.RequiredLabel)
 	})
 }
 
+// RefusedJob is a best-effort job that was accepted and is refused after all: none of its
+// tasks was ordered to start, and the drains have left no endpoint for it.
+type RefusedJob struct {
+	Job       *work.Job
+	Admission Admission
+}
+
+// TakeRefused returns the jobs that were refused since the last call.
+func (p *Planner) TakeRefused() []RefusedJob {
+	refused := p.refused
+	p.refused = nil
+	return refused
+}
+
+// refuseDrained refuses the waiting best-effort jobs for which the drains leave no endpoint:
+// their callers would wait until their own time limits. A stored job waits for the withdrawal.
+func (p *Planner) refuseDrained(now time.Time) {
+	if len(p.drains.DataCentres) == 0 || p.awaitingEndpoints(now) {
+		return
+	}
+	leaveNone := map[indexKey]bool{}
+	memo := func(pool, label string) bool {
+		key := indexKey{pool: pool, label: label}
+		none, known := leaveNone[key]
+		if !known {
+			none = p.drainsLeaveNone(pool, label)
+			leaveNone[key] = none
+		}
+		return none
+	}
+	var refused []*job
+	for _, g := range p.queue.groups {
+		j := g.job
+		if j.spec.BestEffort && !j.started && !j.mayHaveRun && !slices.Contains(refused, j) && allDrained(j.spec, memo) {
+			refused = append(refused, j)
+		}
+	}
+	for _, j := range refused {
+		waited := now.Sub(j.arrived)
+		p.refused = append(p.refused, RefusedJob{Job: j.spec, Admission: Admission{
+			Expected: waited + drainedRetryAfter + j.spec.CriticalPath() + overhead, Limit: j.due.Sub(j.arrived), Wait: drainedRetryAfter, RetryAfter: drainedRetryAfter,
+		}})
+		p.Close(j.spec.ID)
+	}
+}
+
 // drainsLeaveNone reports whether a pool has drained endpoints with a label, and every
 // other one gets no runs either until it has a new session or answers again. An endpoint
 // that is suspended for some seconds is left. An empty label stands for all endpoints.
--- a/core/placement/drain_test.go
+++ b/core/placement/drain_test.go
@@ -34,7 +34,9 @@
 	f.drain(7, "east")
 	f.drain(6)
 	f.joinIn(2, "vm-2", "east", 4)
-	f.planner.Add(f.now, oneStep("second", 2), PriorState{})
+	stored := oneStep("second", 2)
+	stored.BestEffort = false
+	f.planner.Add(f.now, stored, PriorState{})
 	f.end(running[0], work.Failed)
 	f.advance(50 * time.Millisecond)
 	starts, stops := f.assign()
@@ -50,7 +52,7 @@
 	f.end(starts[0], work.Done)
 	f.end(starts[1], work.Done)
 	f.end(starts[2], work.Done)
-	assert.Equal(t, len(f.planner.TakeFinished()), 2)
+	f.assertFinished("first", work.Completed)
 }
 
 // TestRunsOfDrainedEndpointGoOn guards against a run that is stopped because of a drain:
@@ -98,6 +100,36 @@
 	assert.Assert(t, f.planner.Admit(f.now, long, PriorState{}).Accepted)
 }
 
+// TestDrainRefusesWaitingJobs guards against callers that wait for the withdrawal because
+// their job was accepted shortly before the drain, against a refusal of a job that may have
+// run or is stored, and against one while endpoints are expected.
+func TestDrainRefusesWaitingJobs(t *testing.T) {
+	f := newFixture(t, "vm-1", "vm-2")
+	f.joinIn(1, "vm-1", "east", 1)
+	f.planner.Add(f.now, oneStep("running", 1), PriorState{})
+	f.assign()
+	f.planner.Add(f.now, oneStep("waiting", 1), PriorState{})
+	f.planner.Add(f.now, oneStep("unclear", 1), PriorState{Started: true})
+	stored := oneStep("stored", 1)
+	stored.BestEffort = false
+	f.planner.Add(f.now, stored, PriorState{})
+	f.drain(7, "east")
+	assert.Equal(t, len(f.planner.TakeRefused()), 0, "vm-2 may join")
+	f.advance(leaseTimeout)
+	refused := f.planner.TakeRefused()
+	assert.Equal(t, len(refused), 1)
+	assert.Equal(t, refused[0].Job.ID, work.JobID("waiting"))
+	assert.Assert(t, refused[0].Admission.RetryAfter >= minRetryAfter)
+	for id, open := range map[work.JobID]bool{"running": true, "waiting": false, "unclear": true, "stored": true} {
+		assert.Equal(t, f.planner.Has(id), open, "%s", id)
+	}
+	f.planner.verify(t, f.now)
+	f.drain(8)
+	f.planner.Add(f.now, oneStep("waiting", 1), PriorState{})
+	f.drain(9, "east")
+	assert.Equal(t, len(f.planner.TakeRefused()), 1, "at once with the drain")
+}
+
 // TestRefusalForDrainIsNotForTheSession guards against an endpoint that stays unused
 // after the withdrawal, because its agent refused a start by drains that this planner did
 // not know.
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -50,6 +50,7 @@
 	lastTick  time.Time
 	orders    []Order
 	finished  []FinishedJob
+	refused   []RefusedJob
 	// awaitedVMs are the VMs whose endpoints may run tasks of an earlier term and
 	// have not joined yet.
 	awaitedVMs map[string]bool
@@ -133,10 +134,12 @@
 // are assigned to it, as when a best-effort job is submitted again to a new leader.
 // A job that another planner had is held while it may have unconfirmed runs.
 func (p *Planner) Add(now time.Time, spec *work.Job, prior PriorState) {
-	if p.jobs[spec.ID] != nil {
+	if j := p.jobs[spec.ID]; j != nil {
+		j.mayHaveRun = j.mayHaveRun || prior.MayHaveRun()
 		return
 	}
 	j := p.newJob(now.Add(-prior.Waited), spec)
+	j.mayHaveRun = prior.MayHaveRun()
 	p.hold(now, j, prior)
 	p.claim(now, j)
 	if p.jobs[spec.ID] != j {
--- a/core/placement/simulation_test.go
+++ b/core/placement/simulation_test.go
@@ -264,6 +264,14 @@
 			}
 		}
 	}
+	for _, refused := range sim.planner.TakeRefused() {
+		for task := range sim.started {
+			if task.Job == refused.Job.ID {
+				t.Fatalf("%s is refused as not run, and %v has started", task.Job, task)
+			}
+		}
+		delete(sim.open, refused.Job.ID)
+	}
 	for _, s := range sim.planner.TakeFinished() {
 		delete(sim.open, s.ID)
 		for t := range sim.done {
@@ -333,8 +341,8 @@
 // starts beyond an endpoint's capacity and run numbers that do not increase, under
 // lost agents, changes of the leader, entries that place jobs while there is none,
 // refused and delayed orders, abandoned jobs, drains, and jobs that are submitted again.
-// It also guards against tasks that never run, and against starts in a drained data
-// centre.
+// It also guards against tasks that never run, against starts in a drained data centre,
+// and against a refusal of a job that has run.
 func TestInvariantsHoldInRandomSimulations(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation()
--- a/core/placement/types.go
+++ b/core/placement/types.go
@@ -160,6 +160,8 @@
 	// started is set once a task was ordered to start, and begun once one is known to
 	// have begun. pending is set while the job counts as one of which none has.
 	started, begun, pending bool
+	// mayHaveRun is set if another planner may have started a task of the job.
+	mayHaveRun bool
 	// held is set while unconfirmed runs from an earlier planner of the job may
 	// exist. None of its tasks is queued then.
 	held  bool
--- a/daemon/scheduler/scheduler.go
+++ b/daemon/scheduler/scheduler.go
@@ -227,7 +227,7 @@
 }
 
 // AnswerFinished answers the requests that wait for best-effort jobs that have
-// ended.
+// ended, or are refused because of a drain.
 func (s *Scheduler) AnswerFinished(now time.Time) {
 	for _, finished := range s.Planner.TakeFinished() {
 		s.results[finished.ID] = result{state: finished.State, recordedAt: now}
@@ -237,9 +237,18 @@
 		}
 		delete(s.waiters, finished.ID)
 	}
+	for _, refused := range s.Planner.TakeRefused() {
+		r := s.Refuse(refused.Job, refused.Admission)
+		for _, w := range s.waiters[refused.Job.ID] {
+			answer := *r
+			answer.Sequence = w.Sequence
+			w.Answer(&answer)
+		}
+		delete(s.waiters, refused.Job.ID)
+	}
 }
 
-// Refuse returns the answer to a job that would complete too late.
+// Refuse returns the answer to a job that would complete too late, or that has no endpoint.
 func (s *Scheduler) Refuse(j *work.Job, a placement.Admission) *mesh.Response {
 	s.metrics.refused.Inc()
 	s.log.Emit(events.Event{ID: events.WorkRefused, Job: JobKey(j.ID), Text: refusalText(j, a)})
