--- a/daemon/fallback/fallback_test.go
+++ b/daemon/fallback/fallback_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -157,6 +158,40 @@
 	assert.Equal(t, (<-got).response.State, work.Completed)
 }
 
+// TestDrainAnswersWaitingCallers guards against a caller that waits until its own time limit
+// because its job was accepted just before the drain, and against one whose job runs and is
+// refused.
+func TestDrainAnswersWaitingCallers(t *testing.T) {
+	f := newFixture(t)
+	running := f.submit(context.Background(), jobPath, time.Second, placement.PriorState{})
+	conn := <-f.agent.conns
+	orders := []placement.Order{<-f.agent.orders, <-f.agent.orders}
+	const otherPath = "/q/00000000000000a2"
+	waiting := f.submit(context.Background(), otherPath, 5*time.Second, placement.PriorState{})
+	for !f.has("00000000000000a2") {
+		time.Sleep(time.Millisecond)
+	}
+	f.placer.SetDrained(work.DataCentreDrains{Revision: 4, DataCentres: []string{"east"}})
+	r := (<-waiting).response
+	assert.Assert(t, r.Outcome == mesh.Overloaded && r.RetryAfterMS > 0, "%+v", r)
+	for _, o := range orders {
+		f.agent.reportEnd(conn, o)
+	}
+	assert.Equal(t, (<-running).response.State, work.Completed)
+}
+
+// has reports whether the planner has a job open whose id ends like this.
+func (f *fixture) has(end string) bool {
+	f.placer.mu.Lock()
+	defer f.placer.mu.Unlock()
+	for _, r := range f.placer.open {
+		if strings.HasSuffix(string(r.id), end) {
+			return true
+		}
+	}
+	return false
+}
+
 // TestJobCompletesWithoutLeader guards against an entry that can't place a job on
 // its own.
 func TestJobCompletesWithoutLeader(t *testing.T) {
