--- a/daemon/fallback/fallback_test.go
+++ b/daemon/fallback/fallback_test.go
@@ -180,7 +180,7 @@
 	assert.Equal(t, (<-running).response.State, work.Completed)
 }
 
-// has reports whether the planner has a job open whose id ends like this.
+// has reports whether a request waits for a job whose id ends like this.
 func (f *fixture) has(end string) bool {
 	f.placer.mu.Lock()
 	defer f.placer.mu.Unlock()
