--- a/core/placement/admit.go
+++ b/core/placement/admit.go
@@ -46,6 +46,9 @@
 	expected := prior.Waited + wait + j.CriticalPath() + overhead
 	factor := p.admitFactor(now, j, wait)
 	limit := time.Duration(factor * float64(j.Objective()))
+	if len(p.drains.DataCentres) > 0 && allDrained(j, p.drainsLeaveNone) && !p.awaitingEndpoints(now) {
+		return Admission{Expected: expected, Limit: limit, Wait: wait, RetryAfter: drainedRetryAfter}
+	}
 	if expected <= limit {
 		return Admission{Accepted: true, Expected: expected, Limit: limit, Wait: wait}
 	}
--- a/daemon/scheduler/scheduler.go
+++ b/daemon/scheduler/scheduler.go
@@ -251,7 +251,7 @@
 	}
 }
 
-// Refuse returns the answer to a job that would complete too late.
+// Refuse returns the answer to a job that would complete too late, or that has no endpoint.
 func (s *Scheduler) Refuse(j *work.Job, a placement.Admission) *mesh.Response {
 	s.metrics.refused.Inc()
 	s.log.Emit(events.Event{ID: events.WorkRefused, Job: JobKey(j.ID), Text: refusalText(j, a)})
