work: Problems lists all that makes a configuration invalid

Cause: Validate returns the first problem only. A check of a configuration before it is sent has to list all of them, by the same rules.

--- a/core/work/queues.go
+++ b/core/work/queues.go
@@ -1,7 +1,9 @@
 package work
 
 import (
+	"errors"
 	"fmt"
+	"iter"
 	"strings"
 	"time"
 )
@@ -32,24 +34,54 @@
 	Document []byte
 }
 
-// Validate checks the configuration. The error names the queue.
-func (c *Configuration) Validate() error {
-	pools := map[string]bool{}
-	for _, p := range c.Pools {
-		pools[p] = true
-	}
-	owners := map[string]string{}
-	for _, q := range c.Queues {
-		route := q.Host + " " + q.Prefix
-		switch owner, taken := owners[route]; {
-		case !pools[q.Pool]:
-			return fmt.Errorf("queue %q: unknown pool %q", q.Name, q.Pool)
-		case q.Timeout <= 0:
-			return fmt.Errorf("queue %q: timeout must be positive", q.Name)
-		case taken:
-			return fmt.Errorf("queue %q: host and prefix belong to queue %q", q.Name, owner)
+// ProblemKind is what makes a configuration invalid.
+type ProblemKind uint8
+
+// Kinds of problems.
+const (
+	UnknownPool ProblemKind = iota + 1
+	NoTimeout
+	RouteTaken
+)
+
+// Problem is one reason for which a configuration is invalid. Its text names the queue.
+type Problem struct {
+	Kind ProblemKind
+	// Queue is an index of Configuration.Queues.
+	Queue int
+	Text  string
+}
+
+// Problems returns all problems, in the order of the queues.
+func (c *Configuration) Problems() iter.Seq[Problem] {
+	return func(yield func(Problem) bool) {
+		pools := map[string]bool{}
+		for _, p := range c.Pools {
+			pools[p] = true
+		}
+		owners := map[string]string{}
+		for i, q := range c.Queues {
+			report := func(kind ProblemKind, format string, args ...any) bool {
+				return yield(Problem{kind, i, fmt.Sprintf("queue %q: ", q.Name) + fmt.Sprintf(format, args...)})
+			}
+			route := q.Host + " " + q.Prefix
+			owner, taken := owners[route]
+			if !pools[q.Pool] && !report(UnknownPool, "unknown pool %q", q.Pool) ||
+				q.Timeout <= 0 && !report(NoTimeout, "timeout must be positive") ||
+				taken && !report(RouteTaken, "host and prefix belong to queue %q", owner) {
+				return
+			}
+			if !taken {
+				owners[route] = q.Name
+			}
 		}
-		owners[route] = q.Name
+	}
+}
+
+// Validate returns the first problem of the configuration.
+func (c *Configuration) Validate() error {
+	for p := range c.Problems() {
+		return errors.New(p.Text)
 	}
 	return nil
 }
@@ -84,8 +116,8 @@
 	return best, path[len(best.Prefix):]
 }
 
-// jobIDLength is the number of hexadecimal digits of a job's ID.
-const jobIDLength = 16
+// JobIDLength is the number of hexadecimal digits of a job's ID.
+const JobIDLength = 16
 
 // Resolve returns the queue of a path and the job that the path names, which is
 // empty for the queue itself. The queue is nil if the path is neither.
@@ -98,7 +130,7 @@
 }
 
 func validJobID(id string) bool {
-	if len(id) != jobIDLength {
+	if len(id) != JobIDLength {
 		return false
 	}
 	for _, c := range []byte(id) {
