cli: config check judges a configuration before it is sent

Cause: a faulty configuration was only found by sending it, and its effect on callers only once it was in force.

--- a/client/internal/cli/root.go
+++ b/client/internal/cli/root.go
@@ -69,7 +69,7 @@
 	root.SetErr(a.streams.Err)
 	a.flags.register(root.PersistentFlags(), env)
 	root.AddCommand(
-		a.statusCommand(), a.endpointsCommand(), a.jobsCommand(), a.jobCommand(), a.callCommand(), a.drainCommand(),
+		a.statusCommand(), a.endpointsCommand(), a.jobsCommand(), a.jobCommand(), a.callCommand(), a.drainCommand(), a.configCommand(),
 		a.ticketCommand(), a.groupCommand(), a.timelineCommand(), a.explainCommand(), a.versionCommand(), load.NewCommand(),
 	)
 	return root
