configjson: into platform/, where the platform's names are known

Cause: the JSON form of operators' configurations was in api/, and only platform/ is to know the platform's names. Change: package configjson moved to platform/configjson; the command line imports it. Result: tests of client/internal/cli, platform/configjson and TestCheckAgreesWithControl pass.

--- a/client/internal/cli/config.go
+++ b/client/internal/cli/config.go
@@ -9,7 +9,7 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/cicadapulley/cicadapulley/api/configjson"
+	"github.com/cicadapulley/cicadapulley/platform/configjson"
 	"github.com/cicadapulley/cicadapulley/client/internal/connect"
 	"github.com/cicadapulley/cicadapulley/client/internal/exit"
 	"github.com/cicadapulley/cicadapulley/client/internal/output"
