daemon/ingress: bounded connections, bodies and answers

A body was read whole for each connection, and a client could hold a connection with a header, a body that nobody reads, or an answer that it doesn't read.

Change: a gate for a listener. It counts connections by client address and phase, and closes the one that does least when a limit is reached. Memory for a body is taken as the buffer grows; a request waits for it for a bounded time, while the slowest connections are closed. Event 135, clients_limited, is the aggregated log line.

--- a/Makefile
+++ b/Makefile
@@ -72,6 +72,7 @@
 FUZZTIME ?= 30s
 fuzz:
 	cd daemon && $(GO) test ./storage -run '^$$' -fuzz FuzzReadLog -fuzztime $(FUZZTIME)
+	cd daemon && $(GO) test ./ingress -run '^$$' -fuzz FuzzReadBody -fuzztime $(FUZZTIME)
 	cd client && $(GO) test ./internal/ticketfile -run '^$$' -fuzz FuzzParseTicket -fuzztime $(FUZZTIME)
 	cd api && $(GO) test ./mesh -run '^$$' -fuzz FuzzRead -fuzztime $(FUZZTIME)
 	for f in FuzzBeat FuzzConfig FuzzJob; do (cd platform && $(GO) test . -run '^$$' -fuzz "$$f$$" -fuzztime $(FUZZTIME)) || exit 1; done
--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -226,17 +226,21 @@
 	return t.held+n <= available && c.client.held+n <= t.limits.ClientBytes
 }
 
-// Take adds n bytes to what a connection holds. If they don't fit, it returns false, and the
-// connection that should be closed to make room, if there is one: the slowest.
-func (t *Table) Take(c *Conn, n int64, now time.Time) (taken bool, victim *Conn) {
-	if t.fits(c, n) {
-		t.add(c, n)
-		return true, nil
+// Take adds n bytes to what a connection holds. It returns false if they don't fit.
+func (t *Table) Take(c *Conn, n int64) bool {
+	if !t.fits(c, n) {
+		return false
 	}
+	t.add(c, n)
+	return true
+}
+
+// Slowest returns the connection to close so that n bytes fit, nil if no connection stalls.
+func (t *Table) Slowest(c *Conn, n int64, now time.Time) *Conn {
 	if c.client.held+n > t.limits.ClientBytes {
-		return false, t.slowestHolder(c.client, now)
+		return t.slowestHolder(c.client, now)
 	}
-	return false, t.slowestHolder(nil, now)
+	return t.slowestHolder(nil, now)
 }
 
 // slowestHolder returns the stalled connection with the oldest progress that holds bytes.
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -23,17 +23,17 @@
 	large, _, _ := table.Open("a", at(0))
 	small, _, _ := table.Open("a", at(0))
 	other, _, _ := table.Open("b", at(0))
-	taken, _ := table.Take(large, 701, at(0))
+	taken := table.Take(large, 701)
 	assert.Assert(t, !taken, "the reserved part was taken")
-	taken, _ = table.Take(large, table.Largest(), at(0))
+	taken = table.Take(large, table.Largest())
 	assert.Assert(t, taken)
-	taken, _ = table.Take(small, 50, at(0))
+	taken = table.Take(small, 50)
 	assert.Assert(t, taken)
-	taken, _ = table.Take(small, 51, at(0))
+	taken = table.Take(small, 51)
 	assert.Assert(t, !taken)
-	taken, _ = table.Take(other, 51, at(0))
+	taken = table.Take(other, 51)
 	assert.Assert(t, !taken)
-	taken, _ = table.Take(other, 50, at(0))
+	taken = table.Take(other, 50)
 	assert.Assert(t, taken)
 }
 
@@ -45,17 +45,17 @@
 	body, _, _ := table.Open("a", at(0))
 	answer, _, _ := table.Open("b", at(0))
 	for _, c := range []*Conn{served, body, answer} {
-		taken, _ := table.Take(c, 200, at(0))
+		taken := table.Take(c, 200)
 		assert.Assert(t, taken)
 	}
 	table.Progress(served, Serving, at(1))
 	table.Progress(body, Body, at(20))
 	table.Progress(answer, Answer, at(10))
-	_, victim := table.Take(served, 500, at(50))
+	victim := table.Slowest(served, 500, at(50))
 	assert.Assert(t, victim == nil)
-	_, victim = table.Take(served, 300, at(110))
+	victim = table.Slowest(served, 300, at(110))
 	assert.Assert(t, victim == answer)
-	_, victim = table.Take(served, 700, at(120))
+	victim = table.Slowest(served, 700, at(120))
 	assert.Assert(t, victim == body, "the client's own limit is reached")
 	c, victim, reason := table.Open("c", at(110))
 	assert.Assert(t, c != nil && victim == answer && reason == TooMany)
@@ -133,7 +133,7 @@
 			},
 			"take": func(t *rapid.T) {
 				c, n := pick(), rapid.Int64Range(0, 700).Draw(t, "bytes")
-				taken, victim := table.Take(c, n, at(now))
+				taken, victim := table.Take(c, n), table.Slowest(c, n, at(now))
 				if victim != nil && (victim.phase != Body && victim.phase != Answer) {
 					t.Fatalf("victim in phase %d", victim.phase)
 				}
--- a/daemon/events/catalogue.go
+++ b/daemon/events/catalogue.go
@@ -25,6 +25,7 @@
 	PeerForbidden      ID = 132
 	ConnectionRefused  ID = 133
 	SettingsReread     ID = 134
+	ClientsLimited     ID = 135
 )
 
 // Events of membership.
@@ -173,6 +174,7 @@
 	{PeerForbidden, "peer_forbidden", zapcore.WarnLevel, "a peer's certificate does not allow the request; check its organizational unit and which process sent the request"},
 	{ConnectionRefused, "connection_refused", zapcore.WarnLevel, "a connection was closed because too many are open; find the client that opens them"},
 	{SettingsReread, "settings_reread", zapcore.InfoLevel, "the settings file was read again after SIGHUP; if the event has an error, the earlier settings stay in use"},
+	{ClientsLimited, "clients_limited", zapcore.WarnLevel, "clients met limits of a listener; the detail counts the limits that were met since the last such event; find the clients, or raise the limit's setting if they are in order"},
 	{MemberRegistered, "member_registered", zapcore.InfoLevel, "the process is registered with control and has a lease under a new incarnation"},
 	{LeaseRenewFailed, "lease_renew_failed", zapcore.WarnLevel, "the lease was not renewed and the renewal is retried; if it repeats, check that control has a leader, and the link to it"},
 	{LeaseLapsed, "lease_lapsed", zapcore.ErrorLevel, "the lease expired by this process's clock; nothing new starts until control renews the lease or registers the process again; check the link to the control VMs and the load of this VM"},
