ops: bounded clients of the operations page

Cause: any number of clients could ask for all buffered events, about 10 MB each, and not read them.

Change: the page uses a gate; the metrics and the events take memory for their answers first.

--- a/daemon/ops/ops.go
+++ b/daemon/ops/ops.go
@@ -15,8 +15,10 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/cicadapulley/cicadapulley/core/intake"
 	"github.com/cicadapulley/cicadapulley/core/job"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
+	"github.com/cicadapulley/cicadapulley/daemon/ingress"
 	"github.com/cicadapulley/cicadapulley/daemon/transport"
 )
 
@@ -27,6 +29,8 @@
 type Options struct {
 	Log      *events.Log
 	Listener net.Listener
+	// Gate bounds the clients; nil for one with defaults.
+	Gate *ingress.Gate
 	// Ready reports whether the process serves requests.
 	Ready func() bool
 	// Collectors are the role's own metrics.
@@ -36,6 +40,17 @@
 	Status func() any
 }
 
+// defaultGate bounds the clients of an operations page: Prometheus, a balancer and operators.
+var defaultGate = ingress.Options{
+	Name: "ops",
+	Limits: intake.Limits{
+		Connections: 64, ClientConnections: 58, Bytes: 16 << 20, ClientBytes: 14 << 20, ReservedBytes: 2 << 20, SmallBytes: metricsBytes,
+		StalledAfter: 250 * time.Millisecond,
+	},
+	HeaderTimeout: transport.HeaderTimeout, IdleTimeout: transport.IdleTimeout, BodyStallTimeout: 4 * time.Second, BodyTimeout: 15 * time.Second,
+	WaitTimeout: 500 * time.Millisecond, WriteTimeout: 5 * time.Second, ReceiveBytes: 16 << 10,
+}
+
 // Server is the operations server of one process.
 type Server struct {
 	opts     Options
@@ -48,22 +63,48 @@
 	s.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	s.registry.MustRegister(eventCollector{o.Log})
 	s.registry.MustRegister(o.Collectors...)
+	if o.Gate == nil {
+		s.opts.Gate = ingress.New(defaultGate)
+		s.registry.MustRegister(ingress.Collectors(s.opts.Gate)...)
+	}
 	return s
 }
 
 // Run serves until ctx is done.
 func (s *Server) Run(ctx context.Context) error {
 	srv := transport.NewServer(transport.Recover(s.opts.Log, s.Handler()), nil)
-	return transport.Serve(ctx, srv, s.opts.Listener, shutdownTimeout)
+	s.opts.Gate.Configure(srv)
+	return transport.Serve(ctx, srv, s.opts.Gate.Listener(s.opts.Listener), shutdownTimeout)
+}
+
+// Memory that an answer takes until it is written.
+const (
+	metricsBytes = 512 << 10
+	// eventsBytes is for all buffered events in both forms, about 600 bytes each.
+	eventsBytes = 10 << 20
+)
+
+// holding counts the memory of an answer. A request that finds none in time is refused.
+func holding(bytes int64, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		held := ingress.Begin(w, r)
+		defer held.End()
+		if err := held.Resize(bytes); err != nil {
+			w.Header().Set("Retry-After", "1")
+			writeText(w, http.StatusServiceUnavailable, err.Error())
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // Handler returns the handler of all routes.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{}))
+	mux.Handle("GET /metrics", holding(metricsBytes, promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { writeText(w, http.StatusOK, "ok") })
 	mux.HandleFunc("GET /readyz", s.ready)
-	mux.HandleFunc("GET /v1/events", s.events)
+	mux.Handle("GET /v1/events", holding(eventsBytes, http.HandlerFunc(s.events)))
 	mux.HandleFunc("GET /v1/status", s.status)
 	return mux
 }
