link, mesh: bounded memory for messages of other processes

Cause: each connection could take a message of 8 MiB, or of 64 MiB if it said that it was a control VM, at the same time: 60 connections took 826 MB of an agent and 853 MB of a control VM.

Change: the listeners of agents and control VMs have a gate. Connections without a Hello are closed first in favour of others. Memory for a body of up to 64 KiB was allocated before it arrived; now up to 4 KiB.

--- a/api/mesh/golden_test.go
+++ b/api/mesh/golden_test.go
@@ -28,7 +28,7 @@
 	assert.Assert(t, newMessage(byte(len(messages)+1)) == nil, "a message kind has no golden file")
 	check := func(name string, m Message) {
 		testfill.CheckGolden(t, "testdata/message-"+name+".cbor", m, encoded, func(data []byte) (Message, error) {
-			return Read(bytes.NewReader(data), MaxMessageBytes)
+			return Read(bytes.NewReader(data), MaxMessageBytes, nil)
 		})
 	}
 	for i, m := range messages {
--- a/api/mesh/mesh.go
+++ b/api/mesh/mesh.go
@@ -449,8 +449,9 @@
 }
 
 // Read reads one message of at most maxBytes. The error is io.EOF if r ends before
-// the header.
-func Read(r io.Reader, maxBytes int) (Message, error) {
+// the header. Before it uses more than smallBytes of memory, it calls grow, unless that is
+// nil, with all the memory that the message is going to use, and fails if grow does.
+func Read(r io.Reader, maxBytes int, grow func(bytes int) error) (Message, error) {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return nil, err
@@ -460,33 +461,43 @@
 	if m == nil || int64(size) > int64(min(maxBytes, MaxMessageBytes)) {
 		return nil, fmt.Errorf("invalid message header: kind %d, body of %d bytes", header[4], size)
 	}
-	body, err := readBody(r, int(size))
+	if grow == nil || size <= smallBytes {
+		grow = func(int) error { return nil }
+	}
+	body, err := readBody(r, int(size), grow)
 	if err != nil {
 		return nil, err
 	}
+	// The decoded form has copies of the body's strings.
+	if err := grow(2 * int(size)); err != nil {
+		return nil, err
+	}
 	if err := cbor.Unmarshal(body, m); err != nil {
 		return nil, fmt.Errorf("decode %T: %w", m, err)
 	}
 	return m, nil
 }
 
-// maxTrustedBytes is the size up to which the memory for a body is allocated before
-// the body has arrived.
-const maxTrustedBytes = 64 << 10
+// smallBytes is the size up to which the memory for a body is allocated before the
+// body has arrived, and is not counted.
+const smallBytes = 4 << 10
 
 // readBody reads a body. The memory for a large one grows with what has arrived, so
 // that a header with a wrong size takes none.
-func readBody(r io.Reader, size int) ([]byte, error) {
-	if size <= maxTrustedBytes {
-		body := make([]byte, size)
-		_, err := io.ReadFull(r, body)
-		return body, err
-	}
-	var body bytes.Buffer
-	if _, err := io.CopyN(&body, r, int64(size)); err != nil {
-		return nil, err
+func readBody(r io.Reader, size int, grow func(int) error) ([]byte, error) {
+	body := make([]byte, min(size, smallBytes))
+	for read := 0; ; {
+		n, err := io.ReadFull(r, body[read:])
+		read += n
+		if err != nil || read == size {
+			return body, err
+		}
+		larger := min(2*read, size)
+		if err := grow(read + larger); err != nil {
+			return nil, err
+		}
+		body = append(make([]byte, 0, larger), body...)[:larger]
 	}
-	return body.Bytes(), nil
 }
 
 // EncodeCommand encodes a command for the log.
--- a/api/mesh/mesh_test.go
+++ b/api/mesh/mesh_test.go
@@ -60,7 +60,7 @@
 		assert.NilError(t, Encode(&stream, m))
 	}
 	for _, want := range sampleMessages() {
-		got, err := Read(&stream, MaxMessageBytes)
+		got, err := Read(&stream, MaxMessageBytes, nil)
 		assert.NilError(t, err)
 		assert.DeepEqual(t, got, want)
 	}
@@ -92,7 +92,7 @@
 		f.Add(data)
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
-		m, err := Read(bytes.NewReader(data), MaxMessageBytes)
+		m, err := Read(bytes.NewReader(data), MaxMessageBytes, nil)
 		if err == nil && m == nil {
 			t.Fatal("Read returned neither a message nor an error")
 		}
--- a/daemon/coordinator/server.go
+++ b/daemon/coordinator/server.go
@@ -12,12 +12,14 @@
 	"github.com/cicadapulley/cicadapulley/daemon/link"
 )
 
+// MaxConnections bounds the connections of other processes. It stays below the VM's limit of
+// file descriptors.
+const MaxConnections = 2000
+
 const (
 	// clientTimeout is the time without a message after which the connection of an
 	// entry or agent is closed. Package follow pings at least twice within it.
 	clientTimeout = 800 * time.Millisecond
-	// maxConnections stays below the VM's limit of file descriptors.
-	maxConnections = 2000
 )
 
 // serve accepts connections until ctx ends.
@@ -27,7 +29,7 @@
 		return errors.Wrap(err, "listen")
 	}
 	return link.Serve(ctx, listener, link.ServeOptions{
-		Name: "coordinator/server", MaxConnections: maxConnections, Log: s.opts.Log,
+		Name: "coordinator/server", MaxConnections: MaxConnections, Gate: s.opts.Gate, Log: s.opts.Log,
 	}, s.handle)
 }
 
--- a/daemon/coordinator/service.go
+++ b/daemon/coordinator/service.go
@@ -25,6 +25,7 @@
 	"github.com/cicadapulley/cicadapulley/daemon/boottime"
 	"github.com/cicadapulley/cicadapulley/daemon/control/consensus"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
+	"github.com/cicadapulley/cicadapulley/daemon/ingress"
 	"github.com/cicadapulley/cicadapulley/daemon/scheduler"
 	"github.com/cicadapulley/cicadapulley/daemon/storage"
 	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
@@ -72,7 +73,9 @@
 	SnapshotBytes   int
 	// MemoryBytes is the memory of this VM, which bounds what a leader accepts; 0 means no bound.
 	MemoryBytes int64
-	Log         *events.Log
+	// Gate bounds the connections and messages of other processes; nil for none.
+	Gate *ingress.Gate
+	Log  *events.Log
 }
 
 // Service is a control VM.
--- a/daemon/ingress/request.go
+++ b/daemon/ingress/request.go
@@ -48,14 +48,15 @@
 	return q.conn.SetReadDeadline(t)
 }
 
-// BeginMessages returns the Request of a connection that carries messages and not HTTP. The
-// connection is not closed for another from now on, except while it receives a message.
-func BeginMessages(nc net.Conn) Request {
-	q := Request{conn: gateConn(nc)}
+// BeginMessages returns the Request of a connection that carries messages and not HTTP.
+func BeginMessages(nc net.Conn) Request { return Request{conn: gateConn(nc)} }
+
+// Established states that the connection's client has said who it is. From now on the connection is
+// closed for another only while it receives a large message.
+func (q *Request) Established() {
 	if q.conn != nil {
 		q.conn.progress(intake.Serving)
 	}
-	return q
 }
 
 // Grow takes memory for a message of which n bytes are expected next, as Resize does. Reads count as
--- a/daemon/link/link.go
+++ b/daemon/link/link.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
+	"github.com/cicadapulley/cicadapulley/daemon/ingress"
 	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
 )
 
@@ -51,9 +52,10 @@
 	sentAt, receivedAt atomic.Int64
 	// failure is why the writer ended, nil if it has not failed.
 	failure atomic.Pointer[error]
-	// maxBytes bounds a received message. Only the goroutine that calls Receive uses
-	// it.
+	// maxBytes bounds a received message, and memory counts what it takes. Only the
+	// goroutine that calls Receive uses them.
 	maxBytes  int
+	memory    ingress.Request
 	closed    chan struct{}
 	closeOnce sync.Once
 	writer    sync.WaitGroup
@@ -144,7 +146,8 @@
 	if err := l.conn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 		return nil, errors.Wrap(err, "set read deadline")
 	}
-	m, err := mesh.Read(l.reader, l.maxBytes)
+	m, err := mesh.Read(l.reader, l.maxBytes, l.memory.Grow)
+	l.memory.EndMessage()
 	if failure := l.failure.Load(); err != nil && failure != nil {
 		return nil, errors.Wrap(*failure, "write")
 	}
--- a/daemon/link/serve.go
+++ b/daemon/link/serve.go
@@ -10,6 +10,7 @@
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
+	"github.com/cicadapulley/cicadapulley/daemon/ingress"
 	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
 )
 
@@ -33,7 +34,10 @@
 	Name string
 	// MaxConnections bounds the open connections; further ones are closed at once.
 	MaxConnections int
-	Log            *events.Log
+	// Gate bounds the memory for messages, and closes connections without a Hello in favour
+	// of new ones; nil for none.
+	Gate *ingress.Gate
+	Log  *events.Log
 }
 
 // Serve accepts connections until ctx ends. Each connection has its own goroutine,
@@ -44,6 +48,9 @@
 	defer conns.Wait()
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	defer stop()
+	if o.Gate != nil {
+		l = o.Gate.Listener(l)
+	}
 	slots := make(chan struct{}, o.MaxConnections)
 	for {
 		c, err := l.Accept()
@@ -76,6 +83,7 @@
 	defer c.Close()
 	stop := context.AfterFunc(ctx, c.Close)
 	defer stop()
+	c.memory = ingress.BeginMessages(nc)
 	c.LimitMessages(maxHelloBytes)
 	first, err := c.Receive(helloTimeout)
 	if err != nil {
@@ -85,6 +93,7 @@
 	if !ok {
 		return errors.Wrapf(ErrUnexpected, "first message is %T", first)
 	}
+	c.memory.Established()
 	c.LimitMessages(maxMessageBytes)
 	return handle(ctx, c, hello)
 }
--- a/daemon/runner/participants.go
+++ b/daemon/runner/participants.go
@@ -16,8 +16,8 @@
 	// entryTimeout is the time without a message after which the connection of an
 	// entry is closed. Entries ping at a third of it.
 	entryTimeout = 600 * time.Millisecond
-	// maxEntryConnections limits the connections of entries.
-	maxEntryConnections = 64
+	// MaxEntryConnections limits the connections of entries.
+	MaxEntryConnections = 64
 )
 
 // schedulerConn is the connection to a scheduler that may order runs: the leader,
@@ -81,7 +81,7 @@
 // serveEntries accepts the connections of entries until ctx ends.
 func (s *Service) serveEntries(ctx context.Context) error {
 	return link.Serve(ctx, s.opts.Listener, link.ServeOptions{
-		Name: "runner/entries", MaxConnections: maxEntryConnections, Log: s.opts.Log,
+		Name: "runner/entries", MaxConnections: MaxEntryConnections, Gate: s.opts.Gate, Log: s.opts.Log,
 	}, s.serveEntry)
 }
 
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -25,6 +25,7 @@
 	"github.com/cicadapulley/cicadapulley/core/runtable"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 	"github.com/cicadapulley/cicadapulley/daemon/follow"
+	"github.com/cicadapulley/cicadapulley/daemon/ingress"
 	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
 )
 
@@ -42,6 +43,8 @@
 	MaxHold time.Duration
 	// Listener accepts connections of entries; nil for none.
 	Listener net.Listener
+	// Gate bounds these connections and their messages; nil for none.
+	Gate *ingress.Gate
 	// DrainTimeout limits the wait for runs at a planned stop of the agent; 0 means
 	// defaultDrainTimeout.
 	DrainTimeout time.Duration
