entry, agent, control: bounded connections and requests of the product's own front end

Cause: twirp reads each request whole with no limit at all, and the callers' interface of entries read up to 8 MiB for each of 4,096 connections.

Change: their listeners have gates. Requests of other processes are read within the budget before twirp copies them; callers' bodies stay counted until the request ends.

There is no load test with processes of this front end.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -14,6 +14,7 @@
 	"github.com/cicadapulley/cicadapulley/api/rpc"
 	"github.com/cicadapulley/cicadapulley/core/state"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
+	"github.com/cicadapulley/cicadapulley/daemon/ingress"
 	"github.com/cicadapulley/cicadapulley/daemon/membership"
 	"github.com/cicadapulley/cicadapulley/daemon/settings"
 	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
@@ -41,11 +42,13 @@
 	opts     Options
 	members  *membership.Service
 	executor *executor
+	// gate bounds the connections and requests of entries.
+	gate *ingress.Gate
 }
 
 // New returns an agent; Run starts it.
 func New(o Options) *Service {
-	s := &Service{opts: o}
+	s := &Service{opts: o, gate: transport.NewGate("entries", transport.MaxConnections, o.Settings.RequestMemory())}
 	s.members = membership.New(o.Control, o.Log, member(o), nil)
 	client := transport.NewEndpointClient(o.EndpointNetwork, o.Settings.Connections)
 	s.executor = newExecutor(o.Settings, s.members, o.Log, &endpoint{url: o.Settings.Endpoint, client: client})
@@ -95,15 +98,20 @@
 	})
 	tree.Add(supervisor.Child{Name: "membership", Run: s.members.Run})
 	tree.Add(supervisor.Child{Name: "api", Run: s.serve})
+	tree.Add(supervisor.Child{Name: "limits", Run: func(ctx context.Context) error { return ingress.Report(ctx, s.opts.Log, s.gate) }})
 	return tree.Run(ctx)
 }
 
+// Gates returns the gate of the agent's listener, for its metrics.
+func (s *Service) Gates() []*ingress.Gate { return []*ingress.Gate{s.gate} }
+
 func (s *Service) serve(ctx context.Context) error {
 	mux := http.NewServeMux()
 	server := rpc.NewAgentServer(&api{executor: s.executor})
-	mux.Handle(server.PathPrefix(), s.opts.Security.Require(transport.RoleEntry, server))
+	mux.Handle(server.PathPrefix(), s.opts.Security.Require(transport.RoleEntry, ingress.Buffered(transport.MaxRequestBytes, server)))
 	h := transport.Recover(s.opts.Log, mux)
 	srv := transport.NewServer(h, s.opts.Security.ServerConfig())
+	s.gate.Configure(srv)
 	serveCtx, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	go func() {
@@ -111,7 +119,7 @@
 		s.drain(serveCtx)
 		stopServing()
 	}()
-	return transport.Serve(serveCtx, srv, s.opts.Listener, s.opts.Settings.DrainTimeout())
+	return transport.Serve(serveCtx, srv, s.gate.Listener(s.opts.Listener), s.opts.Settings.DrainTimeout())
 }
 
 // drain refuses new tasks and waits for the running ones. The server keeps
--- a/daemon/app/app.go
+++ b/daemon/app/app.go
@@ -128,6 +128,7 @@
 		Ready:      service.Ready,
 		Status:     func() any { return service.Replica().Status() },
 		Collectors: service.Collectors(),
+		Gates:      service.Gates(),
 	})
 	if err != nil {
 		return err
@@ -170,6 +171,7 @@
 		Ready:      service.Ready,
 		Status:     func() any { return service.Status() },
 		Collectors: service.Collectors(),
+		Gates:      service.Gates(),
 	})
 	if err != nil {
 		return err
@@ -196,6 +198,7 @@
 	err = p.addOps(ctx, ops.Options{
 		Ready:      service.Members().LeaseValid,
 		Collectors: service.Collectors(),
+		Gates:      service.Gates(),
 	})
 	if err != nil {
 		return err
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -19,6 +19,7 @@
 	"github.com/cicadapulley/cicadapulley/core/state"
 	"github.com/cicadapulley/cicadapulley/daemon/control/consensus"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
+	"github.com/cicadapulley/cicadapulley/daemon/ingress"
 	"github.com/cicadapulley/cicadapulley/daemon/settings"
 	"github.com/cicadapulley/cicadapulley/daemon/storage"
 	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
@@ -54,6 +55,8 @@
 	replica  *Replica
 	leases   *leases
 	draining atomic.Bool
+	// gate bounds the connections and requests of other processes and of operators.
+	gate *ingress.Gate
 }
 
 // Open opens the data folder and returns the control VM; Run starts it. It fails if
@@ -69,7 +72,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "open data folder")
 	}
-	s := &Service{opts: o, store: store}
+	s := &Service{opts: o, store: store, gate: transport.NewGate("processes", transport.MaxConnections, o.Settings.RequestMemory())}
 	if err := s.init(); err != nil {
 		store.Close()
 		return nil, err
@@ -168,6 +171,7 @@
 	tree.Add(supervisor.Child{Name: "consensus", Run: s.replica.Run})
 	tree.Add(supervisor.Child{Name: "leases", Run: s.leases.Run})
 	tree.Add(supervisor.Child{Name: "api", Run: s.serve})
+	tree.Add(supervisor.Child{Name: "limits", Run: func(ctx context.Context) error { return ingress.Report(ctx, s.opts.Log, s.gate) }})
 	return tree.Run(ctx)
 }
 
@@ -177,6 +181,9 @@
 	return rpc.NewOperatorServer(&api{replica: s.replica, leases: s.leases, log: s.opts.Log, stopping: context.Background()})
 }
 
+// Gates returns the gate of the VM's listener, for its metrics.
+func (s *Service) Gates() []*ingress.Gate { return []*ingress.Gate{s.gate} }
+
 func (s *Service) serve(ctx context.Context) error {
 	mux := http.NewServeMux()
 	handlers := &api{replica: s.replica, leases: s.leases, log: s.opts.Log, stopping: ctx}
@@ -187,7 +194,8 @@
 	mux.Handle(operator.PathPrefix(), sec.Require(transport.RoleOperator, operator))
 	raftServer := rpc.NewRaftServer(&raftAPI{driver: s.replica.Driver, log: s.opts.Log, id: s.replica.Status().ID})
 	mux.Handle(raftServer.PathPrefix(), sec.Require(transport.RoleControl, raftServer))
-	srv := transport.NewServer(transport.Recover(s.opts.Log, mux), sec.ServerConfig())
+	srv := transport.NewServer(transport.Recover(s.opts.Log, ingress.Buffered(transport.MaxRequestBytes, mux)), sec.ServerConfig())
+	s.gate.Configure(srv)
 	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go func() {
@@ -195,7 +203,7 @@
 		s.handOver()
 		stop()
 	}()
-	return transport.Serve(serveCtx, srv, s.opts.Listener, s.opts.Settings.DrainTimeout())
+	return transport.Serve(serveCtx, srv, s.gate.Listener(s.opts.Listener), s.opts.Settings.DrainTimeout())
 }
 
 // handOver withdraws readiness and transfers leadership to another VM.
--- a/daemon/dev/api.go
+++ b/daemon/dev/api.go
@@ -149,18 +149,18 @@
 	for i, c := range s.controls {
 		if id == controlID(i) {
 			o.Status = func() any { return c.Replica().Status() }
-			o.Collectors = c.Collectors()
+			o.Collectors, o.Gates = c.Collectors(), c.Gates()
 		}
 	}
 	for i, e := range s.entries {
 		if id == entryID(i) {
 			o.Status = func() any { return e.Status() }
-			o.Collectors = e.Collectors()
+			o.Collectors, o.Gates = e.Collectors(), e.Gates()
 		}
 	}
 	for i, a := range s.agents {
 		if id == agentID(i) {
-			o.Collectors = a.Collectors()
+			o.Collectors, o.Gates = a.Collectors(), a.Gates()
 		}
 	}
 }
--- a/daemon/entry/callhandler.go
+++ b/daemon/entry/callhandler.go
@@ -11,6 +11,7 @@
 	"github.com/cicadapulley/cicadapulley/core/job"
 	"github.com/cicadapulley/cicadapulley/core/state"
 	"github.com/cicadapulley/cicadapulley/core/verdict"
+	"github.com/cicadapulley/cicadapulley/daemon/ingress"
 )
 
 // callPrefix separates the IDs of calls from those of jobs.
@@ -20,7 +21,9 @@
 // call is recorded as a job of one task, so that it runs at most once even if it
 // is resubmitted.
 func (a *callerAPI) call(w http.ResponseWriter, q *http.Request, p httprouter.Params) {
-	body, err := a.readBody(w, q)
+	held := ingress.Begin(w, q)
+	defer held.End()
+	body, err := a.readBody(w, &held, q)
 	if err != nil {
 		writeRefusal(w, err)
 		return
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/cicadapulley/cicadapulley/core/dispatch"
 	"github.com/cicadapulley/cicadapulley/core/state"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
+	"github.com/cicadapulley/cicadapulley/daemon/ingress"
 	"github.com/cicadapulley/cicadapulley/daemon/membership"
 	"github.com/cicadapulley/cicadapulley/daemon/settings"
 	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
@@ -53,11 +54,18 @@
 	// entryHTTPClient sends requests to other entries.
 	entryHTTPClient *http.Client
 	draining        atomic.Bool
+	// entryGate bounds the connections and requests of other entries, callerGate those of callers.
+	entryGate, callerGate *ingress.Gate
 }
 
 // New returns an entry; Run starts it.
 func New(o Options) *Service {
-	s := &Service{opts: o}
+	memory := o.Settings.RequestMemory()
+	s := &Service{
+		opts:       o,
+		entryGate:  transport.NewGate("entries", transport.MaxConnections, memory),
+		callerGate: transport.NewGate("callers", o.Settings.ConnectionLimit(), memory),
+	}
 	s.dispatcher = newDispatcher(dispatch.Options{
 		Strategy:   strategy(o.Settings.Dispatch),
 		DataCentre: o.Settings.DataCentre,
@@ -138,9 +146,13 @@
 	tree.Add(supervisor.Child{Name: "jobs", Run: s.jobs.Run})
 	tree.Add(supervisor.Child{Name: "api", Run: s.serveEntries})
 	tree.Add(supervisor.Child{Name: "callers", Run: s.serveCallers})
+	tree.Add(supervisor.Child{Name: "limits", Run: func(ctx context.Context) error { return ingress.Report(ctx, s.opts.Log, s.Gates()...) }})
 	return tree.Run(ctx)
 }
 
+// Gates returns the gates of the entry's listeners, for its metrics.
+func (s *Service) Gates() []*ingress.Gate { return []*ingress.Gate{s.entryGate, s.callerGate} }
+
 // runMembership releases the lease after all later children have stopped.
 func (s *Service) runMembership(ctx context.Context) error {
 	err := s.members.Run(ctx)
@@ -155,9 +167,10 @@
 func (s *Service) serveEntries(ctx context.Context) error {
 	mux := http.NewServeMux()
 	server := rpc.NewEntryServer(&entryAPI{jobs: s.jobs})
-	mux.Handle(server.PathPrefix(), s.opts.Security.Require(transport.RoleEntry, server))
+	mux.Handle(server.PathPrefix(), s.opts.Security.Require(transport.RoleEntry, ingress.Buffered(transport.MaxRequestBytes, server)))
 	srv := transport.NewServer(transport.Recover(s.opts.Log, mux), s.opts.Security.ServerConfig())
-	return transport.Serve(ctx, srv, s.opts.Listener, s.opts.Settings.DrainTimeout())
+	s.entryGate.Configure(srv)
+	return transport.Serve(ctx, srv, s.entryGate.Listener(s.opts.Listener), s.opts.Settings.DrainTimeout())
 }
 
 // serveCallers withdraws readiness and waits for the balancer before it stops
@@ -166,7 +179,8 @@
 	s.draining.Store(false)
 	api := &callerAPI{service: s, jobs: s.jobs, settings: s.opts.Settings}
 	srv := transport.NewServer(transport.Recover(s.opts.Log, api.routes()), nil)
-	l := transport.LimitListener(s.opts.CallerListener, s.opts.Settings.ConnectionLimit())
+	s.callerGate.Configure(srv)
+	l := s.callerGate.Listener(s.opts.CallerListener)
 	serveCtx, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	go func() {
--- a/daemon/ingress/request.go
+++ b/daemon/ingress/request.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -145,6 +146,33 @@
 	}
 }
 
+// Buffered reads the body of each request, of up to limit bytes, before the next handler, which
+// would read it whole with no limit. Body and decoded form stay counted until the request ends. A
+// request that is refused here has had no effect.
+func Buffered(limit int, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		q := Begin(w, r)
+		defer q.End()
+		data, err := q.ReadBody(r, limit)
+		if err == nil {
+			err = q.Resize(4 * int64(len(data))) // the handler copies it and decodes the copy
+		}
+		switch {
+		case err == nil:
+			r.Body = io.NopCloser(bytes.NewReader(data))
+			next.ServeHTTP(w, r)
+			return
+		case errors.Is(err, ErrBusy), errors.Is(err, ErrSlow):
+			w.Header().Set("Retry-After", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case errors.Is(err, ErrTooLarge):
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+		default:
+			w.WriteHeader(http.StatusBadRequest)
+		}
+	})
+}
+
 const (
 	// firstBytes is the buffer for a body of unknown size, and the largest that is allocated for
 	// a size which a header promises.
--- a/daemon/ops/ops.go
+++ b/daemon/ops/ops.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -29,8 +30,10 @@
 type Options struct {
 	Log      *events.Log
 	Listener net.Listener
-	// Gate bounds the clients; nil for one with defaults.
+	// Gate bounds the clients of this page; nil for one with defaults.
 	Gate *ingress.Gate
+	// Gates are those of the process's other listeners, for metrics.
+	Gates []*ingress.Gate
 	// Ready reports whether the process serves requests.
 	Ready func() bool
 	// Collectors are the role's own metrics.
@@ -65,8 +68,8 @@
 	s.registry.MustRegister(o.Collectors...)
 	if o.Gate == nil {
 		s.opts.Gate = ingress.New(defaultGate)
-		s.registry.MustRegister(ingress.Collectors(s.opts.Gate)...)
 	}
+	s.registry.MustRegister(ingress.Collectors(append(slices.Clone(o.Gates), s.opts.Gate)...)...)
 	return s
 }
 
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -16,6 +16,8 @@
 	DefaultMaxBodyBytes    = 8 << 20
 	DefaultMaxConnections  = 4096
 	DefaultMaxDeadline     = 5 * time.Minute
+	// DefaultRequestMemoryBytes serves one body of DefaultMaxBodyBytes while others wait.
+	DefaultRequestMemoryBytes = 64 << 20
 )
 
 // Process holds the settings that are common to all roles.
@@ -35,6 +37,16 @@
 	TLS      *TLS   `json:"tls"`
 	// DrainMS is the time-out of a planned stop in milliseconds.
 	DrainMS int64 `json:"drain_ms"`
+	// RequestMemoryBytes bounds what the open requests of each listener hold.
+	RequestMemoryBytes int64 `json:"request_memory_bytes"`
+}
+
+// RequestMemory returns the memory for the open requests of each listener.
+func (p Process) RequestMemory() int64 {
+	if p.RequestMemoryBytes == 0 {
+		return DefaultRequestMemoryBytes
+	}
+	return p.RequestMemoryBytes
 }
 
 // TLS names the files of mutual TLS.
@@ -86,6 +98,7 @@
 		report("log_level", fmt.Sprintf("%q is none of debug, info, warn, error", p.LogLevel))
 	}
 	requireNotNegative(report, "drain_ms", p.DrainMS)
+	requireNotNegative(report, "request_memory_bytes", p.RequestMemoryBytes)
 	if p.TLS != nil {
 		requireValue(report, "tls.cert_file", p.TLS.CertFile)
 		requireValue(report, "tls.key_file", p.TLS.KeyFile)
