--- a/daemon/ingress/gate.go
+++ b/daemon/ingress/gate.go
@@ -259,6 +259,9 @@
 	entry *intake.Conn
 	// followsReads is set while each read counts as progress of a body.
 	followsReads atomic.Bool
+	// received is set once a byte has been received. A balancer may open connections in advance,
+	// which are closed like slow ones but not counted.
+	received atomic.Bool
 }
 
 func (c *conn) progress(p intake.Phase) { c.progressAt(p, time.Now()) }
@@ -278,10 +281,13 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n > 0 && !c.received.Load() {
+		c.received.Store(true)
+	}
 	if n > 0 && c.followsReads.Load() {
 		c.progress(intake.Body)
 	}
-	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) && c.phase() == intake.Header {
+	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) && c.received.Load() && c.phase() == intake.Header {
 		c.gate.meet(limitSlowHeader)
 	}
 	return n, err
