mesh: bounded decoded size of messages

Cause: CBOR amplifies as JSON does. A list of empty maps decodes to 160 times its size, so that one message of 8 MiB could take over 1 GB of an agent or control VM, and no budget for its bytes helps.

Change: the maps, lists, numbers and strings of a message over 4 KiB are counted before it is decoded. A message that would decode to more than 16 times its size is refused; the estimate of others is taken from the gate's budget while they are decoded.

--- a/api/mesh/mesh.go
+++ b/api/mesh/mesh.go
@@ -468,9 +468,15 @@
 	if err != nil {
 		return nil, err
 	}
-	// The decoded form has copies of the body's strings.
-	if err := grow(2 * int(size)); err != nil {
-		return nil, err
+	if size > smallBytes {
+		decoded := decodedBytes(body)
+		if decoded > maxGrowth*int(size) {
+			return nil, fmt.Errorf("invalid message: %d bytes, decoded up to %d", size, decoded)
+		}
+		// The decoded form also has copies of the body's strings.
+		if err := grow(2*int(size) + decoded); err != nil {
+			return nil, err
+		}
 	}
 	if err := cbor.Unmarshal(body, m); err != nil {
 		return nil, fmt.Errorf("decode %T: %w", m, err)
--- a/api/mesh/mesh_test.go
+++ b/api/mesh/mesh_test.go
@@ -96,6 +96,9 @@
 		if err == nil && m == nil {
 			t.Fatal("Read returned neither a message nor an error")
 		}
+		if decodedBytes(data) < 0 { // Read counts only large messages
+			t.Fatal("the decoded size is negative")
+		}
 	})
 }
 
