mesh: a message may cost at most four times the memory for all messages

Cause: a message within the bound of 16 times its size may still take 144 MB, on an agent of 152 MB.

Change: a message that is going to cost more than four times the gate's memory is refused.

--- a/daemon/ingress/ingress_test.go
+++ b/daemon/ingress/ingress_test.go
@@ -121,6 +121,20 @@
 	waitMet(t, g, limitSlowHeader, limitSlowAnswer)
 }
 
+// TestMessageCost guards against a message whose decoded form fills the memory, and against a snapshot
+// that is refused since it costs more than all messages may hold.
+func TestMessageCost(t *testing.T) {
+	g := newTestGate()
+	near, far := net.Pipe()
+	defer near.Close()
+	q := BeginMessages(g.admit(far))
+	assert.NilError(t, q.Grow(4*60<<10))
+	assert.Equal(t, q.Grow(4*60<<10+1), ErrTooLarge)
+	q.EndMessage()
+	_ = q.conn.Close()
+	waitMet(t, g)
+}
+
 // FuzzReadBody guards against bytes or connections that stay counted after requests of any form, which
 // end anywhere, while others hold up to all of the memory.
 func FuzzReadBody(f *testing.F) {
--- a/daemon/ingress/request.go
+++ b/daemon/ingress/request.go
@@ -17,8 +17,8 @@
 	ErrBusy = errors.New("too many requests hold memory")
 	// ErrSlow is returned for a body that arrives too slowly.
 	ErrSlow = errors.New("the body arrives too slowly")
-	// ErrTooLarge is returned for a body over the limit.
-	ErrTooLarge = errors.New("the body is too large")
+	// ErrTooLarge is returned for a body or message over the limit.
+	ErrTooLarge = errors.New("the body or message is too large")
 )
 
 type connKey struct{}
@@ -60,9 +60,17 @@
 	}
 }
 
-// Grow takes memory for a message of which n bytes are expected next, as Resize does. Reads count as
-// progress until EndMessage.
+// maxMessageFactor bounds the cost of one message as a multiple of the memory for all. A snapshot may
+// cost more than all messages may hold, and is read alone; four times an eighth or a sixth of a
+// machine's memory still fits into it.
+const maxMessageFactor = 4
+
+// Grow takes memory for a message that is going to use n bytes, as Resize does. Reads count as progress
+// until EndMessage.
 func (q *Request) Grow(n int) error {
+	if q.conn != nil && int64(n) > maxMessageFactor*q.conn.gate.opts.Limits.Bytes {
+		return ErrTooLarge
+	}
 	err := q.Resize(int64(n))
 	if q.conn != nil && err == nil {
 		q.conn.progress(intake.Body)
