--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -26,6 +26,7 @@
 	"github.com/cicadapulley/cicadapulley/core/work"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 	"github.com/cicadapulley/cicadapulley/daemon/follow"
+	"github.com/cicadapulley/cicadapulley/daemon/ingress"
 	"github.com/cicadapulley/cicadapulley/daemon/link"
 	"github.com/cicadapulley/cicadapulley/daemon/supervisor"
 )
@@ -44,6 +45,8 @@
 	MaxHold time.Duration
 	// Listener accepts connections of entries; nil for none.
 	Listener net.Listener
+	// Gate bounds these connections and their messages; nil for none.
+	Gate *ingress.Gate
 	// DrainTimeout limits the wait for runs at a planned stop of the agent; 0 means
 	// defaultDrainTimeout.
 	DrainTimeout time.Duration
