interference: correct a finding's slowdown for exposure, and later evidence for the finding

Cause: on simulated endpoints a slowdown of 2 was estimated as 1.3, because the other queue also comes to runs that started without it, and leaves those that started with it. And after a finding, evidence from before and after it had different means, so that two further pairs of the queue were found by mistake.

Change: the effect is divided by the difference in exposure, by the presence at start and end. A finding moves all observations of its queue to the same mean. Pairs are reviewed every 10 s instead of every second, which cost more than the observations of a small system with 110 queues.

--- a/core/interference/observe.go
+++ b/core/interference/observe.go
@@ -29,7 +29,8 @@
 }
 
 // Observe records a run of a queue that has ended in success. The expected duration takes
-// the task's estimate and the endpoint's learned slowdown at the start into account. Several
+// the task's estimate and the endpoint's learned slowdown at the start into account. The
+// endpoint no longer counts the run. Several
 // runs with one cause for their durations, such as the tasks of one step, must be
 // observed only once, and chosen by something other than their duration.
 func (t *Table) Observe(now time.Time, id QueueID, e *Endpoint, beside Neighbours, expected, took time.Duration) {
@@ -37,6 +38,7 @@
 		return
 	}
 	t.advance(now)
+	t.Observed++
 	q := t.queues[id]
 	q.lastUsed = now
 	known := t.knownEffect(q, beside.Queues)
@@ -52,10 +54,16 @@
 	for other := range beside.Queues.All() {
 		p := &q.pairs[other]
 		p.cells[k].add(t.weight, value)
+		if e.present.Contains(other) {
+			p.stayed += t.weight
+		}
 		if p.finding != nil {
 			p.removed += t.weight * p.finding.effect
 		}
 	}
+	for other := range e.present.Without(beside.Queues).All() {
+		q.pairs[other].came += t.weight
+	}
 }
 
 // knownEffect returns the sum of the effects of the neighbours that slow the queue
--- a/core/interference/review.go
+++ b/core/interference/review.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	// reviewPeriod is the time in which all pairs are looked at once.
-	reviewPeriod = time.Second
+	// reviewPeriod is the time in which all pairs are looked at once. With 110 queues, a period
+	// of one second costs more than the observations of a small system.
+	reviewPeriod = 10 * time.Second
 	// minEffect is the logarithm of the smallest slowdown that matters, 1.1. It also covers
 	// small biases, as of the number of neighbours within a stratum.
 	minEffect = 0.0953
@@ -27,6 +28,8 @@
 	keepShare = 0.5
 	// maxSlowdown bounds the slowdown of a finding.
 	maxSlowdown = 4.0
+	// minExposure bounds the difference in exposure by which an effect is divided.
+	minExposure = 0.3
 )
 
 // threshold returns the number of standard errors by which a difference must exceed
@@ -47,6 +50,9 @@
 	effect float64
 	// with and without are the weighted numbers of runs in the strata that have both.
 	with, without float64
+	// exposure is the difference in the shares of the runs' time during which the other queue
+	// is beside them, by its presence at their start and end.
+	exposure float64
 	// z is the excess of the effect over minEffect in standard errors.
 	z float64
 }
@@ -73,6 +79,8 @@
 		return c
 	}
 	c.effect = difference/weights + p.removed/p.n()
+	with := p.n()
+	c.exposure = max((1+p.stayed/with-p.came/max(n-with, t.weight))/2, minExposure)
 	variance := q.squares / n
 	c.z = (c.effect - minEffect) * math.Sqrt(weights/t.weight/variance)
 	return c
@@ -81,15 +89,15 @@
 // Review looks for pairs to conclude on, and for findings whose evidence has faded. It
 // looks at a part of the queues at a time, in proportion to the time since the last call.
 func (t *Table) Review(now time.Time) {
-	elapsed := now.Sub(t.reviewedAt)
+	share := min(max(now.Sub(t.reviewedAt).Seconds()/reviewPeriod.Seconds(), 0), 1)
 	t.reviewedAt = now
-	if len(t.queues) == 0 {
+	t.due += share * float64(len(t.queues))
+	if t.due < 1 {
 		return
 	}
 	t.advance(now)
 	threshold := t.threshold()
-	share := min(max(elapsed.Seconds()/reviewPeriod.Seconds(), 0), 1)
-	for range int(math.Ceil(share * float64(len(t.queues)))) {
+	for ; t.due >= 1; t.due-- {
 		t.next = (t.next + 1) % len(t.queues)
 		t.reviewQueue(now, QueueID(t.next), threshold)
 	}
@@ -110,7 +118,7 @@
 		case p.finding != nil && c.z < keepShare*threshold:
 			t.drop(id, QueueID(i))
 		case p.finding != nil:
-			t.update(p.finding, c)
+			t.update(q, p, c)
 		case c.z > bestZ && min(c.with, c.without) >= minObservations:
 			best, bestZ = QueueID(i), c.z
 		}
@@ -120,9 +128,15 @@
 	}
 }
 
-func (t *Table) update(f *Finding, c comparison) {
-	f.effect = min(c.effect, math.Log(maxSlowdown))
-	f.Slowdown = math.Exp(f.effect)
+// update sets the figures of a pair's finding, and takes the change of its effect off the
+// observations.
+func (t *Table) update(q *queue, p *pair, c comparison) {
+	f := p.finding
+	change := c.effect - f.effect
+	p.removed += change * p.n()
+	q.shift(p, -change)
+	f.effect = c.effect
+	f.Slowdown = min(math.Exp(c.effect/c.exposure), maxSlowdown)
 	f.Observations = c.with
 	f.Confidence = 1 - min(t.comparisons()*math.Erfc(c.z/math.Sqrt2)/2, 1)
 }
@@ -133,10 +147,8 @@
 	q := t.queues[id]
 	p := &q.pairs[other]
 	f := &Finding{Queue: q.name, Beside: t.queues[other].name, Since: now}
-	t.update(f, t.compare(q, p))
 	p.finding = f
-	q.shift(p, -f.effect)
-	p.removed = f.effect * p.n()
+	t.update(q, p, t.compare(q, p))
 	for i := range t.queues {
 		if o := &q.pairs[i]; o.finding == nil {
 			*o = pair{}
@@ -166,10 +178,26 @@
 	t.findings--
 }
 
-// shift adds a value to the observations of a pair.
+// shift adds a value to the observations of a pair. It then moves all observations and
+// the level so that their mean is zero, as that of later ones will be: otherwise earlier
+// and later observations of the other pairs would differ.
 func (q *queue) shift(p *pair, value float64) {
+	n, sum := 0.0, 0.0
 	for k := range p.cells {
 		p.cells[k].sum += value * p.cells[k].n
 		q.total[k].sum += value * p.cells[k].n
+		n += q.total[k].n
+		sum += q.total[k].sum
+	}
+	if n <= 0 {
+		return
+	}
+	mean := sum / n
+	q.level += mean
+	for k := range q.total {
+		q.total[k].sum -= mean * q.total[k].n
+		for i := range q.pairs {
+			q.pairs[i].cells[k].sum -= mean * q.pairs[i].cells[k].n
+		}
 	}
 }
--- a/core/interference/set.go
+++ b/core/interference/set.go
@@ -25,6 +25,14 @@
 	return s
 }
 
+// Without returns the queues that are not in the other set.
+func (s Set) Without(o Set) Set {
+	for i := range s {
+		s[i] &^= o[i]
+	}
+	return s
+}
+
 // Contains reports whether the queue is in the set.
 func (s Set) Contains(id QueueID) bool { return id != Untracked && s[id/64]&(1<<(id%64)) != 0 }
 
--- a/core/interference/table.go
+++ b/core/interference/table.go
@@ -23,7 +23,8 @@
 	// queues at 1,000 runs a second has several hundred observations in that time.
 	halfLife = 10 * time.Minute
 	// reclaimAfter is how long a queue must have had no run before another queue may
-	// take its place in a full table.
+	// take its place in a full table. Its evidence has faded to an eighth by then. A run of
+	// it that lasts longer counts as one of the other queue.
 	reclaimAfter = 3 * halfLife
 	// strata is the number of ranges of neighbours, within which runs are compared.
 	strata = 4
@@ -51,6 +52,9 @@
 // pair is the evidence on a queue's runs that started beside another queue.
 type pair struct {
 	cells [strata]cell
+	// stayed is the weight of those of the runs at whose end the other queue was there
+	// too, and came that of the queue's runs at whose end it was there, but not at the start.
+	stayed, came float64
 	// removed is the weighted sum of the effect that was taken off the observations in
 	// cells because of the conclusion.
 	removed float64
@@ -90,12 +94,15 @@
 	// effect as evidence that fades, without a change of all cells.
 	weight   float64
 	weightAt time.Time
-	// next is the queue that the next step of the review begins with, and reviewedAt the
-	// time of the last one.
+	// next is the queue that the review looked at last, reviewedAt the time of its latest
+	// step, and due the number of queues, with a fraction, that it has to look at since.
 	next       int
 	reviewedAt time.Time
+	due        float64
 	findings   int
 	changes    []Change
+	// Observed counts the observations.
+	Observed uint64
 }
 
 // NewTable returns a table without evidence.
@@ -106,7 +113,10 @@
 // is full; it is Untracked if there is none.
 func (t *Table) Queue(now time.Time, name string) QueueID {
 	if id, ok := t.byName[name]; ok {
-		t.queues[id].lastUsed = now
+		q := t.queues[id]
+		if now.After(q.lastUsed) {
+			q.lastUsed = now
+		}
 		return id
 	}
 	id := QueueID(len(t.queues))
@@ -170,6 +180,8 @@
 				p.cells[k].scale(scale)
 			}
 			p.removed *= scale
+			p.stayed *= scale
+			p.came *= scale
 		}
 	}
 	t.weight = 1
@@ -191,7 +203,9 @@
 	Confidence float64
 	// Observations is the number of runs beside the other queue, with faded weights.
 	Observations float64
-	// effect is the logarithm of Slowdown.
+	// effect is the logarithm of the factor between runs with and without the other queue
+	// at their start. It is below that of Slowdown, since the other queue is beside either kind
+	// for a part of the time.
 	effect float64
 }
 
