placement: prefer endpoints without interfering runs

Cause: tasks that slow each other down are placed on one endpoint although others have room.

Change: ended runs of the first task of each step are evidence, with what was on the endpoint at their start. For a queue in a finding, a search adds the slowdown and the delay of the runs there to the expected run time, and looks at 32 endpoints with such runs at most. If the result is that the task waits, the choice is repeated without the preference. Interference that was known at the start doesn't count as slowness of the endpoint. It is off unless DetectInterference is called.

Result: existing tests pass unchanged.

--- a/core/placement/assign.go
+++ b/core/placement/assign.go
@@ -109,11 +109,10 @@
 	return now.Add(runTime).After(j.due) && !now.Add(p.minRunTime(now, j, step)).After(j.due)
 }
 
-// chooseEndpoint returns the endpoint that is expected to finish the task first,
-// nil if none has capacity or it is better to wait.
-func (p *Planner) chooseEndpoint(now time.Time, j *job, step, index int) *endpoint {
+// chooseAvoiding is chooseEndpoint with the given preferences.
+func (p *Planner) chooseAvoiding(now time.Time, j *job, step, index int, avoid *avoidance) *endpoint {
 	s := &j.spec.Steps[step]
-	q := query{now: now, job: j, index: step, step: s, task: &j.tasks[step][index], shared: p.shared}
+	q := query{now: now, job: j, index: step, step: s, task: &j.tasks[step][index], shared: p.shared, avoid: avoid}
 	if s.PreferredRack != "" {
 		if rack := p.index(now, j.spec.Pool, s.PreferredRack); rack != nil {
 			rack.search(1, &q)
@@ -177,6 +176,7 @@
 		since:    now,
 		expected: e.expectedRunTime(step),
 	}
+	p.recordNeighbours(r)
 	p.addRun(r)
 	j.recordOrder(now, r)
 	e.health.started(now)
@@ -206,5 +206,6 @@
 		}
 	}
 	p.sortIndexes(now)
+	p.reviewInterference(now)
 	p.lastTick = now
 }
--- a/core/placement/endpoints.go
+++ b/core/placement/endpoints.go
@@ -64,6 +64,8 @@
 		unknown:  map[work.Run]*unknownRun{},
 		slowdown: p.slowdowns.forEndpoint(info),
 		leaves:   map[*endpointIndex]int{},
+
+		neighbours: p.newNeighbours(),
 	}
 }
 
@@ -185,6 +187,7 @@
 // addRun adds a run to its endpoint.
 func (p *Planner) addRun(r *run) {
 	r.endpoint.runs[r.Run] = r
+	r.countNeighbour(true)
 	r.endpoint.free = r.endpoint.free.Minus(r.need)
 	p.runs[r.Task.Job] = append(p.runs[r.Task.Job], r)
 	p.pools.mark(r.endpoint)
@@ -193,6 +196,7 @@
 // removeRun removes a run from its endpoint.
 func (p *Planner) removeRun(r *run) {
 	delete(r.endpoint.runs, r.Run)
+	r.countNeighbour(false)
 	r.endpoint.free = r.endpoint.free.Plus(r.need)
 	p.runs[r.Task.Job] = deleteElement(p.runs[r.Task.Job], r)
 	if len(p.runs[r.Task.Job]) == 0 {
@@ -323,6 +327,7 @@
 	}
 	p.removeRun(r)
 	e.observeEnd(now, r, end.Reason)
+	p.observeInterference(now, r, end.Reason)
 	p.endTrackedRun(now, r, end)
 }
 
--- a/core/placement/health.go
+++ b/core/placement/health.go
@@ -105,7 +105,7 @@
 	case work.Done:
 		r.job.outcomes[r.Task.Step].succeeded = true
 		e.health.succeeded()
-		e.slowdown.observe(r.job.spec.Steps[r.Task.Step].Estimate, now.Sub(r.since))
+		e.slowdown.observe(r.estimate(), now.Sub(r.since))
 	case work.Failed:
 		if r.job.outcomes[r.Task.Step].blames(e.VM) {
 			e.health.failed(now)
--- a/core/placement/index.go
+++ b/core/placement/index.go
@@ -163,7 +163,7 @@
 // one so far.
 func (x *endpointIndex) search(n int, q *query) {
 	node := &x.nodes[n]
-	if !q.step.Need.Fits(node.free) || !q.better(q.lowerBound(node.ratio), node.free.CPU) {
+	if q.avoid.exhausted() || !q.step.Need.Fits(node.free) || !q.better(q.lowerBound(node.ratio), node.free.CPU) {
 		return
 	}
 	if n >= x.size() {
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/cicadapulley/cicadapulley/core/interference"
 	"github.com/cicadapulley/cicadapulley/core/work"
 )
 
@@ -58,12 +59,17 @@
 	unclaimedEnds map[work.JobID]*unclaimedEnds
 	// pending counts the jobs of each queue of which no task has begun.
 	pending map[string]int
-	Stats   Stats
+	// interference has the evidence on queues that slow each other down; nil if it is off.
+	interference *interference.Table
+	Stats        Stats
 }
 
 // Stats counts decisions since the term began.
 type Stats struct {
 	Starts, Stops, Moves, Refusals, Requeues uint64
+	// Avoided counts the choices of a slower endpoint because of an interfering run on a faster
+	// one, and BesideInterfering the starts on an endpoint with an interfering run.
+	Avoided, BesideInterfering uint64
 }
 
 // NewPlanner returns the planner of a leader at the start of a term. Jobs that an
@@ -183,6 +189,7 @@
 		undone:    make([]int, len(spec.Steps)),
 		outcomes:  make([]stepOutcomes, len(spec.Steps)),
 		groups:    make([]*group, len(spec.Steps)),
+		queueID:   p.queueID(arrived, spec.Queue),
 	}
 	for s, step := range spec.Steps {
 		j.tasks[s] = make([]task, step.Tasks)
--- a/core/placement/query.go
+++ b/core/placement/query.go
@@ -20,6 +20,8 @@
 	// where the task takes longer.
 	outsideRack bool
 	best        *endpoint
+	// avoid has the preferences by the runs on the endpoints, nil for none.
+	avoid *avoidance
 	// expected is the expected run time on best, increased by the penalties.
 	expected time.Duration
 }
@@ -45,6 +47,7 @@
 		expected *= failedPenalty
 	}
 	expected = e.health.penalize(q.now, expected)
+	expected = q.avoid.increase(q.now, e, expected)
 	if q.better(expected, e.free.CPU) {
 		q.best, q.expected = e, expected
 	}
--- a/core/placement/types.go
+++ b/core/placement/types.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/cicadapulley/cicadapulley/core/interference"
 	"github.com/cicadapulley/cicadapulley/core/work"
 )
 
@@ -169,6 +170,7 @@
 	groups []*group
 	// history records the job's first runs, to explain its end.
 	history []RunRecord
+	queueID interference.QueueID
 }
 
 // maxHistory bounds the runs in a job's history.
@@ -202,6 +204,14 @@
 	percent    int
 	progressAt time.Time
 	listedAt   time.Time
+	// queueID is the job's queue when the run was added to its endpoint, and neighbours
+	// what ran there when the run started. observable is set if this planner started it.
+	queueID    interference.QueueID
+	neighbours interference.Neighbours
+	observable bool
+	// slowdown is the factor by which neighbours slow the run, as known at its start; 0 if
+	// none does.
+	slowdown float64
 }
 
 // unknownRun is a listed run whose job the planner does not have.
@@ -257,4 +267,6 @@
 	dirty bool
 	// reopening is set while the endpoint is in Planner.reopening.
 	reopening bool
+	// neighbours is the endpoint's state for the detection of interference; nil without it.
+	neighbours *interference.Endpoint
 }
