placement: place the fields of the detection apart from those of other changes

Change: order of fields, and of two factors of a product. Result: the detection's tests of the package pass.

--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -45,6 +45,8 @@
 	// leader are held at most until heldUntil.
 	held      []*heldJob
 	heldUntil time.Time
+	// interference has the evidence on queues that slow each other down; nil if it is off.
+	interference *interference.Table
 	// shared is set if other planners place tasks on the same endpoints.
 	shared    bool
 	slowdowns slowdowns
@@ -59,9 +61,7 @@
 	unclaimedEnds map[work.JobID]*unclaimedEnds
 	// pending counts the jobs of each queue of which no task has begun.
 	pending map[string]int
-	// interference has the evidence on queues that slow each other down; nil if it is off.
-	interference *interference.Table
-	Stats        Stats
+	Stats   Stats
 }
 
 // Stats counts decisions since the term began.
--- a/core/placement/query.go
+++ b/core/placement/query.go
@@ -16,12 +16,12 @@
 	step   *work.Step
 	task   *task
 	shared bool
+	// avoid has the preferences by the runs on the endpoints, nil for none.
+	avoid *avoidance
 	// outsideRack is set while the search covers endpoints outside the preferred rack,
 	// where the task takes longer.
 	outsideRack bool
 	best        *endpoint
-	// avoid has the preferences by the runs on the endpoints, nil for none.
-	avoid *avoidance
 	// expected is the expected run time on best, increased by the penalties.
 	expected time.Duration
 }
@@ -46,8 +46,8 @@
 	if slices.Contains(q.task.failedOn, e.VM) {
 		expected *= failedPenalty
 	}
-	expected = e.health.penalize(q.now, expected)
 	expected = q.avoid.increase(q.now, e, expected)
+	expected = e.health.penalize(q.now, expected)
 	if q.better(expected, e.free.CPU) {
 		q.best, q.expected = e, expected
 	}
