scheduler, coordinator, gateway, platform: events, metrics and the setting of interference

Cause: the planner can tell which queues slow each other down, but nothing turned that on or showed it.

Events 371 and 372 report a pair that is found and one that is dropped. Metrics have the pairs with their slowdown, confidence and age, the runs used as evidence, the choices that changed and the starts beside an interfering run.

Result: tests of daemon/scheduler, coordinator, gateway, fallback, events and settings pass, and the settings tests of platform.

--- a/daemon/coordinator/manager.go
+++ b/daemon/coordinator/manager.go
@@ -10,6 +10,7 @@
 
 	"github.com/cicadapulley/cicadapulley/core/placement"
 	"github.com/cicadapulley/cicadapulley/core/work"
+	"github.com/cicadapulley/cicadapulley/daemon/boottime"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 	"github.com/cicadapulley/cicadapulley/daemon/scheduler"
 	"github.com/cicadapulley/cicadapulley/daemon/storage"
@@ -128,6 +129,7 @@
 		m.plannerGauge("cicadapulley_runs_refused_total", "Starts that endpoints refused in this term.", func(p *placement.Planner) float64 { return float64(p.Stats.Refusals) }),
 		m.plannerGauge("cicadapulley_runs_moved_total", "Runs stopped in this term to restart elsewhere.", func(p *placement.Planner) float64 { return float64(p.Stats.Moves) }),
 		m.plannerGauge("cicadapulley_tasks_requeued_total", "Tasks that waited again in this term.", func(p *placement.Planner) float64 { return float64(p.Stats.Requeues) }),
+		scheduler.NewInterferenceCollector(m.readPlanner),
 		m.gauge("cicadapulley_term", "Term of the consensus.", func(s *Service) float64 { return float64(s.driver.Term()) }),
 		m.gauge("cicadapulley_storage_syncs", "Syncs since the data folder was opened.", func(s *Service) float64 { return float64(s.store.Stats().Syncs) }),
 		m.gauge("cicadapulley_storage_log_bytes", "Size of the log on disk.", func(s *Service) float64 { return float64(s.store.Stats().LogBytes) }),
@@ -153,6 +155,19 @@
 	})
 }
 
+// readPlanner calls use with the planner of the current term, if this VM leads.
+func (m *Manager) readPlanner(use func(p *placement.Planner, now time.Time)) {
+	s := m.service.Load()
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.term != nil {
+		use(s.term.Planner, boottime.Now())
+	}
+}
+
 // plannerGauge returns a gauge that reads the planner; it is 0 while this VM doesn't
 // lead.
 func (m *Manager) plannerGauge(name, help string, read func(*placement.Planner) float64) prometheus.Collector {
--- a/daemon/coordinator/service.go
+++ b/daemon/coordinator/service.go
@@ -72,7 +72,10 @@
 	SnapshotBytes   int
 	// MemoryBytes is the memory of this VM, which bounds what a leader accepts; 0 means no bound.
 	MemoryBytes int64
-	Log         *events.Log
+	// DetectInterference is set if a leader learns which queues slow each other down on one
+	// endpoint, and prefers other endpoints for their tasks.
+	DetectInterference bool
+	Log                *events.Log
 }
 
 // Service is a control VM.
--- a/daemon/coordinator/term.go
+++ b/daemon/coordinator/term.go
@@ -115,6 +115,9 @@
 	err := s.driver.Read(func() {
 		s.machine.beginRecording()
 		planner := placement.NewPlanner(number, now.Add(lease.ExpiresAfter), s.machine.EnrolledVMs())
+		if s.opts.DetectInterference {
+			planner.DetectInterference()
+		}
 		t.Scheduler = scheduler.New(planner, s.metrics, s.opts.Log)
 		s.machine.Each(func(r *ledger.Record) {
 			if r.State.Final() {
--- a/daemon/events/catalogue.go
+++ b/daemon/events/catalogue.go
@@ -91,6 +91,9 @@
 	// The leader refuses work for lack of memory, and accepts it again.
 	MemoryShort     ID = 369
 	MemoryAvailable ID = 370
+	// Pairs of queues whose tasks slow each other down, and no longer do.
+	InterferenceFound   ID = 371
+	InterferenceDropped ID = 372
 )
 
 // Events of entries.
@@ -228,6 +231,8 @@
 	{LeaderStalled, "leader_stalled", zapcore.WarnLevel, "the leader was held up for so long that entries and agents may take it for lost; the detail says whether its own work took the time, or the process did not run"},
 	{MemoryShort, "memory_short", zapcore.WarnLevel, "the leader refuses new jobs and larger configurations, since what it has accepted takes too much of its memory; cancel jobs, or give the control VMs more memory"},
 	{MemoryAvailable, "memory_available", zapcore.InfoLevel, "the leader has memory for new jobs again"},
+	{InterferenceFound, "interference_found", zapcore.InfoLevel, "tasks of a queue take longer beside tasks of another queue on one endpoint, and are placed elsewhere where there is room; the detail has both queues, the factor, the confidence and the number of runs"},
+	{InterferenceDropped, "interference_dropped", zapcore.InfoLevel, "there is no longer enough evidence that tasks of a queue take longer beside tasks of another queue; they are placed without regard to each other"},
 	{JobAccepted, "job_accepted", zapcore.DebugLevel, "a job is recorded; its tasks may start"},
 	{JobJoined, "job_joined", zapcore.DebugLevel, "a resubmission was attached to the existing job"},
 	{JobRefused, "job_refused", zapcore.DebugLevel, "a job was refused as a whole; none of its tasks ran"},
--- a/daemon/fallback/fallback.go
+++ b/daemon/fallback/fallback.go
@@ -60,7 +60,9 @@
 	// Agents are the agents whose endpoints may run tasks.
 	Agents  []ledger.Agent
 	Metrics *scheduler.Metrics
-	Log     *events.Log
+	// DetectInterference is set if the placer learns which queues slow each other down.
+	DetectInterference bool
+	Log                *events.Log
 }
 
 // Placer places jobs during one period without a leader. Submit is safe for
@@ -97,6 +99,9 @@
 		vms[i] = a.VM
 	}
 	planner := placement.NewSharedPlanner(o.Term, o.LeaderLostAt.Add(lease.ExpiresAfter), vms)
+	if o.DetectInterference {
+		planner.DetectInterference()
+	}
 	return &Placer{opts: o, routes: o.Routes, scheduler: scheduler.New(planner, o.Metrics, o.Log), open: map[uint64]*request{}}
 }
 
@@ -203,6 +208,13 @@
 	return p.scheduler.Planner.ReachesEndpoints()
 }
 
+// ReadPlanner calls use with the planner, which is not used otherwise in the meantime.
+func (p *Placer) ReadPlanner(use func(planner *placement.Planner, now time.Time)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	use(p.scheduler.Planner, boottime.Now())
+}
+
 // HandedOver reports whether the jobs have been handed over.
 func (p *Placer) HandedOver() bool {
 	p.mu.Lock()
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -44,8 +44,11 @@
 // Options configure a gateway.
 type Options struct {
 	// VM is the name of the entry's VM.
-	VM  string
-	Log *events.Log
+	VM string
+	// DetectInterference is set if this entry learns which queues slow each other down while it
+	// places jobs itself.
+	DetectInterference bool
+	Log                *events.Log
 }
 
 // Service forwards callers' requests to the leader.
--- a/daemon/gateway/metrics.go
+++ b/daemon/gateway/metrics.go
@@ -6,6 +6,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
+	"github.com/cicadapulley/cicadapulley/core/placement"
+	"github.com/cicadapulley/cicadapulley/daemon/scheduler"
 )
 
 var outcomeNames = map[mesh.Outcome]string{
@@ -29,6 +31,7 @@
 // Collectors returns the entry's metrics.
 func (s *Service) Collectors() []prometheus.Collector {
 	return append(s.metrics.Collectors(), s.latency,
+		scheduler.NewInterferenceCollector(s.readPlanner),
 		s.gauge("cicadapulley_requests_pending", "Requests that wait for the leader's answer.", func() float64 { return float64(len(s.pending)) }),
 		s.gauge("cicadapulley_configuration_version", "Version of the configuration that this entry has received.", func() float64 { return float64(s.view.Version()) }),
 		s.gauge("cicadapulley_places_locally", "1 while this entry has no leader and places jobs itself.", func() float64 {
@@ -39,6 +42,16 @@
 		}))
 }
 
+// readPlanner calls use with the planner of the local placer, if there is one.
+func (s *Service) readPlanner(use func(p *placement.Planner, now time.Time)) {
+	s.mu.Lock()
+	local := s.local
+	s.mu.Unlock()
+	if local != nil {
+		local.ReadPlanner(use)
+	}
+}
+
 // gauge returns a gauge whose value is read under mu.
 func (s *Service) gauge(name, help string, read func() float64) prometheus.Collector {
 	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 {
--- a/daemon/scheduler/scheduler.go
+++ b/daemon/scheduler/scheduler.go
@@ -194,6 +194,7 @@
 // Tick applies what depends on time and drops results older than resultTTL.
 func (s *Scheduler) Tick(now time.Time) {
 	s.Planner.Tick(now)
+	s.logInterference()
 	for id, r := range s.results {
 		if now.Sub(r.recordedAt) > resultTTL {
 			delete(s.results, id)
