--- a/core/interference/table.go
+++ b/core/interference/table.go
@@ -16,7 +16,7 @@
 import "time"
 
 const (
-	// maxQueues bounds the queues with evidence, and so the table to about 1.3 MB. The
+	// maxQueues bounds the queues with evidence, and so the table to 1.6 MB. The
 	// target has 110 client accounts.
 	maxQueues = 128
 	// halfLife is the time in which evidence loses half of its weight. A pair of 110
--- a/core/placement/interference.go
+++ b/core/placement/interference.go
@@ -16,6 +16,9 @@
 // method.
 func (p *Planner) DetectInterference() { p.interference = interference.NewTable() }
 
+// DetectsInterference reports whether DetectInterference was called.
+func (p *Planner) DetectsInterference() bool { return p.interference != nil }
+
 // InterferenceFindings returns the pairs of queues that are known to interfere.
 func (p *Planner) InterferenceFindings() []interference.Finding {
 	if p.interference == nil {
--- a/daemon/coordinator/cluster_test.go
+++ b/daemon/coordinator/cluster_test.go
@@ -98,7 +98,7 @@
 func (c *cluster) start(i int, first net.Listener) {
 	disk := newFullableFS()
 	m := NewManager(Options{
-		VM: fmt.Sprintf("control-%d", i), Address: c.addresses[i], DataDir: c.TempDir(), FS: disk,
+		VM: fmt.Sprintf("control-%d", i), Address: c.addresses[i], DataDir: c.TempDir(), FS: disk, DetectInterference: true,
 		Listen: func() (net.Listener, error) {
 			if l := first; l != nil {
 				first = nil
--- a/daemon/coordinator/term_test.go
+++ b/daemon/coordinator/term_test.go
@@ -4,9 +4,11 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
+	"github.com/cicadapulley/cicadapulley/core/placement"
 )
 
 // TestEarlierTermPlacesNothing guards against a VM that lost the leadership and won a
@@ -39,3 +41,24 @@
 	assert.Equal(t, stallCause(350*time.Millisecond, time.Millisecond), "work took 350ms")
 	assert.Equal(t, stallCause(time.Millisecond, 400*time.Millisecond), "did not run for 350ms")
 }
+
+// TestTermDetectsInterference guards against an option that doesn't reach the planner of
+// a new term, and against metrics that a leader lacks.
+func TestTermDetectsInterference(t *testing.T) {
+	c := newCluster(t, 1)
+	m := c.managers[c.leader()]
+	c.eventually("the planner of the term detects interference", func() bool {
+		detects := false
+		m.readPlanner(func(p *placement.Planner, _ time.Time) { detects = p.DetectsInterference() })
+		return detects
+	})
+	registry := prometheus.NewPedanticRegistry()
+	registry.MustRegister(m.Collectors()...)
+	families, err := registry.Gather()
+	assert.NilError(t, err)
+	exported := false
+	for _, f := range families {
+		exported = exported || f.GetName() == "cicadapulley_interference_pairs"
+	}
+	assert.Assert(t, exported)
+}
--- a/daemon/fallback/fallback_test.go
+++ b/daemon/fallback/fallback_test.go
@@ -220,3 +220,12 @@
 	assert.Assert(t, len(used) > 900, "20 entries use %d of 1500 agents", len(used))
 	assert.Equal(t, len(chooseAgents("entry", agents[:50])), 50)
 }
+
+// TestPlacerDetectsInterference guards against an option that doesn't reach the planner
+// of an entry without a leader.
+func TestPlacerDetectsInterference(t *testing.T) {
+	for _, on := range []bool{false, true} {
+		p := New(Options{VM: "entry-1", LeaderLostAt: boottime.Now(), Metrics: scheduler.NewMetrics(), DetectInterference: on, Log: testLog()})
+		p.ReadPlanner(func(planner *placement.Planner, _ time.Time) { assert.Equal(t, planner.DetectsInterference(), on) })
+	}
+}
