placement: estimate the delay of neighbours by their number

Cause: the search added up what is left of each run that the task would delay, from a map; that took most of the additional time of a search. Change: each such run is taken to go on for half of the task's run time.

--- a/core/interference/set.go
+++ b/core/interference/set.go
@@ -87,6 +87,9 @@
 // Present returns the queues with a run on the endpoint.
 func (e *Endpoint) Present() Set { return e.present }
 
+// Count returns the number of runs of a queue.
+func (e *Endpoint) Count(id QueueID) int { return int(e.counts[id]) }
+
 // Neighbours returns what a run that starts now has beside it.
 func (e *Endpoint) Neighbours() Neighbours { return Neighbours{Queues: e.present, runs: int32(e.runs)} }
 
--- a/core/placement/interference.go
+++ b/core/placement/interference.go
@@ -161,7 +161,7 @@
 	if q.best != nil && slowed > q.expected {
 		return slowed // not preferred, whatever the delay of the others
 	}
-	return slowed + a.planner.delay(q.now, a.queue, e, expected)
+	return slowed + a.planner.delay(a.queue, e, expected)
 }
 
 // slowdownBeside returns the factor by which a task of a queue that starts on the endpoint is
@@ -175,20 +175,14 @@
 }
 
 // delay returns the time by which a task of a queue that starts on the endpoint delays
-// the runs there.
-func (p *Planner) delay(now time.Time, id interference.QueueID, e *endpoint, expected time.Duration) time.Duration {
-	slows := p.interference.Slows(id)
-	if slows.Intersect(e.neighbours.Present()).Empty() {
-		return 0
-	}
-	total := time.Duration(0)
-	for _, r := range e.runs {
-		if slows.Contains(r.queueID) {
-			overlap := min(max(r.expected-now.Sub(r.since), 0), expected)
-			total += time.Duration(float64(overlap) * (p.interference.Slowdown(r.queueID, id) - 1))
-		}
-	}
-	return total
+// the runs there. A run is taken to go on for half of the task's run time: a look at what is
+// left of each run costs more than the rest of the search.
+func (p *Planner) delay(id interference.QueueID, e *endpoint, expected time.Duration) time.Duration {
+	total := 0.0
+	for other := range p.interference.Slows(id).Intersect(e.neighbours.Present()).All() {
+		total += float64(e.neighbours.Count(other)) * (p.interference.Slowdown(other, id) - 1)
+	}
+	return time.Duration(total * float64(expected) / 2)
 }
 
 // chooseEndpoint returns the endpoint that is expected to finish the task first, nil if
