--- a/core/interference/review.go
+++ b/core/interference/review.go
@@ -23,8 +23,9 @@
 	// minPairs is the least number of pairs for which the threshold is set, because the
 	// distribution of a mean of few observations has heavier tails than the normal one.
 	minPairs = 100
-	// keepShare is the share of the threshold that a finding needs to stay. Evidence without
-	// new observations falls to it within two half-lives.
+	// keepShare is the share of the threshold that a finding needs to stay. Without new
+	// observations, one that was just made falls to it within two half-lives, and one with
+	// four times that z within six.
 	keepShare = 0.5
 	// maxSlowdown bounds the slowdown of a finding.
 	maxSlowdown = 4.0
