--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/cicadapulley/cicadapulley/core/interference"
 	"github.com/cicadapulley/cicadapulley/core/work"
 )
 
@@ -47,6 +48,8 @@
 	// leader are held at most until heldUntil.
 	held      []*heldJob
 	heldUntil time.Time
+	// interference has the evidence on queues that slow each other down; nil if it is off.
+	interference *interference.Table
 	// shared is set if other planners place tasks on the same endpoints.
 	shared    bool
 	slowdowns slowdowns
@@ -72,6 +75,9 @@
 // Stats counts decisions since the term began.
 type Stats struct {
 	Starts, Stops, Moves, Refusals, Requeues, Shed uint64
+	// Avoided counts the choices of a slower endpoint because of an interfering run on a faster
+	// one, and BesideInterfering the starts on an endpoint with an interfering run.
+	Avoided, BesideInterfering uint64
 }
 
 // NewPlanner returns the planner of a leader at the start of a term. Jobs that an
@@ -194,6 +200,7 @@
 		undone:    make([]int, len(spec.Steps)),
 		outcomes:  make([]stepOutcomes, len(spec.Steps)),
 		groups:    make([]*group, len(spec.Steps)),
+		queueID:   p.queueID(arrived, spec.Queue),
 	}
 	for s, step := range spec.Steps {
 		j.tasks[s] = make([]task, step.Tasks)
--- a/core/placement/query.go
+++ b/core/placement/query.go
@@ -16,6 +16,8 @@
 	step   *work.Step
 	task   *task
 	shared bool
+	// avoid has the preferences by the runs on the endpoints, nil for none.
+	avoid *avoidance
 	// outsideRack is set while the search covers endpoints outside the preferred rack,
 	// where the task takes longer.
 	outsideRack bool
@@ -52,6 +54,7 @@
 	if slices.Contains(q.task.failedOn, e.VM) {
 		expected *= failedPenalty
 	}
+	expected = q.addInterference(e, expected)
 	expected = e.health.penalize(q.now, expected)
 	if q.better(expected, free.CPU) {
 		q.best, q.bestFreeCPU, q.expected = e, free.CPU, expected
--- a/core/placement/types.go
+++ b/core/placement/types.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/cicadapulley/cicadapulley/core/interference"
 	"github.com/cicadapulley/cicadapulley/core/work"
 )
 
@@ -175,6 +176,7 @@
 	groups []*group
 	// history records the job's first runs, to explain its end.
 	history []RunRecord
+	queueID interference.QueueID
 }
 
 // maxHistory bounds the runs in a job's history.
@@ -208,6 +210,14 @@
 	percent    int
 	progressAt time.Time
 	listedAt   time.Time
+	// queueID is the job's queue when the run was added to its endpoint, and neighbours
+	// what ran there when the run started. observable is set if this planner started it.
+	queueID    interference.QueueID
+	neighbours interference.Neighbours
+	observable bool
+	// slowdown is the factor by which neighbours slow the run, as known at its start; 0 if
+	// none does.
+	slowdown float64
 }
 
 // unknownRun is a listed run whose job the planner does not have.
@@ -268,4 +278,6 @@
 	reopening bool
 	// ramp limits the endpoint for some time after a drain; nil for no limit.
 	ramp *ramp
+	// neighbours is the endpoint's state for the detection of interference; nil without it.
+	neighbours *interference.Endpoint
 }
--- a/daemon/coordinator/service.go
+++ b/daemon/coordinator/service.go
@@ -78,7 +78,10 @@
 	MemoryBytes int64
 	// Gate bounds the connections and messages of other processes; nil for none.
 	Gate *ingress.Gate
-	Log  *events.Log
+	// DetectInterference is set if a leader learns which queues slow each other down on one
+	// endpoint, and prefers other endpoints for their tasks.
+	DetectInterference bool
+	Log                *events.Log
 }
 
 // Service is a control VM.
--- a/daemon/events/catalogue.go
+++ b/daemon/events/catalogue.go
@@ -92,7 +92,10 @@
 	// The leader refuses work for lack of memory, and accepts it again.
 	MemoryShort     ID = 369
 	MemoryAvailable ID = 370
-	// Drains of data centres. Numbers from 371 are left to other parts of the leader.
+	// Pairs of queues whose tasks slow each other down, and no longer do.
+	InterferenceFound   ID = 371
+	InterferenceDropped ID = 372
+	// Drains of data centres.
 	DataCentreDrained ID = 380
 	DrainWithdrawn    ID = 381
 	NoDataCentreLeft  ID = 382
@@ -235,6 +238,8 @@
 	{LeaderStalled, "leader_stalled", zapcore.WarnLevel, "the leader was held up for so long that entries and agents may take it for lost; the detail says whether its own work took the time, or the process did not run"},
 	{MemoryShort, "memory_short", zapcore.WarnLevel, "the leader refuses new jobs and larger configurations, since what it has accepted takes too much of its memory; cancel jobs, or give the control VMs more memory"},
 	{MemoryAvailable, "memory_available", zapcore.InfoLevel, "the leader has memory for new jobs again"},
+	{InterferenceFound, "interference_found", zapcore.InfoLevel, "tasks of a queue take longer beside tasks of another queue on one endpoint, and are placed elsewhere where there is room; the detail has both queues, the factor, the confidence and the number of runs"},
+	{InterferenceDropped, "interference_dropped", zapcore.InfoLevel, "there is no longer enough evidence that tasks of a queue take longer beside tasks of another queue; they are placed without regard to each other"},
 	{DataCentreDrained, "data_centre_drained", zapcore.InfoLevel, "this control VM has applied an operator's order: no more tasks start on the endpoints of the data centre in the detail; it is repeated when a restarted VM reads its log"},
 	{DrainWithdrawn, "drain_withdrawn", zapcore.InfoLevel, "this control VM has applied the withdrawal of the drain of the data centre in the detail; it is repeated when a restarted VM reads its log"},
 	{NoDataCentreLeft, "no_data_centre_left", zapcore.WarnLevel, "all data centres of the settings are drained, the one in the detail last, and no task starts anywhere; withdraw the drain of one if that is not intended"},
