--- a/core/placement/admit_test.go
+++ b/core/placement/admit_test.go
@@ -94,13 +94,13 @@
 func TestStandingQueueIsKeptWithinTheObjective(t *testing.T) {
 	f := newFixture(t)
 	f.join(1, "vm-1", 1)
-	late := func() *work.Job { return oneStep("late", 1) }
-	queue := func(id string) { f.planner.Add(f.now, oneStep(id, 3), PriorState{}); f.assign() }
-	queue("a")
-	expected := f.planner.Admit(f.now, late(), PriorState{}).Expected
-	assert.Assert(t, expected > time.Duration(standingAdmitFactor*float64(late().Objective())) && expected < time.Duration(admitFactor*float64(late().Objective())))
+	f.planner.Add(f.now, oneStep("ahead", 3), PriorState{})
+	f.assign()
+	late := oneStep("late", 1)
+	expected := f.planner.Admit(f.now, late, PriorState{}).Expected
+	assert.Assert(t, expected > time.Duration(standingAdmitFactor*float64(late.Objective())) && expected < time.Duration(admitFactor*float64(late.Objective())))
 	f.planner.Tick(f.now)
-	assert.Assert(t, f.planner.Admit(f.now, late(), PriorState{}).Accepted, "a short burst")
+	assert.Assert(t, f.planner.Admit(f.now, late, PriorState{}).Accepted, "a short burst")
 	f.now = f.now.Add(standingQueueTime)
-	assert.Assert(t, !f.planner.Admit(f.now, late(), PriorState{}).Accepted, "a standing queue")
+	assert.Assert(t, !f.planner.Admit(f.now, late, PriorState{}).Accepted, "a standing queue")
 }
