coordinator: an operator's refusal keeps the reason that a leader gave

Cause: a request is repeated until its 0.9 s have passed. The last attempt is cut off by that deadline, and its "context deadline exceeded" replaced the leader's reason, such as a lack of memory.

Change: the latest answer of a leader is kept beside the failure of a later attempt, and both are in the reason. An attempt that failed no longer drops the revision of the last answer.

--- a/daemon/coordinator/drains_test.go
+++ b/daemon/coordinator/drains_test.go
@@ -176,7 +176,8 @@
 		}
 	}()
 	order := &mesh.OperatorRequest{Drain: &ledger.DrainCommand{DataCentre: "west", Drained: true}}
-	r := c.managers[0].service.Load().operateAt(t.Context(), l.Addr().String(), order)
+	r, err := c.managers[0].service.Load().operateAt(t.Context(), l.Addr().String(), order)
+	assert.NilError(t, err)
 	assert.Assert(t, !r.Done)
 	assert.Equal(t, r.Detail, errFormerLeader.Error())
 }
--- a/daemon/coordinator/operator.go
+++ b/daemon/coordinator/operator.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -80,22 +82,30 @@
 	defer cancel()
 	start := time.Now()
 	attempts := 0
-	r := &mesh.OperatorResponse{Detail: "not tried"}
+	// r is the latest answer of a leader, and failure why the latest attempt has none. The
+	// deadline may cut off an attempt that follows the answer with the reason.
+	r := &mesh.OperatorResponse{}
+	failure := "not tried"
 	leader := ""
 	for {
 		// The time is read after the revision. If the VM is suspended after this check, the
 		// revision tells the leader that the request may be outdated.
 		attempt := s.withRevision(q, r)
 		if ctx.Err() != nil || !boottime.Now().Before(deadline) {
-			r = &mesh.OperatorResponse{Detail: "given up: " + r.Detail}
+			failure = joinReasons("given up", failure)
 			break
 		}
 		leader = s.leaderAddress()
 		if leader != "" {
 			attempts++
-			r = s.operateAt(ctx, leader, attempt)
+			answer, err := s.operateAt(ctx, leader, attempt)
+			if err != nil {
+				failure = err.Error()
+			} else {
+				r, failure = answer, ""
+			}
 		} else {
-			r = &mesh.OperatorResponse{Detail: "no leader is known"}
+			failure = "no leader is known"
 		}
 		if r.Done {
 			break
@@ -104,6 +114,7 @@
 			supervisor.Sleep(ctx, forwardRetryDelay)
 		}
 	}
+	r.Detail = joinReasons(failure, r.Detail)
 	s.logOperation(q, r, leader, attempts, time.Since(start))
 	if !r.Done {
 		return nil, errors.Wrap(ErrUnavailable, r.Detail)
@@ -111,21 +122,27 @@
 	return r, nil
 }
 
-// operateAt carries out a request at the leader, which may be this VM.
-func (s *Service) operateAt(ctx context.Context, leader string, q *mesh.OperatorRequest) *mesh.OperatorResponse {
+// joinReasons joins the reasons that are not empty.
+func joinReasons(reasons ...string) string {
+	return strings.Join(slices.DeleteFunc(reasons, func(s string) bool { return s == "" }), ": ")
+}
+
+// operateAt carries out a request at the leader, which may be this VM. The error is that
+// of the connection, if the leader has not answered.
+func (s *Service) operateAt(ctx context.Context, leader string, q *mesh.OperatorRequest) (*mesh.OperatorResponse, error) {
 	if leader == s.opts.Address {
-		return s.answerOperator(ctx, q)
+		return s.answerOperator(ctx, q), nil
 	}
 	callCtx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
 	r, err := s.peers.call(callCtx, leader, q)
 	if err != nil {
-		return &mesh.OperatorResponse{Detail: err.Error()}
+		return nil, err
 	}
 	if (q.Drain != nil || q.ReadDrain != "") && r.Done && r.Drains == nil {
-		return &mesh.OperatorResponse{Detail: errFormerLeader.Error()}
+		return &mesh.OperatorResponse{Detail: errFormerLeader.Error()}, nil
 	}
-	return r
+	return r, nil
 }
 
 // answerOperator answers a request if this VM leads. It never forwards, so that no
