ops, cli: drains of data centres on the command line

Cause: operators could drain a data centre only through the platform's path, and had to know which control VM answers.

Change: the operations page of a control VM of the platform serves GET /v1/data-centres and PUT and DELETE /v1/data-centres/NAME/drain, which call coordinator.Manager. A read is confirmed by the leader. An order counts from the arrival of its last data, as on the platform's path. The error for a data centre that is not known has the known names, on the platform's path too.

--- a/client/internal/cli/config.go
+++ b/client/internal/cli/config.go
@@ -22,7 +22,7 @@
 }
 
 func (a *app) configCheckCommand() *cobra.Command {
-	against, asJSON := "", false
+	against := ""
 	cmd := &cobra.Command{
 		Use:   "check FILE|-",
 		Short: "Check a configuration before it is sent",
@@ -32,16 +32,13 @@
 		Example: "  cicadapulley config check next.json --control 10.0.0.1:8166",
 		Args:    cobra.ExactArgs(1),
 		RunE: a.runE(func(ctx context.Context, args []string) error {
-			if asJSON {
-				a.flags.output = output.JSON
-			}
 			ctx, cancel := a.withTimeout(ctx)
 			defer cancel()
 			return a.checkConfig(ctx, args[0], against)
 		}),
 	}
 	cmd.Flags().StringVar(&against, "against", "", "compare with the configuration in this file")
-	cmd.Flags().BoolVar(&asJSON, "json", false, "the same as --output json")
+	a.addJSONFlag(cmd)
 	return cmd
 }
 
--- a/client/internal/cli/flags.go
+++ b/client/internal/cli/flags.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
+	"github.com/spf13/cobra"
 	"github.com/spf13/pflag"
 
 	"github.com/cicadapulley/cicadapulley/api/controlclient"
@@ -73,13 +75,28 @@
 	return context.WithTimeout(ctx, a.flags.timeout)
 }
 
+func errNoControl() error {
+	return exit.Errorf(exit.Usage, "--control or CICADAPULLEY_CONTROL is required")
+}
+
+// addJSONFlag adds --json, which is the same as --output json.
+func (a *app) addJSONFlag(cmd *cobra.Command) {
+	cmd.Flags().BoolFunc("json", "the same as --output json", func(value string) error {
+		on, err := strconv.ParseBool(value)
+		if on {
+			a.flags.output = output.JSON
+		}
+		return err
+	})
+}
+
 // operatorClient returns a client of the control VMs.
 func (a *app) operatorClient() (*operator.Client, error) {
 	if a.control != nil {
 		return &operator.Client{Control: a.control, Progress: a.progress}, nil
 	}
 	if len(a.flags.control) == 0 {
-		return nil, exit.Errorf(exit.Usage, "--control or CICADAPULLEY_CONTROL is required")
+		return nil, errNoControl()
 	}
 	httpClient, err := connect.NewClient(a.flags.tls)
 	if err != nil {
--- a/client/internal/cli/status.go
+++ b/client/internal/cli/status.go
@@ -11,6 +11,7 @@
 
 	"github.com/cicadapulley/cicadapulley/api/codec"
 	"github.com/cicadapulley/cicadapulley/api/rpc"
+	"github.com/cicadapulley/cicadapulley/client/internal/exit"
 	"github.com/cicadapulley/cicadapulley/client/internal/operator"
 	"github.com/cicadapulley/cicadapulley/client/internal/output"
 	"github.com/cicadapulley/cicadapulley/core/state"
@@ -54,12 +55,21 @@
 }
 
 func (a *app) statusCommand() *cobra.Command {
-	return &cobra.Command{
-		Use:     "status",
-		Short:   "Show control VMs, members and current problems",
-		Example: "  cicadapulley status --control 10.0.0.1:7000,10.0.0.2:7000\n  cicadapulley status --output json",
+	cmd := &cobra.Command{
+		Use:   "status",
+		Short: "Show control VMs, members and current problems",
+		Long: "status shows control VMs, members and current problems. If --control has the addresses of the\n" +
+			"operations pages of control VMs of the platform, it shows the data centres and which are drained.\n\n" + exit.Help,
+		Example: "  cicadapulley status --control 10.0.0.1:7000,10.0.0.2:7000\n  cicadapulley status --json",
 		Args:    cobra.NoArgs,
 		RunE: a.queryRunE(func(ctx context.Context, client *operator.Client) error {
+			dataCentres, err := a.readDataCentres(ctx)
+			if err != nil {
+				return err
+			}
+			if dataCentres != nil {
+				return a.print(dataCentres)
+			}
 			view, err := readStatus(ctx, client)
 			if err != nil {
 				return err
@@ -67,6 +77,8 @@
 			return a.print(view)
 		}),
 	}
+	a.addJSONFlag(cmd)
+	return cmd
 }
 
 func readStatus(ctx context.Context, client *operator.Client) (*statusView, error) {
@@ -151,11 +163,15 @@
 		rows[i] = []string{m.ID, m.Role, m.State, m.DataCentre, m.Rack, lease, fmt.Sprint(m.Revision), fmt.Sprint(m.Ticket), m.Address}
 	}
 	w.Table([]string{"ID", "ROLE", "STATE", "DATA CENTRE", "RACK", "LEASE LEFT", "REVISION", "TICKET", "ADDRESS"}, rows)
+	printProblems(w, v.Problems)
+}
+
+func printProblems(w *output.Writer, problems []string) {
 	w.Linef("\nWhat is wrong now")
-	for _, line := range v.Problems {
+	for _, line := range problems {
 		w.Linef("- %s", output.Clean(line))
 	}
-	if len(v.Problems) == 0 {
+	if len(problems) == 0 {
 		w.Linef("nothing")
 	}
 }
--- a/daemon/coordinator/drains.go
+++ b/daemon/coordinator/drains.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -40,6 +41,26 @@
 	return *r.Drains, nil
 }
 
+// anyDataCentre is sent to read the drains without naming a data centre: the empty name stands for a
+// request to read the configuration.
+const anyDataCentre = "*"
+
+// Drains returns the drains that the leader has. An error wraps ErrUnavailable.
+func (s *Service) Drains(ctx context.Context) (work.DataCentreDrains, error) {
+	r, err := s.operate(ctx, &mesh.OperatorRequest{ReadDrain: anyDataCentre})
+	if err != nil {
+		return work.DataCentreDrains{}, err
+	}
+	return *r.Drains, nil
+}
+
+// knownDataCentres returns the names of the data centres in the settings and in d, sorted.
+func knownDataCentres(settings []string, d work.DataCentreDrains) []string {
+	names := slices.Concat(settings, d.DataCentres)
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // checkDataCentre returns an error for a data centre that the settings lack, unless the
 // order has been given before they changed: it is drained, or its withdrawal is repeated.
 func (s *Service) checkDataCentre(ctx context.Context, dataCentre string, drained bool) error {
@@ -56,7 +77,7 @@
 	if r.Drains.Contains(dataCentre) || !drained && r.DrainRevision > 0 {
 		return nil
 	}
-	return errors.Wrapf(ErrUnknownDataCentre, "%q", dataCentre)
+	return errors.Wrapf(ErrUnknownDataCentre, "%q is none of %s", dataCentre, strings.Join(knownDataCentres(s.opts.DataCentres, *r.Drains), ", "))
 }
 
 // setDrains sets the drains that this VM has applied. The caller holds the driver's lock.
@@ -186,9 +207,7 @@
 	}
 	var d work.DataCentreDrains
 	s.driver.Local(func() { d = s.machine.Drains() })
-	names := slices.Concat(s.opts.DataCentres, d.DataCentres)
-	slices.Sort(names)
-	for _, name := range slices.Compact(names) {
+	for _, name := range knownDataCentres(s.opts.DataCentres, d) {
 		value := 0.0
 		if d.Contains(name) {
 			value = 1
--- a/daemon/coordinator/manager.go
+++ b/daemon/coordinator/manager.go
@@ -115,6 +115,20 @@
 	return s.Drain(ctx, dataCentre, drained)
 }
 
+// Drains returns the drains of data centres that the leader has, as Service.Drains.
+func (m *Manager) Drains(ctx context.Context) (work.DataCentreDrains, error) {
+	s := m.service.Load()
+	if s == nil {
+		return work.DataCentreDrains{}, m.unavailable()
+	}
+	return s.Drains(ctx)
+}
+
+// DataCentres returns the names of the data centres in the settings and of those in d, sorted.
+func (m *Manager) DataCentres(d work.DataCentreDrains) []string {
+	return knownDataCentres(m.opts.DataCentres, d)
+}
+
 // unavailable returns the error of a VM without a service.
 func (m *Manager) unavailable() error {
 	if text := m.storageError.Load(); text != nil {
--- a/daemon/ops/ops.go
+++ b/daemon/ops/ops.go
@@ -1,5 +1,5 @@
 // Package ops serves a process's HTTP interface for operators: metrics, health,
-// status and the events of the timeline. Parent: the root. Restart rule:
+// status, the events of the timeline, and the drains of data centres. Parent: the root. Restart rule:
 // one-for-one. It owns no state.
 package ops
 
@@ -41,6 +41,8 @@
 	// Status returns the role's state, which is encoded as JSON; nil if the role
 	// has none.
 	Status func() any
+	// Drains are the drains of data centres; nil if the role has none.
+	Drains DrainControl
 }
 
 // defaultGate bounds the clients of an operations page: Prometheus, a balancer and operators.
@@ -77,6 +79,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	srv := transport.NewServer(transport.Recover(s.opts.Log, s.Handler()), nil)
 	s.opts.Gate.Configure(srv)
+	transport.KeepConns(srv)
 	return transport.Serve(ctx, srv, s.opts.Gate.Listener(s.opts.Listener), shutdownTimeout)
 }
 
@@ -109,6 +112,9 @@
 	mux.HandleFunc("GET /readyz", s.ready)
 	mux.Handle("GET /v1/events", holding(eventsBytes, http.HandlerFunc(s.events)))
 	mux.HandleFunc("GET /v1/status", s.status)
+	if s.opts.Drains != nil {
+		s.handleDataCentres(mux)
+	}
 	return mux
 }
 
--- a/daemon/transport/arrival.go
+++ b/daemon/transport/arrival.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -12,9 +13,15 @@
 // connKey is the key of a server's connection in the context of its requests.
 type connKey struct{}
 
-// ConnContext keeps the connection for TimeSinceData. It is for http.Server.
-func ConnContext(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
+// KeepConns keeps the connections of a server for TimeSinceData.
+func KeepConns(srv *http.Server) {
+	next := srv.ConnContext
+	srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if next != nil {
+			ctx = next(ctx, c)
+		}
+		return context.WithValue(ctx, connKey{}, c)
+	}
 }
 
 // TimeSinceData returns how long ago the last data of a request's connection arrived at
--- a/daemon/transport/arrival_test.go
+++ b/daemon/transport/arrival_test.go
@@ -23,9 +23,10 @@
 	assert.NilError(t, err)
 	time.Sleep(delay)
 	waited := make(chan time.Duration, 1)
-	s := &http.Server{ConnContext: ConnContext, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	s := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		waited <- TimeSinceData(r.Context())
 	})}
+	KeepConns(s)
 	go func() { _ = s.Serve(l) }() // ends with Close
 	defer s.Close()
 	got := <-waited
