cli: the reason of the last complete attempt to reach a control VM

Change: an attempt that the time limit cuts off doesn't replace the former reason, and the address is named once.

--- a/client/internal/cli/datacentres_test.go
+++ b/client/internal/cli/datacentres_test.go
@@ -49,8 +49,9 @@
 
 	check(exit.Failure, "none of a b, east", "drain", "--data-centre", "x", "--control", unknown+","+leads)
 	assert.Equal(t, len(requests), 1)
-	check(exit.Unreachable, "nothing is known to have changed", "drain", "--data-centre", "east", "--control", leaderless)
+	got = check(exit.Unreachable, "nothing is known to have changed", "drain", "--data-centre", "east", "--control", leaderless)
 	assert.Assert(t, len(requests) > 1)
+	assert.Check(t, cmp.Contains(got.stderr, "no leader is known"))
 	check(exit.Unreachable, "no leader is known", "status", "--control", leaderless)
 	check(exit.Failure, "not the operations page", "drain", "--data-centre", "east", "--control", other)
 	for _, args := range [][]string{{}, {"worker-2", "--data-centre", "east"}, {"--data-centre", "east", "--wait"}, {"--data-centre", "east"}} {
--- a/client/internal/operator/datacentres.go
+++ b/client/internal/operator/datacentres.go
@@ -71,7 +71,9 @@
 		if err == nil || errors.As(err, &coded) {
 			return answer, err
 		}
-		last = fmt.Errorf("%s: %w", address, err)
+		if attempt == 0 || ctx.Err() == nil { // an attempt that ctx cuts off doesn't tell the reason
+			last = err
+		}
 		if (attempt+1)%len(c.Addresses) == 0 {
 			select {
 			case <-ctx.Done():
@@ -106,7 +108,7 @@
 	case response.StatusCode/100 == 4:
 		return nil, exit.Errorf(exit.Failure, "%s %w: %s", address, ErrNoDataCentres, response.Status)
 	case response.StatusCode != http.StatusOK:
-		return nil, fmt.Errorf("%s: %s", response.Status, text)
+		return nil, fmt.Errorf("%s: %s: %s", address, response.Status, text)
 	}
 	var answer operators.DataCentres
 	if err := json.Unmarshal(data, &answer); err != nil {
