placement: refused callers have a place when they return

Cause: in a lasting overload, a refused caller was told 1 to 10 s without regard to the others, and competed with newcomers when it came back. At a load of 1.35 a third of the returning callers was served, and a third of all callers late.

Retry-After is when the work queued now and that of the callers refused before will have been placed. For a second after its time, a caller that has not returned counts as queued ahead of newcomers of the same or a lower priority. That is not so while nothing is queued: endpoints would be idle for callers that never return. Estimates of waits are bounded, so that they do not overflow.

--- a/core/placement/admit.go
+++ b/core/placement/admit.go
@@ -23,6 +23,8 @@
 	// Bounds of the time after which a refused caller may retry.
 	minRetryAfter = time.Second
 	maxRetryAfter = 10 * time.Second
+	// maxPlacementTime bounds estimates, so that callers' large estimates don't overflow them.
+	maxPlacementTime = 24 * time.Hour
 )
 
 // Admission is the decision whether to accept a job.
@@ -38,7 +40,20 @@
 // Admit estimates when a job would complete after the work queued ahead of it,
 // and refuses a job that would complete too late. A refusal reports to the caller
 // that the job has not run, so a job that may have run elsewhere is never refused.
+// A refusal is remembered, so that the caller is admitted before newcomers on return.
 func (p *Planner) Admit(now time.Time, j *work.Job, prior PriorState) Admission {
+	p.refused.advance(now)
+	a := p.admission(now, j, prior)
+	if a.Accepted {
+		p.refused.remove(j.ID)
+	} else {
+		a.RetryAfter = p.promiseReturn(now, j, a.RetryAfter)
+	}
+	return a
+}
+
+// admission decides whether to accept a job. The RetryAfter of a refusal is a lower bound.
+func (p *Planner) admission(now time.Time, j *work.Job, prior PriorState) Admission {
 	if prior.MayHaveRun() {
 		return Admission{Accepted: true}
 	}
@@ -49,10 +64,7 @@
 	if len(p.drains.DataCentres) > 0 && allDrained(j, p.drainsLeaveNone) && !p.awaitingEndpoints(now) {
 		return Admission{Expected: expected, Limit: limit, Wait: wait, RetryAfter: drainedRetryAfter}
 	}
-	if expected <= limit {
-		return Admission{Accepted: true, Expected: expected, Limit: limit, Wait: wait}
-	}
-	return Admission{Expected: expected, Limit: limit, Wait: wait, RetryAfter: min(max(expected-limit, minRetryAfter), maxRetryAfter)}
+	return Admission{Accepted: expected <= limit, Expected: expected, Limit: limit, Wait: wait}
 }
 
 // admitFactor returns the multiple of a job's objective within which it must be expected
@@ -73,7 +85,7 @@
 // a higher priority counts, since it is placed first.
 func (p *Planner) trackQueues(now time.Time) {
 	for key := range p.queuedSince {
-		if p.queue.ahead(key.pool, key.priority) == 0 {
+		if p.queue.load.ahead(key.pool, key.priority) == 0 {
 			delete(p.queuedSince, key)
 		}
 	}
@@ -84,10 +96,16 @@
 	}
 }
 
-// queueWait estimates the time until all queued work of the same or a higher
-// priority in the job's pool has been placed.
+// queueWait estimates the time until all work that comes before the job has been placed:
+// queued work of the same or a higher priority in its pool, and work of refused callers.
 func (p *Planner) queueWait(now time.Time, j *work.Job) time.Duration {
-	rate := p.rate(now, j.Pool)
+	queued := p.queue.load.ahead(j.Pool, j.Priority)
+	return p.placementTime(now, j.Pool, queued+p.promisedAhead(now, j, queued))
+}
+
+// placementTime estimates the time until work in a pool has been placed.
+func (p *Planner) placementTime(now time.Time, pool string, w workload) time.Duration {
+	rate := p.rate(now, pool)
 	if joined := len(p.order); joined > 0 && p.awaitingEndpoints(now) {
 		// The endpoints that are expected to join shortly do their part of the work.
 		rate *= float64(joined+len(p.awaitedVMs)) / float64(joined)
@@ -98,5 +116,5 @@
 	if rate == 0 {
 		return maxRetryAfter
 	}
-	return time.Duration(p.queue.ahead(j.Pool, j.Priority).seconds() / rate * float64(time.Second))
+	return time.Duration(min(w.seconds()/rate, maxPlacementTime.Seconds()) * float64(time.Second))
 }
--- a/core/placement/drain.go
+++ b/core/placement/drain.go
@@ -80,7 +80,7 @@
 			Expected: waited + drainedRetryAfter + j.spec.CriticalPath() + overhead, Limit: j.due.Sub(j.arrived), Wait: drainedRetryAfter, RetryAfter: drainedRetryAfter,
 		}))
 	}
-	p.reject(rejected)
+	p.reject(now, rejected)
 }
 
 // drainsLeaveNone reports whether a pool has drained endpoints with a label, and every
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -39,6 +39,7 @@
 	unknown map[work.JobID][]*unknownRun
 	pools   pools
 	queue   queue
+	refused refusedCallers
 	// queuedSince is since when work of a pool and priority, or of a higher one, has been
 	// queued without a pause.
 	queuedSince map[loadKey]time.Time
@@ -96,6 +97,7 @@
 		unknown:       map[work.JobID][]*unknownRun{},
 		pools:         newPools(),
 		queue:         newQueue(),
+		refused:       newRefusedCallers(),
 		heldUntil:     heldUntil,
 		slowdowns:     newSlowdowns(),
 		lastTick:      heldUntil,
--- a/core/placement/queue.go
+++ b/core/placement/queue.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"github.com/cicadapulley/cicadapulley/core/work"
 )
 
 // group holds the waiting tasks of one step of a job.
@@ -58,8 +60,10 @@
 func (w workload) seconds() float64 { return float64(w) / 1e6 }
 
 // taskWorkload returns the workload of one task of the group.
-func (g *group) taskWorkload() workload {
-	step := &g.job.spec.Steps[g.step]
+func (g *group) taskWorkload() workload { return taskWorkload(&g.job.spec.Steps[g.step]) }
+
+// taskWorkload returns the workload of one task of a step.
+func taskWorkload(step *work.Step) workload {
 	cpu, estimate := workload(step.Need.CPU), workload(step.Estimate.Milliseconds())
 	if cpu > 0 && estimate > maxTaskWorkload/cpu {
 		return maxTaskWorkload
@@ -67,12 +71,42 @@
 	return cpu * estimate
 }
 
-// loadKey identifies the queued work of one pool and priority.
+// jobWorkload returns the workload of all tasks of a job.
+func jobWorkload(j *work.Job) workload {
+	var sum workload
+	for i := range j.Steps {
+		sum += workload(j.Steps[i].Tasks) * taskWorkload(&j.Steps[i])
+	}
+	return sum
+}
+
+// loadKey identifies the work of one pool and priority.
 type loadKey struct {
 	pool     string
 	priority int
 }
 
+// loads has the sums of work by pool and priority, without sums of 0.
+type loads map[loadKey]workload
+
+func (l loads) add(key loadKey, w workload) {
+	l[key] += w
+	if l[key] == 0 {
+		delete(l, key)
+	}
+}
+
+// ahead returns the work that comes before a new job of the pool and priority.
+func (l loads) ahead(pool string, priority int) workload {
+	var sum workload
+	for key, w := range l {
+		if key.pool == pool && key.priority <= priority {
+			sum += w
+		}
+	}
+	return sum
+}
+
 // queue holds the groups in the order in which they are placed.
 type queue struct {
 	groups []*group
@@ -80,10 +114,10 @@
 	tasks int
 	// load is the workload of the groups that are not expired. It equals the sum over
 	// these groups at all times.
-	load map[loadKey]workload
+	load loads
 }
 
-func newQueue() queue { return queue{load: map[loadKey]workload{}} }
+func newQueue() queue { return queue{load: loads{}} }
 
 // addLoad counts n tasks more, or fewer if n is negative.
 func (q *queue) addLoad(g *group, n int) {
@@ -91,23 +125,7 @@
 	if g.timeliness == expired {
 		return
 	}
-	key := loadKey{pool: g.job.spec.Pool, priority: g.job.spec.Priority}
-	q.load[key] += workload(n) * g.taskWorkload()
-	if q.load[key] == 0 {
-		delete(q.load, key)
-	}
-}
-
-// ahead returns the workload that is placed before a new job of the pool and
-// priority.
-func (q *queue) ahead(pool string, priority int) workload {
-	var sum workload
-	for key, w := range q.load {
-		if key.pool == pool && key.priority <= priority {
-			sum += w
-		}
-	}
-	return sum
+	q.load.add(loadKey{pool: g.job.spec.Pool, priority: g.job.spec.Priority}, workload(n)*g.taskWorkload())
 }
 
 func (q *queue) insert(g *group) {
--- a/core/placement/shed.go
+++ b/core/placement/shed.go
@@ -37,18 +37,23 @@
 		ahead[pool] += workload(len(g.tasks)) * g.taskWorkload()
 	}
 	p.Stats.Shed += uint64(len(rejected))
-	p.reject(rejected)
+	p.reject(now, rejected)
 }
 
 func newRejectedJob(j *job, a Admission) RejectedJob {
 	return RejectedJob{Job: j.spec, MayHaveRun: j.mayHaveRun || j.started, Admission: a}
 }
 
-// reject closes jobs for TakeRejected.
-func (p *Planner) reject(rejected []RejectedJob) {
+// reject closes jobs for TakeRejected. Callers that may try again are told when.
+func (p *Planner) reject(now time.Time, rejected []RejectedJob) {
 	for _, r := range rejected {
 		p.Close(r.Job.ID)
 	}
+	for i := range rejected {
+		if r := &rejected[i]; !r.MayHaveRun {
+			r.Admission.RetryAfter = p.promiseReturn(now, r.Job, r.Admission.RetryAfter)
+		}
+	}
 	p.rejected = append(p.rejected, rejected...)
 }
 
