placement: shares of queues

Change: the setting queue_shares (control VMs and entries) gives queues a part of the capacity of their pool's usable endpoints. While a queue runs less than its part, its groups that can be in time are placed first, whatever the priorities; no run is stopped, and others use what it leaves. Admission and the refusal of queued jobs count the queue's own work at its part of the rate, if that wait is shorter. Work that refused callers are to return with is counted by queue for it. Names that no queue has are ignored and sums over 100% scaled down, with one event for each configuration. Events shares_adjusted (390) and shares_decided (391), metric cicadapulley_queue_share_used. Sums of 0 tasks no longer change the map of queued work.

--- a/core/placement/admit.go
+++ b/core/placement/admit.go
@@ -99,8 +99,29 @@
 // queueWait estimates the time until all work that comes before the job has been placed:
 // queued work of the same or a higher priority in its pool, and work of refused callers.
 func (p *Planner) queueWait(now time.Time, j *work.Job) time.Duration {
-	queued := p.queue.load.ahead(j.Pool, j.Priority)
-	return p.placementTime(now, j.Pool, queued+p.promisedAhead(now, j, queued))
+	if p.refused.returns(now, j.ID) {
+		return p.placementTime(now, j.Pool, p.workAhead(j, nil))
+	}
+	return p.placementTime(now, j.Pool, p.workAhead(j, &p.refused.due))
+}
+
+// workAhead returns the workload that comes before a job: what is queued, and with it that of
+// refused callers, nil for none. The latter doesn't count while nothing is queued: endpoints
+// are not left idle for callers that may not return.
+func (p *Planner) workAhead(j *work.Job, refused *refusedWork) workload {
+	ahead := p.queue.load.ahead(j.Pool, j.Priority)
+	if refused != nil && len(refused.loads) > 0 && ahead > 0 {
+		ahead += refused.ahead(j.Pool, j.Priority)
+	}
+	s := p.shares.of(j)
+	if s == nil {
+		return ahead
+	}
+	own := s.queued
+	if refused != nil && own > 0 {
+		own += refused.queues[s.shareKey]
+	}
+	return s.ahead(ahead, own)
 }
 
 // placementTime estimates the time until work in a pool has been placed.
--- a/core/placement/assign.go
+++ b/core/placement/assign.go
@@ -29,8 +29,9 @@
 )
 
 // Assign places waiting tasks in queue order while endpoints have capacity, and
-// adds the orders.
+// adds the orders. Queues that use less than their shares come first.
 func (p *Planner) Assign(now time.Time) {
+	p.assignShares(now)
 	head := p.assignFrom(now, 0, headMisses, headSkipped)
 	if p.window < head || p.window >= len(p.queue.groups) {
 		p.window = head
@@ -49,7 +50,7 @@
 			i++
 			continue
 		}
-		p.placeGroup(now, g)
+		p.placeGroup(now, g, len(g.tasks))
 		free = freeBounds{}
 		if len(g.tasks) == 0 {
 			g.job.groups[g.step] = nil
@@ -83,10 +84,11 @@
 	return s.Need.Fits(b.free) || len(p.ramped) > 0 && p.rampsYield(now, g.job, g.step)
 }
 
-// placeGroup places the group's tasks until one finds no endpoint.
-func (p *Planner) placeGroup(now time.Time, g *group) {
+// placeGroup places the group's first tasks, up to a limit, until one finds no endpoint. It
+// returns the number of placed tasks.
+func (p *Planner) placeGroup(now time.Time, g *group, limit int) int {
 	placedCount := 0
-	for _, index := range g.tasks {
+	for _, index := range g.tasks[:limit] {
 		e := p.chooseEndpoint(now, g.job, g.step, index)
 		if e == nil {
 			break
@@ -95,6 +97,7 @@
 		placedCount++
 	}
 	p.queue.removeFirst(g, placedCount)
+	return placedCount
 }
 
 // minRunTime returns the run time of a task of the step on the fastest usable
--- a/core/placement/capacity_sim_test.go
+++ b/core/placement/capacity_sim_test.go
@@ -1,33 +1,39 @@
 package placement
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
+	"sort"
 	"time"
 
 	"github.com/cicadapulley/cicadapulley/core/work"
 )
 
-// capacitySim runs a planner under a load of 1.35 times the capacity of 12 endpoints of 4
-// cores. Tasks take 100 ms by their estimate, and vary by 40%. Callers that are refused return
-// after the time that they were told, and after a latency of up to 50 ms.
+// maxReturns is how often a simulated caller returns after a refusal.
+const maxReturns = 3
+
+// capacitySim runs a planner for a minute on 12 endpoints of 4 cores. Tasks take 100 ms by
+// their estimate, and vary by 40%. Callers that are refused return at the second after the time
+// that they were told, and up to 50 ms later.
 type capacitySim struct {
-	planner *Planner
-	random  *rand.Rand
-	now     time.Time
-	end     time.Time
-	events  simEvents
-	callers map[work.JobID]*simCaller
-	results map[string]*capacityResult
-	// returning is the part of the refused callers that return, at most maxReturns times.
+	planner    *Planner
+	random     *rand.Rand
+	now, start time.Time
+	events     []simEvent // in the order of their times
+	callers    map[work.JobID]*simCaller
+	results    map[string]*capacityResult
+	// returning is the part of the refused callers that return.
 	returning float64
 	// remember is set if the planner remembers refused callers.
 	remember bool
 }
 
-const maxReturns = 3
+type simEvent struct {
+	at time.Time
+	do func()
+}
 
 // loadQueue is a queue and its load, as a multiple of the capacity.
 type loadQueue struct {
@@ -47,34 +53,17 @@
 	callers, inTime, late, refusedOnce, returned, servedOnReturn, inTimeOnReturn int
 }
 
-func percent(n, of int) string { return fmt.Sprintf("%.1f%%", 100*float64(n)/float64(max(of, 1))) }
-
 func (r *capacityResult) String() string {
-	return fmt.Sprintf("in time %s, late %s; refused once %s, returned %d, of these served on return %s, in time on return %s", percent(r.inTime, r.callers), percent(r.late, r.callers),
-		percent(r.refusedOnce, r.callers), r.returned, percent(r.servedOnReturn, r.returned), percent(r.inTimeOnReturn, r.returned))
-}
-
-type simEvent struct {
-	at time.Time
-	do func()
-}
-
-type simEvents []simEvent
-
-func (e simEvents) Len() int           { return len(e) }
-func (e simEvents) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
-func (e simEvents) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *simEvents) Push(x any)        { *e = append(*e, x.(simEvent)) }
-func (e *simEvents) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
+	percent := func(n, of int) float64 { return 100 * float64(n) / float64(max(of, 1)) }
+	return fmt.Sprintf("in time %.1f%%, late %.1f%%; refused at first %.1f%%, returned %d, of these served on return %.1f%%, in time on return %.1f%%",
+		percent(r.inTime, r.callers), percent(r.late, r.callers), percent(r.refusedOnce, r.callers),
+		r.returned, percent(r.servedOnReturn, r.returned), percent(r.inTimeOnReturn, r.returned))
 }
 
 func newCapacitySim(returning float64, remember bool) *capacitySim {
 	now := time.Unix(1000, 0)
 	s := &capacitySim{
-		planner: NewPlanner(1, now, nil), random: rand.New(rand.NewPCG(1, 2)), now: now, end: now.Add(time.Minute),
+		planner: NewPlanner(1, now, nil), random: rand.New(rand.NewPCG(1, 2)), now: now, start: now,
 		callers: map[work.JobID]*simCaller{}, results: map[string]*capacityResult{}, returning: returning, remember: remember,
 	}
 	for i := range 12 {
@@ -86,20 +75,22 @@
 }
 
 func (s *capacitySim) after(d time.Duration, do func()) {
-	heap.Push(&s.events, simEvent{s.now.Add(d), do})
+	at := s.now.Add(d)
+	index := sort.Search(len(s.events), func(i int) bool { return s.events[i].at.After(at) })
+	s.events = slices.Insert(s.events, index, simEvent{at, do})
 }
 
-// run simulates a minute with the given queues.
 func (s *capacitySim) run(queues ...loadQueue) map[string]*capacityResult {
 	for _, q := range queues {
 		s.results[q.name] = &capacityResult{}
 		s.arrive(q)
 	}
 	s.tick()
-	for len(s.events) > 0 && s.now.Before(s.end.Add(30*time.Second)) {
-		e := heap.Pop(&s.events).(simEvent)
-		s.now = e.at
-		e.do()
+	for s.now.Sub(s.start) < 90*time.Second {
+		next := s.events[0]
+		s.events = s.events[1:]
+		s.now = next.at
+		next.do()
 		s.place()
 	}
 	return s.results
@@ -111,7 +102,7 @@
 }
 
 func (s *capacitySim) arrive(q loadQueue) {
-	if s.now.After(s.end) {
+	if s.now.Sub(s.start) > time.Minute {
 		return
 	}
 	j := oneStep(fmt.Sprintf("job-%d", len(s.callers)), 1)
@@ -119,8 +110,8 @@
 	s.callers[j.ID] = &simCaller{job: j}
 	s.results[q.name].callers++
 	s.request(s.callers[j.ID])
-	interval := 100 * time.Millisecond / time.Duration(48)
-	s.after(time.Duration(s.random.ExpFloat64()*float64(interval)/q.load), func() { s.arrive(q) })
+	interval := 100e6 / 48 / q.load // in nanoseconds
+	s.after(time.Duration(s.random.ExpFloat64()*interval), func() { s.arrive(q) })
 }
 
 func (s *capacitySim) request(c *simCaller) {
@@ -133,22 +124,21 @@
 }
 
 func (s *capacitySim) refused(c *simCaller, a Admission) {
-	retryAfter := a.RetryAfter
+	r, retryAfter := s.results[c.job.Queue], a.RetryAfter
 	if !s.remember {
 		s.planner.refused.remove(c.job.ID)
 		retryAfter = min(max(a.Expected-a.Limit, minRetryAfter), maxRetryAfter) // as before
 	}
 	if c.returns == 0 {
-		s.results[c.job.Queue].refusedOnce++
+		r.refusedOnce++
 	}
 	if c.returns == maxReturns || s.random.Float64() >= s.returning {
 		return
 	}
 	told := time.Duration(math.Ceil(retryAfter.Seconds())) * time.Second
-	s.after(told+time.Duration(s.random.Float64()*float64(50*time.Millisecond)), func() {
-		c.returns++
-		if c.returns == 1 {
-			s.results[c.job.Queue].returned++
+	s.after(told+time.Duration(s.random.Float64()*50e6), func() {
+		if c.returns++; c.returns == 1 {
+			r.returned++
 		}
 		s.request(c)
 	})
@@ -157,8 +147,8 @@
 func (s *capacitySim) place() {
 	s.planner.Assign(s.now)
 	for _, o := range s.planner.TakeOrders() {
-		run := 100 * time.Millisecond * time.Duration(1000*math.Exp(0.4*s.random.NormFloat64()-0.08)) / 1000
-		s.after(run, func() { s.planner.Ended(s.now, o.Session, work.End{Run: o.Run, Reason: work.Done}) })
+		took := 100e6 * math.Exp(0.4*s.random.NormFloat64()-0.08) // in nanoseconds
+		s.after(time.Duration(took), func() { s.planner.Ended(s.now, o.Session, work.End{Run: o.Run, Reason: work.Done}) })
 	}
 	for _, r := range s.planner.TakeRejected() {
 		s.refused(s.callers[r.Job.ID], r.Admission)
@@ -166,17 +156,15 @@
 	for _, f := range s.planner.TakeFinished() {
 		c := s.callers[f.ID]
 		r := s.results[c.job.Queue]
-		inTime := s.now.Sub(c.sent) <= c.job.Objective()
-		if inTime {
-			r.inTime++
-		} else {
-			r.late++
+		inTime, late := 1, 0
+		if s.now.Sub(c.sent) > c.job.Objective() {
+			inTime, late = 0, 1
 		}
+		r.inTime += inTime
+		r.late += late
 		if c.returns == 1 {
 			r.servedOnReturn++
-			if inTime {
-				r.inTimeOnReturn++
-			}
+			r.inTimeOnReturn += inTime
 		}
 	}
 }
--- a/core/placement/endpoints.go
+++ b/core/placement/endpoints.go
@@ -192,6 +192,7 @@
 func (p *Planner) addRun(r *run) {
 	r.endpoint.runs[r.Run] = r
 	r.countNeighbour(true)
+	r.countInShare()
 	r.endpoint.free = r.endpoint.free.Minus(r.need)
 	p.runs[r.Task.Job] = append(p.runs[r.Task.Job], r)
 	p.pools.mark(r.endpoint)
@@ -201,6 +202,7 @@
 func (p *Planner) removeRun(r *run) {
 	delete(r.endpoint.runs, r.Run)
 	r.countNeighbour(false)
+	r.removeFromShare()
 	r.endpoint.free = r.endpoint.free.Plus(r.need)
 	p.runs[r.Task.Job] = deleteElement(p.runs[r.Task.Job], r)
 	if len(p.runs[r.Task.Job]) == 0 {
--- a/core/placement/index_test.go
+++ b/core/placement/index_test.go
@@ -34,7 +34,7 @@
 func (p *Planner) verify(t assert.TestingT, now time.Time) {
 
 	runs, unknown := 0, 0
-	bestRatios, rates := map[indexKey]float64{}, map[string]float64{}
+	bestRatios, rates, capacity := map[indexKey]float64{}, map[string]float64{}, map[string]int{}
 	for _, e := range p.order {
 		for _, r := range e.runs {
 			runs++
@@ -50,6 +50,7 @@
 					bestRatios[key] = e.slowdown.ratio
 				}
 			})
+			capacity[e.Pool] += e.Capacity.CPU
 			rates[e.Pool] += float64(e.Capacity.CPU) / 1000 / e.slowdown.ratio * e.share()
 		}
 	}
@@ -63,10 +64,12 @@
 	assert.Equal(t, unknown, 0, "unknown runs that no endpoint has")
 	for key := range p.pools.members {
 		assert.Equal(t, p.bestRatio(now, key.pool, key.label), bestRatios[key])
+		assert.Equal(t, p.capacity(now, key.pool), capacity[key.pool])
 		difference := p.rate(now, key.pool) - rates[key.pool]
 		assert.Assert(t, difference < 1e-6 && difference > -1e-6)
 	}
 	p.verifyQueue(t, now)
+	p.verifyShares(t)
 }
 
 func (p *Planner) verifyQueue(t assert.TestingT, now time.Time) {
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -40,6 +40,7 @@
 	pools   pools
 	queue   queue
 	refused refusedCallers
+	shares  queueShares
 	// queuedSince is since when work of a pool and priority, or of a higher one, has been
 	// queued without a pause.
 	queuedSince map[loadKey]time.Time
@@ -203,6 +204,7 @@
 		outcomes:  make([]stepOutcomes, len(spec.Steps)),
 		groups:    make([]*group, len(spec.Steps)),
 		queueID:   p.queueID(arrived, spec.Queue),
+		share:     p.shares.of(spec),
 	}
 	for s, step := range spec.Steps {
 		j.tasks[s] = make([]task, step.Tasks)
--- a/core/placement/pools.go
+++ b/core/placement/pools.go
@@ -23,6 +23,8 @@
 	// members counts the endpoints of each pool with each label, whether or not an
 	// index for it exists.
 	members map[indexKey]int
+	// capacity is the CPU of the usable endpoints of each pool.
+	capacity map[string]int
 	// dirty lists the endpoints whose leaves are not up to date.
 	dirty []*endpoint
 	// reopening lists endpoints that get no runs before a certain time, and
@@ -33,7 +35,7 @@
 }
 
 func newPools() pools {
-	return pools{indexes: map[indexKey]*endpointIndex{}, members: map[indexKey]int{}}
+	return pools{indexes: map[indexKey]*endpointIndex{}, members: map[indexKey]int{}, capacity: map[string]int{}}
 }
 
 // keys calls fn for the keys of all indexes that may contain the endpoint.
@@ -54,6 +56,7 @@
 
 // remove removes an endpoint.
 func (s *pools) remove(e *endpoint) {
+	s.count(e, 0)
 	for index := range e.leaves {
 		index.remove(e)
 	}
@@ -66,6 +69,18 @@
 	})
 }
 
+// count sets the CPU of an endpoint that counts in the capacity of its pool.
+func (s *pools) count(e *endpoint, cpu int) {
+	if cpu == e.counted {
+		return
+	}
+	s.capacity[e.Pool] += cpu - e.counted
+	e.counted = cpu
+	if s.capacity[e.Pool] == 0 {
+		delete(s.capacity, e.Pool)
+	}
+}
+
 // mark records that the endpoint's state has changed.
 func (s *pools) mark(e *endpoint) {
 	if !e.dirty {
@@ -84,6 +99,11 @@
 			continue // removed since
 		}
 		node := e.indexNode(now, p.shared)
+		if math.IsInf(node.usableRatio, 1) {
+			s.count(e, 0)
+		} else {
+			s.count(e, e.Capacity.CPU)
+		}
 		e.keys(func(key indexKey) {
 			if index := s.indexes[key]; index != nil {
 				index.set(e, node)
@@ -191,6 +211,12 @@
 	return index.root().usableRatio
 }
 
+// capacity returns the CPU of the usable endpoints of a pool.
+func (p *Planner) capacity(now time.Time, pool string) int {
+	p.refresh(now)
+	return p.pools.capacity[pool]
+}
+
 // rate returns the nominal work that the usable endpoints of a pool do, in cores.
 func (p *Planner) rate(now time.Time, pool string) float64 {
 	index := p.index(now, pool, "")
--- a/core/placement/queue.go
+++ b/core/placement/queue.go
@@ -90,8 +90,9 @@
 type loads map[loadKey]workload
 
 func (l loads) add(key loadKey, w workload) {
-	l[key] += w
-	if l[key] == 0 {
+	if sum := l[key] + w; sum != 0 {
+		l[key] = sum
+	} else {
 		delete(l, key)
 	}
 }
@@ -122,18 +123,39 @@
 // addLoad counts n tasks more, or fewer if n is negative.
 func (q *queue) addLoad(g *group, n int) {
 	q.tasks += n
-	if g.timeliness == expired {
+	if n == 0 || g.timeliness == expired {
 		return
 	}
 	q.load.add(loadKey{pool: g.job.spec.Pool, priority: g.job.spec.Priority}, workload(n)*g.taskWorkload())
+	if s := g.job.share; s != nil {
+		s.addQueued(g, n)
+	}
 }
 
 func (q *queue) insert(g *group) {
-	index := sort.Search(len(q.groups), func(i int) bool { return g.before(q.groups[i]) })
-	q.groups = slices.Insert(q.groups, index, g)
+	q.groups = insertInOrder(q.groups, g)
+	if s := g.job.share; s != nil {
+		s.groups = insertInOrder(s.groups, g)
+	}
 	q.addLoad(g, len(g.tasks))
 }
 
+// insertInOrder inserts a group behind those that are not after it.
+func insertInOrder(groups []*group, g *group) []*group {
+	index := sort.Search(len(groups), func(i int) bool { return g.before(groups[i]) })
+	return slices.Insert(groups, index, g)
+}
+
+// first returns the first group of a pool, nil if there is none.
+func (q *queue) first(pool string) *group {
+	for _, g := range q.groups {
+		if g.job.spec.Pool == pool {
+			return g
+		}
+	}
+	return nil
+}
+
 func (q *queue) remove(g *group) {
 	if index := slices.Index(q.groups, g); index >= 0 {
 		q.removeAt(index)
@@ -143,6 +165,10 @@
 func (q *queue) removeAt(index int) {
 	g := q.groups[index]
 	q.groups = slices.Delete(q.groups, index, index+1)
+	if s := g.job.share; s != nil {
+		index := slices.Index(s.groups, g)
+		s.groups = slices.Delete(s.groups, index, index+1)
+	}
 	q.addLoad(g, -len(g.tasks))
 }
 
--- a/core/placement/returns.go
+++ b/core/placement/returns.go
@@ -23,9 +23,10 @@
 
 // refusedCaller is a caller that was refused and told when to return.
 type refusedCaller struct {
-	id   work.JobID
-	key  loadKey
-	work workload
+	id    work.JobID
+	key   loadKey
+	queue shareKey
+	work  workload
 	// at is when the caller may return.
 	at time.Time
 }
@@ -40,19 +41,42 @@
 	sorted   []*refusedCaller
 	dueCount int
 	// all is the workload of all callers, and due that of those whose time has come.
-	all, due loads
+	all, due refusedWork
+}
+
+// refusedWork has the sums of refused callers' work by pool and priority, and by queue.
+type refusedWork struct {
+	loads
+	queues map[shareKey]workload
 }
 
 func newRefusedCallers() refusedCallers {
-	return refusedCallers{byID: map[work.JobID]*refusedCaller{}, all: loads{}, due: loads{}}
+	return refusedCallers{byID: map[work.JobID]*refusedCaller{}, all: newRefusedWork(), due: newRefusedWork()}
+}
+
+func newRefusedWork() refusedWork {
+	return refusedWork{loads: loads{}, queues: map[shareKey]workload{}}
+}
+
+// count adds the work of a caller.
+func (w *refusedWork) count(c *refusedCaller) { w.change(c, c.work) }
+
+// discount reverts count.
+func (w *refusedWork) discount(c *refusedCaller) { w.change(c, -c.work) }
+
+func (w *refusedWork) change(c *refusedCaller, by workload) {
+	w.loads.add(c.key, by)
+	w.queues[c.queue] += by
+	if w.queues[c.queue] == 0 {
+		delete(w.queues, c.queue)
+	}
 }
 
 // advance counts the work of the callers whose time has come, and removes those whose grace
 // has passed.
 func (r *refusedCallers) advance(now time.Time) {
 	for r.dueCount < len(r.sorted) && !now.Before(r.sorted[r.dueCount].at) {
-		c := r.sorted[r.dueCount]
-		r.due.add(c.key, c.work)
+		r.due.count(r.sorted[r.dueCount])
 		r.dueCount++
 	}
 	for len(r.sorted) > 0 && now.After(r.sorted[0].at.Add(returnGrace)) {
@@ -74,7 +98,7 @@
 	})
 	r.sorted = slices.Insert(r.sorted, index, c)
 	r.byID[c.id] = c
-	r.all.add(c.key, c.work)
+	r.all.count(c)
 }
 
 // remove removes a caller, if it is among the refused ones.
@@ -86,10 +110,10 @@
 	delete(r.byID, id)
 	index := slices.Index(r.sorted, c)
 	r.sorted = slices.Delete(r.sorted, index, index+1)
-	r.all.add(c.key, -c.work)
+	r.all.discount(c)
 	if index < r.dueCount {
 		r.dueCount--
-		r.due.add(c.key, -c.work)
+		r.due.discount(c)
 	}
 }
 
@@ -99,16 +123,6 @@
 	return c != nil && !now.Before(c.at.Add(-earlyReturn))
 }
 
-// promisedAhead returns the workload that refused callers have priority for over a job. It
-// is 0 while nothing is queued ahead of the job: endpoints are not left idle for callers
-// that may not return.
-func (p *Planner) promisedAhead(now time.Time, j *work.Job, queued workload) workload {
-	if queued == 0 || len(p.refused.sorted) == 0 || p.refused.returns(now, j.ID) {
-		return 0
-	}
-	return p.refused.due.ahead(j.Pool, j.Priority)
-}
-
 // promiseReturn records the refusal of a job and returns the time after which its caller may
 // return: when the work that is queued now and that of the callers refused before it will
 // have been placed. A caller that returned too early keeps its time.
@@ -120,11 +134,12 @@
 		p.refused.remove(j.ID)
 	} else {
 		p.refused.remove(j.ID)
-		wait = p.placementTime(now, j.Pool, p.queue.load.ahead(j.Pool, j.Priority)+p.refused.all.ahead(j.Pool, j.Priority))
+		wait = p.placementTime(now, j.Pool, p.workAhead(j, &p.refused.all))
 	}
 	wait = min(max(wait, atLeast, minRetryAfter), maxRetryAfter)
 	p.refused.add(&refusedCaller{
-		id: j.ID, key: loadKey{pool: j.Pool, priority: j.Priority}, work: min(jobWorkload(j), maxPromisedWorkload), at: now.Add(wait),
+		id: j.ID, key: loadKey{pool: j.Pool, priority: j.Priority}, queue: shareKeyOf(j),
+		work: min(jobWorkload(j), maxPromisedWorkload), at: now.Add(wait),
 	})
 	return wait
 }
--- a/core/placement/returns_test.go
+++ b/core/placement/returns_test.go
@@ -26,11 +26,18 @@
 	return a.RetryAfter
 }
 
-// clearBacklog removes the backlog and leaves a job in the queue, beside which there is room for one
-// more.
-func (f *fixture) clearBacklog() {
+// awaitRefused refuses a job, and goes to the time of its return. The queue then has one task,
+// beside which there is room for one more.
+func (f *fixture) awaitRefused() *work.Job {
+	f.now = f.now.Add(f.refuse("refused"))
 	f.planner.Abandon(f.now, "backlog")
 	f.planner.Add(f.now, oneStep("queued", 1), PriorState{})
+	f.planner.refused.advance(f.now)
+	return oneStep("refused", 5)
+}
+
+func (f *fixture) admits(j *work.Job) bool {
+	return f.planner.admission(f.now, j, PriorState{}).Accepted
 }
 
 // TestReturnsOfRefusedCallersAreSpread guards against refused callers that all return in the
@@ -41,9 +48,6 @@
 	for i, want := range []time.Duration{2900, 3400, 3900, 4400} {
 		assert.Equal(t, f.refuse(fmt.Sprint(i)), want*time.Millisecond)
 	}
-	urgent := oneStep("urgent", 5)
-	urgent.Priority = -1
-	assert.Assert(t, f.planner.Admit(f.now, urgent, PriorState{}).Accepted)
 	assert.Equal(t, f.refuse("0"), 2900*time.Millisecond, "a caller that returns too early keeps its time")
 	for i := range 30 {
 		assert.Assert(t, f.refuse(fmt.Sprint("more ", i)) <= maxRetryAfter)
@@ -51,35 +55,33 @@
 }
 
 // TestReturningCallerComesBeforeNewcomers guards against refused callers that compete with
-// newcomers when they return.
+// newcomers when they return, and against work that is counted ahead of newcomers although its
+// caller has returned, and has cancelled the job then.
 func TestReturningCallerComesBeforeNewcomers(t *testing.T) {
 	f := overloaded(t)
-	f.now = f.now.Add(f.refuse("refused"))
-	f.clearBacklog()
-	newcomer, lower, higher := oneStep("newcomer", 1), oneStep("lower", 1), oneStep("higher", 1)
+	refused, newcomer, lower, higher := f.awaitRefused(), oneStep("newcomer", 1), oneStep("lower", 1), oneStep("higher", 1)
 	lower.Priority, higher.Priority = 1, -1
-	refused := oneStep("refused", 5)
-	f.planner.refused.advance(f.now)
-	admits := func(j *work.Job) bool { return f.planner.admission(f.now, j, PriorState{}).Accepted }
-	assert.Assert(t, !admits(newcomer) && !admits(lower) && admits(higher) && admits(refused))
+	assert.Assert(t, !f.admits(newcomer) && !f.admits(lower) && f.admits(higher) && f.admits(refused))
 	f.now = f.now.Add(returnGrace)
 	assert.Assert(t, f.planner.Admit(f.now, refused, PriorState{}).Accepted)
-	assert.Assert(t, admits(newcomer), "the caller has returned")
-	assert.Equal(t, len(f.planner.refused.sorted), 0)
+	f.planner.Add(f.now, refused, PriorState{})
+	f.planner.Abandon(f.now, refused.ID)
+	assert.Assert(t, f.admits(newcomer))
+	assert.Equal(t, len(f.planner.refused.byID), 0)
 }
 
 // TestCallersThatDoNotReturnKeepNothingIdle guards against a pool that refuses all newcomers
 // for callers that never return (in a simulated overload 2% of all callers were in time).
 func TestCallersThatDoNotReturnKeepNothingIdle(t *testing.T) {
 	f := overloaded(t)
-	f.now = f.now.Add(f.refuse("refused"))
-	f.planner.Abandon(f.now, "backlog")
-	assert.Assert(t, f.planner.Admit(f.now, oneStep("nothing queued", 1), PriorState{}).Accepted)
-	f.clearBacklog()
-	assert.Assert(t, !f.planner.Admit(f.now, oneStep("newcomer", 1), PriorState{}).Accepted)
+	f.awaitRefused()
+	newcomer := oneStep("newcomer", 1)
+	assert.Assert(t, !f.admits(newcomer))
+	f.planner.Abandon(f.now, "queued")
+	assert.Assert(t, f.admits(newcomer), "nothing is queued")
+	f.planner.Add(f.now, oneStep("queued", 1), PriorState{})
 	f.now = f.now.Add(returnGrace + time.Millisecond)
-	assert.Assert(t, f.planner.Admit(f.now, oneStep("later", 1), PriorState{}).Accepted)
-	assert.Assert(t, f.planner.refused.byID["refused"] == nil)
+	assert.Assert(t, f.planner.Admit(f.now, newcomer, PriorState{}).Accepted)
 }
 
 // TestReturnsAreNewcomersToNextLeader guards against a leader that needs the records of its
@@ -87,59 +89,46 @@
 // is ahead of nobody.
 func TestReturnsAreNewcomersToNextLeader(t *testing.T) {
 	f := overloaded(t)
-	f.now = f.now.Add(f.refuse("refused"))
+	refused := f.awaitRefused()
 	f.planner = NewPlanner(2, f.now.Add(leaseTimeout), nil)
 	f.join(2, "vm-1", 1)
-	f.planner.Add(f.now, oneStep("queued", 2), PriorState{})
-	newcomer, returning := f.planner.Admit(f.now, oneStep("newcomer", 1), PriorState{}), f.planner.Admit(f.now, oneStep("refused", 1), PriorState{})
-	assert.DeepEqual(t, newcomer, returning)
+	f.planner.Add(f.now, oneStep("queued", 1), PriorState{})
+	newcomer := f.planner.Admit(f.now, oneStep("newcomer", 5), PriorState{})
 	assert.Assert(t, newcomer.Accepted)
-}
-
-// TestCancelledReturnLeavesNothing guards against work that is counted ahead of newcomers
-// although its caller has returned and cancelled the job.
-func TestCancelledReturnLeavesNothing(t *testing.T) {
-	f := overloaded(t)
-	f.now = f.now.Add(f.refuse("refused"))
-	f.clearBacklog()
-	j := oneStep("refused", 5)
-	assert.Assert(t, f.planner.Admit(f.now, j, PriorState{}).Accepted)
-	f.planner.Add(f.now, j, PriorState{})
-	f.planner.Abandon(f.now, j.ID)
-	assert.Assert(t, f.planner.Admit(f.now, oneStep("newcomer", 1), PriorState{}).Accepted)
-	assert.Equal(t, len(f.planner.refused.byID), 0)
+	assert.DeepEqual(t, f.planner.Admit(f.now, refused, PriorState{}), newcomer)
 }
 
 // TestRefusedCallersAreBounded guards against records that grow with the number of refused
 // callers, and against sums that differ from the records.
 func TestRefusedCallersAreBounded(t *testing.T) {
 	f := overloaded(t)
+	r := &f.planner.refused
 	for i := range maxRefusedCallers + 100 {
 		f.refuse(fmt.Sprint(i))
 		if i%7 == 0 {
-			f.planner.refused.remove(work.JobID(fmt.Sprint(i / 2)))
+			r.remove(work.JobID(fmt.Sprint(i / 2)))
 		}
 		f.now = f.now.Add(time.Millisecond)
 	}
-	r := &f.planner.refused
-	assert.Assert(t, len(r.sorted) <= maxRefusedCallers)
-	assert.Equal(t, len(r.sorted), len(r.byID))
-	all, due := loads{}, loads{}
+	assert.Assert(t, len(r.sorted) <= maxRefusedCallers && len(r.sorted) == len(r.byID))
+	all, due := newRefusedWork(), newRefusedWork()
 	for i, c := range r.sorted {
-		all.add(c.key, c.work)
+		all.count(c)
 		if i < r.dueCount {
-			due.add(c.key, c.work)
+			due.count(c)
 		}
 		assert.Assert(t, i == 0 || !c.at.Before(r.sorted[i-1].at))
 	}
-	assert.DeepEqual(t, all, r.all)
-	assert.DeepEqual(t, due, r.due)
-	f.planner.refused.advance(f.now.Add(maxRetryAfter + returnGrace + time.Millisecond))
-	assert.Equal(t, len(r.byID)+len(r.all)+len(r.due)+len(r.sorted), 0)
+	assert.DeepEqual(t, all.loads, r.all.loads)
+	assert.DeepEqual(t, all.queues, r.all.queues)
+	assert.DeepEqual(t, due.loads, r.due.loads)
+	r.advance(f.now.Add(maxRetryAfter + returnGrace + time.Millisecond))
+	assert.Equal(t, len(r.byID)+len(r.all.queues)+len(r.due.loads)+len(r.sorted), 0)
 }
 
 // TestRefusedCallersAreServedOnReturn guards against refused callers that are refused again
-// while newcomers are admitted, and against a pool that is idle because some never return.
+// while newcomers are admitted, and against a pool that is idle because some never return, at a
+// load of 1.35 times the capacity.
 func TestRefusedCallersAreServedOnReturn(t *testing.T) {
 	for _, returning := range []float64{0, 0.3, 1} {
 		orders := loadQueue{name: "orders", load: 1.35}
--- a/core/placement/shed.go
+++ b/core/placement/shed.go
@@ -26,15 +26,19 @@
 // that are refused. Runs in progress aren't counted, so that the estimate is too low
 // rather than too high.
 func (p *Planner) shed(now time.Time) {
-	ahead := map[string]workload{}
+	ahead, own := map[string]workload{}, map[*queueShare]workload{}
 	var rejected []RejectedJob
 	for _, g := range p.queue.groups {
 		pool := g.job.spec.Pool
-		if a, hopeless := p.rejects(now, g, ahead[pool]); hopeless {
+		share := g.job.share
+		if a, hopeless := p.rejects(now, g, share.ahead(ahead[pool], own[share])); hopeless {
 			rejected = append(rejected, newRejectedJob(g.job, a))
 			continue
 		}
 		ahead[pool] += workload(len(g.tasks)) * g.taskWorkload()
+		if share != nil {
+			own[share] += workload(len(g.tasks)) * g.taskWorkload()
+		}
 	}
 	p.Stats.Shed += uint64(len(rejected))
 	p.reject(now, rejected)
--- a/core/placement/simulation_test.go
+++ b/core/placement/simulation_test.go
@@ -44,6 +44,8 @@
 	started map[work.TaskID]uint64
 	// drains are the operator's, which every planner receives.
 	drains work.DataCentreDrains
+	// shares are those of the settings, under the latest configuration.
+	shares Shares
 }
 
 // simVM is an endpoint with its agent.
@@ -109,6 +111,7 @@
 
 func (sim *simulation) replacePlanner(p *Planner) {
 	sim.planner = p
+	p.SetShares(sim.shares)
 	p.SetDrained(sim.now, sim.drains)
 	for _, vm := range sim.vms {
 		vm.connected = false
@@ -354,9 +357,16 @@
 			"drain or withdraw": func(t *rapid.T) {
 				sim.drain([][]string{nil, {"east"}, {"west"}, {"east", "west"}}[rapid.IntRange(0, 3).Draw(t, "drained")]...)
 			},
+			"change shares": func(t *rapid.T) {
+				sim.shares = testShares([]map[string]int{nil, {"proofs": 30}, {"proofs": 50, "q": 80}}[rapid.IntRange(0, 2).Draw(t, "shares")])
+				sim.planner.SetShares(sim.shares)
+			},
 			"submit": func(t *rapid.T) {
 				sim.nextJob++
 				j := oneStep(fmt.Sprintf("job-%d", sim.nextJob), rapid.IntRange(1, 3).Draw(t, "tasks"))
+				if sim.nextJob%3 == 0 {
+					j.Queue, j.Priority = "proofs", 1
+				}
 				if sim.nextJob%2 == 1 {
 					j.Target = time.Hour // it is never refused, so that it has to end
 				}
--- a/core/placement/types.go
+++ b/core/placement/types.go
@@ -177,6 +177,8 @@
 	// history records the job's first runs, to explain its end.
 	history []RunRecord
 	queueID interference.QueueID
+	// share is that of the job's queue, nil if it has none.
+	share *queueShare
 }
 
 // maxHistory bounds the runs in a job's history.
@@ -215,6 +217,8 @@
 	queueID    interference.QueueID
 	neighbours interference.Neighbours
 	observable bool
+	// share is the share in which the run is counted, nil if there is none.
+	share *queueShare
 	// slowdown is the factor by which neighbours slow the run, as known at its start; 0 if
 	// none does.
 	slowdown float64
@@ -272,6 +276,8 @@
 	fullUntil time.Time
 	// leaves has the endpoint's leaf in each index that contains it.
 	leaves map[*endpointIndex]int
+	// counted is the CPU that counts in the capacity of the endpoint's pool.
+	counted int
 	// dirty is set while the indexes do not reflect the endpoint's latest state.
 	dirty bool
 	// reopening is set while the endpoint is in Planner.reopening.
--- a/core/work/queues.go
+++ b/core/work/queues.go
@@ -88,12 +88,14 @@
 
 // Routes finds queues by host and path.
 type Routes struct {
-	byHost map[string][]*Queue
+	// Version is that of the configuration.
+	Version uint64
+	byHost  map[string][]*Queue
 }
 
 // NewRoutes indexes the queues of a configuration.
 func NewRoutes(c *Configuration) *Routes {
-	r := &Routes{byHost: map[string][]*Queue{}}
+	r := &Routes{Version: c.Version, byHost: map[string][]*Queue{}}
 	for i := range c.Queues {
 		q := &c.Queues[i]
 		r.byHost[q.Host] = append(r.byHost[q.Host], q)
@@ -101,6 +103,19 @@
 	return r
 }
 
+// Queues returns all queues, in any order.
+func (r *Routes) Queues() iter.Seq[*Queue] {
+	return func(yield func(*Queue) bool) {
+		for _, queues := range r.byHost {
+			for _, q := range queues {
+				if !yield(q) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // Match returns the queue with the longest prefix of path and the rest of the
 // path, or nil.
 func (r *Routes) Match(host, path string) (*Queue, string) {
--- a/daemon/coordinator/cluster_test.go
+++ b/daemon/coordinator/cluster_test.go
@@ -99,6 +99,7 @@
 	disk := newFullableFS()
 	m := NewManager(Options{
 		VM: fmt.Sprintf("control-%d", i), Address: c.addresses[i], DataDir: c.TempDir(), FS: disk, DetectInterference: true,
+		QueueShares: map[string]int{"q": 20},
 		Listen: func() (net.Listener, error) {
 			if l := first; l != nil {
 				first = nil
--- a/daemon/coordinator/effects.go
+++ b/daemon/coordinator/effects.go
@@ -80,6 +80,9 @@
 	case c.Cancel != "" && e.result.Changed:
 		s.opts.Log.Emit(events.Event{ID: events.WorkCancelled, Job: scheduler.JobKey(c.Cancel)})
 	case c.Configure != nil && e.result.Changed:
+		var routes *work.Routes
+		s.driver.Local(func() { routes = s.machine.Routes() })
+		s.shares.Apply(t.Planner, routes)
 		s.eachEntry(s.sendWelcome)
 	case c.Enrol != nil:
 		s.opts.Log.Emit(events.Event{ID: events.AgentEnrolled, Peer: c.Enrol.VM, Text: c.Enrol.Incarnation.Instance})
--- a/daemon/coordinator/manager.go
+++ b/daemon/coordinator/manager.go
@@ -141,6 +141,7 @@
 		m.plannerGauge("cicadapulley_work_shed_total", "Admitted jobs refused in this term before any of their tasks had begun.", func(p *placement.Planner) float64 { return float64(p.Stats.Shed) }),
 		m.plannerGauge("cicadapulley_tasks_requeued_total", "Tasks that waited again in this term.", func(p *placement.Planner) float64 { return float64(p.Stats.Requeues) }),
 		scheduler.NewInterferenceCollector(m.readPlanner),
+		scheduler.NewShareCollector(m.readPlanner),
 		m.gauge("cicadapulley_term", "Term of the consensus.", func(s *Service) float64 { return float64(s.driver.Term()) }),
 		m.gauge("cicadapulley_storage_syncs", "Syncs since the data folder was opened.", func(s *Service) float64 { return float64(s.store.Stats().Syncs) }),
 		m.gauge("cicadapulley_storage_log_bytes", "Size of the log on disk.", func(s *Service) float64 { return float64(s.store.Stats().LogBytes) }),
--- a/daemon/coordinator/service.go
+++ b/daemon/coordinator/service.go
@@ -81,7 +81,9 @@
 	// DetectInterference is set if a leader learns which queues slow each other down on one
 	// endpoint, and prefers other endpoints for their tasks.
 	DetectInterference bool
-	Log                *events.Log
+	// QueueShares are the shares of queues in percent.
+	QueueShares map[string]int
+	Log         *events.Log
 }
 
 // Service is a control VM.
@@ -106,6 +108,7 @@
 	lastMembers []string
 	// drains are the latest that were sent to all clients.
 	drains work.DataCentreDrains
+	shares *scheduler.Shares
 }
 
 // founderIdentity derives the identity of a founder's data folder from its
@@ -127,6 +130,7 @@
 		return nil, errors.Wrap(err, "open data folder")
 	}
 	s := &Service{opts: o, store: store, machine: &machine{Machine: ledger.New(), log: o.Log, dataCentres: o.DataCentres}, clients: map[*client]bool{}, metrics: metrics}
+	s.shares = scheduler.NewShares(o.QueueShares, o.Log)
 	s.memory = newMemoryMonitor(o.MemoryBytes, o.Log)
 	if err := s.init(founder); err != nil {
 		return nil, errors.CombineErrors(err, store.Close())
--- a/daemon/coordinator/term.go
+++ b/daemon/coordinator/term.go
@@ -118,6 +118,7 @@
 		if s.opts.DetectInterference {
 			planner.DetectInterference()
 		}
+		s.shares.Apply(planner, s.machine.Routes())
 		t.Scheduler = scheduler.New(planner, s.metrics, s.opts.Log)
 		s.machine.Each(func(r *ledger.Record) {
 			if r.State.Final() {
--- a/daemon/coordinator/term_test.go
+++ b/daemon/coordinator/term_test.go
@@ -34,6 +34,28 @@
 	})
 }
 
+// TestLeaderAppliesShares guards against shares that don't reach the planner: with a
+// configuration that comes into force during the term, or at the start of the next term.
+func TestLeaderAppliesShares(t *testing.T) {
+	c := newCluster(t, 1)
+	s := c.managers[c.leader()].service.Load()
+	applied := func() (in *term) {
+		s.whileLeading(func(t *term, now time.Time) {
+			if len(t.Planner.ShareUses(now)) == 1 {
+				in = t
+			}
+		})
+		return in
+	}
+	c.configure(0, 1)
+	c.eventually("the term has the share", func() bool { return applied() != nil })
+	former := applied()
+	s.mu.Lock()
+	former.number--
+	s.mu.Unlock()
+	c.eventually("the next term has the share", func() bool { next := applied(); return next != nil && next != former })
+}
+
 // TestStallCause guards against a leader that is silent for a while without a line that tells a paused process
 // from work that took long (TestPlannedStops, 350 ms without a message).
 func TestStallCause(t *testing.T) {
--- a/daemon/events/catalogue.go
+++ b/daemon/events/catalogue.go
@@ -100,6 +100,9 @@
 	DrainWithdrawn    ID = 381
 	NoDataCentreLeft  ID = 382
 	DrainRejected     ID = 383
+	// Shares of queues.
+	SharesAdjusted ID = 390
+	SharesDecided  ID = 391
 )
 
 // Events of entries.
@@ -244,6 +247,8 @@
 	{DrainWithdrawn, "drain_withdrawn", zapcore.InfoLevel, "this control VM has applied the withdrawal of the drain of the data centre in the detail; it is repeated when a restarted VM reads its log"},
 	{NoDataCentreLeft, "no_data_centre_left", zapcore.WarnLevel, "all data centres of the settings are drained, the one in the detail last, and no task starts anywhere; withdraw the drain of one if that is not intended"},
 	{DrainRejected, "drain_rejected", zapcore.InfoLevel, "an order about the data centre in the detail was rejected, because there was another order about it since this one was forwarded; the control VM that took the order tries it again for up to 0.9 s"},
+	{SharesAdjusted, "shares_adjusted", zapcore.WarnLevel, "a setting of `queue_shares` can't be applied as it is under the configuration whose version is the ticket; the detail has the names that no queue has, which are ignored, and the pools whose shares are over 100% in all and are scaled down; correct the settings of the control VMs and entries, or the configuration"},
+	{SharesDecided, "shares_decided", zapcore.InfoLevel, "tasks of queues that used less than their shares were placed before waiting tasks of other queues; the detail counts them by queue since the last such event, which is at least 10 s ago"},
 	{JobAccepted, "job_accepted", zapcore.DebugLevel, "a job is recorded; its tasks may start"},
 	{JobJoined, "job_joined", zapcore.DebugLevel, "a resubmission was attached to the existing job"},
 	{JobRefused, "job_refused", zapcore.DebugLevel, "a job was refused as a whole; none of its tasks ran"},
--- a/daemon/fallback/fallback.go
+++ b/daemon/fallback/fallback.go
@@ -64,7 +64,9 @@
 	Metrics *scheduler.Metrics
 	// DetectInterference is set if the placer learns which queues slow each other down.
 	DetectInterference bool
-	Log                *events.Log
+	// Shares are those of queues, nil for none.
+	Shares *scheduler.Shares
+	Log    *events.Log
 }
 
 // Placer places jobs during one period without a leader. Submit is safe for
@@ -105,6 +107,7 @@
 	if o.DetectInterference {
 		planner.DetectInterference()
 	}
+	o.Shares.Apply(planner, o.Routes)
 	return &Placer{opts: o, routes: o.Routes, scheduler: scheduler.New(planner, o.Metrics, o.Log), open: map[uint64]*request{}}
 }
 
@@ -195,6 +198,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.routes = routes
+	p.opts.Shares.Apply(p.scheduler.Planner, routes)
 }
 
 // SetDrained applies the drains of data centres. Those of an older revision are ignored.
--- a/daemon/fallback/fallback_test.go
+++ b/daemon/fallback/fallback_test.go
@@ -278,6 +278,23 @@
 	assert.Equal(t, len(chooseAgents("entry", agents[:50])), 50)
 }
 
+// TestPlacerAppliesShares guards against shares that don't reach the planner of an entry
+// without a leader, at its start and with a later configuration.
+func TestPlacerAppliesShares(t *testing.T) {
+	p := New(Options{
+		VM: "entry-1", LeaderLostAt: boottime.Now(), Metrics: scheduler.NewMetrics(), Log: testLog(),
+		Routes: work.NewRoutes(&work.Configuration{Queues: []work.Queue{{Name: "q", Pool: "desk"}}}),
+		Shares: scheduler.NewShares(map[string]int{"q": 20, "r": 20}, testLog()),
+	})
+	shares := func() (n int) {
+		p.ReadPlanner(func(planner *placement.Planner, now time.Time) { n = len(planner.ShareUses(now)) })
+		return n
+	}
+	assert.Equal(t, shares(), 1)
+	p.SetRoutes(work.NewRoutes(&work.Configuration{Version: 2, Queues: []work.Queue{{Name: "q", Pool: "desk"}, {Name: "r", Pool: "desk"}}}))
+	assert.Equal(t, shares(), 2)
+}
+
 // TestPlacerDetectsInterference guards against an option that doesn't reach the planner
 // of an entry without a leader.
 func TestPlacerDetectsInterference(t *testing.T) {
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -46,7 +46,9 @@
 	// DetectInterference is set if this entry learns which queues slow each other down while it
 	// places jobs itself.
 	DetectInterference bool
-	Log                *events.Log
+	// QueueShares are the shares of queues in percent, for the jobs that this entry places.
+	QueueShares map[string]int
+	Log         *events.Log
 }
 
 // Service forwards callers' requests to the leader.
@@ -71,6 +73,8 @@
 	pending map[uint64]chan *mesh.Response
 	latency *prometheus.HistogramVec
 	metrics *scheduler.Metrics
+	// shares are used by one local placer at a time.
+	shares *scheduler.Shares
 }
 
 // leader is the connection to a leader.
@@ -85,6 +89,7 @@
 	return &Service{
 		opts: o, changed: make(chan struct{}), pending: map[uint64]chan *mesh.Response{},
 		latency: newLatency(), metrics: scheduler.NewMetrics(),
+		shares: scheduler.NewShares(o.QueueShares, o.Log),
 	}
 }
 
--- a/daemon/gateway/metrics.go
+++ b/daemon/gateway/metrics.go
@@ -32,6 +32,7 @@
 func (s *Service) Collectors() []prometheus.Collector {
 	return append(s.metrics.Collectors(), s.latency,
 		scheduler.NewInterferenceCollector(s.readPlanner),
+		scheduler.NewShareCollector(s.readPlanner),
 		s.gauge("cicadapulley_requests_pending", "Requests that wait for the leader's answer.", func() float64 { return float64(len(s.pending)) }),
 		s.gauge("cicadapulley_configuration_version", "Version of the configuration that this entry has received.", func() float64 { return float64(s.view.Version()) }),
 		s.gauge("cicadapulley_places_locally", "1 while this entry has no leader and places jobs itself.", func() float64 {
--- a/daemon/scheduler/scheduler.go
+++ b/daemon/scheduler/scheduler.go
@@ -61,7 +61,8 @@
 	waiters map[work.JobID][]Waiter
 	// results are the latest ends of best-effort jobs, for requests that are sent
 	// again after their answer was lost.
-	results map[work.JobID]result
+	results  map[work.JobID]result
+	shareLog shareLog
 }
 
 // New returns a scheduler without sessions.
@@ -195,6 +196,7 @@
 func (s *Scheduler) Tick(now time.Time) {
 	s.Planner.Tick(now)
 	s.logInterference()
+	s.logShares(now)
 	for id, r := range s.results {
 		if now.Sub(r.recordedAt) > resultTTL {
 			delete(s.results, id)
