placement: records of refused callers end with a tick

Cause: a record was removed at the next admission or refusal only, so that it outlived its 11 s in a pool without requests.

Change: each tick removes the records whose time has passed. The test of their bounds uses a tick.

--- a/core/placement/assign.go
+++ b/core/placement/assign.go
@@ -196,8 +196,8 @@
 
 // Tick applies what depends on time: it removes endpoints with an expired lease,
 // releases held jobs, expires unclaimed runs and ends, moves groups that can no
-// longer be in time back in the queue, refuses those of no more value, and moves stalled
-// runs.
+// longer be in time back in the queue, refuses those of no more value, removes refused
+// callers that did not return, and moves stalled runs.
 func (p *Planner) Tick(now time.Time) {
 	for _, e := range slices.Clone(p.order) {
 		if !e.leaseExpiry.IsZero() && !now.Before(e.leaseExpiry) {
@@ -209,6 +209,7 @@
 	p.expireUnclaimed(now)
 	p.queue.demote(now, func(g *group) time.Duration { return p.minRunTime(now, g.job, g.step) })
 	p.trackQueues(now)
+	p.refused.advance(now)
 	p.shed(now)
 	p.moveStalled(now)
 	p.endRamps(now)
--- a/core/placement/returns_test.go
+++ b/core/placement/returns_test.go
@@ -122,7 +122,7 @@
 	assert.DeepEqual(t, all.loads, r.all.loads)
 	assert.DeepEqual(t, all.queues, r.all.queues)
 	assert.DeepEqual(t, due.loads, r.due.loads)
-	r.advance(f.now.Add(maxRetryAfter + returnGrace + time.Millisecond))
+	f.advance(maxRetryAfter + returnGrace + time.Millisecond)
 	assert.Equal(t, len(r.byID)+len(r.all.queues)+len(r.due.loads)+len(r.sorted), 0)
 }
 
