--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -39,6 +39,8 @@
 	unknown map[work.JobID][]*unknownRun
 	pools   pools
 	queue   queue
+	refused refusedCallers
+	shares  queueShares
 	// queuedSince is since when work of a pool and priority, or of a higher one, has been
 	// queued without a pause.
 	queuedSince map[loadKey]time.Time
@@ -96,6 +98,7 @@
 		unknown:       map[work.JobID][]*unknownRun{},
 		pools:         newPools(),
 		queue:         newQueue(),
+		refused:       newRefusedCallers(),
 		heldUntil:     heldUntil,
 		slowdowns:     newSlowdowns(),
 		lastTick:      heldUntil,
@@ -201,6 +204,7 @@
 		outcomes:  make([]stepOutcomes, len(spec.Steps)),
 		groups:    make([]*group, len(spec.Steps)),
 		queueID:   p.queueID(arrived, spec.Queue),
+		share:     p.shares.of(spec),
 	}
 	for s, step := range spec.Steps {
 		j.tasks[s] = make([]task, step.Tasks)
--- a/core/placement/queue.go
+++ b/core/placement/queue.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"github.com/cicadapulley/cicadapulley/core/work"
 )
 
 // group holds the waiting tasks of one step of a job.
@@ -58,8 +60,10 @@
 func (w workload) seconds() float64 { return float64(w) / 1e6 }
 
 // taskWorkload returns the workload of one task of the group.
-func (g *group) taskWorkload() workload {
-	step := &g.job.spec.Steps[g.step]
+func (g *group) taskWorkload() workload { return taskWorkload(&g.job.spec.Steps[g.step]) }
+
+// taskWorkload returns the workload of one task of a step.
+func taskWorkload(step *work.Step) workload {
 	cpu, estimate := workload(step.Need.CPU), workload(step.Estimate.Milliseconds())
 	if cpu > 0 && estimate > maxTaskWorkload/cpu {
 		return maxTaskWorkload
@@ -67,12 +71,43 @@
 	return cpu * estimate
 }
 
-// loadKey identifies the queued work of one pool and priority.
+// jobWorkload returns the workload of all tasks of a job.
+func jobWorkload(j *work.Job) workload {
+	var sum workload
+	for i := range j.Steps {
+		sum += workload(j.Steps[i].Tasks) * taskWorkload(&j.Steps[i])
+	}
+	return sum
+}
+
+// loadKey identifies the work of one pool and priority.
 type loadKey struct {
 	pool     string
 	priority int
 }
 
+// loads has the sums of work by pool and priority, without sums of 0.
+type loads map[loadKey]workload
+
+func (l loads) add(key loadKey, w workload) {
+	if sum := l[key] + w; sum != 0 {
+		l[key] = sum
+	} else {
+		delete(l, key)
+	}
+}
+
+// ahead returns the work that comes before a new job of the pool and priority.
+func (l loads) ahead(pool string, priority int) workload {
+	var sum workload
+	for key, w := range l {
+		if key.pool == pool && key.priority <= priority {
+			sum += w
+		}
+	}
+	return sum
+}
+
 // queue holds the groups in the order in which they are placed.
 type queue struct {
 	groups []*group
@@ -80,40 +115,45 @@
 	tasks int
 	// load is the workload of the groups that are not expired. It equals the sum over
 	// these groups at all times.
-	load map[loadKey]workload
+	load loads
 }
 
-func newQueue() queue { return queue{load: map[loadKey]workload{}} }
+func newQueue() queue { return queue{load: loads{}} }
 
 // addLoad counts n tasks more, or fewer if n is negative.
 func (q *queue) addLoad(g *group, n int) {
 	q.tasks += n
-	if g.timeliness == expired {
+	if n == 0 || g.timeliness == expired {
 		return
 	}
-	key := loadKey{pool: g.job.spec.Pool, priority: g.job.spec.Priority}
-	q.load[key] += workload(n) * g.taskWorkload()
-	if q.load[key] == 0 {
-		delete(q.load, key)
+	q.load.add(loadKey{pool: g.job.spec.Pool, priority: g.job.spec.Priority}, workload(n)*g.taskWorkload())
+	if s := g.job.share; s != nil {
+		s.addQueued(g, n)
 	}
 }
 
-// ahead returns the workload that is placed before a new job of the pool and
-// priority.
-func (q *queue) ahead(pool string, priority int) workload {
-	var sum workload
-	for key, w := range q.load {
-		if key.pool == pool && key.priority <= priority {
-			sum += w
-		}
+func (q *queue) insert(g *group) {
+	q.groups = insertInOrder(q.groups, g)
+	if s := g.job.share; s != nil {
+		s.groups = insertInOrder(s.groups, g)
 	}
-	return sum
+	q.addLoad(g, len(g.tasks))
 }
 
-func (q *queue) insert(g *group) {
-	index := sort.Search(len(q.groups), func(i int) bool { return g.before(q.groups[i]) })
-	q.groups = slices.Insert(q.groups, index, g)
-	q.addLoad(g, len(g.tasks))
+// insertInOrder inserts a group behind those that are not after it.
+func insertInOrder(groups []*group, g *group) []*group {
+	index := sort.Search(len(groups), func(i int) bool { return g.before(groups[i]) })
+	return slices.Insert(groups, index, g)
+}
+
+// first returns the first group of a pool, nil if there is none.
+func (q *queue) first(pool string) *group {
+	for _, g := range q.groups {
+		if g.job.spec.Pool == pool {
+			return g
+		}
+	}
+	return nil
 }
 
 func (q *queue) remove(g *group) {
@@ -125,6 +165,10 @@
 func (q *queue) removeAt(index int) {
 	g := q.groups[index]
 	q.groups = slices.Delete(q.groups, index, index+1)
+	if s := g.job.share; s != nil {
+		index := slices.Index(s.groups, g)
+		s.groups = slices.Delete(s.groups, index, index+1)
+	}
 	q.addLoad(g, -len(g.tasks))
 }
 
