relay: entries relay agents that a leader can't reach

Cause: while the network between agents and control VMs is down, the leader counts their endpoints as lost although entries reach them, so that jobs are refused beside idle endpoints.

Change: the leader decides which entry relays which agent (core/relay), at its tick and only for enrolled agents without a connection. The entry copies bytes between the two (daemon/relay); the agent serves such a connection like one that it has dialled (follow.ServeRelayed). A direct connection replaces a relayed one after a trial, which gets longer while the network fails again and again. Entries and agents announce relays in Hello, so that processes of a former version get no message that they don't know.

--- a/api/mesh/golden_test.go
+++ b/api/mesh/golden_test.go
@@ -13,7 +13,7 @@
 
 // addedFields are fields that were added after the first golden files were written.
 // They are absent from messages, commands and snapshots of former code.
-var addedFields = []string{"Waited", "EndpointDraining", "RemoveEnrolment", "Enrolments", "FailedRuns", "ConfigurationVersion", "OwnerSilence", "DataCentre", "Drain", "Drains", "DrainRevision", "ReadDrain"}
+var addedFields = []string{"Waited", "EndpointDraining", "RemoveEnrolment", "Enrolments", "FailedRuns", "ConfigurationVersion", "OwnerSilence", "DataCentre", "Drain", "Drains", "DrainRevision", "ReadDrain", "Relays", "RelayedBy"}
 
 // TestGoldenMessages guards against a message that is encoded differently from
 // released code: a renamed field without its former name as a tag, or a kind
@@ -23,7 +23,7 @@
 	messages := []Message{
 		&Hello{}, &Welcome{}, &Ping{}, &Pong{}, &Request{}, &Response{}, &Inventory{}, &Orders{}, &Report{},
 		&Acknowledge{}, &RaftMessages{}, &Join{}, &Abandon{}, &NewSession{}, &Enrolled{}, &SessionEnded{}, &Members{},
-		&OperatorRequest{}, &OperatorResponse{}, &PossibleRuns{}, &Drains{},
+		&OperatorRequest{}, &OperatorResponse{}, &PossibleRuns{}, &Drains{}, &Relay{},
 	}
 	assert.Assert(t, newMessage(byte(len(messages)+1)) == nil, "a message kind has no golden file")
 	check := func(name string, m Message) {
@@ -53,7 +53,7 @@
 		testfill.FillWithout(m, "ReadDrain")
 		check(name, m)
 	}
-	last := map[string]Message{"18-read-drain": &OperatorRequest{}}
+	last := map[string]Message{"18-read-drain": &OperatorRequest{}, "01-relays": &Hello{}}
 	for name, m := range last {
 		testfill.Fill(m)
 		check(name, m)
--- a/api/mesh/mesh.go
+++ b/api/mesh/mesh.go
@@ -30,6 +30,9 @@
 	RoleEntry Role = iota + 1
 	RoleAgent
 	RoleControl
+	// RoleRelay is that of an entry that relays an agent: after its Hello, the connection
+	// carries what the agent and a control VM send each other.
+	RoleRelay
 )
 
 // Hello is the first message from the process that opens a connection.
@@ -44,6 +47,11 @@
 	Period uint64
 	// Server is set by control VMs: the identity and address of the sender.
 	Server *raft.Server
+	// Relays, for an entry, is the number of agents that it relays at most.
+	Relays int `cbor:",omitempty"`
+	// RelayedBy, for an agent, is the VM of the entry that relays the connection; empty
+	// for a direct one.
+	RelayedBy string `cbor:",omitempty"`
 }
 
 // Welcome answers Hello, and follows each change of the sender's leadership.
@@ -287,6 +295,14 @@
 	State work.DataCentreDrains
 }
 
+// Relay is sent by the leader to an entry that has announced Relays. The entry opens a
+// connection to the agent and one to the sender, and relays between them.
+type Relay struct {
+	// VM and Address are those of the agent, as enrolled.
+	VM      string
+	Address string
+}
+
 // Join asks the leader to add the sender to the group of control VMs.
 type Join struct {
 	Server raft.Server
@@ -317,6 +333,7 @@
 	kindOperatorResponse
 	kindPossibleRuns
 	kindDrains
+	kindRelay
 )
 
 func kindOf(m Message) byte {
@@ -363,6 +380,8 @@
 		return kindPossibleRuns
 	case *Drains:
 		return kindDrains
+	case *Relay:
+		return kindRelay
 	}
 	return 0
 }
@@ -411,6 +430,8 @@
 		return &PossibleRuns{}
 	case kindDrains:
 		return &Drains{}
+	case kindRelay:
+		return &Relay{}
 	}
 	return nil
 }
--- a/daemon/coordinator/agents.go
+++ b/daemon/coordinator/agents.go
@@ -60,6 +60,7 @@
 // join adds the endpoint to the planner, with the runs and ends of its inventory.
 // It closes the connection if the agent can't be enrolled.
 func (a *agentSession) join(ctx context.Context, m *mesh.Inventory) {
+	a.used()
 	if err := m.Incarnation.Validate(); err != nil {
 		a.log().Emit(events.Event{ID: events.RegistrationWrong, Peer: a.VM, Err: err})
 		a.client.conn.Close()
@@ -80,10 +81,16 @@
 	}
 }
 
+// used records that the agent uses its connection, so that it gets no relay.
+func (a *agentSession) used() {
+	a.inTerm(func(t *term, at time.Time) { t.relays.Used(at, a.VM, a.client.id) })
+}
+
 // joinUnreachable adds the runs that may exist at an endpoint that does not answer its
 // agent. The agent renews no lease before its endpoint answers, so they have ended
 // when the lease that it may have renewed until now has expired.
 func (a *agentSession) joinUnreachable(m *mesh.PossibleRuns) {
+	a.used()
 	a.inTerm(func(t *term, at time.Time) {
 		t.JoinUnreachable(at, a.Session, m, at.Add(lease.ExpiresAfter))
 		a.client.service.place(t, at)
--- a/daemon/coordinator/clients.go
+++ b/daemon/coordinator/clients.go
@@ -11,6 +11,7 @@
 	"github.com/cicadapulley/cicadapulley/api/mesh"
 	"github.com/cicadapulley/cicadapulley/core/ledger"
 	"github.com/cicadapulley/cicadapulley/core/placement"
+	"github.com/cicadapulley/cicadapulley/core/relay"
 	"github.com/cicadapulley/cicadapulley/core/work"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 	"github.com/cicadapulley/cicadapulley/daemon/link"
@@ -26,6 +27,13 @@
 	vm      string
 	// address is the address at which entries reach an agent.
 	address string
+	// id numbers the clients of this process, and openedAt is when the client connected.
+	id       relay.ConnectionID
+	openedAt time.Time
+	// relayedBy is the VM of the entry that relays an agent's connection, empty for a direct
+	// one. relays is the number of agents that an entry relays at most.
+	relayedBy string
+	relays    int
 	// session is the current session of an agent, nil without a term. Guarded by
 	// Service.mu.
 	session *agentSession
@@ -44,9 +52,13 @@
 		s.opts.Log.Emit(events.Event{ID: events.ConnectionRefused, Peer: c.Remote(), Err: err})
 		return err
 	}
-	cl := &client{service: s, conn: c, role: hello.Role, vm: hello.VM, address: hello.Address, waiting: map[uint64]work.JobID{}}
+	cl := &client{
+		service: s, conn: c, role: hello.Role, vm: hello.VM, address: hello.Address, relayedBy: hello.RelayedBy, relays: hello.Relays,
+		waiting: map[uint64]work.JobID{},
+	}
 	s.mu.Lock()
 	s.updateDrains()
+	s.openedClient(cl)
 	s.clients[cl] = true
 	s.sendDrains(cl)
 	s.sendWelcome(cl)
@@ -69,6 +81,9 @@
 	if !work.ValidName(hello.VM) {
 		return errors.Newf("name of %d bytes is not valid", len(hello.VM))
 	}
+	if hello.RelayedBy != "" && !work.ValidName(hello.RelayedBy) {
+		return errors.Newf("name of the relaying entry of %d bytes is not valid", len(hello.RelayedBy))
+	}
 	if hello.Address == "" && hello.Role == mesh.RoleEntry {
 		return nil
 	}
@@ -170,6 +185,7 @@
 func (s *Service) removeClient(cl *client) {
 	s.mu.Lock()
 	s.endSession(cl)
+	s.closedClient(cl)
 	delete(s.clients, cl)
 	s.mu.Unlock()
 	if len(cl.waiting) == 0 {
--- a/daemon/coordinator/effects.go
+++ b/daemon/coordinator/effects.go
@@ -84,11 +84,14 @@
 	case c.Enrol != nil:
 		s.opts.Log.Emit(events.Event{ID: events.AgentEnrolled, Peer: c.Enrol.VM, Text: c.Enrol.Incarnation.Instance})
 		delete(t.removed, c.Enrol.VM)
+		t.relays.Enrol(at, c.Enrol.VM, c.Enrol.Address)
 		enrolled := &mesh.Enrolled{Agent: ledger.Agent{VM: c.Enrol.VM, Address: c.Enrol.Address}}
 		s.eachEntry(func(cl *client) { cl.conn.Send(enrolled) })
 	case c.RemoveEnrolment != nil:
 		removed := events.Event{ID: events.AgentRemoved, Peer: c.RemoveEnrolment.VM}
-		if !e.result.Changed {
+		if e.result.Changed {
+			t.relays.Remove(c.RemoveEnrolment.VM)
+		} else {
 			removed.Text = "enrolled again, stays"
 		}
 		s.opts.Log.Emit(removed)
--- a/daemon/coordinator/manager.go
+++ b/daemon/coordinator/manager.go
@@ -140,6 +140,7 @@
 		m.plannerGauge("cicadapulley_runs_moved_total", "Runs stopped in this term to restart elsewhere.", func(p *placement.Planner) float64 { return float64(p.Stats.Moves) }),
 		m.plannerGauge("cicadapulley_work_shed_total", "Admitted jobs refused in this term before any of their tasks had begun.", func(p *placement.Planner) float64 { return float64(p.Stats.Shed) }),
 		m.plannerGauge("cicadapulley_tasks_requeued_total", "Tasks that waited again in this term.", func(p *placement.Planner) float64 { return float64(p.Stats.Requeues) }),
+		m.gauge("cicadapulley_relayed_agents", "Connections of agents that entries relay to this leader.", (*Service).relayedAgents),
 		scheduler.NewInterferenceCollector(m.readPlanner),
 		m.gauge("cicadapulley_term", "Term of the consensus.", func(s *Service) float64 { return float64(s.driver.Term()) }),
 		m.gauge("cicadapulley_storage_syncs", "Syncs since the data folder was opened.", func(s *Service) float64 { return float64(s.store.Stats().Syncs) }),
--- a/daemon/coordinator/service.go
+++ b/daemon/coordinator/service.go
@@ -22,6 +22,7 @@
 	"github.com/cicadapulley/cicadapulley/api/mesh"
 	"github.com/cicadapulley/cicadapulley/core/ledger"
 	"github.com/cicadapulley/cicadapulley/core/raft"
+	"github.com/cicadapulley/cicadapulley/core/relay"
 	"github.com/cicadapulley/cicadapulley/core/work"
 	"github.com/cicadapulley/cicadapulley/daemon/boottime"
 	"github.com/cicadapulley/cicadapulley/daemon/control/consensus"
@@ -81,7 +82,10 @@
 	// DetectInterference is set if a leader learns which queues slow each other down on one
 	// endpoint, and prefers other endpoints for their tasks.
 	DetectInterference bool
-	Log                *events.Log
+	// Relays is the number of agents that a leader lets each entry relay; 0 means the default,
+	// and a negative number none.
+	Relays int
+	Log    *events.Log
 }
 
 // Service is a control VM.
@@ -102,6 +106,8 @@
 	term *term
 	// clients are the connected entries and agents.
 	clients map[*client]bool
+	// lastClient is the number that was last given to a client.
+	lastClient relay.ConnectionID
 	// lastMembers are the member addresses that were last sent to the clients.
 	lastMembers []string
 	// drains are the latest that were sent to all clients.
--- a/daemon/coordinator/term.go
+++ b/daemon/coordinator/term.go
@@ -7,6 +7,7 @@
 	"github.com/cicadapulley/cicadapulley/core/lease"
 	"github.com/cicadapulley/cicadapulley/core/ledger"
 	"github.com/cicadapulley/cicadapulley/core/placement"
+	"github.com/cicadapulley/cicadapulley/core/relay"
 	"github.com/cicadapulley/cicadapulley/core/work"
 	"github.com/cicadapulley/cicadapulley/daemon/boottime"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
@@ -40,6 +41,8 @@
 	// leader waits only for the inventories of enrolled VMs, so the agent of a
 	// removed VM enrols again before it joins.
 	removed map[string]bool
+	// relays decides which entries relay the agents without a connection.
+	relays *relay.Planner
 	// finalJobs lists final jobs in the order in which they were found to be final.
 	finalJobs []finalJob
 }
@@ -119,6 +122,7 @@
 			planner.DetectInterference()
 		}
 		t.Scheduler = scheduler.New(planner, s.metrics, s.opts.Log)
+		t.relays = s.beginRelays(now)
 		s.machine.Each(func(r *ledger.Record) {
 			if r.State.Final() {
 				t.finalJobs = append(t.finalJobs, finalJob{id: r.Job.ID, at: now})
@@ -193,6 +197,7 @@
 			s.sendWelcome(cl)
 		}
 	}
+	s.orderRelays(t, now)
 	s.place(t, now)
 	for len(t.finalJobs) > 0 && now.Sub(t.finalJobs[0].at) > s.opts.KeepFinal && len(forget) < maxForgetPerCommand {
 		forget = append(forget, t.finalJobs[0].id)
--- a/daemon/events/catalogue.go
+++ b/daemon/events/catalogue.go
@@ -100,6 +100,8 @@
 	DrainWithdrawn    ID = 381
 	NoDataCentreLeft  ID = 382
 	DrainRejected     ID = 383
+	// RelayBegan is the connection of an agent through an entry.
+	RelayBegan ID = 390
 )
 
 // Events of entries.
@@ -128,6 +130,7 @@
 	LocalPlacementEnded   ID = 445
 	JobHandedOver         ID = 446
 	ConfigurationReceived ID = 447
+	RelayEnded            ID = 448
 )
 
 // Events of agents.
@@ -244,6 +247,7 @@
 	{DrainWithdrawn, "drain_withdrawn", zapcore.InfoLevel, "this control VM has applied the withdrawal of the drain of the data centre in the detail; it is repeated when a restarted VM reads its log"},
 	{NoDataCentreLeft, "no_data_centre_left", zapcore.WarnLevel, "all data centres of the settings are drained, the one in the detail last, and no task starts anywhere; withdraw the drain of one if that is not intended"},
 	{DrainRejected, "drain_rejected", zapcore.InfoLevel, "an order about the data centre in the detail was rejected, because there was another order about it since this one was forwarded; the control VM that took the order tries it again for up to 0.9 s"},
+	{RelayBegan, "relay_began", zapcore.WarnLevel, "the agent has no connection of its own to this leader and is connected through the entry in the detail; check the network between the agent and the control VMs"},
 	{JobAccepted, "job_accepted", zapcore.DebugLevel, "a job is recorded; its tasks may start"},
 	{JobJoined, "job_joined", zapcore.DebugLevel, "a resubmission was attached to the existing job"},
 	{JobRefused, "job_refused", zapcore.DebugLevel, "a job was refused as a whole; none of its tasks ran"},
@@ -268,6 +272,7 @@
 	{LocalPlacementEnded, "local_placement_ended", zapcore.InfoLevel, "this entry has found a leader and hands its jobs over; the detail counts them"},
 	{JobHandedOver, "job_handed_over", zapcore.InfoLevel, "a job that this entry placed continues with the leader; the detail counts its completed tasks and the endpoints with runs"},
 	{ConfigurationReceived, "configuration_received", zapcore.InfoLevel, "this entry received another version of the configuration; the detail says from whom"},
+	{RelayEnded, "relay_ended", zapcore.InfoLevel, "this entry no longer relays the agent, or as many agents, to the leader; the detail counts the causes within a second"},
 	{TaskStarted, "task_started", zapcore.DebugLevel, "a task started at the endpoint"},
 	{TaskEnded, "task_ended", zapcore.DebugLevel, "a task ended at the endpoint"},
 	{TaskRefused, "task_refused", zapcore.DebugLevel, "a task was refused; it did not run here"},
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -1,8 +1,10 @@
 // Package follow keeps an entry or agent connected to all control VMs, so that a
 // new leader can notify it at once. Parent: the root of the process. Children: one
 // goroutine for each known control VM, which dials, reads, and serves the
-// connection while that VM leads. Restart rule: a connection that ends is opened
-// again. State: the known addresses and the term of the leader that is served.
+// connection while that VM leads. An agent's connection that an entry relays is served by
+// the goroutine that accepted it. Restart rule: a connection that ends is opened again,
+// a relayed one by the leader's next order. State: the known addresses, the leader that is
+// served with its term, and the trial of a direct connection that is to replace a relayed one.
 package follow
 
 import (
@@ -30,6 +32,9 @@
 	// control VMs, which are many and carry little else than pings.
 	standbyTimeout      = time.Second
 	standbyPingInterval = 300 * time.Millisecond
+	// relayedStandbyTimeout is how long a relayed connection stays open while its control VM
+	// does not lead. It covers a lease of the leader that expires for a moment.
+	relayedStandbyTimeout = 500 * time.Millisecond
 	// maxAddresses bounds the known control VMs.
 	maxAddresses = 16
 )
@@ -38,11 +43,18 @@
 // leadership.
 var ErrNoLongerLeads = errors.New("the control VM no longer leads")
 
+// ErrConnected is returned for a relayed connection while a leader is heard without it.
+var ErrConnected = errors.New("connected to a leader")
+
 // Leader is a connection to a leader.
 type Leader struct {
 	*link.Conn
 	// Welcome is the latest that the leader has sent.
 	Welcome *mesh.Welcome
+	// Address is the one that was dialled, empty for a relayed connection.
+	Address string
+	// RelayedBy is the VM of the entry that relays the connection, empty for a direct one.
+	RelayedBy string
 	// follower receives changes of the group's members.
 	follower *Follower
 }
@@ -90,10 +102,12 @@
 	mu        sync.Mutex
 	runCtx    context.Context
 	addresses []string
-	// term is the latest term that has been served, and cancelServe ends the context
-	// of its Serve call.
+	// term is the latest term that has been served. current is the leader that is served,
+	// nil for none, and cancelServe ends the context of its Serve call.
 	term        uint64
+	current     *Leader
 	cancelServe context.CancelFunc
+	trials      trials
 }
 
 // New returns a follower; Run opens its connections.
@@ -101,7 +115,7 @@
 	if o.Standby == nil {
 		o.Standby = func(*link.Conn, mesh.Message) {}
 	}
-	return &Follower{opts: o, group: supervisor.NewGroup("follow", o.Log), addresses: slices.Clone(o.Addresses)}
+	return &Follower{opts: o, group: supervisor.NewGroup("follow", o.Log), addresses: slices.Clone(o.Addresses), trials: newTrials()}
 }
 
 // Run keeps the connections open until ctx ends.
@@ -162,17 +176,43 @@
 // keepConnected keeps the connection to one control VM open, and serves it while
 // that VM leads.
 func (f *Follower) keepConnected(ctx context.Context, address string) error {
-	return link.KeepConnected(ctx, address, f.handleConn)
+	return link.KeepConnected(ctx, address, func(ctx context.Context, c *link.Conn) {
+		f.handleConn(ctx, &Leader{Conn: c, Address: address, follower: f}, f.opts.Hello)
+	})
+}
+
+// ServeRelayed serves a connection to the leader that an entry relays, until it fails or
+// its control VM leads no longer. It returns ErrConnected at once while a leader is heard.
+func (f *Follower) ServeRelayed(ctx context.Context, c *link.Conn, entry string) error {
+	if f.hearsLeader() {
+		return ErrConnected
+	}
+	hello := *f.opts.Hello
+	hello.RelayedBy = entry
+	f.handleConn(ctx, &Leader{Conn: c, RelayedBy: entry, follower: f}, &hello)
+	return nil
 }
 
+// hearsLeader reports whether the leader that is served has sent anything recently.
+func (f *Follower) hearsLeader() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.current != nil && f.current.heard()
+}
+
+// heard reports whether a message arrived within the time of two pings.
+func (l *Leader) heard() bool { return l.HeardWithin(2 * leaderPingInterval) }
+
 // handleConn reads a connection until it fails, and serves it while its VM leads.
-func (f *Follower) handleConn(ctx context.Context, c *link.Conn) {
-	c.Send(f.opts.Hello)
+func (f *Follower) handleConn(ctx context.Context, l *Leader, hello *mesh.Hello) {
+	l.Send(hello)
 	pingCtx, stopPing := context.WithCancel(ctx)
 	defer stopPing()
-	go link.Ping(pingCtx, c, standbyPingInterval)
+	go link.Ping(pingCtx, l.Conn, standbyPingInterval)
+	defer f.endTrial(l)
+	ledAt := time.Now()
 	for {
-		m, err := c.Receive(standbyTimeout)
+		m, err := l.Conn.Receive(f.receiveTimeout(l))
 		if err != nil {
 			return // the connection is opened again
 		}
@@ -184,12 +224,18 @@
 			f.updateMembers(&mesh.Members{Addresses: w.Members, Leading: w.Leading})
 		}
 		if !ok || !w.Leading {
-			f.opts.Standby(c, m)
+			if l.RelayedBy != "" && time.Since(ledAt) > relayedStandbyTimeout {
+				return
+			}
+			f.opts.Standby(l.Conn, m)
+			f.checkTrial(l)
 			continue
 		}
-		if !f.serveLeader(ctx, &Leader{Conn: c, Welcome: w, follower: f}) {
+		l.Welcome = w
+		if !f.serveLeader(ctx, l) {
 			return
 		}
+		ledAt = time.Now()
 	}
 }
 
@@ -198,28 +244,64 @@
 func (f *Follower) serveLeader(ctx context.Context, l *Leader) bool {
 	serveCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if !f.claimTerm(l.Welcome.Term, cancel) {
-		return true // a leader of a later term has been found
+	if !f.claimTerm(ctx, l, cancel) {
+		// A leader of a later term has been found, or this connection is on trial. A relayed
+		// one is not needed.
+		return l.RelayedBy == ""
 	}
 	go link.Ping(serveCtx, l.Conn, leaderPingInterval)
-	f.opts.Log.Emit(events.Event{ID: events.LeaderFound, Peer: l.Remote(), Ticket: l.Welcome.Term})
+	f.opts.Log.Emit(events.Event{ID: events.LeaderFound, Peer: l.Remote(), Ticket: l.Welcome.Term, Text: l.describe()})
 	err := f.opts.Serve(serveCtx, l)
-	f.opts.Log.Emit(events.Event{ID: events.LeaderGone, Peer: l.Remote(), Ticket: l.Welcome.Term, Err: err})
+	f.release(l)
+	f.opts.Log.Emit(events.Event{ID: events.LeaderGone, Peer: l.Remote(), Ticket: l.Welcome.Term, Text: l.describe(), Err: err})
 	return errors.Is(err, ErrNoLongerLeads)
 }
 
-// claimTerm records term as the latest, and ends the service that it replaces. It
-// returns false if a later term has been served.
-func (f *Follower) claimTerm(term uint64, cancel context.CancelFunc) bool {
+// describe returns the detail of events about the connection.
+func (l *Leader) describe() string {
+	if l.RelayedBy == "" {
+		return ""
+	}
+	return "relayed by " + l.RelayedBy
+}
+
+// claimTerm records the term of l as the latest, and ends the service that it replaces. It
+// returns false if a later term has been served, if a relayed connection finds the same
+// leader heard, or if a direct connection that is to replace a relayed one is on trial.
+func (f *Follower) claimTerm(ctx context.Context, l *Leader, cancel context.CancelFunc) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	term := l.Welcome.Term
 	if term < f.term {
 		return false
 	}
+	if f.current != nil && term == f.term {
+		if l.RelayedBy != "" && f.current.heard() {
+			return false
+		}
+		if l.RelayedBy == "" && f.current.RelayedBy != "" && !f.trials.passed(l) {
+			f.trials.begin(ctx, l)
+			return false
+		}
+	}
+	f.trials.claimed(l)
 	if f.cancelServe != nil {
 		f.cancelServe()
 	}
 	f.term = term
+	f.current = l
 	f.cancelServe = cancel
 	return true
 }
+
+// release records that a leader is served no longer. A direct connection on trial replaces
+// it at once.
+func (f *Follower) release(l *Leader) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.current != l {
+		return
+	}
+	f.current = nil
+	f.trials.finish()
+}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -46,7 +46,9 @@
 	// DetectInterference is set if this entry learns which queues slow each other down while it
 	// places jobs itself.
 	DetectInterference bool
-	Log                *events.Log
+	// Relay relays an agent to the leader at an address. It must not block; nil relays none.
+	Relay func(m *mesh.Relay, leader string)
+	Log   *events.Log
 }
 
 // Service forwards callers' requests to the leader.
@@ -115,6 +117,10 @@
 			s.recordVersion(l.Conn, m.ConfigurationVersion)
 		case *mesh.Drains:
 			s.applyDrains(m.State)
+		case *mesh.Relay:
+			if s.opts.Relay != nil {
+				s.opts.Relay(m, l.Address)
+			}
 		}
 	}
 }
--- a/daemon/link/link.go
+++ b/daemon/link/link.go
@@ -166,6 +166,12 @@
 	return now-time.Duration(l.receivedAt.Load()) >= interval/2 || now-time.Duration(l.sentAt.Load()) >= interval
 }
 
+// HeardWithin reports whether a message has arrived within the last d.
+func (l *Conn) HeardWithin(d time.Duration) bool {
+	received := l.receivedAt.Load()
+	return received > 0 && time.Since(l.openedAt)-time.Duration(received) <= d
+}
+
 // Closed returns a channel that is closed when the connection is closed.
 func (l *Conn) Closed() <-chan struct{} { return l.closed }
 
--- a/daemon/runner/participants.go
+++ b/daemon/runner/participants.go
@@ -8,6 +8,7 @@
 	"github.com/cicadapulley/cicadapulley/api/mesh"
 	"github.com/cicadapulley/cicadapulley/core/placement"
 	"github.com/cicadapulley/cicadapulley/core/runtable"
+	"github.com/cicadapulley/cicadapulley/core/work"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 	"github.com/cicadapulley/cicadapulley/daemon/link"
 )
@@ -85,8 +86,12 @@
 	}, s.serveEntry)
 }
 
-// serveEntry reads an entry's connection until it fails.
+// serveEntry reads an entry's connection until it fails. One that the entry relays to the
+// leader is served as if this agent had dialled it.
 func (s *Service) serveEntry(ctx context.Context, c *link.Conn, hello *mesh.Hello) error {
+	if hello.Role == mesh.RoleRelay && s.opts.ServeRelayed != nil && work.ValidName(hello.VM) {
+		return s.opts.ServeRelayed(ctx, c, hello.VM)
+	}
 	if hello.Role != mesh.RoleEntry {
 		return link.ErrUnexpected
 	}
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -47,6 +47,9 @@
 	Listener net.Listener
 	// Gate bounds these connections and their messages; nil for none.
 	Gate *ingress.Gate
+	// ServeRelayed serves a connection to the leader that an entry relays, until it ends; nil
+	// refuses such connections.
+	ServeRelayed func(ctx context.Context, c *link.Conn, entry string) error
 	// DrainTimeout limits the wait for runs at a planned stop of the agent; 0 means
 	// defaultDrainTimeout.
 	DrainTimeout time.Duration
