--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -200,9 +200,12 @@
 		list = append(list, a)
 	}
 	slices.SortFunc(list, func(a, b *agent) int { return cmp.Or(a.since.Compare(b.since), cmp.Compare(a.vm, b.vm)) })
-	free := p.free(entries)
+	free, room := p.free(entries)
 	var orders []Order
 	for _, a := range list {
+		if room <= 0 {
+			break
+		}
 		if a.entry != "" || now.Sub(a.since) < reconnectTime {
 			continue
 		}
@@ -213,14 +216,15 @@
 		a.entry = entry
 		a.attemptedAt = now
 		free[entry]--
+		room--
 		orders = append(orders, Order{Entry: entry, VM: a.vm, Address: a.address})
 	}
 	return orders
 }
 
-// free returns how many more agents each entry may relay.
-func (p *Planner) free(entries []Entry) map[string]int {
-	free := make(map[string]int, len(entries))
+// free returns how many more agents each entry, and all entries, may relay.
+func (p *Planner) free(entries []Entry) (free map[string]int, room int) {
+	free = make(map[string]int, len(entries))
 	for _, e := range entries {
 		free[e.VM] = e.Limit
 	}
@@ -232,7 +236,10 @@
 			free[a.entry]--
 		}
 	}
-	return free
+	for _, e := range entries {
+		room += max(free[e.VM], 0)
+	}
+	return free, room
 }
 
 // agent returns an agent, which it adds if it is not known.
@@ -283,8 +290,11 @@
 // endAttempt ends an attempt that has not led to a connection in time, or whose entry is
 // no longer connected.
 func (a *agent) endAttempt(now time.Time, entries []Entry) {
+	if a.entry == "" {
+		return
+	}
 	gone := !slices.ContainsFunc(entries, func(e Entry) bool { return e.VM == a.entry })
-	if a.entry == "" || !gone && now.Sub(a.attemptedAt) < attemptTimeout {
+	if !gone && now.Sub(a.attemptedAt) < attemptTimeout {
 		return
 	}
 	a.fail(now, a.entry)
@@ -299,7 +309,7 @@
 
 // delayRetry begins the delay after the latest failure, if all entries have failed.
 func (a *agent) delayRetry(entries []Entry) {
-	if !a.failedAt.After(a.retryAt) || slices.ContainsFunc(entries, func(e Entry) bool { return !a.hasFailed(e.VM) }) {
+	if a.failedAt.IsZero() || a.failedAt.Before(a.retryAt) || slices.ContainsFunc(entries, func(e Entry) bool { return !a.hasFailed(e.VM) }) {
 		return
 	}
 	a.delay = min(max(2*a.delay, minDelay), maxDelay)
@@ -329,7 +339,10 @@
 
 func (a *agent) prefers(entry, other string, free map[string]int) bool {
 	// The time of a failure is zero for an entry without one.
-	order := cmp.Or(a.failed[entry].Compare(a.failed[other]), cmp.Compare(free[other], free[entry]), cmp.Compare(a.rank(entry), a.rank(other)), cmp.Compare(entry, other))
+	order := cmp.Or(a.failed[entry].Compare(a.failed[other]), cmp.Compare(free[other], free[entry]))
+	if order == 0 {
+		order = cmp.Or(cmp.Compare(a.rank(entry), a.rank(other)), cmp.Compare(entry, other))
+	}
 	return order < 0
 }
 
