follow: each return to a direct connection lengthens the next trial once

Cause: every relay within 64 s of a return doubled the time of the trial, also when only the entry changed, and a return without a trial did not count.

Change: the time is decided when the agent changes from a direct to a relayed connection.

Result: go test -race ./daemon/follow passes; no test had shown the fault.

--- a/daemon/follow/trial.go
+++ b/daemon/follow/trial.go
@@ -27,8 +27,10 @@
 	// finished is set once a new session has been requested on it, whose Welcome ends the
 	// trial. The session of an earlier Welcome may be older than the relayed one.
 	finished bool
-	// time is how long a trial takes, and replacedAt when one has last ended well.
+	// time is how long a trial takes. relayed is set while the latest connection that was used is
+	// a relayed one, and replacedAt is when a direct one has last followed such a connection.
 	time       time.Duration
+	relayed    bool
 	replacedAt time.Time
 }
 
@@ -68,16 +70,19 @@
 // claimed records which connection to a leader is used from now on. If another relay to the
 // same leader begins, the trial begins anew: the direct connection gets no other Welcome.
 func (t *trials) claimed(l *Leader, laterTerm bool) {
-	switch now := time.Now(); {
-	case l.RelayedBy == "" && t.leader == l:
+	now, relayed := time.Now(), l.RelayedBy != ""
+	switch {
+	case relayed == t.relayed: // another entry, or another control VM
+	case !relayed:
 		t.replacedAt = now
-	case l.RelayedBy != "" && now.Sub(t.replacedAt) < maxTrialTime:
+	case now.Sub(t.replacedAt) < maxTrialTime:
 		t.time = min(2*t.time, maxTrialTime)
-	case l.RelayedBy != "":
+	default:
 		t.time = minTrialTime
 	}
-	if l.RelayedBy != "" && !laterTerm {
-		t.begunAt, t.finished = time.Now(), false
+	t.relayed = relayed
+	if relayed && !laterTerm {
+		t.begunAt, t.finished = now, false
 		return
 	}
 	t.stop()
