--- a/daemon/events/catalogue.go
+++ b/daemon/events/catalogue.go
@@ -103,6 +103,8 @@
 	// Shares of queues.
 	SharesAdjusted ID = 390
 	SharesDecided  ID = 391
+	// RelayBegan is the connection of an agent through an entry.
+	RelayBegan ID = 392
 )
 
 // Events of entries.
@@ -131,6 +133,7 @@
 	LocalPlacementEnded   ID = 445
 	JobHandedOver         ID = 446
 	ConfigurationReceived ID = 447
+	RelayEnded            ID = 448
 )
 
 // Events of agents.
@@ -249,6 +252,7 @@
 	{DrainRejected, "drain_rejected", zapcore.InfoLevel, "an order about the data centre in the detail was rejected, because there was another order about it since this one was forwarded; the control VM that took the order tries it again for up to 0.9 s"},
 	{SharesAdjusted, "shares_adjusted", zapcore.WarnLevel, "a setting of `queue_shares` can't be applied as it is under the configuration whose version is the ticket; the detail has the names that no queue has, which are ignored, and the pools whose shares are over 100% in all and are scaled down; correct the settings of the control VMs and entries, or the configuration"},
 	{SharesDecided, "shares_decided", zapcore.InfoLevel, "tasks of queues that used less than their shares were placed before waiting tasks of other queues; the detail counts them by queue since the last such event, which is at least 10 s ago"},
+	{RelayBegan, "relay_began", zapcore.WarnLevel, "the agent has no connection of its own to this leader and is connected through the entry in the detail; check the network between the agent and the control VMs"},
 	{JobAccepted, "job_accepted", zapcore.DebugLevel, "a job is recorded; its tasks may start"},
 	{JobJoined, "job_joined", zapcore.DebugLevel, "a resubmission was attached to the existing job"},
 	{JobRefused, "job_refused", zapcore.DebugLevel, "a job was refused as a whole; none of its tasks ran"},
@@ -273,6 +277,7 @@
 	{LocalPlacementEnded, "local_placement_ended", zapcore.InfoLevel, "this entry has found a leader and hands its jobs over; the detail counts them"},
 	{JobHandedOver, "job_handed_over", zapcore.InfoLevel, "a job that this entry placed continues with the leader; the detail counts its completed tasks and the endpoints with runs"},
 	{ConfigurationReceived, "configuration_received", zapcore.InfoLevel, "this entry received another version of the configuration; the detail says from whom"},
+	{RelayEnded, "relay_ended", zapcore.InfoLevel, "this entry no longer relays the agent, or as many agents, to the leader; the detail counts the causes within a second"},
 	{TaskStarted, "task_started", zapcore.DebugLevel, "a task started at the endpoint"},
 	{TaskEnded, "task_ended", zapcore.DebugLevel, "a task ended at the endpoint"},
 	{TaskRefused, "task_refused", zapcore.DebugLevel, "a task was refused; it did not run here"},
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -48,7 +48,9 @@
 	DetectInterference bool
 	// QueueShares are the shares of queues in percent, for the jobs that this entry places.
 	QueueShares map[string]int
-	Log         *events.Log
+	// Relay relays an agent to the leader at an address. It must not block; nil relays none.
+	Relay func(m *mesh.Relay, leader string)
+	Log   *events.Log
 }
 
 // Service forwards callers' requests to the leader.
@@ -120,6 +122,10 @@
 			s.recordVersion(l.Conn, m.ConfigurationVersion)
 		case *mesh.Drains:
 			s.applyDrains(m.State)
+		case *mesh.Relay:
+			if s.opts.Relay != nil {
+				s.opts.Relay(m, l.Address)
+			}
 		}
 	}
 }
