placement: newcomers give way to refused callers as far as these return

Cause: the work of refused callers counted ahead of newcomers whether or not callers return.

Change: that work counts times the part of the latest refused callers that returned at their times, 0 before the first has. Retry-After still spreads all refused callers.

--- a/core/placement/admit.go
+++ b/core/placement/admit.go
@@ -43,6 +43,9 @@
 // A refusal is remembered, so that the caller is admitted before newcomers on return.
 func (p *Planner) Admit(now time.Time, j *work.Job, prior PriorState) Admission {
 	p.refused.advance(now)
+	if p.refused.returns(now, j.ID) {
+		p.refused.learn(allReturn)
+	}
 	a := p.admission(now, j, prior)
 	if a.Accepted {
 		p.refused.remove(j.ID)
@@ -99,27 +102,28 @@
 // queueWait estimates the time until all work that comes before the job has been placed:
 // queued work of the same or a higher priority in its pool, and work of refused callers.
 func (p *Planner) queueWait(now time.Time, j *work.Job) time.Duration {
+	part := p.refused.returning
 	if p.refused.returns(now, j.ID) {
-		return p.placementTime(now, j.Pool, p.workAhead(j, nil))
+		part = 0
 	}
-	return p.placementTime(now, j.Pool, p.workAhead(j, &p.refused.due))
+	return p.placementTime(now, j.Pool, p.workAhead(j, &p.refused.due, part))
 }
 
-// workAhead returns the workload that comes before a job: what is queued, and with it that of
-// refused callers, nil for none. The latter doesn't count while nothing is queued: endpoints
+// workAhead returns the workload that comes before a job: what is queued, and with it a part
+// of that of refused callers. The latter doesn't count while nothing is queued: endpoints
 // are not left idle for callers that may not return.
-func (p *Planner) workAhead(j *work.Job, refused *refusedWork) workload {
+func (p *Planner) workAhead(j *work.Job, refused *refusedWork, part workload) workload {
 	ahead := p.queue.load.ahead(j.Pool, j.Priority)
-	if refused != nil && len(refused.loads) > 0 && ahead > 0 {
-		ahead += refused.ahead(j.Pool, j.Priority)
+	if part > 0 && len(refused.loads) > 0 && ahead > 0 {
+		ahead += refused.ahead(j.Pool, j.Priority) / allReturn * part
 	}
 	s := p.shares.of(j)
 	if s == nil {
 		return ahead
 	}
 	own := s.queued
-	if refused != nil && own > 0 {
-		own += refused.queues[s.shareKey]
+	if part > 0 && own > 0 {
+		own += refused.queues[s.shareKey] / allReturn * part
 	}
 	return s.ahead(ahead, own)
 }
--- a/core/placement/returns.go
+++ b/core/placement/returns.go
@@ -19,6 +19,10 @@
 	// maxPromisedWorkload bounds the workload of one record, so that the sum over
 	// maxRefusedCallers does not overflow. It takes a thousand cores for twelve days.
 	maxPromisedWorkload workload = 1 << 50
+	// returnsWindow is the number of refused callers over which the part that returns is learned.
+	returnsWindow = 16
+	// allReturn is the part that returns if all callers do, in thousandths.
+	allReturn = 1000
 )
 
 // refusedCaller is a caller that was refused and told when to return.
@@ -42,6 +46,9 @@
 	dueCount int
 	// all is the workload of all callers, and due that of those whose time has come.
 	all, due refusedWork
+	// returning is the part of the callers that have returned at their times, in thousandths.
+	// It is 0 until the first has: newcomers aren't refused for callers that never return.
+	returning workload
 }
 
 // refusedWork has the sums of refused callers' work by pool and priority, and by queue.
@@ -81,9 +88,15 @@
 	}
 	for len(r.sorted) > 0 && now.After(r.sorted[0].at.Add(returnGrace)) {
 		r.remove(r.sorted[0].id)
+		r.learn(0)
 	}
 }
 
+// learn records that a caller has returned at its time, with allReturn, or has not, with 0.
+func (r *refusedCallers) learn(returned workload) {
+	r.returning += (returned - r.returning) / returnsWindow
+}
+
 // add adds a caller that is not among the refused ones. It does nothing at the bound.
 func (r *refusedCallers) add(c *refusedCaller) {
 	if len(r.sorted) >= maxRefusedCallers {
@@ -134,7 +147,7 @@
 		p.refused.remove(j.ID)
 	} else {
 		p.refused.remove(j.ID)
-		wait = p.placementTime(now, j.Pool, p.workAhead(j, &p.refused.all))
+		wait = p.placementTime(now, j.Pool, p.workAhead(j, &p.refused.all, allReturn))
 	}
 	wait = min(max(wait, atLeast, minRetryAfter), maxRetryAfter)
 	p.refused.add(&refusedCaller{
--- a/core/placement/returns_test.go
+++ b/core/placement/returns_test.go
@@ -26,9 +26,12 @@
 	return a.RetryAfter
 }
 
-// awaitRefused refuses a job, and goes to the time of its return. The queue then has one task,
-// beside which there is room for one more.
+// awaitRefused refuses a job, and goes to the time of its return, after many callers have
+// returned at theirs. The queue then has one task, beside which there is room for one more.
 func (f *fixture) awaitRefused() *work.Job {
+	for range 10 * returnsWindow {
+		f.planner.refused.learn(allReturn)
+	}
 	f.now = f.now.Add(f.refuse("refused"))
 	f.planner.Abandon(f.now, "backlog")
 	f.planner.Add(f.now, oneStep("queued", 1), PriorState{})
@@ -80,6 +83,10 @@
 	f.planner.Abandon(f.now, "queued")
 	assert.Assert(t, f.admits(newcomer), "nothing is queued")
 	f.planner.Add(f.now, oneStep("queued", 1), PriorState{})
+	for range 10 * returnsWindow {
+		f.planner.refused.learn(0)
+	}
+	assert.Assert(t, f.admits(newcomer), "no caller returns")
 	f.now = f.now.Add(returnGrace + time.Millisecond)
 	assert.Assert(t, f.planner.Admit(f.now, newcomer, PriorState{}).Accepted)
 }
