relay, coordinator: agents whose connections are silent are relayed before these end

Cause: a leader closes an agent's connection after 800 ms without a message, and ordered a relay 100 ms later. The agent gives up the leader after 350 ms.

Change: a connection that has been silent for 400 ms counts no longer for the relays. The session on it, its lease and its runs are decided as before.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -15,6 +15,10 @@
 	// reconnectTime is how long an agent without a connection gets no relay. After a restart
 	// or a reset it reconnects in that time.
 	reconnectTime = 100 * time.Millisecond
+	// SuspectTimeout is the time without a message after which an agent's connection counts no
+	// longer, although it is still open. The agent has then given up a leader that it doesn't
+	// hear, which it does after 350 ms, and accepts a relay.
+	SuspectTimeout = 400 * time.Millisecond
 	// attemptTimeout is how long a relay may take to lead to a connection.
 	attemptTimeout = 400 * time.Millisecond
 	// minDelay and maxDelay bound the delay before the next attempt once each entry has
@@ -92,12 +96,14 @@
 	entry string
 	// used is set once the agent has used the connection for a session.
 	used bool
+	// silent is set while nothing has arrived for SuspectTimeout.
+	silent bool
 }
 
 // counts reports whether the agent is reached through the connection. A relayed one has
 // shown that messages arrive in both directions, since the agent has answered the entry.
 func (c connection) counts(now time.Time) bool {
-	return c.used || c.entry != "" || now.Sub(c.openedAt) >= unusedTimeout
+	return !c.silent && (c.used || c.entry != "" || now.Sub(c.openedAt) >= unusedTimeout)
 }
 
 // New returns a planner without agents.
@@ -154,6 +160,27 @@
 	p.update(now, a)
 }
 
+// SetSilent records that nothing has arrived on a connection for SuspectTimeout, or that
+// something has again. An agent whose connections are all silent gets a relay at once: it does not
+// reconnect in a moment, as after a restart.
+func (p *Planner) SetSilent(now time.Time, vm string, id ConnectionID, silent bool) {
+	a := p.agents[vm]
+	if a == nil {
+		return
+	}
+	c, ok := a.connections[id]
+	if !ok {
+		return
+	}
+	connected := a.connected(now)
+	c.silent = silent
+	a.connections[id] = c
+	if connected && !a.connected(now) {
+		a.since = now.Add(-reconnectTime)
+	}
+	p.update(now, a)
+}
+
 // Closed records the end of a connection.
 func (p *Planner) Closed(now time.Time, vm string, id ConnectionID) {
 	a := p.agents[vm]
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -151,6 +151,26 @@
 	assert.Equal(t, w.Relayed(), 0)
 }
 
+// TestSilentConnectionIsRelayedBeforeItEnds guards against an agent that stays unused until its
+// connection is given up, and against a relay for one that was silent for a moment only.
+func TestSilentConnectionIsRelayedBeforeItEnds(t *testing.T) {
+	w := newWorld(1, one, two)
+	w.Opened(w.now, vm(0), 1, "")
+	w.Used(w.now, vm(0), 1)
+	w.after(time.Minute)
+	w.SetSilent(w.now, vm(0), 1, true)
+	assert.Equal(t, len(w.after(0)), 1)
+	w.Opened(w.now, vm(0), 2, "e1")
+	w.Closed(w.now, vm(0), 1)
+	assert.Assert(t, !w.Waiting())
+	w.SetSilent(w.now, vm(0), 2, true)
+	assert.Assert(t, w.Waiting())
+	w.SetSilent(w.now, vm(0), 2, false)
+	assert.Assert(t, !w.Waiting())
+	w.SetSilent(w.now, vm(0), 3, true)
+	assert.Assert(t, !w.Waiting(), "a connection that has ended")
+}
+
 // BenchmarkPlan measures the tick of a leader with 1,500 agents, of which some are waiting.
 func BenchmarkPlan(b *testing.B) {
 	for _, waiting := range []int{0, 17, 750} {
--- a/daemon/coordinator/clients.go
+++ b/daemon/coordinator/clients.go
@@ -34,6 +34,8 @@
 	// one. relays is the number of agents that an entry relays at most.
 	relayedBy string
 	relays    int
+	// silent is set while nothing has arrived for relay.SuspectTimeout. Guarded by Service.mu.
+	silent bool
 	// session is the current session of an agent, nil without a term. Guarded by
 	// Service.mu.
 	session *agentSession
--- a/daemon/coordinator/relays.go
+++ b/daemon/coordinator/relays.go
@@ -20,6 +20,7 @@
 	for cl := range s.clients {
 		if cl.role == mesh.RoleAgent {
 			p.Opened(cl.openedAt, cl.vm, cl.id, cl.relayedBy)
+			p.SetSilent(now, cl.vm, cl.id, cl.silent)
 		}
 	}
 	return p
@@ -50,7 +51,11 @@
 // orderRelays tells entries which agents to relay. The caller holds mu.
 func (s *Service) orderRelays(t *term, now time.Time) {
 	limit := relay.Limit(s.opts.Relays)
-	if limit == 0 || !t.relays.Waiting() {
+	if limit == 0 {
+		return
+	}
+	s.findSilentAgents(t, now)
+	if !t.relays.Waiting() {
 		return
 	}
 	clients := map[string]*client{}
@@ -71,6 +76,20 @@
 	}
 }
 
+// findSilentAgents lets the relays know which agents' connections are open but silent. The
+// caller holds mu.
+func (s *Service) findSilentAgents(t *term, now time.Time) {
+	for cl := range s.clients {
+		if cl.role != mesh.RoleAgent {
+			continue
+		}
+		if silent := !cl.conn.HeardWithin(relay.SuspectTimeout); silent != cl.silent {
+			cl.silent = silent
+			t.relays.SetSilent(now, cl.vm, cl.id, silent)
+		}
+	}
+}
+
 // relayedAgents returns the number of relayed connections; it is 0 while this VM doesn't lead.
 func (s *Service) relayedAgents() float64 {
 	s.mu.Lock()
