coordinator: tests with control VMs don't wait for the machine's disk

Cause: TestFullDisksOfAllLoseNothing, and any other test of a cluster, waits for syncs. Beside builds and other tests on the same disk a sync took up to 2.6 s (median 4 ms), and no control VM led within 15 s, not even that of a cluster of one VM. Ruled out: the processor, as the same binary beside the same busy processes with its folders in memory has no such failure.

Change: the disk of these tests doesn't sync. None of them loses what is not synced; the syncs are tested in daemon/storage and by the soaks with real processes.

--- a/daemon/coordinator/cluster_test.go
+++ b/daemon/coordinator/cluster_test.go
@@ -20,7 +20,8 @@
 )
 
 // fullableFS is the operating system's file system on a disk that can be full. A full
-// disk refuses every write.
+// disk refuses every write. It syncs nothing, since no test here loses what is not synced:
+// beside other work on the disk, a sync took up to seconds and held up every election.
 type fullableFS struct {
 	storage.FS
 	full atomic.Bool
@@ -50,6 +51,8 @@
 	return fs.FS.Rename(from, to)
 }
 
+func (fs *fullableFS) SyncDir(string) error { return nil }
+
 type fullableFile struct {
 	storage.File
 	fs *fullableFS
@@ -62,6 +65,8 @@
 	return f.File.Write(data)
 }
 
+func (f *fullableFile) Sync() error { return nil }
+
 // cluster is a group of control VMs on loopback.
 type cluster struct {
 	*testing.T
