--- a/review/standin-2/system.go
+++ b/review/standin-2/system.go
@@ -174,7 +174,6 @@
 		"node_name": v.name, "ip": v.ip, "internal_ports.0": meshPort, "seeds": seeds, "bootstrap": true, "fault_tolerance.machines": 1,
 		"data_dir": data, "listen.frontend_addr": "", "listen.readiness": "", "listen.control": "", "app": "", "backend": "",
 		"limits.memory_mb": 284, "bounds.max_hold_ms": maxHold.Milliseconds(), "bounds.status_s": 120,
-		"zone": "zone-1", "zones": map[string]string{"zone-1": "region-1"},
 	}
 	switch v.role {
 	case "entry":
