placement: the check of queued jobs computes critical paths and rates once

Cause: each tick computed the critical path of each queued best-effort job, and the rate of its pool for each group.

Change: a job keeps its critical path, from which its objective is computed too, and the rate is computed once for each pool. BenchmarkShed is new.

--- a/core/placement/bench_test.go
+++ b/core/placement/bench_test.go
@@ -93,3 +93,29 @@
 		})
 	}
 }
+
+// BenchmarkShed measures the check of a queue of best-effort jobs of three steps that can all still be in time.
+func BenchmarkShed(b *testing.B) {
+	for _, waiting := range []int{16, 300, 3000} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			w := newBenchWorld(50, 0)
+			for range waiting {
+				j := w.benchJob()
+				j.BestEffort = true
+				for len(j.Steps) < 3 {
+					step := j.Steps[0]
+					step.After = []int{len(j.Steps) - 1}
+					j.Steps = append(j.Steps, step)
+				}
+				j.Stretch, j.Target = 1000, time.Hour
+				w.planner.Add(w.now, j, PriorState{})
+			}
+			for b.Loop() {
+				w.planner.shed(w.now)
+			}
+			if w.planner.Stats.Shed != 0 {
+				b.Fatal("jobs were refused")
+			}
+		})
+	}
+}
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -190,17 +190,19 @@
 
 // newJob adds a job whose caller has waited since arrived.
 func (p *Planner) newJob(arrived time.Time, spec *work.Job) *job {
-	objective := spec.Objective()
+	criticalPath := spec.CriticalPath()
+	objective := spec.ObjectiveFor(criticalPath)
 	j := &job{
-		spec:      spec,
-		arrived:   arrived,
-		due:       arrived.Add(objective),
-		expiresAt: arrived.Add(ExpiryFactor * objective),
-		tasks:     make([][]task, len(spec.Steps)),
-		undone:    make([]int, len(spec.Steps)),
-		outcomes:  make([]stepOutcomes, len(spec.Steps)),
-		groups:    make([]*group, len(spec.Steps)),
-		queueID:   p.queueID(arrived, spec.Queue),
+		spec:         spec,
+		arrived:      arrived,
+		due:          arrived.Add(objective),
+		expiresAt:    arrived.Add(ExpiryFactor * objective),
+		criticalPath: criticalPath,
+		tasks:        make([][]task, len(spec.Steps)),
+		undone:       make([]int, len(spec.Steps)),
+		outcomes:     make([]stepOutcomes, len(spec.Steps)),
+		groups:       make([]*group, len(spec.Steps)),
+		queueID:      p.queueID(arrived, spec.Queue),
 	}
 	for s, step := range spec.Steps {
 		j.tasks[s] = make([]task, step.Tasks)
--- a/core/placement/shed.go
+++ b/core/placement/shed.go
@@ -26,20 +26,39 @@
 // that are refused. Runs in progress aren't counted, so that the estimate is too low
 // rather than too high.
 func (p *Planner) shed(now time.Time) {
-	ahead := map[string]workload{}
+	pools := map[string]*poolBacklog{}
 	var rejected []RejectedJob
 	for _, g := range p.queue.groups {
-		pool := g.job.spec.Pool
-		if a, hopeless := p.rejects(now, g, ahead[pool]); hopeless {
+		name := g.job.spec.Pool
+		pool := pools[name]
+		if pool == nil {
+			pool = &poolBacklog{rate: p.rate(now, name)}
+			pools[name] = pool
+		}
+		if a, hopeless := p.rejects(now, g, pool.wait()); hopeless {
 			rejected = append(rejected, newRejectedJob(g.job, a))
 			continue
 		}
-		ahead[pool] += workload(len(g.tasks)) * g.taskWorkload()
+		pool.ahead += workload(len(g.tasks)) * g.taskWorkload()
 	}
 	p.Stats.Shed += uint64(len(rejected))
 	p.reject(rejected)
 }
 
+// poolBacklog is the work ahead of a group in the queue of its pool, and the rate at which the pool does it.
+type poolBacklog struct {
+	ahead workload
+	rate  float64
+}
+
+// wait returns the time that the work ahead takes, 0 while the pool has no usable endpoint.
+func (b *poolBacklog) wait() time.Duration {
+	if b.rate <= 0 {
+		return 0
+	}
+	return time.Duration(b.ahead.seconds() / b.rate * float64(time.Second))
+}
+
 func newRejectedJob(j *job, a Admission) RejectedJob {
 	return RejectedJob{Job: j.spec, MayHaveRun: j.mayHaveRun || j.started, Admission: a}
 }
@@ -52,18 +71,14 @@
 	p.rejected = append(p.rejected, rejected...)
 }
 
-// rejects decides whether a group's job is refused, with the given work ahead of it.
-func (p *Planner) rejects(now time.Time, g *group, ahead workload) (Admission, bool) {
+// rejects decides whether a group's job is refused, with the given wait for the work ahead of it.
+func (p *Planner) rejects(now time.Time, g *group, wait time.Duration) (Admission, bool) {
 	j := g.job
 	if !j.spec.BestEffort || j.begun || len(p.runs[j.spec.ID]) > 0 {
 		return Admission{}, false
 	}
-	wait := time.Duration(0)
-	if rate := p.rate(now, j.spec.Pool); rate > 0 {
-		wait = time.Duration(ahead.seconds() / rate * float64(time.Second))
-	}
 	limit := j.expiresAt.Sub(j.arrived)
-	expected := now.Sub(j.arrived) + wait + j.spec.CriticalPath()
+	expected := now.Sub(j.arrived) + wait + j.criticalPath
 	if expected <= limit {
 		return Admission{}, false
 	}
--- a/core/placement/types.go
+++ b/core/placement/types.go
@@ -158,6 +158,8 @@
 	// the result.
 	due       time.Time
 	expiresAt time.Time
+	// criticalPath is that of spec.
+	criticalPath time.Duration
 	// started is set once a task was ordered to start, and begun once one is known to
 	// have begun. pending is set while the job counts as one of which none has.
 	started, begun, pending bool
--- a/core/work/work.go
+++ b/core/work/work.go
@@ -172,8 +172,11 @@
 }
 
 // Objective returns the time from submission within which the job should complete.
-func (j *Job) Objective() time.Duration {
-	return time.Duration(j.Stretch*float64(j.CriticalPath())) + j.Target
+func (j *Job) Objective() time.Duration { return j.ObjectiveFor(j.CriticalPath()) }
+
+// ObjectiveFor returns the objective of the job, whose critical path the caller has.
+func (j *Job) ObjectiveFor(criticalPath time.Duration) time.Duration {
+	return time.Duration(j.Stretch*float64(criticalPath)) + j.Target
 }
 
 // Bounds of a submission. They prevent one job from filling a control VM's memory.
