runner: an overtaken hold has one timer, which ends with it

Cause: each listing with new ends armed a timer for each hold that waited, and none was stopped.

Change: the first listing that overtakes a hold arms its timer, and the end of the hold stops it. The time of the cancellation is the same, since a later listing's timer was never the first to fire.

Result: the tests of holds pass. The delay of a later listing differs only as the estimate of the latency changes.

--- a/daemon/runner/openholds.go
+++ b/daemon/runner/openholds.go
@@ -18,6 +18,8 @@
 type openHold struct {
 	cancel    context.CancelFunc
 	overtaken bool
+	// timer cancels the hold, from the first listing that overtakes it on; nil before.
+	timer *time.Timer
 }
 
 // begin adds a hold. The returned function removes it when the call has returned, and
@@ -34,17 +36,23 @@
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		delete(h.open, number)
+		if hold.timer != nil {
+			hold.timer.Stop()
+		}
 		return hold.overtaken
 	}
 }
 
 // cancelOvertaken cancels the holds that wait now and are still unanswered after a delay.
-// The endpoint has listed new ends to another hold, and had the same ends for these.
+// The endpoint has listed new ends to another hold, and had the same ends for these. A later listing does not
+// postpone that.
 func (h *openHolds) cancelOvertaken(delay time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for number, hold := range h.open {
-		time.AfterFunc(delay, func() { h.cancel(number, hold) })
+		if hold.timer == nil {
+			hold.timer = time.AfterFunc(delay, func() { h.cancel(number, hold) })
+		}
 	}
 }
 
