--- a/core/placement/shed.go
+++ b/core/placement/shed.go
@@ -32,12 +32,17 @@
 		name := g.job.spec.Pool
 		pool := pools[name]
 		if pool == nil {
-			pool = &poolBacklog{rate: p.rate(now, name)}
+			pool = &poolBacklog{}
 			pools[name] = pool
 		}
-		if a, hopeless := p.rejects(now, g, pool.wait()); hopeless {
-			rejected = append(rejected, newRejectedJob(g.job, a))
-			continue
+		if p.mayShed(g.job) {
+			if !pool.rated {
+				pool.rate, pool.rated = p.rate(now, name), true
+			}
+			if a, hopeless := hopeless(now, g.job, pool.wait()); hopeless {
+				rejected = append(rejected, newRejectedJob(g.job, a))
+				continue
+			}
 		}
 		pool.ahead += workload(len(g.tasks)) * g.taskWorkload()
 	}
@@ -48,7 +53,9 @@
 // poolBacklog is the work ahead of a group in the queue of its pool, and the rate at which the pool does it.
 type poolBacklog struct {
 	ahead workload
+	// rate is set with rated, once a job needs it.
 	rate  float64
+	rated bool
 }
 
 // wait returns the time that the work ahead takes, 0 while the pool has no usable endpoint.
@@ -71,12 +78,13 @@
 	p.rejected = append(p.rejected, rejected...)
 }
 
-// rejects decides whether a group's job is refused, with the given wait for the work ahead of it.
-func (p *Planner) rejects(now time.Time, g *group, wait time.Duration) (Admission, bool) {
-	j := g.job
-	if !j.spec.BestEffort || j.begun || len(p.runs[j.spec.ID]) > 0 {
-		return Admission{}, false
-	}
+// mayShed reports whether a job is one that may be refused: nothing of it has run.
+func (p *Planner) mayShed(j *job) bool {
+	return j.spec.BestEffort && !j.begun && len(p.runs[j.spec.ID]) == 0
+}
+
+// hopeless reports whether a job's result would come too late after a wait for the work ahead of it.
+func hopeless(now time.Time, j *job, wait time.Duration) (Admission, bool) {
 	limit := j.expiresAt.Sub(j.arrived)
 	expected := now.Sub(j.arrived) + wait + j.criticalPath
 	if expected <= limit {
