intake: the limits of a listener are derived in one place

Change: intake.NewLimits derives them. The operations page of cicadapulleyd had figures of its own: one client may take 57 connections (58 before) and 14.4 MiB (14 before) of it, and 4 MiB (2 before) are kept for small answers. Time-outs differ between listeners and stay with them.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -20,6 +20,26 @@
 	StalledAfter time.Duration
 }
 
+const (
+	// DefaultSharePercent is the part of the connections and of the bytes that one client address may take
+	// where that is no setting.
+	DefaultSharePercent = 90
+	// reservedPercent is the part of the bytes that only connections with few may use.
+	reservedPercent = 25
+	// stalledAfter is how long a body or an answer may make no progress while others wait.
+	stalledAfter = 250 * time.Millisecond
+)
+
+// NewLimits returns the limits of a listener of which one client address may take sharePercent.
+func NewLimits(connections int, bytes int64, sharePercent int, smallBytes int64) Limits {
+	return Limits{
+		Connections: connections, ClientConnections: max(connections*sharePercent/100, 1),
+		Bytes: bytes, ClientBytes: bytes * int64(sharePercent) / 100,
+		ReservedBytes: bytes * reservedPercent / 100, SmallBytes: smallBytes,
+		StalledAfter: stalledAfter,
+	}
+}
+
 // Phase is what a connection does.
 type Phase uint8
 
--- a/daemon/ops/ops.go
+++ b/daemon/ops/ops.go
@@ -45,11 +45,8 @@
 
 // defaultGate bounds the clients of an operations page: Prometheus, a balancer and operators.
 var defaultGate = ingress.Options{
-	Name: "ops",
-	Limits: intake.Limits{
-		Connections: 64, ClientConnections: 58, Bytes: 16 << 20, ClientBytes: 14 << 20, ReservedBytes: 2 << 20, SmallBytes: metricsBytes,
-		StalledAfter: 250 * time.Millisecond,
-	},
+	Name:          "ops",
+	Limits:        intake.NewLimits(64, 16<<20, intake.DefaultSharePercent, metricsBytes),
 	HeaderTimeout: transport.HeaderTimeout, IdleTimeout: transport.IdleTimeout, BodyStallTimeout: 4 * time.Second, BodyTimeout: 15 * time.Second,
 	WaitTimeout: 500 * time.Millisecond, WriteTimeout: 5 * time.Second, ReceiveBytes: 16 << 10,
 }
--- a/daemon/transport/gate.go
+++ b/daemon/transport/gate.go
@@ -19,13 +19,9 @@
 	MemoryTimeout = 500 * time.Millisecond
 	// WriteTimeout bounds the time in which a client takes nothing of an answer.
 	WriteTimeout = 10 * time.Second
-	// stalledAfter is how long a body or an answer may make no progress while others wait.
-	stalledAfter = 250 * time.Millisecond
 	// smallBytes is the memory up to which a request may use the quarter that is kept for small
 	// ones.
 	smallBytes = 64 << 10
-	// sharePercent is the part of the connections and of the memory that one address may take.
-	sharePercent = 90
 	// receiveBytes is the kernel's buffer for bytes that have arrived and are not read.
 	receiveBytes = 64 << 10
 )
@@ -33,12 +29,8 @@
 // NewGate returns the gate of a listener.
 func NewGate(name string, connections int, memory int64) *ingress.Gate {
 	return ingress.New(ingress.Options{
-		Name: name,
-		Limits: intake.Limits{
-			Connections: connections, ClientConnections: max(connections*sharePercent/100, 1),
-			Bytes: memory, ClientBytes: memory * sharePercent / 100, ReservedBytes: memory / 4, SmallBytes: smallBytes,
-			StalledAfter: stalledAfter,
-		},
+		Name:          name,
+		Limits:        intake.NewLimits(connections, memory, intake.DefaultSharePercent, smallBytes),
 		HeaderTimeout: HeaderTimeout, IdleTimeout: IdleTimeout, BodyStallTimeout: BodyStallTimeout, BodyTimeout: BodyTimeout,
 		WaitTimeout: MemoryTimeout, WriteTimeout: WriteTimeout, ReceiveBytes: receiveBytes,
 	})
