--- a/core/placement/shed.go
+++ b/core/placement/shed.go
@@ -26,24 +26,52 @@
 // that are refused. Runs in progress aren't counted, so that the estimate is too low
 // rather than too high.
 func (p *Planner) shed(now time.Time) {
-	ahead, own := map[string]workload{}, map[*queueShare]workload{}
+	pools := map[string]*poolBacklog{}
+	own := map[*queueShare]workload{}
 	var rejected []RejectedJob
 	for _, g := range p.queue.groups {
-		pool := g.job.spec.Pool
+		name := g.job.spec.Pool
+		pool := pools[name]
+		if pool == nil {
+			pool = &poolBacklog{}
+			pools[name] = pool
+		}
 		share := g.job.share
-		if a, hopeless := p.rejects(now, g, share.ahead(ahead[pool], own[share])); hopeless {
-			rejected = append(rejected, newRejectedJob(g.job, a))
-			continue
+		if p.mayShed(g.job) {
+			if !pool.rated {
+				pool.rate, pool.rated = p.rate(now, name), true
+			}
+			if a, hopeless := hopeless(now, g.job, pool.wait(share.ahead(pool.ahead, own[share]))); hopeless {
+				rejected = append(rejected, newRejectedJob(g.job, a))
+				continue
+			}
 		}
-		ahead[pool] += workload(len(g.tasks)) * g.taskWorkload()
+		w := workload(len(g.tasks)) * g.taskWorkload()
+		pool.ahead += w
 		if share != nil {
-			own[share] += workload(len(g.tasks)) * g.taskWorkload()
+			own[share] += w
 		}
 	}
 	p.Stats.Shed += uint64(len(rejected))
 	p.reject(now, rejected)
 }
 
+// poolBacklog is the work ahead of a group in the queue of its pool, and the rate at which the pool does it.
+type poolBacklog struct {
+	ahead workload
+	// rate is set with rated, once a job needs it.
+	rate  float64
+	rated bool
+}
+
+// wait returns the time that work takes, 0 while the pool has no usable endpoint.
+func (b *poolBacklog) wait(ahead workload) time.Duration {
+	if b.rate <= 0 {
+		return 0
+	}
+	return time.Duration(ahead.seconds() / b.rate * float64(time.Second))
+}
+
 func newRejectedJob(j *job, a Admission) RejectedJob {
 	return RejectedJob{Job: j.spec, MayHaveRun: j.mayHaveRun || j.started, Admission: a}
 }
@@ -61,18 +89,15 @@
 	p.rejected = append(p.rejected, rejected...)
 }
 
-// rejects decides whether a group's job is refused, with the given work ahead of it.
-func (p *Planner) rejects(now time.Time, g *group, ahead workload) (Admission, bool) {
-	j := g.job
-	if !j.spec.BestEffort || j.begun || len(p.runs[j.spec.ID]) > 0 {
-		return Admission{}, false
-	}
-	wait := time.Duration(0)
-	if rate := p.rate(now, j.spec.Pool); rate > 0 {
-		wait = time.Duration(ahead.seconds() / rate * float64(time.Second))
-	}
+// mayShed reports whether a job is one that may be refused: nothing of it has run.
+func (p *Planner) mayShed(j *job) bool {
+	return j.spec.BestEffort && !j.begun && len(p.runs[j.spec.ID]) == 0
+}
+
+// hopeless reports whether a job's result would come too late after a wait for the work ahead of it.
+func hopeless(now time.Time, j *job, wait time.Duration) (Admission, bool) {
 	limit := j.expiresAt.Sub(j.arrived)
-	expected := now.Sub(j.arrived) + wait + j.spec.CriticalPath()
+	expected := now.Sub(j.arrived) + wait + j.criticalPath
 	if expected <= limit {
 		return Admission{}, false
 	}
