clientload: client loads on the processes of cicadapulleyd

Cause: the limits of clients were tested on the platform path only. Change: tests of bodies, headers, answers, HTTP/2 streams and silent connections on all listeners of the roles entry, control and agent, with their numbers of clients and bounds.

--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 test: build lint pages model
 	@for t in $(KNOWN_RED); do echo "passed over, see KNOWN-RED.txt: $$t"; done
 	@for m in $(MODULES); do (cd $$m && $(GO) test $(SKIP_LOADS) ./...) || exit 1; done
+	@cd daemon && $(GO) test -run '^TestClientLoad' $(SKIP_KNOWN_RED) -p 1 -parallel 1 -count=1 ./clientload
 	@cd platform && $(GO) test -run '^TestClientLoad' $(SKIP_KNOWN_RED) -p 1 -parallel 1 -count=1 .
 
 # Tests that read docs/ and examples/. The cache of go test does not notice a
