clientload: one connection for all streams of a load

Cause: requests that begin together could each dial, so that a connection got more than one HTTP/2 preface. Change: one dial for each connection; requests over the server's limit of streams wait.

--- a/daemon/clientload/streams.go
+++ b/daemon/clientload/streams.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -20,10 +21,17 @@
 // request with a body stops short of its end. It returns when all have sent what they could; the
 // streams stay open until the connection is closed.
 func Streams(c net.Conn, count int, method, path string, contentType string, body []byte) error {
+	var dialled atomic.Bool
 	t := &http.Transport{
-		DialContext: func(context.Context, string, string) (net.Conn, error) { return c, nil },
-		Protocols:   new(http.Protocols),
-		HTTP2:       &http.HTTP2Config{MaxReceiveBufferPerStream: streamWindow},
+		DialContext: func(context.Context, string, string) (net.Conn, error) {
+			if dialled.Swap(true) {
+				return nil, net.ErrClosed
+			}
+			return c, nil
+		},
+		MaxConnsPerHost: 1,
+		Protocols:       new(http.Protocols),
+		HTTP2:           &http.HTTP2Config{MaxReceiveBufferPerStream: streamWindow, StrictMaxConcurrentRequests: true},
 	}
 	t.Protocols.SetUnencryptedHTTP2(true)
 	if err := c.SetDeadline(time.Time{}); err != nil {
