transport: bound headers, decoded forms, answers and connections of cicadapulleyd

Cause: a header took up to 1 MiB, a request of another process was counted with four times its size although empty messages decode to fifty times, answers were not counted, an HTTP/2 connection kept up to 1 MiB unread, and the connections were bounded without regard to the descriptors. Change: headers of 16 KiB; the decoded form is counted from the method's descriptor before the body is decoded, and refused if it is larger than the memory for all requests; answers to callers and other processes, and the records that an entry reads for them, are counted; an HTTP/2 stream whose client takes nothing of its answer is reset; 256 KiB unread for each HTTP/2 connection, and 16 to 64 KiB in the kernel; other processes get three fifths of the descriptors, on an entry one fifth, and callers at most three fifths.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -48,7 +48,8 @@
 
 // New returns an agent; Run starts it.
 func New(o Options) *Service {
-	s := &Service{opts: o, gate: transport.NewGate("entries", transport.MaxConnections, o.Settings.RequestMemory())}
+	connections := transport.FileShare(transport.MaxConnections, transport.ListenerFilePercent)
+	s := &Service{opts: o, gate: transport.NewGate("entries", connections, o.Settings.RequestMemory(), transport.MaxRequestBytes)}
 	s.members = membership.New(o.Control, o.Log, member(o), nil)
 	client := transport.NewEndpointClient(o.EndpointNetwork, o.Settings.Connections)
 	s.executor = newExecutor(o.Settings, s.members, o.Log, &endpoint{url: o.Settings.Endpoint, client: client})
@@ -107,8 +108,8 @@
 
 func (s *Service) serve(ctx context.Context) error {
 	mux := http.NewServeMux()
-	server := rpc.NewAgentServer(&api{executor: s.executor})
-	mux.Handle(server.PathPrefix(), s.opts.Security.Require(transport.RoleEntry, ingress.Buffered(transport.MaxRequestBytes, server)))
+	server := rpc.NewAgentServer(&api{executor: s.executor}, transport.CountAnswers())
+	mux.Handle(server.PathPrefix(), s.opts.Security.Require(transport.RoleEntry, transport.Buffered(transport.MaxRequestBytes, server)))
 	h := transport.Recover(s.opts.Log, mux)
 	srv := transport.NewServer(h, s.opts.Security.ServerConfig())
 	s.gate.Configure(srv)
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -72,7 +72,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "open data folder")
 	}
-	s := &Service{opts: o, store: store, gate: transport.NewGate("processes", transport.MaxConnections, o.Settings.RequestMemory())}
+	s := &Service{opts: o, store: store, gate: newGate(o.Settings)}
 	if err := s.init(); err != nil {
 		store.Close()
 		return nil, err
@@ -80,6 +80,11 @@
 	return s, nil
 }
 
+func newGate(s settings.Control) *ingress.Gate {
+	connections := transport.FileShare(transport.MaxConnections, transport.ListenerFilePercent)
+	return transport.NewGate("processes", connections, s.RequestMemory(), transport.MaxRequestBytes)
+}
+
 func (s *Service) init() error {
 	recovered := s.store.Recovered()
 	s.opts.Log.Emit(events.Event{ID: events.StorageOpened, Text: string(recovered.Identity)})
@@ -188,13 +193,13 @@
 	mux := http.NewServeMux()
 	handlers := &api{replica: s.replica, leases: s.leases, log: s.opts.Log, stopping: ctx}
 	sec := s.opts.Security
-	control := rpc.NewControlServer(handlers)
+	control := rpc.NewControlServer(handlers, transport.CountAnswers())
 	mux.Handle(control.PathPrefix(), sec.RequireAny([]transport.Role{transport.RoleEntry, transport.RoleAgent}, control))
-	operator := rpc.NewOperatorServer(handlers)
+	operator := rpc.NewOperatorServer(handlers, transport.CountAnswers())
 	mux.Handle(operator.PathPrefix(), sec.Require(transport.RoleOperator, operator))
 	raftServer := rpc.NewRaftServer(&raftAPI{driver: s.replica.Driver, log: s.opts.Log, id: s.replica.Status().ID})
 	mux.Handle(raftServer.PathPrefix(), sec.Require(transport.RoleControl, raftServer))
-	srv := transport.NewServer(transport.Recover(s.opts.Log, ingress.Buffered(transport.MaxRequestBytes, mux)), sec.ServerConfig())
+	srv := transport.NewServer(transport.Recover(s.opts.Log, transport.Buffered(transport.MaxRequestBytes, mux)), sec.ServerConfig())
 	s.gate.Configure(srv)
 	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
--- a/daemon/entry/callerapi.go
+++ b/daemon/entry/callerapi.go
@@ -63,7 +63,7 @@
 		writeRefusal(w, err)
 		return
 	}
-	a.writeJob(w, q, j, record.Key, q.URL.Query().Get("wait") == "1")
+	a.writeJob(w, &held, q, j, record.Key, q.URL.Query().Get("wait") == "1")
 }
 
 // decodedFactor bounds the memory of a submission's text and decoded form in relation to its size.
@@ -84,7 +84,7 @@
 	}
 	if errors.Is(err, ingress.ErrBusy) || errors.Is(err, ingress.ErrSlow) {
 		// The job of an earlier submission with the same ID may have run.
-		return nil, verdict.Errorf(verdict.CodeUnavailable, verdict.MayHaveRun, "%v", err).WithRetryAfter(time.Second)
+		return nil, noMemory(err)
 	}
 	if err != nil {
 		return nil, verdict.Errorf(verdict.CodeBadRequest, verdict.NotRun, "the body is truncated: %v", err)
@@ -93,14 +93,22 @@
 }
 
 // writeJob writes the job's state. With waitForEnd it waits for the job to end.
-func (a *callerAPI) writeJob(w http.ResponseWriter, q *http.Request, j *activeJob, k job.Key, waitForEnd bool) {
+func (a *callerAPI) writeJob(w http.ResponseWriter, held *ingress.Request, q *http.Request, j *activeJob, k job.Key, waitForEnd bool) {
 	ctx := q.Context()
 	if !waitForEnd {
 		expiredCtx, cancel := context.WithCancel(ctx)
 		cancel()
 		ctx = expiredCtx
 	}
-	outcome := a.jobs.await(ctx, j)
+	writeState(w, held, k, a.jobs.await(ctx, j))
+}
+
+// writeState writes the state of a job that has ended with an outcome, or runs if that is nil.
+func writeState(w http.ResponseWriter, held *ingress.Request, k job.Key, outcome *job.Outcome) {
+	if err := held.Answer(answerBytes(outcome)); err != nil {
+		writeRefusal(w, noMemory(err))
+		return
+	}
 	if outcome == nil {
 		writeJSON(w, http.StatusAccepted, callers.RunningAnswer(k))
 		return
@@ -108,23 +116,43 @@
 	writeJSON(w, http.StatusOK, callers.FinalAnswer(k, *outcome))
 }
 
+// answerBytes returns the memory of an answer with an outcome: the buffer of the encoder, which
+// doubles, and the copy that it returns.
+func answerBytes(o *job.Outcome) int {
+	const overhead, copies = 512, 4
+	n := overhead
+	if o != nil {
+		for _, r := range o.Results {
+			n += len(r.Output) + len(r.Message) + overhead
+		}
+	}
+	return copies * n
+}
+
+// noMemory is the refusal of a request that finds no memory for its answer. The job may have run.
+func noMemory(err error) *verdict.Error {
+	return verdict.Errorf(verdict.CodeUnavailable, verdict.MayHaveRun, "%v", err).WithRetryAfter(time.Second)
+}
+
 func (a *callerAPI) get(w http.ResponseWriter, q *http.Request, p httprouter.Params) {
 	k, err := requestKey(q, p)
 	if err != nil {
 		writeRefusal(w, err)
 		return
 	}
+	held := ingress.Begin(w, q)
+	defer held.End()
 	waitForEnd := q.URL.Query().Get("wait") == "1"
 	if j := a.jobs.find(k); j != nil {
-		a.writeJob(w, q, j, k, waitForEnd)
+		a.writeJob(w, &held, q, j, k, waitForEnd)
 		return
 	}
-	a.writeRecordedJob(w, q, k, waitForEnd)
+	a.writeRecordedJob(w, &held, q, k, waitForEnd)
 }
 
 // writeRecordedJob writes the state of a job that is not active at this entry.
-func (a *callerAPI) writeRecordedJob(w http.ResponseWriter, q *http.Request, k job.Key, waitForEnd bool) {
-	record, err := a.readRecord(q.Context(), k)
+func (a *callerAPI) writeRecordedJob(w http.ResponseWriter, held *ingress.Request, q *http.Request, k job.Key, waitForEnd bool) {
+	record, err := a.readRecord(q.Context(), held, k)
 	if err != nil {
 		writeRefusal(w, err)
 		return
@@ -133,15 +161,12 @@
 	if outcome == nil && waitForEnd {
 		outcome = a.jobs.awaitRecord(q.Context(), *record)
 	}
-	if outcome == nil {
-		writeJSON(w, http.StatusAccepted, callers.RunningAnswer(k))
-		return
-	}
-	writeJSON(w, http.StatusOK, callers.FinalAnswer(k, *outcome))
+	writeState(w, held, k, outcome)
 }
 
-func (a *callerAPI) readRecord(ctx context.Context, k job.Key) (*job.Record, *verdict.Error) {
-	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+// readRecord reads a job's record, whose memory stays counted until the request ends.
+func (a *callerAPI) readRecord(ctx context.Context, held *ingress.Request, k job.Key) (*job.Record, *verdict.Error) {
+	ctx, cancel := context.WithTimeout(held.Context(ctx), acceptTimeout)
 	defer cancel()
 	record, found, err := a.jobs.read(ctx, k)
 	if err != nil {
@@ -159,18 +184,20 @@
 		writeRefusal(w, err)
 		return
 	}
+	held := ingress.Begin(w, q)
+	defer held.End()
 	if j := a.jobs.find(k); j != nil {
 		a.jobs.cancel(j)
-		a.writeJob(w, q, j, k, true)
+		a.writeJob(w, &held, q, j, k, true)
 		return
 	}
-	record, err := a.readRecord(q.Context(), k)
+	record, err := a.readRecord(q.Context(), &held, k)
 	if err != nil {
 		writeRefusal(w, err)
 		return
 	}
 	a.jobs.cancelRemote(q.Context(), *record)
-	a.writeRecordedJob(w, q, k, true)
+	a.writeRecordedJob(w, &held, q, k, true)
 }
 
 func requestKey(q *http.Request, p httprouter.Params) (job.Key, *verdict.Error) {
--- a/daemon/entry/callhandler.go
+++ b/daemon/entry/callhandler.go
@@ -34,10 +34,10 @@
 		return
 	}
 	if c.kind.Repeatable {
-		a.callRepeatable(w, q, c)
+		a.callRepeatable(w, &held, q, c)
 		return
 	}
-	a.callRecorded(w, q, c)
+	a.callRecorded(w, &held, q, c)
 }
 
 func (a *callerAPI) parseCall(q *http.Request, p httprouter.Params, body []byte) (call, *verdict.Error) {
@@ -84,14 +84,14 @@
 	return kind
 }
 
-func (a *callerAPI) callRepeatable(w http.ResponseWriter, q *http.Request, c call) {
+func (a *callerAPI) callRepeatable(w http.ResponseWriter, held *ingress.Request, q *http.Request, c call) {
 	record := c.toRecord()
 	result, err := a.jobs.call(q.Context(), c, func() *verdict.Error { return a.service.admitCall(record) })
 	if err != nil {
 		writeRefusal(w, err)
 		return
 	}
-	writeCallResult(w, result)
+	writeCallResult(w, held, result)
 }
 
 // toRecord returns the call as a job of one task.
@@ -108,7 +108,7 @@
 	}
 }
 
-func (a *callerAPI) callRecorded(w http.ResponseWriter, q *http.Request, c call) {
+func (a *callerAPI) callRecorded(w http.ResponseWriter, held *ingress.Request, q *http.Request, c call) {
 	record := c.toRecord()
 	j, err := a.jobs.submit(q.Context(), record, func() *verdict.Error { return a.service.admit(record) })
 	if err != nil {
@@ -124,11 +124,15 @@
 		writeRefusal(w, &verdict.Error{Code: outcome.Code, Verdict: outcome.Verdict, Message: outcome.Message})
 		return
 	}
-	writeCallResult(w, outcome.Results[0])
+	writeCallResult(w, held, outcome.Results[0])
 }
 
 // writeCallResult answers with the endpoint's output alone, or with a refusal.
-func writeCallResult(w http.ResponseWriter, r job.TaskResult) {
+func writeCallResult(w http.ResponseWriter, held *ingress.Request, r job.TaskResult) {
+	if err := held.Answer(len(r.Output)); err != nil {
+		writeRefusal(w, noMemory(err))
+		return
+	}
 	w.Header().Set(callers.HeaderVerdict, r.Verdict.String())
 	if r.State != job.TaskDone {
 		writeRefusal(w, &verdict.Error{Code: r.Code, Verdict: r.Verdict, Message: r.Message})
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -61,10 +61,12 @@
 // New returns an entry; Run starts it.
 func New(o Options) *Service {
 	memory := o.Settings.RequestMemory()
+	entries := transport.FileShare(transport.MaxConnections, transport.SecondListenerFilePercent)
+	callers := transport.FileShare(o.Settings.ConnectionLimit(), transport.ListenerFilePercent)
 	s := &Service{
 		opts:       o,
-		entryGate:  transport.NewGate("entries", transport.MaxConnections, memory),
-		callerGate: transport.NewGate("callers", o.Settings.ConnectionLimit(), memory),
+		entryGate:  transport.NewGate("entries", entries, memory, transport.MaxRequestBytes),
+		callerGate: transport.NewGate("callers", callers, memory, o.Settings.BodyLimit()),
 	}
 	s.dispatcher = newDispatcher(dispatch.Options{
 		Strategy:   strategy(o.Settings.Dispatch),
@@ -166,8 +168,8 @@
 
 func (s *Service) serveEntries(ctx context.Context) error {
 	mux := http.NewServeMux()
-	server := rpc.NewEntryServer(&entryAPI{jobs: s.jobs})
-	mux.Handle(server.PathPrefix(), s.opts.Security.Require(transport.RoleEntry, ingress.Buffered(transport.MaxRequestBytes, server)))
+	server := rpc.NewEntryServer(&entryAPI{jobs: s.jobs}, transport.CountAnswers())
+	mux.Handle(server.PathPrefix(), s.opts.Security.Require(transport.RoleEntry, transport.Buffered(transport.MaxRequestBytes, server)))
 	srv := transport.NewServer(transport.Recover(s.opts.Log, mux), s.opts.Security.ServerConfig())
 	s.entryGate.Configure(srv)
 	return transport.Serve(ctx, srv, s.entryGate.Listener(s.opts.Listener), s.opts.Settings.DrainTimeout())
--- a/daemon/ingress/request.go
+++ b/daemon/ingress/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -154,19 +155,49 @@
 	}
 }
 
+// Add takes memory for n bytes beside what the request holds, as Resize does.
+func (q *Request) Add(n int64) error { return q.Resize(q.held + n) }
+
+// Answer takes memory for n bytes of an answer, beside what the request holds, and bounds the time
+// for which an HTTP/2 stream waits until its client takes them. On HTTP/1 the connection does.
+func (q *Request) Answer(n int) error {
+	if err := q.Add(int64(n)); err != nil || q.stream == nil {
+		return err
+	}
+	parts := time.Duration(1 + n/maxWriteBytes)
+	return q.stream.SetWriteDeadline(time.Now().Add(parts * q.conn.gate.opts.WriteTimeout))
+}
+
+type requestKey struct{}
+
+// Context returns a context with the request. Only the request's goroutine may use it.
+func (q *Request) Context(ctx context.Context) context.Context {
+	return context.WithValue(ctx, requestKey{}, q)
+}
+
+// FromContext returns the request of a context, or one that counts nothing.
+func FromContext(ctx context.Context) *Request {
+	if q, ok := ctx.Value(requestKey{}).(*Request); ok {
+		return q
+	}
+	return &Request{}
+}
+
 // Buffered reads the body of each request, of up to limit bytes, before the next handler, which
-// would read it whole with no limit. Body and decoded form stay counted until the request ends. A
-// request that is refused here has had no effect.
-func Buffered(limit int, next http.Handler) http.Handler {
+// would read it whole with no limit. Body and decoded form stay counted until the request ends.
+// decodedBytes returns the memory of the decoded form without the text; a request for which it is
+// more than all requests may hold is refused. A request that is refused here has had no effect.
+func Buffered(limit int, decodedBytes func(r *http.Request, body []byte) int, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		q := Begin(w, r)
 		defer q.End()
 		data, err := q.ReadBody(r, limit)
 		if err == nil {
-			err = q.Resize(4 * int64(len(data))) // the handler copies it and decodes the copy
+			err = q.holdDecoded(len(data), decodedBytes(r, data))
 		}
 		switch {
 		case err == nil:
+			r = r.WithContext(q.Context(r.Context()))
 			r.Body = io.NopCloser(bytes.NewReader(data))
 			next.ServeHTTP(w, r)
 			return
@@ -181,6 +212,14 @@
 	})
 }
 
+// holdDecoded takes memory for a body that the handler copies, whose copy it decodes.
+func (q *Request) holdDecoded(bodyBytes, decoded int) error {
+	if q.conn != nil && int64(decoded) > q.conn.gate.opts.Limits.Bytes {
+		return ErrTooLarge
+	}
+	return q.Resize(4*int64(bodyBytes) + int64(decoded))
+}
+
 const (
 	// firstBytes is the buffer for a body of unknown size, and the largest that is allocated for
 	// a size which a header promises.
--- a/daemon/ops/ops.go
+++ b/daemon/ops/ops.go
@@ -83,16 +83,17 @@
 // Memory that an answer takes until it is written.
 const (
 	metricsBytes = 512 << 10
+	statusBytes  = 512 << 10
 	// eventsBytes is for all buffered events in both forms, about 600 bytes each.
 	eventsBytes = 10 << 20
 )
 
 // holding counts the memory of an answer. A request that finds none in time is refused.
-func holding(bytes int64, next http.Handler) http.Handler {
+func holding(bytes int, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		held := ingress.Begin(w, r)
 		defer held.End()
-		if err := held.Resize(bytes); err != nil {
+		if err := held.Answer(bytes); err != nil {
 			w.Header().Set("Retry-After", "1")
 			writeText(w, http.StatusServiceUnavailable, err.Error())
 			return
@@ -108,7 +109,7 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { writeText(w, http.StatusOK, "ok") })
 	mux.HandleFunc("GET /readyz", s.ready)
 	mux.Handle("GET /v1/events", holding(eventsBytes, http.HandlerFunc(s.events)))
-	mux.HandleFunc("GET /v1/status", s.status)
+	mux.Handle("GET /v1/status", holding(statusBytes, http.HandlerFunc(s.status)))
 	return mux
 }
 
--- a/daemon/transport/gate.go
+++ b/daemon/transport/gate.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"syscall"
 	"time"
 
 	"github.com/cicadapulley/cicadapulley/core/intake"
@@ -12,6 +13,10 @@
 	MaxRequestBytes = 256 << 20
 	// MaxConnections bounds the connections of other processes.
 	MaxConnections = 4096
+	// ListenerFilePercent and SecondListenerFilePercent are the parts of a process's descriptors for
+	// the connections of its listener, and of an entry's listener for other entries.
+	ListenerFilePercent       = 60
+	SecondListenerFilePercent = 20
 	// BodyStallTimeout and BodyTimeout bound the time for the next bytes of a body, and for all.
 	BodyStallTimeout = 5 * time.Second
 	BodyTimeout      = time.Minute
@@ -26,12 +31,26 @@
 	smallBytes = 64 << 10
 	// sharePercent is the part of the connections and of the memory that one address may take.
 	sharePercent = 90
-	// receiveBytes is the kernel's buffer for bytes that have arrived and are not read.
-	receiveBytes = 64 << 10
+	// minReceiveBytes and maxReceiveBytes bound the kernel's buffer for bytes that have arrived on a
+	// connection and are not read.
+	minReceiveBytes = 16 << 10
+	maxReceiveBytes = 64 << 10
+	// bodyRoundTrips is the number of round trips that a body of the largest size may take.
+	bodyRoundTrips = 64
 )
 
-// NewGate returns the gate of a listener.
-func NewGate(name string, connections int, memory int64) *ingress.Gate {
+// FileShare returns a number of connections, bounded by a percentage of the descriptors that the
+// process may open. The rest is for files and the process's own connections.
+func FileShare(connections, percent int) int {
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil {
+		return connections
+	}
+	return int(min(uint64(connections), files.Cur*uint64(percent)/100)) // the runtime has raised Cur to the maximum
+}
+
+// NewGate returns the gate of a listener that receives bodies of up to bodyBytes.
+func NewGate(name string, connections int, memory, bodyBytes int64) *ingress.Gate {
 	return ingress.New(ingress.Options{
 		Name: name,
 		Limits: intake.Limits{
@@ -40,6 +59,6 @@
 			StalledAfter: stalledAfter,
 		},
 		HeaderTimeout: HeaderTimeout, IdleTimeout: IdleTimeout, BodyStallTimeout: BodyStallTimeout, BodyTimeout: BodyTimeout,
-		WaitTimeout: MemoryTimeout, WriteTimeout: WriteTimeout, ReceiveBytes: receiveBytes,
+		WaitTimeout: MemoryTimeout, WriteTimeout: WriteTimeout, ReceiveBytes: int(min(max(bodyBytes/bodyRoundTrips, minReceiveBytes), maxReceiveBytes)),
 	})
 }
--- a/daemon/transport/http.go
+++ b/daemon/transport/http.go
@@ -24,6 +24,15 @@
 	MaxStreams = 4096
 	// HeaderTimeout is the time-out for reading a request's headers.
 	HeaderTimeout = 5 * time.Second
+	// maxHeaderBytes bounds the header of a request, which is kept until it is complete.
+	maxHeaderBytes = 16 << 10
+	// frameBytes bounds the frames that a connection receives; each keeps a buffer of the largest.
+	frameBytes = 16 << 10
+	// windowBytes bounds what a server keeps unread of all streams of a connection. It allows a
+	// snapshot of 50 MB to arrive within a second at a round trip of 5 ms.
+	windowBytes = 256 << 10
+	// answerWindowBytes bounds what a client keeps unread of an answer.
+	answerWindowBytes = 64 << 10
 )
 
 // ClientOptions configures a client.
@@ -44,6 +53,8 @@
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout: PingAfter,
 			PingTimeout:     PingTimeout,
+
+			MaxReceiveBufferPerStream: answerWindowBytes,
 		},
 	}
 	if o.TLS == nil {
@@ -51,7 +62,7 @@
 	} else {
 		t.Protocols.SetHTTP2(true)
 	}
-	return &http.Client{Transport: t}
+	return &http.Client{Transport: countingTransport{t}}
 }
 
 // NewEndpointClient returns an agent's client for its endpoint: HTTP/1.1 with a
@@ -81,8 +92,11 @@
 		TLSConfig:         cfg,
 		ReadHeaderTimeout: HeaderTimeout,
 		IdleTimeout:       IdleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 		Protocols:         new(http.Protocols),
-		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: MaxStreams},
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: MaxStreams, MaxReadFrameSize: frameBytes, MaxReceiveBufferPerConnection: windowBytes,
+		},
 	}
 	s.Protocols.SetHTTP1(true)
 	if cfg == nil {
