intake, ingress: bound the open HTTP/2 streams of a listener

Cause: a connection may have 4,096 streams, each with a goroutine, header and buffers that nothing counted. Change: a listener has one stream for each 16 KiB of its memory for requests, 90% for one address and a quarter for connections with up to eight; further requests get 503 at once.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -15,6 +15,11 @@
 	// ReservedBytes is the part of Bytes that only connections with up to SmallBytes may use.
 	ReservedBytes int64
 	SmallBytes    int64
+	// Streams bounds the open streams of all connections that carry several requests at once, and
+	// ClientStreams those of one client address; 0 for none. A quarter is kept for connections
+	// with few.
+	Streams       int
+	ClientStreams int
 	// StalledAfter is how long a connection may make no progress before it is closed in favour
 	// of another.
 	StalledAfter time.Duration
@@ -46,6 +51,7 @@
 	phase      Phase
 	progressAt time.Time
 	held       int64
+	streams    int
 	closed     bool
 	prev, next *Conn
 }
@@ -61,6 +67,7 @@
 	address     string
 	connections int
 	held        int64
+	streams     int
 }
 
 // Waiter is a request that waits for bytes.
@@ -76,6 +83,7 @@
 	limits      Limits
 	connections int
 	held        int64
+	streams     int
 	clients     map[string]*client
 	// phases are rings of the connections in each phase, the one with the oldest progress first.
 	phases  [phaseCount]Conn
@@ -208,11 +216,42 @@
 }
 
 func (t *Table) forget(of *client) {
-	if of.connections == 0 && of.held == 0 {
+	if of.connections == 0 && of.held == 0 && of.streams == 0 {
 		delete(t.clients, of.address)
 	}
 }
 
+// fewStreams is the number of a connection's streams up to which it may use the quarter that is kept.
+const fewStreams = 8
+
+// OpenStream adds a stream to a connection. It returns false if a limit is reached; nothing is
+// closed for a stream, since the other requests of a connection may be ordinary ones.
+func (t *Table) OpenStream(c *Conn) bool {
+	if t.limits.Streams > 0 {
+		available := t.limits.Streams
+		if c.streams >= fewStreams {
+			available -= available / 4
+		}
+		if c.closed || t.streams >= available || c.client.streams >= t.limits.ClientStreams {
+			return false
+		}
+	}
+	t.addStreams(c, 1)
+	return true
+}
+
+// CloseStream removes a stream that OpenStream has added.
+func (t *Table) CloseStream(c *Conn) {
+	t.addStreams(c, -1)
+	t.forget(c.client)
+}
+
+func (t *Table) addStreams(c *Conn, n int) {
+	t.streams += n
+	c.streams += n
+	c.client.streams += n
+}
+
 // fits reports whether a connection may hold n more bytes. A closed one may not, since its
 // client may have been forgotten.
 func (t *Table) fits(c *Conn, n int64) bool {
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -73,6 +73,37 @@
 	assert.Assert(t, c == nil, "served connections are not closed")
 }
 
+// TestStreams guards against connections with many streams that leave none to one with few, and against
+// one client address that takes all.
+func TestStreams(t *testing.T) {
+	l := limits()
+	l.Streams, l.ClientStreams = 40, 36
+	table := NewTable(l)
+	many, _, _ := table.Open("a", at(0))
+	few, _, _ := table.Open("a", at(0))
+	other, _, _ := table.Open("b", at(0))
+	open := func(c *Conn) (n int) {
+		for table.OpenStream(c) {
+			n++
+		}
+		return n
+	}
+	assert.Equal(t, open(many), 30)
+	assert.Equal(t, open(few), 6, "the client's own limit")
+	assert.Equal(t, open(other), 4)
+	table.CloseStream(many)
+	assert.Equal(t, open(other), 1)
+	for _, c := range []*Conn{many, few, other} {
+		table.Close(c)
+		opened := table.OpenStream(c)
+		assert.Assert(t, !opened, "a closed connection")
+		for c.streams > 0 {
+			table.CloseStream(c)
+		}
+	}
+	assert.Equal(t, len(table.clients), 0)
+}
+
 // TestTable guards against bytes or connections that stay counted after they were given back, against
 // a limit that is exceeded, and against waiting requests that are not granted what fits.
 func TestTable(t *testing.T) {
--- a/daemon/ingress/gate.go
+++ b/daemon/ingress/gate.go
@@ -57,10 +57,11 @@
 	limitSlowHeader
 	limitSlowBody
 	limitSlowAnswer
+	limitStreams
 	limitCount
 )
 
-var limitNames = [limitCount]string{"connections", "client_connections", "memory", "stalled", "slow_header", "slow_body", "slow_answer"}
+var limitNames = [limitCount]string{"connections", "client_connections", "memory", "stalled", "slow_header", "slow_body", "slow_answer", "streams"}
 
 // Gate bounds the clients of one listener.
 type Gate struct {
@@ -93,7 +94,7 @@
 func (g *Gate) Configure(srv *http.Server) {
 	srv.ReadHeaderTimeout = g.opts.HeaderTimeout
 	srv.IdleTimeout = g.opts.IdleTimeout
-	srv.Handler = g.limitUnreadBody(srv.Handler)
+	srv.Handler = g.limitStreams(g.limitUnreadBody(srv.Handler))
 	srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, gateConn(c))
 	}
@@ -124,6 +125,33 @@
 	})
 }
 
+// limitStreams refuses the requests of HTTP/2 connections that have too many. Each has a goroutine, its
+// header and buffers.
+func (g *Gate) limitStreams(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, _ := r.Context().Value(connKey{}).(*conn)
+		if r.ProtoMajor == 1 || c == nil {
+			next.ServeHTTP(w, r)
+			return
+		}
+		g.mu.Lock()
+		opened := g.table.OpenStream(c.entry)
+		g.mu.Unlock()
+		if !opened {
+			g.meet(limitStreams)
+			w.Header().Set("Retry-After", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		defer func() {
+			g.mu.Lock()
+			g.table.CloseStream(c.entry)
+			g.mu.Unlock()
+		}()
+		next.ServeHTTP(w, r)
+	})
+}
+
 // gateConn returns the connection that a gate's listener accepted, also below TLS.
 func gateConn(nc net.Conn) *conn {
 	if t, ok := nc.(interface{ NetConn() net.Conn }); ok {
--- a/daemon/ops/ops.go
+++ b/daemon/ops/ops.go
@@ -48,7 +48,7 @@
 	Name: "ops",
 	Limits: intake.Limits{
 		Connections: 64, ClientConnections: 58, Bytes: 16 << 20, ClientBytes: 14 << 20, ReservedBytes: 2 << 20, SmallBytes: metricsBytes,
-		StalledAfter: 250 * time.Millisecond,
+		Streams: 128, ClientStreams: 115, StalledAfter: 250 * time.Millisecond,
 	},
 	HeaderTimeout: transport.HeaderTimeout, IdleTimeout: transport.IdleTimeout, BodyStallTimeout: 4 * time.Second, BodyTimeout: 15 * time.Second,
 	WaitTimeout: 500 * time.Millisecond, WriteTimeout: 5 * time.Second, ReceiveBytes: 16 << 10,
--- a/daemon/transport/gate.go
+++ b/daemon/transport/gate.go
@@ -26,6 +26,9 @@
 	WriteTimeout = 10 * time.Second
 	// stalledAfter is how long a body or an answer may make no progress while others wait.
 	stalledAfter = 250 * time.Millisecond
+	// streamBytes is the part of the memory for requests for which a listener may have an HTTP/2
+	// stream open. A stream costs about as much beside what its request holds.
+	streamBytes = 16 << 10
 	// smallBytes is the memory up to which a request may use the quarter that is kept for small
 	// ones.
 	smallBytes = 64 << 10
@@ -51,11 +54,13 @@
 
 // NewGate returns the gate of a listener that receives bodies of up to bodyBytes.
 func NewGate(name string, connections int, memory, bodyBytes int64) *ingress.Gate {
+	streams := int(memory / streamBytes)
 	return ingress.New(ingress.Options{
 		Name: name,
 		Limits: intake.Limits{
 			Connections: connections, ClientConnections: max(connections*sharePercent/100, 1),
 			Bytes: memory, ClientBytes: memory * sharePercent / 100, ReservedBytes: memory / 4, SmallBytes: smallBytes,
+			Streams: streams, ClientStreams: streams * sharePercent / 100,
 			StalledAfter: stalledAfter,
 		},
 		HeaderTimeout: HeaderTimeout, IdleTimeout: IdleTimeout, BodyStallTimeout: BodyStallTimeout, BodyTimeout: BodyTimeout,
