link, transport: bound what waits to be sent to one process by bytes

Cause: the send queue of a connection was bounded by 8,192 messages, so that a process that reads nothing for up to a second could hold as many large ones. The requests of cicadapulleyd, which doesn't use package link, were not bounded. In cicadapulleyd the setting bounds the requests that wait for one process; a further one fails before any of it is sent.

--- a/daemon/app/app.go
+++ b/daemon/app/app.go
@@ -78,7 +78,7 @@
 
 // controlClient returns a client of the control VMs.
 func (p *process) controlClient(addresses []string) *controlclient.Client {
-	client := transport.NewClient(transport.ClientOptions{Network: p.network, TLS: p.security.ClientConfig()})
+	client := transport.NewClient(transport.ClientOptions{Network: p.network, TLS: p.security.ClientConfig(), QueueBytes: p.settings.LinkQueueBytes()})
 	return controlclient.New(client, p.security.Scheme(), addresses)
 }
 
--- a/daemon/control/raftapi.go
+++ b/daemon/control/raftapi.go
@@ -40,8 +40,10 @@
 }
 
 func newRaftTransport(o Options, id raft.ServerID, address string) *raftTransport {
+	// A VM that catches up gets many appends at once; package consensus bounds the concurrent calls.
+	queueBytes := max(o.Settings.LinkQueueBytes(), transport.MaxRequestBytes)
 	return &raftTransport{
-		http:    transport.NewClient(transport.ClientOptions{Network: o.Network, TLS: o.Security.ClientConfig()}),
+		http:    transport.NewClient(transport.ClientOptions{Network: o.Network, TLS: o.Security.ClientConfig(), QueueBytes: queueBytes}),
 		scheme:  o.Security.Scheme(),
 		id:      id,
 		address: address,
--- a/daemon/coordinator/peers.go
+++ b/daemon/coordinator/peers.go
@@ -30,7 +30,9 @@
 type peerTransport struct {
 	self raft.Server
 	vm   string
-	log  *events.Log
+	// queueBytes bounds the bytes that wait to be sent on a connection; 0 for the default.
+	queueBytes int
+	log        *events.Log
 
 	// running is closed when Run has set runCtx.
 	running chan struct{}
@@ -46,14 +48,15 @@
 	goroutines conc.WaitGroup
 }
 
-func newPeerTransport(self raft.Server, vm string, log *events.Log) *peerTransport {
+func newPeerTransport(self raft.Server, vm string, queueBytes int, log *events.Log) *peerTransport {
 	return &peerTransport{
-		self:    self,
-		vm:      vm,
-		log:     log,
-		running: make(chan struct{}),
-		conns:   map[string]*link.Conn{},
-		calls:   map[uint64]chan *mesh.OperatorResponse{},
+		self:       self,
+		vm:         vm,
+		queueBytes: queueBytes,
+		log:        log,
+		running:    make(chan struct{}),
+		conns:      map[string]*link.Conn{},
+		calls:      map[uint64]chan *mesh.OperatorResponse{},
 	}
 }
 
@@ -156,6 +159,9 @@
 	if err != nil {
 		return nil, err
 	}
+	// A VM that catches up gets many appends at once, and their data is that of the log, so that the
+	// queue takes little memory of its own.
+	c.LimitQueue(max(t.queueBytes, mesh.MaxMessageBytes))
 	c.Send(&mesh.Hello{Role: mesh.RoleControl, VM: t.vm, Server: &t.self})
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/daemon/coordinator/server.go
+++ b/daemon/coordinator/server.go
@@ -29,7 +29,7 @@
 		return errors.Wrap(err, "listen")
 	}
 	return link.Serve(ctx, listener, link.ServeOptions{
-		Name: "coordinator/server", MaxConnections: MaxConnections, Gate: s.opts.Gate, Log: s.opts.Log,
+		Name: "coordinator/server", MaxConnections: MaxConnections, Gate: s.opts.Gate, QueueBytes: s.opts.QueueBytes, Log: s.opts.Log,
 	}, s.handle)
 }
 
--- a/daemon/coordinator/service.go
+++ b/daemon/coordinator/service.go
@@ -78,6 +78,8 @@
 	MemoryBytes int64
 	// Gate bounds the connections and messages of other processes; nil for none.
 	Gate *ingress.Gate
+	// QueueBytes bounds the bytes that wait to be sent on a connection; 0 for the default.
+	QueueBytes int
 	// DetectInterference is set if a leader learns which queues slow each other down on one
 	// endpoint, and prefers other endpoints for their tasks.
 	DetectInterference bool
@@ -146,7 +148,7 @@
 		}
 	}
 	s.self = raft.Server{ID: recovered.Identity, Address: s.opts.Address}
-	s.peers = newPeerTransport(s.self, s.opts.VM, s.opts.Log)
+	s.peers = newPeerTransport(s.self, s.opts.VM, s.opts.QueueBytes, s.opts.Log)
 	driver, err := consensus.New(consensus.Options{
 		Machine:         s.machine,
 		Store:           s.store,
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -80,10 +80,11 @@
 		log:        o.Log,
 		network:    o.Network,
 		security:   o.Security,
+		queueBytes: o.Settings.LinkQueueBytes(),
 		group:      supervisor.NewGroup("entry/peers", o.Log),
 		byID:       map[string]*peer{},
 	}
-	s.entryHTTPClient = transport.NewClient(transport.ClientOptions{Network: o.Network, TLS: o.Security.ClientConfig()})
+	s.entryHTTPClient = transport.NewClient(transport.ClientOptions{Network: o.Network, TLS: o.Security.ClientConfig(), QueueBytes: o.Settings.LinkQueueBytes()})
 	s.jobs = newJobManager(s)
 	return s
 }
--- a/daemon/entry/peers.go
+++ b/daemon/entry/peers.go
@@ -90,6 +90,8 @@
 	log        *events.Log
 	network    transport.Network
 	security   transport.Security
+	// queueBytes bounds the bytes that wait to be sent to an agent; 0 for the default.
+	queueBytes int
 	group      *supervisor.Group
 
 	mu   sync.RWMutex
@@ -133,7 +135,7 @@
 }
 
 func (ps *peerSet) newPeer(m state.Member) *peer {
-	client := transport.NewClient(transport.ClientOptions{Network: ps.network, TLS: ps.security.ClientConfig()})
+	client := transport.NewClient(transport.ClientOptions{Network: ps.network, TLS: ps.security.ClientConfig(), QueueBytes: ps.queueBytes})
 	return &peer{
 		member:  m,
 		client:  client,
--- a/daemon/fallback/fallback.go
+++ b/daemon/fallback/fallback.go
@@ -64,7 +64,9 @@
 	Metrics *scheduler.Metrics
 	// DetectInterference is set if the placer learns which queues slow each other down.
 	DetectInterference bool
-	Log                *events.Log
+	// QueueBytes bounds the bytes that wait to be sent to an agent; 0 for the default.
+	QueueBytes int
+	Log        *events.Log
 }
 
 // Placer places jobs during one period without a leader. Submit is safe for
@@ -117,7 +119,7 @@
 	agents := supervisor.NewGroup("fallback", p.opts.Log)
 	for _, a := range chooseAgents(p.opts.VM, p.opts.Agents) {
 		agents.Start(ctx, a.VM, func(ctx context.Context) error {
-			return link.KeepConnected(ctx, a.Address, func(ctx context.Context, c *link.Conn) { p.serveAgent(ctx, c, a.VM) })
+			return link.KeepConnected(ctx, a.Address, p.opts.QueueBytes, func(ctx context.Context, c *link.Conn) { p.serveAgent(ctx, c, a.VM) })
 		})
 	}
 	ticker := time.NewTicker(tickInterval)
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -79,7 +79,9 @@
 	// Standby receives the messages of control VMs that do not lead; nil drops them. The
 	// goroutine of the connection calls it.
 	Standby func(c *link.Conn, m mesh.Message)
-	Log     *events.Log
+	// QueueBytes bounds the bytes that wait to be sent on a connection; 0 for the default.
+	QueueBytes int
+	Log        *events.Log
 }
 
 // Follower keeps connections to the control VMs. It is safe for concurrent use.
@@ -162,7 +164,7 @@
 // keepConnected keeps the connection to one control VM open, and serves it while
 // that VM leads.
 func (f *Follower) keepConnected(ctx context.Context, address string) error {
-	return link.KeepConnected(ctx, address, f.handleConn)
+	return link.KeepConnected(ctx, address, f.opts.QueueBytes, f.handleConn)
 }
 
 // handleConn reads a connection until it fails, and serves it while its VM leads.
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -46,7 +46,10 @@
 	// DetectInterference is set if this entry learns which queues slow each other down while it
 	// places jobs itself.
 	DetectInterference bool
-	Log                *events.Log
+	// QueueBytes bounds the bytes that wait to be sent to an agent while there is no leader; 0 for
+	// the default.
+	QueueBytes int
+	Log        *events.Log
 }
 
 // Service forwards callers' requests to the leader.
--- a/daemon/gateway/local.go
+++ b/daemon/gateway/local.go
@@ -114,7 +114,7 @@
 	opts := fallback.Options{
 		VM: s.opts.VM, Term: s.view.Term(), LeaderLostAt: s.view.LeaderLostAt(), Routes: s.view.Routes(), Version: s.view.Version(),
 		Agents: s.view.Agents(), Drains: s.view.Drains(), Metrics: s.metrics, Log: s.opts.Log,
-		DetectInterference: s.opts.DetectInterference,
+		DetectInterference: s.opts.DetectInterference, QueueBytes: s.opts.QueueBytes,
 	}
 	changed := s.changed
 	s.mu.Unlock()
--- a/daemon/link/link.go
+++ b/daemon/link/link.go
@@ -25,6 +25,9 @@
 	// maxQueuedMessages bounds the messages that wait for the writer. The connection
 	// to a peer that falls further behind is closed.
 	maxQueuedMessages = 8192
+	// defaultQueueBytes bounds the bytes that wait for the writer unless LimitQueue sets another
+	// bound.
+	defaultQueueBytes = 4 << 20
 	// writeTimeout bounds one write. The connection to a peer that reads nothing for
 	// this time is closed.
 	writeTimeout = time.Second
@@ -61,14 +64,25 @@
 	writer    sync.WaitGroup
 
 	mu sync.Mutex
+	// queuedBytes is the estimated size of the messages in the queue and of those that the writer has
+	// taken and not written, and largestQueued that of the largest one since there was none.
+	// queueLimit bounds the bytes beside the largest message, so that a message of any size can
+	// be sent, and small ones behind it.
+	queuedBytes, largestQueued, queueLimit int
 	// queue has the messages that wait for the writer. It is a slice and not a
 	// buffered channel, which would take 128 KiB for each of the hundreds of
 	// connections of a control VM, most of which never have two messages waiting.
-	queue []mesh.Message
+	queue []queuedMessage
 	// queued has a buffer of one and wakes the writer.
 	queued chan struct{}
 }
 
+// queuedMessage is a message with its estimated size.
+type queuedMessage struct {
+	mesh.Message
+	bytes int
+}
+
 // New returns a Conn that owns the TCP connection c, and starts its writer.
 func New(c net.Conn) *Conn {
 	l := &Conn{
@@ -77,7 +91,9 @@
 		maxBytes: mesh.MaxMessageBytes,
 		openedAt: time.Now(),
 		closed:   make(chan struct{}),
-		queued:   make(chan struct{}, 1),
+
+		queueLimit: defaultQueueBytes,
+		queued:     make(chan struct{}, 1),
 	}
 	l.writer.Go(func() {
 		defer l.Close()
@@ -107,14 +123,29 @@
 	return host
 }
 
+// LimitQueue bounds the bytes that wait for the writer, beside the largest message; 0 for the
+// default.
+func (l *Conn) LimitQueue(bytes int) {
+	if bytes == 0 {
+		bytes = defaultQueueBytes
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.queueLimit = bytes
+}
+
 // Send queues a message without blocking. If the queue is full, it closes the
 // connection.
 func (l *Conn) Send(m mesh.Message) {
 	l.sentAt.Store(int64(time.Since(l.openedAt)))
+	size := mesh.SizeEstimate(m)
 	l.mu.Lock()
-	full := len(l.queue) >= maxQueuedMessages
+	largest := max(l.largestQueued, size)
+	full := len(l.queue) >= maxQueuedMessages || l.queuedBytes+size-largest > l.queueLimit
 	if !full {
-		l.queue = append(l.queue, m)
+		l.queue = append(l.queue, queuedMessage{m, size})
+		l.queuedBytes += size
+		l.largestQueued = largest
 	}
 	l.mu.Unlock()
 	if full {
@@ -129,7 +160,7 @@
 
 // takeQueue returns the queued messages and empties the queue, which then uses the
 // memory of spare.
-func (l *Conn) takeQueue(spare []mesh.Message) []mesh.Message {
+func (l *Conn) takeQueue(spare []queuedMessage) []queuedMessage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	batch := l.queue
@@ -137,6 +168,16 @@
 	return batch
 }
 
+// written gives back the bytes of messages that have been written.
+func (l *Conn) written(bytes int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.queuedBytes -= bytes
+	if l.queuedBytes == 0 {
+		l.largestQueued = 0
+	}
+}
+
 // LimitMessages bounds the size of the messages that Receive returns from now on. A
 // larger message fails the connection.
 func (l *Conn) LimitMessages(bytes int) { l.maxBytes = bytes }
@@ -183,7 +224,7 @@
 // write sends queued messages until the connection is closed or fails.
 func (l *Conn) write() error {
 	var buffer bytes.Buffer
-	var batch []mesh.Message
+	var batch []queuedMessage
 	for {
 		select {
 		case <-l.closed:
@@ -197,7 +238,6 @@
 		if buffer.Cap() > maxRetainedBytes {
 			buffer = bytes.Buffer{}
 		}
-		clear(batch)
 		if cap(batch) > maxRetainedQueue {
 			batch = nil
 		}
@@ -205,11 +245,14 @@
 }
 
 // writeBatch writes messages in as few writes as possible.
-func (l *Conn) writeBatch(buffer *bytes.Buffer, batch []mesh.Message) error {
+func (l *Conn) writeBatch(buffer *bytes.Buffer, batch []queuedMessage) error {
+	waiting := 0
 	for i, m := range batch {
-		if err := mesh.Encode(buffer, m); err != nil {
+		if err := mesh.Encode(buffer, m.Message); err != nil {
 			return err
 		}
+		waiting += m.bytes
+		batch[i] = queuedMessage{} // only its encoded form is needed from here on
 		if buffer.Len() < maxWriteBytes && i < len(batch)-1 {
 			continue
 		}
@@ -219,6 +262,8 @@
 		if _, err := buffer.WriteTo(l.conn); err != nil {
 			return err
 		}
+		l.written(waiting)
+		waiting = 0
 	}
 	return nil
 }
--- a/daemon/link/link_test.go
+++ b/daemon/link/link_test.go
@@ -104,6 +104,38 @@
 	assert.Assert(t, countPings(t, far, interval/10, intervals*interval) <= intervals/4)
 }
 
+// TestQueueIsBoundedByBytes guards against a connection that keeps many large messages for a peer that
+// reads nothing, and against one that is closed because a single message is larger than the bound.
+func TestQueueIsBoundedByBytes(t *testing.T) {
+	const limit, size = 1 << 20, 64 << 10
+	near, far := pair(t)
+	near.LimitQueue(limit)
+	message := func(bytes int) *mesh.Response { return &mesh.Response{Detail: string(make([]byte, bytes))} }
+	near.Send(message(8 * limit))
+	near.Send(&mesh.Pong{})
+	for _, want := range []int{8 * limit, 0} {
+		m, err := far.Receive(time.Second)
+		assert.NilError(t, err)
+		if r, ok := m.(*mesh.Response); ok {
+			assert.Equal(t, len(r.Detail), want)
+		}
+	}
+	const kernel = 16 << 20 // what the kernel may take of a connection on loopback
+	for range (kernel + 2*limit) / size {
+		near.Send(message(size))
+		near.mu.Lock()
+		queued := near.queuedBytes
+		near.mu.Unlock()
+		assert.Assert(t, queued <= limit+2*size, "%d bytes", queued)
+		select {
+		case <-near.Closed():
+			return
+		default:
+		}
+	}
+	t.Fatal("the connection is still open")
+}
+
 // TestQueueIsBounded guards against a connection that keeps more and more messages for
 // a peer that reads nothing.
 func TestQueueIsBounded(t *testing.T) {
--- a/daemon/link/reconnect.go
+++ b/daemon/link/reconnect.go
@@ -19,13 +19,15 @@
 
 // KeepConnected dials address, calls serve with the connection, and dials again
 // after serve has returned, until ctx ends. The connection is closed when serve
-// returns and when ctx ends. The returned error is always nil.
-func KeepConnected(ctx context.Context, address string, serve func(context.Context, *Conn)) error {
+// returns and when ctx ends. queueBytes bounds the bytes that wait to be sent, 0 for the
+// default. The returned error is always nil.
+func KeepConnected(ctx context.Context, address string, queueBytes int, serve func(context.Context, *Conn)) error {
 	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
 		c, err := Dial(ctx, address, dialTimeout)
 		if err == nil {
 			retryDelay = minRetryDelay
+			c.LimitQueue(queueBytes)
 			stop := context.AfterFunc(ctx, c.Close)
 			serve(ctx, c)
 			stop()
--- a/daemon/link/serve.go
+++ b/daemon/link/serve.go
@@ -37,7 +37,9 @@
 	// Gate bounds the memory for messages, and closes connections without a Hello in favour
 	// of new ones; nil for none.
 	Gate *ingress.Gate
-	Log  *events.Log
+	// QueueBytes bounds the bytes that wait to be sent on a connection; 0 for the default.
+	QueueBytes int
+	Log        *events.Log
 }
 
 // Serve accepts connections until ctx ends. Each connection has its own goroutine,
@@ -70,15 +72,16 @@
 		conns.Go(func() {
 			defer func() { <-slots }()
 			_ = supervisor.CatchPanic(o.Log, o.Name+"/"+c.RemoteAddr().String(), func() error { // handle logs its errors
-				return serveConn(ctx, c, handle)
+				return serveConn(ctx, c, o.QueueBytes, handle)
 			})
 		})
 	}
 }
 
 // serveConn serves one connection until it fails or ctx ends.
-func serveConn(ctx context.Context, nc net.Conn, handle func(context.Context, *Conn, *mesh.Hello) error) error {
+func serveConn(ctx context.Context, nc net.Conn, queueBytes int, handle func(context.Context, *Conn, *mesh.Hello) error) error {
 	c := New(nc)
+	c.LimitQueue(queueBytes)
 	defer c.Wait()
 	defer c.Close()
 	stop := context.AfterFunc(ctx, c.Close)
--- a/daemon/runner/participants.go
+++ b/daemon/runner/participants.go
@@ -81,7 +81,7 @@
 // serveEntries accepts the connections of entries until ctx ends.
 func (s *Service) serveEntries(ctx context.Context) error {
 	return link.Serve(ctx, s.opts.Listener, link.ServeOptions{
-		Name: "runner/entries", MaxConnections: MaxEntryConnections, Gate: s.opts.Gate, Log: s.opts.Log,
+		Name: "runner/entries", MaxConnections: MaxEntryConnections, Gate: s.opts.Gate, QueueBytes: s.opts.QueueBytes, Log: s.opts.Log,
 	}, s.serveEntry)
 }
 
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -47,6 +47,8 @@
 	Listener net.Listener
 	// Gate bounds these connections and their messages; nil for none.
 	Gate *ingress.Gate
+	// QueueBytes bounds the bytes that wait to be sent on one of them; 0 for the default.
+	QueueBytes int
 	// DrainTimeout limits the wait for runs at a planned stop of the agent; 0 means
 	// defaultDrainTimeout.
 	DrainTimeout time.Duration
--- a/daemon/settings/golden_test.go
+++ b/daemon/settings/golden_test.go
@@ -60,8 +60,8 @@
 }
 
 // addedFields were added after the golden files of the roles were written. They are in
-// request-memory.json.
-var addedFields = []string{".Process.RequestMemoryBytes", ".RequestMemoryBytes"}
+// request-memory.json and link-queue.json.
+var addedFields = []string{".Process.RequestMemoryBytes", ".RequestMemoryBytes", ".Process.LinkQueueKiB", ".LinkQueueKiB"}
 
 // TestGoldenRequestMemory guards against a change of the name of an added field.
 func TestGoldenRequestMemory(t *testing.T) {
@@ -70,6 +70,13 @@
 	assert.Equal(t, got.RequestMemoryBytes, int64(1018))
 }
 
+// TestGoldenLinkQueue guards against a change of the name of an added field.
+func TestGoldenLinkQueue(t *testing.T) {
+	var got settings.Control
+	assert.NilError(t, settings.Load("testdata/link-queue.json", &got))
+	assert.Equal(t, got.LinkQueueBytes(), 1019<<10)
+}
+
 func checkSettings[T any, P interface {
 	*T
 	Validate(func(path, message string))
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -39,8 +39,13 @@
 	DrainMS int64 `json:"drain_ms"`
 	// RequestMemoryBytes bounds what the open requests of each listener hold.
 	RequestMemoryBytes int64 `json:"request_memory_bytes"`
+	// LinkQueueKiB bounds the bytes of requests that wait to be sent to one process.
+	LinkQueueKiB int `json:"link_queue_kib"`
 }
 
+// LinkQueueBytes returns the bound for the bytes that wait to be sent to one process, 0 for the default.
+func (p Process) LinkQueueBytes() int { return p.LinkQueueKiB << 10 }
+
 // RequestMemory returns the memory for the open requests of each listener.
 func (p Process) RequestMemory() int64 {
 	if p.RequestMemoryBytes == 0 {
@@ -99,6 +104,7 @@
 	}
 	requireNotNegative(report, "drain_ms", p.DrainMS)
 	requireNotNegative(report, "request_memory_bytes", p.RequestMemoryBytes)
+	requireNotNegative(report, "link_queue_kib", int64(p.LinkQueueKiB))
 	if p.TLS != nil {
 		requireValue(report, "tls.cert_file", p.TLS.CertFile)
 		requireValue(report, "tls.key_file", p.TLS.KeyFile)
--- a/daemon/transport/http.go
+++ b/daemon/transport/http.go
@@ -40,6 +40,9 @@
 	Network Network
 	// TLS is nil for unencrypted HTTP/2.
 	TLS *tls.Config
+	// QueueBytes bounds the bytes of requests that wait to be sent to one process, beside the
+	// largest request; 0 for the default.
+	QueueBytes int
 }
 
 // NewClient returns a client for calls between processes: HTTP/2 with one
@@ -62,7 +65,10 @@
 	} else {
 		t.Protocols.SetHTTP2(true)
 	}
-	return &http.Client{Transport: countingTransport{t}}
+	if o.QueueBytes == 0 {
+		o.QueueBytes = defaultQueueBytes
+	}
+	return &http.Client{Transport: &queueTransport{countingTransport: countingTransport{t}, limit: int64(o.QueueBytes), queues: map[string]queue{}}}
 }
 
 // NewEndpointClient returns an agent's client for its endpoint: HTTP/1.1 with a
