ingress, transport: count HTTP/2 streams until their answers are taken

Cause: the server sends a small answer after its handlers have returned, so that a stream whose client takes nothing stayed open without being counted; the time for an answer of the operations page came from the memory that is counted for it, 45 s. Change: an answer is flushed, within the time for an answer, while its stream is counted. A listener has one stream for each 32 KiB of its memory, about what one costs. The kernel's buffer of agents and of entries' own listener is 32 KiB.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -105,6 +105,9 @@
 // Held returns the bytes that all requests hold.
 func (t *Table) Held() int64 { return t.held }
 
+// Streams returns the number of open streams.
+func (t *Table) Streams() int { return t.streams }
+
 // Refusal is the limit for which a connection is refused or another one is closed.
 type Refusal uint8
 
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -49,7 +49,7 @@
 // New returns an agent; Run starts it.
 func New(o Options) *Service {
 	connections := transport.FileShare(transport.MaxConnections, transport.ListenerFilePercent)
-	s := &Service{opts: o, gate: transport.NewGate("entries", connections, o.Settings.RequestMemory(), transport.MaxRequestBytes)}
+	s := &Service{opts: o, gate: transport.NewGate("entries", connections, o.Settings.RequestMemory(), settings.DefaultMaxBodyBytes)}
 	s.members = membership.New(o.Control, o.Log, member(o), nil)
 	client := transport.NewEndpointClient(o.EndpointNetwork, o.Settings.Connections)
 	s.executor = newExecutor(o.Settings, s.members, o.Log, &endpoint{url: o.Settings.Endpoint, client: client})
--- a/daemon/entry/callerapi.go
+++ b/daemon/entry/callerapi.go
@@ -105,7 +105,8 @@
 
 // writeState writes the state of a job that has ended with an outcome, or runs if that is nil.
 func writeState(w http.ResponseWriter, held *ingress.Request, k job.Key, outcome *job.Outcome) {
-	if err := held.Answer(answerBytes(outcome)); err != nil {
+	size := answerBytes(outcome)
+	if err := held.Answer(answerCopies*size, size); err != nil {
 		writeRefusal(w, noMemory(err))
 		return
 	}
@@ -116,17 +117,19 @@
 	writeJSON(w, http.StatusOK, callers.FinalAnswer(k, *outcome))
 }
 
-// answerBytes returns the memory of an answer with an outcome: the buffer of the encoder, which
-// doubles, and the copy that it returns.
+// answerCopies counts the buffer of the encoder, which doubles, and the copy that it returns.
+const answerCopies = 4
+
+// answerBytes returns a bound for the size of an answer with an outcome.
 func answerBytes(o *job.Outcome) int {
-	const overhead, copies = 512, 4
+	const overhead = 512
 	n := overhead
 	if o != nil {
 		for _, r := range o.Results {
 			n += len(r.Output) + len(r.Message) + overhead
 		}
 	}
-	return copies * n
+	return n
 }
 
 // noMemory is the refusal of a request that finds no memory for its answer. The job may have run.
--- a/daemon/entry/callhandler.go
+++ b/daemon/entry/callhandler.go
@@ -129,7 +129,7 @@
 
 // writeCallResult answers with the endpoint's output alone, or with a refusal.
 func writeCallResult(w http.ResponseWriter, held *ingress.Request, r job.TaskResult) {
-	if err := held.Answer(len(r.Output)); err != nil {
+	if err := held.Answer(0, len(r.Output)); err != nil {
 		writeRefusal(w, noMemory(err))
 		return
 	}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -65,7 +65,7 @@
 	callers := transport.FileShare(o.Settings.ConnectionLimit(), transport.ListenerFilePercent)
 	s := &Service{
 		opts:       o,
-		entryGate:  transport.NewGate("entries", entries, memory, transport.MaxRequestBytes),
+		entryGate:  transport.NewGate("entries", entries, memory, settings.DefaultMaxBodyBytes),
 		callerGate: transport.NewGate("callers", callers, memory, o.Settings.BodyLimit()),
 	}
 	s.dispatcher = newDispatcher(dispatch.Options{
--- a/daemon/ingress/gate.go
+++ b/daemon/ingress/gate.go
@@ -149,6 +149,12 @@
 			g.mu.Unlock()
 		}()
 		next.ServeHTTP(w, r)
+		// Otherwise the server sends a small answer after the handlers have returned, and a stream whose
+		// client takes nothing would stay open without being counted.
+		stream := http.NewResponseController(w)
+		if stream.SetWriteDeadline(time.Now().Add(g.opts.WriteTimeout)) == nil {
+			_ = stream.Flush() // fails if the stream has ended
+		}
 	})
 }
 
--- a/daemon/ingress/ingress_test.go
+++ b/daemon/ingress/ingress_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cicadapulley/cicadapulley/core/intake"
+	"github.com/cicadapulley/cicadapulley/daemon/clientload"
 )
 
 // newTestGate returns a gate with short time limits and little memory.
@@ -121,6 +122,37 @@
 	waitMet(t, g, limitSlowHeader, limitSlowAnswer)
 }
 
+// TestUnreadStreams guards against HTTP/2 streams that stay open without being counted, since their
+// clients take nothing of small answers, and against streams that stay counted for ever.
+func TestUnreadStreams(t *testing.T) {
+	const streams, requests = 4, 20
+	o := newTestGate().opts
+	o.Limits.Streams, o.Limits.ClientStreams, o.WriteTimeout = streams, streams, 3*time.Second
+	g := New(o)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, strings.Repeat("x", 1<<10)) })}
+	srv.Protocols = new(http.Protocols)
+	srv.Protocols.SetUnencryptedHTTP2(true)
+	g.Configure(srv)
+	go func() { _ = srv.Serve(g.Listener(l)) }()
+	defer srv.Close()
+	c, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	assert.NilError(t, clientload.Streams(c, requests, http.MethodGet, "/", "text/plain", nil))
+	assert.Equal(t, g.met[limitStreams].Load(), uint64(requests-streams))
+	open := func() int {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.table.Streams()
+	}
+	assert.Equal(t, open(), streams)
+	for deadline := time.Now().Add(10 * time.Second); open() > 0; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(deadline))
+	}
+}
+
 // TestMessageCost guards against a message whose decoded form fills the memory, and against a snapshot
 // that is refused since it costs more than all messages may hold.
 func TestMessageCost(t *testing.T) {
--- a/daemon/ingress/request.go
+++ b/daemon/ingress/request.go
@@ -158,13 +158,13 @@
 // Add takes memory for n bytes beside what the request holds, as Resize does.
 func (q *Request) Add(n int64) error { return q.Resize(q.held + n) }
 
-// Answer takes memory for n bytes of an answer, beside what the request holds, and bounds the time
-// for which an HTTP/2 stream waits until its client takes them. On HTTP/1 the connection does.
-func (q *Request) Answer(n int) error {
-	if err := q.Add(int64(n)); err != nil || q.stream == nil {
+// Answer takes memory for an answer, beside what the request holds, and bounds the time for which an
+// HTTP/2 stream waits until its client takes size bytes. On HTTP/1 the connection does.
+func (q *Request) Answer(memory, size int) error {
+	if err := q.Add(int64(memory)); err != nil || q.stream == nil {
 		return err
 	}
-	parts := time.Duration(1 + n/maxWriteBytes)
+	parts := time.Duration(1 + size/maxWriteBytes)
 	return q.stream.SetWriteDeadline(time.Now().Add(parts * q.conn.gate.opts.WriteTimeout))
 }
 
--- a/daemon/ops/ops.go
+++ b/daemon/ops/ops.go
@@ -88,12 +88,15 @@
 	eventsBytes = 10 << 20
 )
 
+// sizeFraction is the part of that memory which is the size of the answer.
+const sizeFraction = 4
+
 // holding counts the memory of an answer. A request that finds none in time is refused.
 func holding(bytes int, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		held := ingress.Begin(w, r)
 		defer held.End()
-		if err := held.Answer(bytes); err != nil {
+		if err := held.Answer(bytes, bytes/sizeFraction); err != nil {
 			w.Header().Set("Retry-After", "1")
 			writeText(w, http.StatusServiceUnavailable, err.Error())
 			return
--- a/daemon/transport/gate.go
+++ b/daemon/transport/gate.go
@@ -28,7 +28,7 @@
 	stalledAfter = 250 * time.Millisecond
 	// streamBytes is the part of the memory for requests for which a listener may have an HTTP/2
 	// stream open. A stream costs about as much beside what its request holds.
-	streamBytes = 16 << 10
+	streamBytes = 32 << 10
 	// smallBytes is the memory up to which a request may use the quarter that is kept for small
 	// ones.
 	smallBytes = 64 << 10
@@ -39,7 +39,7 @@
 	minReceiveBytes = 16 << 10
 	maxReceiveBytes = 64 << 10
 	// bodyRoundTrips is the number of round trips that a body of the largest size may take.
-	bodyRoundTrips = 64
+	bodyRoundTrips = 256
 )
 
 // FileShare returns a number of connections, bounded by a percentage of the descriptors that the
--- a/daemon/transport/http.go
+++ b/daemon/transport/http.go
@@ -28,8 +28,8 @@
 	maxHeaderBytes = 16 << 10
 	// frameBytes bounds the frames that a connection receives; each keeps a buffer of the largest.
 	frameBytes = 16 << 10
-	// windowBytes bounds what a server keeps unread of all streams of a connection. It allows a
-	// snapshot of 50 MB to arrive within a second at a round trip of 5 ms.
+	// windowBytes bounds what a server keeps unread of all streams of a connection. It is above the
+	// kernel's buffer, so that it doesn't slow a snapshot down.
 	windowBytes = 256 << 10
 	// answerWindowBytes bounds what a client keeps unread of an answer.
 	answerWindowBytes = 64 << 10
--- a/daemon/transport/rpc.go
+++ b/daemon/transport/rpc.go
@@ -39,7 +39,8 @@
 				return nil, err
 			}
 			if m, ok := answer.(proto.Message); ok {
-				if err := ingress.FromContext(ctx).Answer(answerCopies * proto.Size(m)); err != nil {
+				size := proto.Size(m)
+				if err := ingress.FromContext(ctx).Answer(answerCopies*size, size); err != nil {
 					return nil, twirp.Unavailable.Error(err.Error())
 				}
 			}
