--- a/daemon/ingress/gate.go
+++ b/daemon/ingress/gate.go
@@ -79,9 +79,9 @@
 
 // Listener returns a listener whose connections are bounded.
 func (g *Gate) Listener(l net.Listener) net.Listener {
-	if tcp, ok := l.(*net.TCPListener); ok && g.opts.ReceiveBytes > 0 {
+	if socket, ok := l.(syscall.Conn); ok && g.opts.ReceiveBytes > 0 {
 		// Connections inherit the size. Set on a connection, it would come after the first bytes.
-		if raw, err := tcp.SyscallConn(); err == nil {
+		if raw, err := socket.SyscallConn(); err == nil {
 			_ = raw.Control(func(fd uintptr) {
 				_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, g.opts.ReceiveBytes) // a larger buffer also works
 			})
--- a/daemon/transport/counting.go
+++ b/daemon/transport/counting.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/prometheus/client_golang/prometheus"
 )
@@ -42,6 +44,15 @@
 	network *CountingNetwork
 }
 
+// SyscallConn implements syscall.Conn, for the options of the socket.
+func (l *countingListener) SyscallConn() (syscall.RawConn, error) {
+	socket, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return nil, errors.New("the listener has no socket")
+	}
+	return socket.SyscallConn()
+}
+
 // Accept implements net.Listener.
 func (l *countingListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
