--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -15,6 +15,11 @@
 	// ReservedBytes is the part of Bytes that only connections with up to SmallBytes may use.
 	ReservedBytes int64
 	SmallBytes    int64
+	// Streams bounds the open streams of all connections that carry several requests at once, and
+	// ClientStreams those of one client address; 0 for none. A quarter is kept for connections
+	// with few.
+	Streams       int
+	ClientStreams int
 	// StalledAfter is how long a connection may make no progress before it is closed in favour
 	// of another.
 	StalledAfter time.Duration
@@ -40,6 +45,12 @@
 	}
 }
 
+// WithStreams bounds the open streams too, of which one client address may take sharePercent.
+func (l Limits) WithStreams(streams, sharePercent int) Limits {
+	l.Streams, l.ClientStreams = streams, streams*sharePercent/100
+	return l
+}
+
 // Phase is what a connection does.
 type Phase uint8
 
@@ -66,6 +77,7 @@
 	phase      Phase
 	progressAt time.Time
 	held       int64
+	streams    int
 	closed     bool
 	prev, next *Conn
 }
@@ -81,6 +93,7 @@
 	address     string
 	connections int
 	held        int64
+	streams     int
 }
 
 // Waiter is a request that waits for bytes.
@@ -96,6 +109,7 @@
 	limits      Limits
 	connections int
 	held        int64
+	streams     int
 	clients     map[string]*client
 	// phases are rings of the connections in each phase, the one with the oldest progress first.
 	phases  [phaseCount]Conn
@@ -117,6 +131,9 @@
 // Held returns the bytes that all requests hold.
 func (t *Table) Held() int64 { return t.held }
 
+// Streams returns the number of open streams.
+func (t *Table) Streams() int { return t.streams }
+
 // Refusal is the limit for which a connection is refused or another one is closed.
 type Refusal uint8
 
@@ -228,11 +245,42 @@
 }
 
 func (t *Table) forget(of *client) {
-	if of.connections == 0 && of.held == 0 {
+	if of.connections == 0 && of.held == 0 && of.streams == 0 {
 		delete(t.clients, of.address)
 	}
 }
 
+// fewStreams is the number of a connection's streams up to which it may use the quarter that is kept.
+const fewStreams = 8
+
+// OpenStream adds a stream to a connection. It returns false if a limit is reached; nothing is
+// closed for a stream, since the other requests of a connection may be ordinary ones.
+func (t *Table) OpenStream(c *Conn) bool {
+	if t.limits.Streams > 0 {
+		available := t.limits.Streams
+		if c.streams >= fewStreams {
+			available -= available / 4
+		}
+		if c.closed || t.streams >= available || c.client.streams >= t.limits.ClientStreams {
+			return false
+		}
+	}
+	t.addStreams(c, 1)
+	return true
+}
+
+// CloseStream removes a stream that OpenStream has added.
+func (t *Table) CloseStream(c *Conn) {
+	t.addStreams(c, -1)
+	t.forget(c.client)
+}
+
+func (t *Table) addStreams(c *Conn, n int) {
+	t.streams += n
+	c.streams += n
+	c.client.streams += n
+}
+
 // fits reports whether a connection may hold n more bytes. A closed one may not, since its
 // client may have been forgotten.
 func (t *Table) fits(c *Conn, n int64) bool {
--- a/daemon/fallback/fallback.go
+++ b/daemon/fallback/fallback.go
@@ -66,7 +66,9 @@
 	DetectInterference bool
 	// Shares are those of queues, nil for none.
 	Shares *scheduler.Shares
-	Log    *events.Log
+	// QueueBytes bounds the bytes that wait to be sent to an agent; 0 for the default.
+	QueueBytes int
+	Log        *events.Log
 }
 
 // Placer places jobs during one period without a leader. Submit is safe for
@@ -120,7 +122,7 @@
 	agents := supervisor.NewGroup("fallback", p.opts.Log)
 	for _, a := range chooseAgents(p.opts.VM, p.opts.Agents) {
 		agents.Start(ctx, a.VM, func(ctx context.Context) error {
-			return link.KeepConnected(ctx, a.Address, func(ctx context.Context, c *link.Conn) { p.serveAgent(ctx, c, a.VM) })
+			return link.KeepConnected(ctx, a.Address, p.opts.QueueBytes, func(ctx context.Context, c *link.Conn) { p.serveAgent(ctx, c, a.VM) })
 		})
 	}
 	ticker := time.NewTicker(tickInterval)
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -50,7 +50,10 @@
 	QueueShares map[string]int
 	// Relay relays an agent to the leader at an address. It must not block; nil relays none.
 	Relay func(m *mesh.Relay, leader string)
-	Log   *events.Log
+	// QueueBytes bounds the bytes that wait to be sent to an agent while there is no leader; 0 for
+	// the default.
+	QueueBytes int
+	Log        *events.Log
 }
 
 // Service forwards callers' requests to the leader.
--- a/daemon/ingress/gate.go
+++ b/daemon/ingress/gate.go
@@ -57,10 +57,11 @@
 	limitSlowHeader
 	limitSlowBody
 	limitSlowAnswer
+	limitStreams
 	limitCount
 )
 
-var limitNames = [limitCount]string{"connections", "client_connections", "memory", "stalled", "slow_header", "slow_body", "slow_answer"}
+var limitNames = [limitCount]string{"connections", "client_connections", "memory", "stalled", "slow_header", "slow_body", "slow_answer", "streams"}
 
 // Gate bounds the clients of one listener.
 type Gate struct {
@@ -78,9 +79,9 @@
 
 // Listener returns a listener whose connections are bounded.
 func (g *Gate) Listener(l net.Listener) net.Listener {
-	if tcp, ok := l.(*net.TCPListener); ok && g.opts.ReceiveBytes > 0 {
+	if socket, ok := l.(syscall.Conn); ok && g.opts.ReceiveBytes > 0 {
 		// Connections inherit the size. Set on a connection, it would come after the first bytes.
-		if raw, err := tcp.SyscallConn(); err == nil {
+		if raw, err := socket.SyscallConn(); err == nil {
 			_ = raw.Control(func(fd uintptr) {
 				_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, g.opts.ReceiveBytes) // a larger buffer also works
 			})
@@ -93,7 +94,7 @@
 func (g *Gate) Configure(srv *http.Server) {
 	srv.ReadHeaderTimeout = g.opts.HeaderTimeout
 	srv.IdleTimeout = g.opts.IdleTimeout
-	srv.Handler = g.limitUnreadBody(srv.Handler)
+	srv.Handler = g.limitStreams(g.limitUnreadBody(srv.Handler))
 	srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, gateConn(c))
 	}
@@ -124,6 +125,39 @@
 	})
 }
 
+// limitStreams refuses the requests of HTTP/2 connections that have too many. Each has a goroutine, its
+// header and buffers.
+func (g *Gate) limitStreams(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, _ := r.Context().Value(connKey{}).(*conn)
+		if r.ProtoMajor == 1 || c == nil {
+			next.ServeHTTP(w, r)
+			return
+		}
+		g.mu.Lock()
+		opened := g.table.OpenStream(c.entry)
+		g.mu.Unlock()
+		if !opened {
+			g.meet(limitStreams)
+			w.Header().Set("Retry-After", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		defer func() {
+			g.mu.Lock()
+			g.table.CloseStream(c.entry)
+			g.mu.Unlock()
+		}()
+		next.ServeHTTP(w, r)
+		// Otherwise the server sends a small answer after the handlers have returned, and a stream whose
+		// client takes nothing would stay open without being counted.
+		stream := http.NewResponseController(w)
+		if stream.SetWriteDeadline(time.Now().Add(g.opts.WriteTimeout)) == nil {
+			_ = stream.Flush() // fails if the stream has ended
+		}
+	})
+}
+
 // gateConn returns the connection that a gate's listener accepted, also below TLS.
 func gateConn(nc net.Conn) *conn {
 	if t, ok := nc.(interface{ NetConn() net.Conn }); ok {
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -50,6 +50,8 @@
 	// ServeRelayed serves a connection to the leader that an entry relays, until it ends; nil
 	// refuses such connections.
 	ServeRelayed func(ctx context.Context, c *link.Conn, entry string) error
+	// QueueBytes bounds the bytes that wait to be sent on one of them; 0 for the default.
+	QueueBytes int
 	// DrainTimeout limits the wait for runs at a planned stop of the agent; 0 means
 	// defaultDrainTimeout.
 	DrainTimeout time.Duration
--- a/daemon/transport/http.go
+++ b/daemon/transport/http.go
@@ -24,6 +24,15 @@
 	MaxStreams = 4096
 	// HeaderTimeout is the time-out for reading a request's headers.
 	HeaderTimeout = 5 * time.Second
+	// maxHeaderBytes bounds the header of a request, which is kept until it is complete.
+	maxHeaderBytes = 16 << 10
+	// frameBytes bounds the frames that a connection receives; each keeps a buffer of the largest.
+	frameBytes = 16 << 10
+	// windowBytes bounds what a server keeps unread of all streams of a connection. It is above the
+	// kernel's buffer, so that it doesn't slow a snapshot down.
+	windowBytes = 256 << 10
+	// answerWindowBytes bounds what a client keeps unread of an answer.
+	answerWindowBytes = 64 << 10
 )
 
 // ClientOptions configures a client.
@@ -31,6 +40,9 @@
 	Network Network
 	// TLS is nil for unencrypted HTTP/2.
 	TLS *tls.Config
+	// QueueBytes bounds the bytes of requests that wait to be sent to one process, beside the
+	// largest request; 0 for the default.
+	QueueBytes int
 }
 
 // NewClient returns a client for calls between processes: HTTP/2 with one
@@ -44,6 +56,8 @@
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout: PingAfter,
 			PingTimeout:     PingTimeout,
+
+			MaxReceiveBufferPerStream: answerWindowBytes,
 		},
 	}
 	if o.TLS == nil {
@@ -51,7 +65,10 @@
 	} else {
 		t.Protocols.SetHTTP2(true)
 	}
-	return &http.Client{Transport: t}
+	if o.QueueBytes == 0 {
+		o.QueueBytes = defaultQueueBytes
+	}
+	return &http.Client{Transport: &queueTransport{countingTransport: countingTransport{t}, limit: int64(o.QueueBytes), queues: map[string]queue{}}}
 }
 
 // NewEndpointClient returns an agent's client for its endpoint: HTTP/1.1 with a
@@ -81,8 +98,11 @@
 		TLSConfig:         cfg,
 		ReadHeaderTimeout: HeaderTimeout,
 		IdleTimeout:       IdleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 		Protocols:         new(http.Protocols),
-		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: MaxStreams},
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: MaxStreams, MaxReadFrameSize: frameBytes, MaxReceiveBufferPerConnection: windowBytes,
+		},
 	}
 	s.Protocols.SetHTTP1(true)
 	if cfg == nil {
