mesh, placement, runner: learned slowdowns are kept across a change of the leader

Cause: a new leader's planner, and that of an entry without a leader, started each endpoint at the ratio of its kind, 1.0 at first, and learned it again from its own runs.

Change: a leader sends an agent the learned slowdown of its endpoint with the answers to pings (Pong.Slowdown, in thousandths, when it has changed). The agent keeps the latest one for the endpoint's incarnation in memory and reports it with its inventory (Endpoint.Slowdown). A planner starts the endpoint with it, and the kind with the mean of what is reported. Values outside 0.1 to 20 are unknown. The learned ratio is kept apart from the one that suspicion raises and decay lowers; placement within a term is as before.

--- a/api/mesh/golden_test.go
+++ b/api/mesh/golden_test.go
@@ -13,7 +13,7 @@
 
 // addedFields are fields that were added after the first golden files were written.
 // They are absent from messages, commands and snapshots of former code.
-var addedFields = []string{"Waited", "EndpointDraining", "RemoveEnrolment", "Enrolments", "FailedRuns", "ConfigurationVersion", "OwnerSilence", "DataCentre", "Drain", "Drains", "DrainRevision", "ReadDrain"}
+var addedFields = []string{"Waited", "EndpointDraining", "RemoveEnrolment", "Enrolments", "FailedRuns", "ConfigurationVersion", "OwnerSilence", "DataCentre", "Drain", "Drains", "DrainRevision", "ReadDrain", "Slowdown"}
 
 // TestGoldenMessages guards against a message that is encoded differently from
 // released code: a renamed field without its former name as a tag, or a kind
@@ -40,20 +40,20 @@
 		"05-waited": &Request{}, "02-draining": &Welcome{}, "04-version": &Pong{}, "07-draining": &Inventory{}, "09-draining": &Report{}, "15-draining": &Enrolled{},
 	}
 	for name, m := range extended {
-		testfill.FillWithout(m, "OwnerSilence", "DataCentre")
+		testfill.FillWithout(m, "OwnerSilence", "DataCentre", "Slowdown")
 		check(name, m)
 	}
 	silence := map[string]Message{"03-silence": &Ping{}, "07-silence": &Inventory{}}
 	for name, m := range silence {
-		testfill.FillWithout(m, "DataCentre")
+		testfill.FillWithout(m, "DataCentre", "Slowdown")
 		check(name, m)
 	}
 	drains := map[string]Message{"07-data-centre": &Inventory{}, "18-drain": &OperatorRequest{}, "19-drains": &OperatorResponse{}}
 	for name, m := range drains {
-		testfill.FillWithout(m, "ReadDrain")
+		testfill.FillWithout(m, "ReadDrain", "Slowdown")
 		check(name, m)
 	}
-	last := map[string]Message{"18-read-drain": &OperatorRequest{}}
+	last := map[string]Message{"18-read-drain": &OperatorRequest{}, "04-slowdown": &Pong{}, "07-slowdown": &Inventory{}}
 	for name, m := range last {
 		testfill.Fill(m)
 		check(name, m)
--- a/api/mesh/mesh.go
+++ b/api/mesh/mesh.go
@@ -117,6 +117,9 @@
 	Renewed bool
 	// ConfigurationVersion, for entries, is the version that the sender has applied.
 	ConfigurationVersion uint64 `cbor:",omitempty"`
+	// Slowdown, for agents, is the slowdown that a leader has learned of the session's endpoint, in
+	// thousandths; 0 if it is unknown or the agent has it.
+	Slowdown int `cbor:",omitempty"`
 }
 
 // Operation is the kind of a caller's request.
--- a/core/placement/slowdown.go
+++ b/core/placement/slowdown.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -18,6 +19,9 @@
 	// Bounds of one observed ratio, as some estimates are far off.
 	maxRatio = 20.0
 	minRatio = 0.1
+	// maxRunsForReports is the number of ended runs of a kind from which reported
+	// slowdowns no longer change its ratio: its own runs then outweigh the start.
+	maxRunsForReports = 1 / kindRate
 	// defaultEstimate stands in for a missing estimate.
 	defaultEstimate = 100 * time.Millisecond
 )
@@ -25,40 +29,87 @@
 // slowdown is the learned ratio of run times on an endpoint to their estimates.
 // Higher is slower.
 type slowdown struct {
+	// ratio is the ratio that placement uses: the learned one, or a higher one while the
+	// endpoint is suspected to be slow.
 	ratio float64
-	// kind is the ratio of all endpoints of its kind.
-	kind *float64
+	// learned follows only the ends of runs. known is set once a run has ended on the
+	// endpoint, or its agent has reported a slowdown.
+	learned float64
+	known   bool
+	kind    *kindSlowdown
 }
 
-// slowdowns has the slowdown of each endpoint, by VM and instance, and the ratio of
-// each kind of endpoint.
+// kindSlowdown is the ratio of all endpoints of a kind.
+type kindSlowdown struct {
+	ratio float64
+	// reports and runs count the slowdowns of agents and the ends of runs in ratio.
+	reports, runs int
+}
+
+// slowdowns has the slowdown of each endpoint, by VM and instance, and of each kind of
+// endpoint.
 type slowdowns struct {
 	vms   map[string]*slowdown
-	kinds map[string]*float64
+	kinds map[string]*kindSlowdown
 }
 
 func newSlowdowns() slowdowns {
-	return slowdowns{vms: map[string]*slowdown{}, kinds: map[string]*float64{}}
+	return slowdowns{vms: map[string]*slowdown{}, kinds: map[string]*kindSlowdown{}}
 }
 
-// forEndpoint returns the slowdown of an endpoint; a new one starts with the ratio of
-// its kind.
+// forEndpoint returns the slowdown of an endpoint. A new one starts with the slowdown that
+// its agent reports or, if that is unknown, with the ratio of its kind.
 func (s slowdowns) forEndpoint(e Endpoint) *slowdown {
 	name := e.VM + "/" + e.Instance
-	if known := s.vms[name]; known != nil {
-		return known
+	v := s.vms[name]
+	if v == nil {
+		kind := s.forKind(e)
+		v = &slowdown{ratio: kind.ratio, learned: kind.ratio, kind: kind}
+		s.vms[name] = v
 	}
+	if reported := reportedRatio(e.Slowdown); reported > 0 && !v.known {
+		v.start(reported)
+	}
+	return v
+}
+
+func (s slowdowns) forKind(e Endpoint) *kindSlowdown {
 	kind := ""
 	if len(e.Labels) > 0 {
 		kind = e.Labels[0]
 	}
 	if s.kinds[kind] == nil {
-		one := 1.0
-		s.kinds[kind] = &one
+		s.kinds[kind] = &kindSlowdown{ratio: 1}
 	}
-	v := &slowdown{ratio: *s.kinds[kind], kind: s.kinds[kind]}
-	s.vms[name] = v
-	return v
+	return s.kinds[kind]
+}
+
+// reportedRatio returns the ratio of a slowdown that an agent reports in thousandths, 0 if it
+// is unknown. A value that no planner can have learned counts as unknown.
+func reportedRatio(thousandths int) float64 {
+	if ratio := float64(thousandths) / 1000; ratio >= minRatio && ratio <= maxRatio {
+		return ratio
+	}
+	return 0
+}
+
+// start sets the ratio to one that an earlier planner has learned.
+func (s *slowdown) start(reported float64) {
+	s.ratio, s.learned, s.known = reported, reported, true
+	if s.kind.runs < maxRunsForReports {
+		s.kind.reports++
+		s.kind.ratio += (reported - s.kind.ratio) / float64(s.kind.reports)
+	}
+}
+
+// Slowdown returns the learned slowdown of a session's endpoint in thousandths, 0 if it is
+// unknown. It leaves out what is only suspected of runs that have not ended.
+func (p *Planner) Slowdown(id SessionID) int {
+	e := p.endpoints[id]
+	if e == nil || !e.slowdown.known {
+		return 0
+	}
+	return int(math.Round(e.slowdown.learned * 1000))
 }
 
 func (s *slowdown) observe(estimate, took time.Duration) {
@@ -67,14 +118,17 @@
 	}
 	ratio := min(max(float64(took)/float64(estimate), minRatio), maxRatio)
 	s.ratio += learnRate * (ratio - s.ratio)
-	*s.kind += kindRate * (ratio - *s.kind)
+	s.learned += learnRate * (ratio - s.learned)
+	s.known = true
+	s.kind.ratio += kindRate * (ratio - s.kind.ratio)
+	s.kind.runs++
 }
 
 // raise sets the ratio to at least factor times that of the kind, because runs are
 // slower than expected, so that new runs are placed elsewhere. Later runs that end in
 // time lower it again.
 func (s *slowdown) raise(factor float64) {
-	s.ratio = min(max(s.ratio, *s.kind*factor), maxRatio)
+	s.ratio = min(max(s.ratio, s.kind.ratio*factor), maxRatio)
 }
 
 // decay moves the ratio back towards that of the kind, because an endpoint that is
@@ -82,10 +136,10 @@
 // Endpoints that are not rated far slower than their kind keep their learned ratio. It
 // reports whether the ratio has changed.
 func (s *slowdown) decay(elapsed time.Duration) bool {
-	if s.ratio <= slowFactor**s.kind {
+	if s.ratio <= slowFactor*s.kind.ratio {
 		return false
 	}
-	s.ratio += min(elapsed.Seconds()*decayRate, 1) * (*s.kind - s.ratio)
+	s.ratio += min(elapsed.Seconds()*decayRate, 1) * (s.kind.ratio - s.ratio)
 	return true
 }
 
--- a/core/placement/types.go
+++ b/core/placement/types.go
@@ -41,6 +41,9 @@
 	UsedByOthers work.Resources `cbor:"Others"`
 	// LastRun is the highest run number that the agent has received.
 	LastRun uint64
+	// Slowdown is the ratio of run times to their estimates that a leader has learned for this
+	// incarnation, in thousandths; 0 if it is unknown.
+	Slowdown int `cbor:",omitempty"`
 }
 
 // Order instructs an agent to start or stop a run.
--- a/core/runtable/records.go
+++ b/core/runtable/records.go
@@ -41,6 +41,10 @@
 	leaderContactAt time.Time
 	// contactAt has when the last ping was sent that an owner of runs has answered.
 	contactAt map[Owner]time.Time
+	// slowdown is the latest that a leader has sent, in thousandths, and slowdownOf the
+	// incarnation of the endpoint that it belongs to.
+	slowdown   int
+	slowdownOf string
 }
 
 // recentEnd is the end of a best-effort run.
@@ -55,6 +59,20 @@
 	return &Records{started: map[work.Run]startedRun{}, ended: map[work.Run]bool{}, contactAt: map[Owner]time.Time{}}
 }
 
+// recordSlowdown replaces the slowdown of an incarnation of the endpoint.
+func (rec *Records) recordSlowdown(instance string, thousandths int) {
+	rec.slowdown, rec.slowdownOf = thousandths, instance
+}
+
+// slowdownFor returns the slowdown of an incarnation of the endpoint in thousandths, 0 if it is
+// unknown.
+func (rec *Records) slowdownFor(instance string) int {
+	if rec.slowdownOf != instance {
+		return 0
+	}
+	return rec.slowdown
+}
+
 // recordStart records a run before the endpoint is asked to start it.
 func (rec *Records) recordStart(r work.Run, s startedRun) {
 	rec.started[r] = s
--- a/core/runtable/table.go
+++ b/core/runtable/table.go
@@ -259,6 +259,7 @@
 		Draining:     t.opts.Draining,
 		UsedByOthers: t.UsedByOthers(s),
 		LastRun:      t.opts.Records.lastRun,
+		Slowdown:     t.opts.Records.slowdownFor(InstanceName(i)),
 	}
 }
 
@@ -343,6 +344,15 @@
 	}
 }
 
+// SetSlowdown keeps the slowdown of the endpoint that a scheduler has sent, in thousandths, for
+// later leaders and entries. A value of an entry is ignored, as it knows only its own runs; so is
+// 0, which stands for no change.
+func (t *Table) SetSlowdown(s *Scheduler, thousandths int) {
+	if s == t.leader && thousandths != 0 {
+		t.opts.Records.recordSlowdown(InstanceName(t.opts.Incarnation), thousandths)
+	}
+}
+
 // StaleRuns returns the runs to stop because their owner has been out of contact
 // for so long that they would soon end the lease of the other runs on the endpoint.
 func (t *Table) StaleRuns(now time.Time) []work.Run {
--- a/core/runtable/table_test.go
+++ b/core/runtable/table_test.go
@@ -123,3 +123,21 @@
 	unknown.Received(work.DataCentreDrains{Revision: 4, DataCentres: []string{"east"}})
 	assert.Assert(t, !unknown.Drained())
 }
+
+// TestSlowdownIsThatOfAnIncarnation guards against a restarted endpoint that starts with what a leader has
+// learned of the incarnation before, and against a slowdown that ends with its session.
+func TestSlowdownIsThatOfAnIncarnation(t *testing.T) {
+	records := NewRecords()
+	reported := func(startTimeMS int64, learned int) int {
+		leader := NewScheduler(Owner{}, 1)
+		table := New(Options{Fence: 7, MaxHold: time.Second, Records: records, Leader: leader, Incarnation: work.Incarnation{Instance: "i", StartTimeMS: startTimeMS}})
+		slowdown := table.Begin(someTime, Listing{Clock: time.Second}).Endpoint.Slowdown
+		table.SetSlowdown(leader, learned)
+		return slowdown
+	}
+	assert.Equal(t, reported(1, 1300), 0)
+	assert.Equal(t, reported(1, 0), 1300, "0 stands for no change")
+	assert.Equal(t, reported(1, 0), 1300)
+	assert.Equal(t, reported(2, 1500), 0)
+	assert.Equal(t, reported(1, 0), 0, "only the latest incarnation is kept")
+}
--- a/daemon/coordinator/agents.go
+++ b/daemon/coordinator/agents.go
@@ -32,15 +32,15 @@
 	recordFailed atomic.Bool
 }
 
-// renew renews the agent's lease. It returns false if another VM may lead by now.
-func (a *agentSession) renew(m *mesh.Ping) bool {
-	renewed := false
+// renew renews the agent's lease unless another VM may lead by now, and sets in the answer
+// what the agent is to learn.
+func (a *agentSession) renew(m *mesh.Ping, pong *mesh.Pong) {
 	a.client.service.whileLeading(func(t *term, at time.Time) {
-		if renewed = t == a.term; renewed {
+		if pong.Renewed = t == a.term; pong.Renewed {
 			t.Renew(at, a.Session, m)
+			pong.Slowdown = t.NextSlowdown(a.Session)
 		}
 	})
-	return renewed
 }
 
 // inTerm runs fn if the session's term is still the current one, and reports
--- a/daemon/coordinator/agents_test.go
+++ b/daemon/coordinator/agents_test.go
@@ -41,15 +41,7 @@
 	}
 	c.eventually("the leader has recorded it", func() bool { return recorded(leader) })
 	c.cancels[leader]()
-	next := -1
-	c.eventually("another VM leads", func() bool {
-		for i, manager := range c.managers {
-			if s := manager.service.Load(); i != leader && s != nil && s.driver.Leading() {
-				next = i
-			}
-		}
-		return next >= 0
-	})
+	next := c.nextLeader(leader)
 	c.eventually("the next leader has the record", func() bool { return recorded(next) })
 }
 
--- a/daemon/coordinator/clients.go
+++ b/daemon/coordinator/clients.go
@@ -252,7 +252,7 @@
 func (cl *client) ping(m *mesh.Ping) {
 	pong := &mesh.Pong{Sequence: m.Sequence}
 	if a := cl.sessionByID(m.Session); a != nil {
-		pong.Renewed = a.renew(m)
+		a.renew(m, pong)
 	}
 	if cl.role == mesh.RoleEntry {
 		pong.ConfigurationVersion = cl.service.configurationVersion()
--- a/daemon/coordinator/cluster_test.go
+++ b/daemon/coordinator/cluster_test.go
@@ -150,6 +150,21 @@
 	return leader
 }
 
+// nextLeader waits until another control VM leads than a former leader, and returns its index.
+func (c *cluster) nextLeader(former int) int {
+	c.Helper()
+	next := -1
+	c.eventually("another VM leads", func() bool {
+		for i, m := range c.managers {
+			if s := m.service.Load(); i != former && s != nil && s.driver.Leading() {
+				next = i
+			}
+		}
+		return next >= 0
+	})
+	return next
+}
+
 func configuration(version uint64) *work.Configuration {
 	return &work.Configuration{
 		Version: version, Pools: []string{"desk"}, Document: fmt.Appendf(nil, `{"version":%d}`, version),
--- a/daemon/runner/session.go
+++ b/daemon/runner/session.go
@@ -252,6 +252,7 @@
 		if m.Renewed {
 			s.mu.Lock()
 			s.table.Pong(now(), p.Scheduler, m.Sequence)
+			s.table.SetSlowdown(p.Scheduler, m.Slowdown)
 			s.mu.Unlock()
 		}
 	case *mesh.Orders:
--- a/daemon/runner/session_test.go
+++ b/daemon/runner/session_test.go
@@ -156,6 +156,10 @@
 	// renewsNothing is set for a scheduler that answers pings without renewing the lease,
 	// as a leader that may have been replaced does.
 	renewsNothing bool
+	// slowdown is what its answers to pings have as the endpoint's slowdown.
+	slowdown atomic.Int64
+	// pings counts the agent's pings.
+	pings atomic.Int64
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -242,7 +246,8 @@
 		}
 		switch m := message.(type) {
 		case *mesh.Ping:
-			s.conn.Send(&mesh.Pong{Sequence: m.Sequence, Renewed: !s.renewsNothing})
+			s.pings.Add(1)
+			s.conn.Send(&mesh.Pong{Sequence: m.Sequence, Renewed: !s.renewsNothing, Slowdown: int(s.slowdown.Swap(0))})
 		case *mesh.Pong:
 		case *mesh.NewSession:
 			s.conn.Send(&mesh.Welcome{Leading: true, Term: 1, Session: 8})
@@ -418,6 +423,33 @@
 	assert.Assert(t, f.endpoint.clock() > slices.Max(f.endpoint.deadlines), "runs may go on until their deadline")
 }
 
+// sendSlowdown sends a slowdown with the next answer to a ping, and waits until the agent
+// has sent a ping after that.
+func (f *fixture) sendSlowdown(s *fakeScheduler, thousandths int64) {
+	f.Helper()
+	s.slowdown.Store(thousandths)
+	for range 2 {
+		pings := s.pings.Load()
+		for deadline := time.Now().Add(5 * time.Second); s.pings.Load() == pings; time.Sleep(5 * time.Millisecond) {
+			assert.Assert(f, time.Now().Before(deadline), "no ping")
+		}
+	}
+}
+
+// TestSlowdownOutlivesTheLeader guards against an agent that forgets, with its leader, what the
+// leader has learned of its endpoint, or that lets an entry replace it.
+func TestSlowdownOutlivesTheLeader(t *testing.T) {
+	f := newFixture(t)
+	f.sendSlowdown(f.fakeScheduler, 1300)
+	f.sendSlowdown(f.fakeScheduler, 1400)
+	f.conn.Close()
+	entry := f.connectEntry("entry-1", 1)
+	assert.Equal(t, awaitMessage[*mesh.Inventory](f, entry).Endpoint.Slowdown, 1400)
+	f.sendSlowdown(entry, 700)
+	leader := f.connectNextLeader(20)
+	assert.Equal(t, awaitMessage[*mesh.Inventory](f, leader).Endpoint.Slowdown, 1400)
+}
+
 // TestSilentEndpointsListPossibleRuns guards against a new leader that waits for the
 // inventory of an endpoint that doesn't answer, and holds all jobs of the earlier
 // leader meanwhile.
--- a/daemon/scheduler/scheduler.go
+++ b/daemon/scheduler/scheduler.go
@@ -33,6 +33,9 @@
 	Conn *link.Conn
 	// RenewedAt is when the agent's lease was last renewed.
 	RenewedAt time.Time
+	// agentSlowdown is the slowdown of its endpoint that the agent has, in thousandths; 0 if it
+	// has none.
+	agentSlowdown int
 }
 
 // Waiter is a request that waits for the end of a best-effort job.
@@ -115,6 +118,7 @@
 	info.Session = session.ID
 	info.VM = session.VM
 	s.sessions[session.ID] = session
+	session.agentSlowdown = info.Slowdown
 	var durable []work.End
 	ends := make([]work.End, len(m.Ends))
 	for i, e := range m.Ends {
@@ -184,6 +188,18 @@
 	s.Planner.UpdateProgress(now.Add(-time.Duration(m.AgeMS)*time.Millisecond), session.ID, m.Running)
 }
 
+// NextSlowdown returns the slowdown that the planner has learned of a session's endpoint, in
+// thousandths, for the next message to the agent. It returns 0 if the slowdown is unknown or the
+// agent has it.
+func (s *Scheduler) NextSlowdown(session *Session) int {
+	learned := s.Planner.Slowdown(session.ID)
+	if learned == session.agentSlowdown {
+		return 0
+	}
+	session.agentSlowdown = learned
+	return learned
+}
+
 // Lost records that an agent cannot be reached. Its runs may continue until
 // leaseExpiry.
 func (s *Scheduler) Lost(session *Session, leaseExpiry time.Time) {
