fallback: test that an entry's planner starts with reported slowdowns

Cause: only the leader's side of the reported slowdowns was tested.

Change: a test with the fake agent of the package.

Result: go test ./fallback -count=3 passed; go test -race of daemon/coordinator, runner, scheduler, fallback and core/runtable (-run 'Slowdown|Interference|Entries|Ends', -count=2) passed.

--- a/daemon/fallback/fallback_test.go
+++ b/daemon/fallback/fallback_test.go
@@ -63,7 +63,7 @@
 			c.Send(&mesh.Pong{})
 		case *mesh.Welcome:
 			c.Send(&mesh.Inventory{Endpoint: placement.Endpoint{
-				Session: m.Session, Fence: fakeFence, Pool: "desk", DataCentre: "east", Capacity: work.Resources{CPU: 2000, MemoryMB: 100},
+				Session: m.Session, Fence: fakeFence, Pool: "desk", DataCentre: "east", Capacity: work.Resources{CPU: 2000, MemoryMB: 100}, Slowdown: 1300,
 			}})
 		case *mesh.Orders:
 			for _, o := range m.Orders {
@@ -206,6 +206,17 @@
 	assert.Equal(t, r.State, work.Completed)
 }
 
+// TestPlacerStartsWithReportedSlowdowns guards against an entry without a leader that places jobs as if all
+// endpoints had one speed, although the agents report what a leader has learned.
+func TestPlacerStartsWithReportedSlowdowns(t *testing.T) {
+	f := newFixture(t)
+	slowdown := 0
+	for deadline := time.Now().Add(5 * time.Second); slowdown == 0 && time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		f.placer.ReadPlanner(func(p *placement.Planner, _ time.Time) { slowdown = p.Slowdown(1) })
+	}
+	assert.Equal(t, slowdown, 1300)
+}
+
 // TestOpenJobsAreHandedOver guards against a leader that runs a task again because the
 // entry did not report that it had started or completed it.
 func TestOpenJobsAreHandedOver(t *testing.T) {
