--- a/core/placement/types.go
+++ b/core/placement/types.go
@@ -41,6 +41,9 @@
 	UsedByOthers work.Resources `cbor:"Others"`
 	// LastRun is the highest run number that the agent has received.
 	LastRun uint64
+	// Slowdown is the ratio of run times to their estimates that a leader has learned for this
+	// incarnation, in thousandths; 0 if it is unknown.
+	Slowdown int `cbor:",omitempty"`
 }
 
 // Order instructs an agent to start or stop a run.
@@ -206,6 +209,8 @@
 	endpoint *endpoint
 	// since is when it was ordered, or when an endpoint first listed it.
 	since time.Time
+	// adopted is set if an endpoint listed the run: it began at an unknown time before since.
+	adopted bool
 	// expected is the expected run time.
 	expected time.Duration
 	stopping bool
--- a/daemon/coordinator/agents_test.go
+++ b/daemon/coordinator/agents_test.go
@@ -59,14 +59,7 @@
 		c.eventually("the leader has recorded it", func() bool { return recorded(leader) })
 	})
 	c.cancels[leader]()
-	c.eventually("another VM leads", func() bool {
-		for i, manager := range c.managers {
-			if s := manager.service.Load(); i != leader && s != nil && s.driver.Leading() {
-				return true
-			}
-		}
-		return false
-	})
+	c.nextLeader(leader)
 	c.withStableLeader(func(_ testing.TB, next int) {
 		c.eventually("the next leader has the record", func() bool { return recorded(next) })
 	})
