--- a/review/standin-3/system.go
+++ b/review/standin-3/system.go
@@ -57,6 +57,10 @@
 	template  string
 	controls  []*process
 	retired   []*process
+	// proxied is set if the connections to control VMs and agents go through a proxy.
+	proxied   bool
+	cuts      cuts
+	listeners []net.Listener
 	entries   []*process
 	agents    []*process
 	workers   []*worker
@@ -95,7 +99,7 @@
 // free reports whether the ports that the system needs are free.
 func (s *system) free() bool {
 	for i := 1; i <= 60; i++ {
-		for _, port := range []int{7720, 8161, 8165, 8166, 8167, 9464} {
+		for _, port := range []int{7720, 7721, 8161, 8165, 8166, 8167, 9464} {
 			l, err := net.Listen("tcp", fmt.Sprintf("%s%d:%d", s.base, i, port))
 			if err != nil {
 				return false
@@ -124,6 +128,11 @@
 		s.workers = append(s.workers, w)
 	}
 	for _, p := range s.all() {
+		if s.proxied && p.role != "entry" {
+			if err := s.serveProxy(p, p.ip+":7720", p.ip+":7721"); err != nil {
+				return err
+			}
+		}
 		if err := p.start(true); err != nil {
 			return err
 		}
@@ -179,7 +188,11 @@
 		values["backend"] = pool
 		values["limits.memory_mb"] = 152
 	}
-	return regexp.MustCompile(`\{\{[a-z_.0-9]+(\|json)?\}\}`).ReplaceAllStringFunc(s.template, func(m string) string {
+	template := s.template
+	if s.proxied && p.role != "entry" {
+		template = strings.Replace(template, `"mesh_listen": ""`, `"mesh_listen": "`+p.ip+`:7721"`, 1)
+	}
+	return regexp.MustCompile(`\{\{[a-z_.0-9]+(\|json)?\}\}`).ReplaceAllStringFunc(template, func(m string) string {
 		name, isJSON := strings.CutSuffix(strings.Trim(m, "{}"), "|json")
 		v, ok := values[name]
 		switch {
@@ -266,6 +279,9 @@
 	for _, w := range s.workers {
 		w.close()
 	}
+	for _, l := range s.listeners {
+		_ = l.Close()
+	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(s.dir)
 	} else {
