--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# An entry is cut off from the core, an agent from all machines 0.9 s later, and the control VMs are lost at that moment.
+# An entry is cut off from the core; 1 s later the processes of control and of one agent are killed at the same moment.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-3/standin ] && [ -x target/cicadapulley-platform ] || { echo "build first: fleetbench build, review/build-3.sh"; exit 2; }
