placement, lease: an entry holds a lost leader's jobs until that leader must have abandoned them

Cause: the entry held the jobs for lease.ExpiresAfter from its own loss of contact. A leader from which only the entry was cut off goes on with the entry's jobs for up to 1.1 s after its last message, and renews the leases; if it is lost then, its runs last 1.344 s longer.

The entry now holds them for lease.AbandonAfter + lease.ExpiresAfter, unless all agents have listed their runs. The leader's timeouts are derived from the same constant. Admission and drains expect absent agents for as long as before.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -21,6 +21,13 @@
 	// (the leader, or an entry that places jobs itself) assumes that they have
 	// ended.
 	ExpiresAfter = Grant + Grant*maxLagPercent/100 + margin
+	// AbandonAfter is how long after an entry's last message a leader goes on with the entry's
+	// best-effort jobs. It ends before a caller without an answer submits its job again.
+	AbandonAfter = 1100 * time.Millisecond
+	// ExpiresAfterLeaderLoss is how long after it has lost its leader an entry assumes that runs
+	// of that leader may go on. If only the entry was cut off, the leader renews the leases until
+	// it abandons the entry's jobs, and may be lost itself right then.
+	ExpiresAfterLeaderLoss = AbandonAfter + ExpiresAfter
 	// ExpiresAfterTakeover is how long an entry assumes that its runs may go on at an endpoint
 	// that a leader has taken over before the leader has their job: the leader stops runs
 	// that no job claims after 0.4 s, or the agent's lease from the leader expires.
--- a/core/placement/handover.go
+++ b/core/placement/handover.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/cicadapulley/cicadapulley/core/lease"
 	"github.com/cicadapulley/cicadapulley/core/work"
 )
 
@@ -13,10 +14,11 @@
 
 // NewSharedPlanner returns the planner of an entry that places its own jobs while
 // there is no leader. Other planners use the same endpoints. term is the last known
-// one, and awaitedVMs are the VMs whose endpoints may run tasks of its leader until
-// heldUntil.
-func NewSharedPlanner(term uint64, heldUntil time.Time, awaitedVMs []string) *Planner {
-	p := NewPlanner(term, heldUntil, awaitedVMs)
+// one, leaderLostAt is when the entry lost its leader, and awaitedVMs are the VMs whose
+// endpoints may run tasks of that leader.
+func NewSharedPlanner(term uint64, leaderLostAt time.Time, awaitedVMs []string) *Planner {
+	p := NewPlanner(term, leaderLostAt.Add(lease.ExpiresAfter), awaitedVMs)
+	p.heldUntil = leaderLostAt.Add(lease.ExpiresAfterLeaderLoss)
 	p.lastRun += sharedRunOffset
 	p.shared = true
 	return p
@@ -94,7 +96,7 @@
 
 // allConfirmed reports whether the job can have no unconfirmed run.
 func (p *Planner) allConfirmed(now time.Time, h *heldJob) bool {
-	if h.sentToLeader && p.awaitingEndpoints(now) {
+	if h.sentToLeader && len(p.awaitedVMs) > 0 && now.Before(p.heldUntil) {
 		return false
 	}
 	for _, u := range h.unconfirmed {
--- a/core/placement/handover_test.go
+++ b/core/placement/handover_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cicadapulley/cicadapulley/core/lease"
 	"github.com/cicadapulley/cicadapulley/core/work"
 )
 
@@ -46,6 +47,22 @@
 	})
 }
 
+// TestRunsOutlastAnEntrysLossOfItsLeader guards against two concurrent runs of a task: a leader from which
+// only the entry was cut off goes on with the entry's job and renews the lease, until it is lost itself.
+// Its run may then go on for longer than lease.ExpiresAfter after the entry's loss (review/12).
+func TestRunsOutlastAnEntrysLossOfItsLeader(t *testing.T) {
+	f := newFixture(t)
+	f.planner = NewSharedPlanner(1, f.now, []string{"vm-1", "vm-2"})
+	f.join(1, "vm-2", 2)
+	f.planner.Add(f.now, unhurried("job", 1), PriorState{SentToLeader: true})
+	f.advance(lease.AbandonAfter + lease.ExpiresAfter - time.Millisecond)
+	starts, _ := f.assign()
+	assert.Equal(t, len(starts), 0, "the endpoint of vm-1 may have a run")
+	f.advance(time.Millisecond)
+	starts, _ = f.assign()
+	assert.Equal(t, len(starts), 1)
+}
+
 // TestHandOverKeepsEnds guards against tasks that run again, and a job that never
 // ends, because the next planner does not receive which tasks are done.
 func TestHandOverKeepsEnds(t *testing.T) {
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -50,6 +50,8 @@
 	// leader are held at most until heldUntil.
 	held      []*heldJob
 	heldUntil time.Time
+	// joinBy is when endpoints that have not joined are no longer expected shortly.
+	joinBy time.Time
 	// interference has the evidence on queues that slow each other down; nil if it is off.
 	interference *interference.Table
 	// shared is set if other planners place tasks on the same endpoints.
@@ -100,6 +102,7 @@
 		queue:         newQueue(),
 		refused:       newRefusedCallers(),
 		heldUntil:     heldUntil,
+		joinBy:        heldUntil,
 		slowdowns:     newSlowdowns(),
 		lastTick:      heldUntil,
 		pending:       map[string]int{},
@@ -112,10 +115,9 @@
 	return p
 }
 
-// awaitingEndpoints reports whether endpoints that have not joined may still run
-// tasks of an earlier term.
+// awaitingEndpoints reports whether endpoints that have not joined are expected to.
 func (p *Planner) awaitingEndpoints(now time.Time) bool {
-	return len(p.awaitedVMs) > 0 && now.Before(p.heldUntil)
+	return len(p.awaitedVMs) > 0 && now.Before(p.joinBy)
 }
 
 // Absent returns the VMs that have no endpoint, so that nothing runs there. It
--- a/core/placement/simulation_test.go
+++ b/core/placement/simulation_test.go
@@ -106,7 +106,7 @@
 func (sim *simulation) placeLocally() {
 	sim.handOver()
 	sim.local = true
-	sim.replacePlanner(NewSharedPlanner(sim.term, sim.now.Add(simLeaseTimeout), sim.names()))
+	sim.replacePlanner(NewSharedPlanner(sim.term, sim.now, sim.names()))
 }
 
 func (sim *simulation) replacePlanner(p *Planner) {
--- a/daemon/coordinator/clients.go
+++ b/daemon/coordinator/clients.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
+	"github.com/cicadapulley/cicadapulley/core/lease"
 	"github.com/cicadapulley/cicadapulley/core/ledger"
 	"github.com/cicadapulley/cicadapulley/core/placement"
 	"github.com/cicadapulley/cicadapulley/core/relay"
@@ -200,9 +201,8 @@
 }
 
 // reconnectTimeout is how long an entry may take to reconnect after its connection
-// broke. Together with clientTimeout, after which a silent entry is detected, it is
-// shorter than the 1.3 s after which callers submit a job again.
-const reconnectTimeout = 300 * time.Millisecond
+// broke, which a silent entry's does after clientTimeout.
+const reconnectTimeout = lease.AbandonAfter - clientTimeout
 
 // newSession begins a session of an agent in the current term. The caller holds mu.
 func (s *Service) newSession(cl *client) *agentSession {
--- a/daemon/fallback/fallback.go
+++ b/daemon/fallback/fallback.go
@@ -104,7 +104,7 @@
 	for i, a := range o.Agents {
 		vms[i] = a.VM
 	}
-	planner := placement.NewSharedPlanner(o.Term, o.LeaderLostAt.Add(lease.ExpiresAfter), vms)
+	planner := placement.NewSharedPlanner(o.Term, o.LeaderLostAt, vms)
 	planner.SetDrained(boottime.Now(), o.Drains)
 	if o.DetectInterference {
 		planner.DetectInterference()
--- a/daemon/internal/runsearch/schedulers_test.go
+++ b/daemon/internal/runsearch/schedulers_test.go
@@ -377,7 +377,7 @@
 
 func (e *entry) placeLocally() {
 	p := &placer{period: uint64(e.lostAt.UnixNano())}
-	planner := placement.NewSharedPlanner(e.term, e.lostAt.Add(lease.ExpiresAfter), e.known)
+	planner := placement.NewSharedPlanner(e.term, e.lostAt, e.known)
 	p.scheduling = scheduling{w: e.w, Scheduler: scheduler.New(planner, e.w.metrics, e.w.log), links: e.w.entryLinks, received: e.received}
 	planner.SetDrained(e.w.now, e.view.Drains())
 	e.placer = p
