placement: a job that an earlier leader may have started is handed over as such

Cause: Planner.HandOver reported only whether the entry's own planner had started a task. That a lost leader may have started the job is in the prior state for as long as the job is held for that leader's runs, and was forgotten once they had ended.

HandOver now derives Started from job.mayHaveRun too. While the job is held, SentToLeader says it.

--- a/core/placement/handover.go
+++ b/core/placement/handover.go
@@ -33,7 +33,7 @@
 	// SentToLeader is set if a leader of an earlier term may have received the job
 	// and started it.
 	SentToLeader bool `cbor:"Offered"`
-	// Started is set if a task of the job has started.
+	// Started is set if a task of the job may have started, and SentToLeader doesn't say so.
 	Started bool `cbor:"Begun"`
 	// Done lists the tasks that have ended Done.
 	Done []work.TaskID
@@ -147,7 +147,9 @@
 			prior = h.remaining(now)
 		}
 	}
-	prior.Started = j.started
+	// Runs of an earlier leader may be all that ever started. That they have ended is no
+	// reason to take the job for one that has not run.
+	prior.Started = j.started || j.mayHaveRun && !prior.SentToLeader
 	for s := range j.tasks {
 		for t := range j.tasks[s] {
 			if j.tasks[s][t].phase == ended {
--- a/core/placement/handover_test.go
+++ b/core/placement/handover_test.go
@@ -63,6 +63,31 @@
 	assert.Equal(t, len(starts), 1)
 }
 
+// TestHandOverKeepsThatTheJobMayHaveRun guards against a refusal that says that a job has not run, although
+// a lost leader had started it: an entry held the job until the runs had ended, and then
+// handed it over as one that never ran (review/13).
+func TestHandOverKeepsThatTheJobMayHaveRun(t *testing.T) {
+	f := newFixture(t)
+	f.planner = NewSharedPlanner(1, f.now, []string{"vm-1"})
+	f.planner.Add(f.now, unhurried("job", 1), PriorState{SentToLeader: true})
+	f.planner.Add(f.now, unhurried("other", 1), PriorState{})
+	f.advance(lease.ExpiresAfterLeaderLoss - time.Millisecond)
+	f.assign()
+	prior := f.planner.HandOver(f.now, "job", leaseTimeout)
+	assert.Assert(t, prior.SentToLeader, "its runs may go on")
+	f.advance(time.Millisecond)
+	f.assign()
+	prior = f.planner.HandOver(f.now, "job", leaseTimeout)
+	assert.Assert(t, prior.MayHaveRun() && !prior.SentToLeader, "its runs have ended: %+v", prior)
+	assert.Assert(t, !f.planner.HandOver(f.now, "other", leaseTimeout).MayHaveRun())
+
+	f.planner = NewPlanner(2, f.now, nil)
+	a := f.planner.Admit(f.now, unhurried("job", 1), prior)
+	assert.Assert(t, a.Accepted)
+	f.planner.Add(f.now, unhurried("job", 1), prior)
+	assert.Assert(t, f.planner.HandOver(f.now, "job", leaseTimeout).MayHaveRun(), "the next leader keeps it")
+}
+
 // TestHandOverKeepsEnds guards against tasks that run again, and a job that never
 // ends, because the next planner does not receive which tasks are done.
 func TestHandOverKeepsEnds(t *testing.T) {
