scheduler, coordinator: a cancellation stops jobs that are not recorded

A DELETE that overtook the record of its own stored job was answered 410 too.

Cause: cancellations were looked up in the ledger only. Best-effort jobs are in the planner, and a job is in neither place while its record is being committed.

The scheduler now cancels best-effort jobs, answers their callers with the state "cancelled", and keeps the cancellation for submissions that were received before it and arrive later. A job that is being recorded is cancelled behind its record, or the DELETE gets 503. An entry without a leader cancels the jobs that it places itself.

--- a/daemon/coordinator/entries.go
+++ b/daemon/coordinator/entries.go
@@ -8,6 +8,7 @@
 	"github.com/cicadapulley/cicadapulley/core/ledger"
 	"github.com/cicadapulley/cicadapulley/core/placement"
 	"github.com/cicadapulley/cicadapulley/core/work"
+	"github.com/cicadapulley/cicadapulley/daemon/boottime"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 	"github.com/cicadapulley/cicadapulley/daemon/link"
 	"github.com/cicadapulley/cicadapulley/daemon/scheduler"
@@ -151,7 +152,7 @@
 		r.RetryAfterMS = refusal.RetryAfterMS
 	default:
 		s.memory.accept(q.Job)
-		s.accept(ctx, t, q.Job, r)
+		s.accept(ctx, t, q.Job, q.PriorState.Waited, r)
 	}
 }
 
@@ -245,9 +246,20 @@
 	return s.term != nil && s.term.submitting[id] > 0
 }
 
+// cancelledMeanwhile reports whether a job, whose submission waited for so long at its entry, was
+// cancelled before it was recorded.
+func (s *Service) cancelledMeanwhile(t *term, id work.JobID, waited time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return t.Cancelled(boottime.Now(), id, waited)
+}
+
 // accept records a job that a term has admitted.
-func (s *Service) accept(ctx context.Context, t *term, job *work.Job, r *mesh.Response) {
+func (s *Service) accept(ctx context.Context, t *term, job *work.Job, waited time.Duration, r *mesh.Response) {
 	_, err := s.propose(ctx, ledger.Command{Accept: job})
+	if err == nil && s.cancelledMeanwhile(t, job.ID, waited) {
+		_, err = s.propose(ctx, ledger.Command{Cancel: job.ID})
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if t.submitting[job.ID]--; t.submitting[job.ID] <= 0 {
@@ -262,15 +274,34 @@
 	r.Outcome = mesh.Accepted
 }
 
-// cancel records the cancellation of a job and stops its runs.
+// cancel records the cancellation of a job and stops its runs. A best-effort job isn't
+// recorded, and is stopped at once.
 func (s *Service) cancel(ctx context.Context, found target, r *mesh.Response) {
+	submitting := false
 	if !found.known {
-		r.Outcome = mesh.NoJob
-		return
+		if submitting, r.Outcome = s.cancelUnrecorded(found.id); !submitting {
+			return
+		}
 	}
-	if _, err := s.propose(ctx, ledger.Command{Cancel: found.id}); err != nil {
-		r.Outcome = mesh.Uncertain
+	result, err := s.propose(ctx, ledger.Command{Cancel: found.id})
+	if err != nil || submitting && !result.Changed {
+		r.Outcome = mesh.Uncertain // the job may be recorded right after this
 		return
 	}
 	r.Outcome = mesh.Accepted
 }
+
+// cancelUnrecorded stops a job that is not in the ledger and returns the outcome, unless the
+// job is being recorded.
+func (s *Service) cancelUnrecorded(id work.JobID) (submitting bool, outcome mesh.Outcome) {
+	outcome = mesh.Uncertain
+	s.whileLeading(func(t *term, now time.Time) {
+		outcome = mesh.NoJob
+		if t.Cancel(now, id) {
+			outcome = mesh.Accepted
+			s.place(t, now)
+		}
+		submitting = t.submitting[id] > 0
+	})
+	return submitting, outcome
+}
--- a/daemon/fallback/fallback.go
+++ b/daemon/fallback/fallback.go
@@ -279,6 +279,20 @@
 	}
 }
 
+// Cancel cancels a best-effort job that was submitted to p, and returns the answer. It returns nil
+// if p has no such job.
+func (p *Placer) Cancel(q *mesh.Request) *mesh.Response {
+	_, id := p.resolve(q.Host, q.Path)
+	cancelled := false
+	p.update(func(now time.Time) {
+		cancelled = p.scheduler.Planner.Has(id) && p.scheduler.Cancel(now, id)
+	})
+	if !cancelled {
+		return nil
+	}
+	return &mesh.Response{Outcome: mesh.Accepted}
+}
+
 // cancelUnstarted removes a request whose job has not started. It returns false if the
 // job has started, has been answered or has been handed over.
 func (p *Placer) cancelUnstarted(number uint64, r *request) bool {
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -275,6 +275,11 @@
 // nil if the request has to be forwarded again; its PriorState is then updated for the
 // next leader. start is when the request arrived.
 func (s *Service) forwardOnce(ctx, waitCtx context.Context, q *mesh.Request, start time.Time) *mesh.Response {
+	if q.Operation == mesh.Cancel {
+		if r := s.cancelLocally(q); r != nil {
+			return r
+		}
+	}
 	l, local := s.awaitDestination(waitCtx, q)
 	if l == nil && local == nil {
 		return &mesh.Response{Outcome: mesh.NoLeader}
@@ -296,6 +301,17 @@
 	return nil
 }
 
+// cancelLocally cancels a job that this entry places itself. It returns nil if there is none.
+func (s *Service) cancelLocally(q *mesh.Request) *mesh.Response {
+	s.mu.Lock()
+	local := s.local
+	s.mu.Unlock()
+	if local == nil {
+		return nil
+	}
+	return local.Cancel(q)
+}
+
 // replaceNotRun replaces an answer that says that a job has not run by Uncertain if an
 // earlier leader or the local placer may have started the job. Every answer of a leader
 // or of the local placer passes through it, except NoLeader and Uncertain, for which
--- a/daemon/scheduler/scheduler.go
+++ b/daemon/scheduler/scheduler.go
@@ -7,6 +7,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -64,8 +65,10 @@
 	waiters map[work.JobID][]Waiter
 	// results are the latest ends of best-effort jobs, for requests that are sent
 	// again after their answer was lost.
-	results  map[work.JobID]result
-	shareLog shareLog
+	results map[work.JobID]result
+	// cancellations has when jobs were cancelled that were not recorded.
+	cancellations map[work.JobID]time.Time
+	shareLog      shareLog
 }
 
 // New returns a scheduler without sessions.
@@ -77,6 +80,8 @@
 		sessions: map[placement.SessionID]*Session{},
 		waiters:  map[work.JobID][]Waiter{},
 		results:  map[work.JobID]result{},
+
+		cancellations: map[work.JobID]time.Time{},
 	}
 }
 
@@ -86,6 +91,9 @@
 	if ended, ok := s.results[j.ID]; ok {
 		return &mesh.Response{Sequence: w.Sequence, Outcome: mesh.Found, State: ended.state}
 	}
+	if s.Cancelled(now, j.ID, prior.Waited) {
+		return &mesh.Response{Sequence: w.Sequence, Outcome: mesh.Found, State: work.Cancelled}
+	}
 	if !s.Planner.Has(j.ID) {
 		if a := s.Planner.Admit(now, j, prior); !a.Accepted {
 			r := s.Refuse(j, a)
@@ -208,7 +216,7 @@
 	s.Planner.Lost(session.ID, leaseExpiry)
 }
 
-// Tick applies what depends on time and drops results older than resultTTL.
+// Tick applies what depends on time, and drops old results and cancellations.
 func (s *Scheduler) Tick(now time.Time) {
 	s.Planner.Tick(now)
 	s.logInterference()
@@ -218,6 +226,7 @@
 			delete(s.results, id)
 		}
 	}
+	maps.DeleteFunc(s.cancellations, func(_ work.JobID, at time.Time) bool { return now.Sub(at) > cancellationTTL })
 }
 
 // Place answers requests for ended jobs, assigns waiting tasks and sends the orders.
@@ -263,10 +272,7 @@
 	for _, finished := range s.Planner.TakeFinished() {
 		s.results[finished.ID] = result{state: finished.State, recordedAt: now}
 		s.logFinished(finished)
-		for _, w := range s.waiters[finished.ID] {
-			w.Answer(&mesh.Response{Sequence: w.Sequence, Outcome: mesh.Found, State: finished.State})
-		}
-		delete(s.waiters, finished.ID)
+		s.answer(finished.ID, finished.State)
 	}
 }
 
