placement: a task waits only for a faster endpoint that gets room in time

Cause: worthWaiting compared the run time on the fastest endpoint with the objective, and never asked when there is room. The wait was bounded by the task's estimate only.

With interference, a choice without an interfering run is still rejected by the former comparison, as the full search follows; its test uses that comparison by name.

--- a/core/placement/assign.go
+++ b/core/placement/assign.go
@@ -91,6 +91,9 @@
 	for _, index := range g.tasks[:limit] {
 		e := p.chooseEndpoint(now, g.job, g.step, index)
 		if e == nil {
+			if g.heldBackSince.IsZero() {
+				g.heldBackSince = now
+			}
 			break
 		}
 		p.start(now, g.job, work.TaskID{Job: g.job.spec.ID, Step: g.step, Index: index}, e)
@@ -106,12 +109,6 @@
 	return time.Duration(float64(j.spec.Steps[step].Estimate) * p.bestRatio(now, j.spec.Pool, j.spec.Steps[step].RequiredLabel))
 }
 
-// worthWaiting reports whether a task that would be late on the endpoints that
-// have capacity could still be in time on a faster one, once that has capacity.
-func (p *Planner) worthWaiting(now time.Time, j *job, step int, runTime time.Duration) bool {
-	return now.Add(runTime).After(j.due) && !now.Add(p.minRunTime(now, j, step)).After(j.due)
-}
-
 // chooseAvoiding is chooseEndpoint with the given preferences.
 func (p *Planner) chooseAvoiding(now time.Time, j *job, step, index int, avoid *avoidance) *endpoint {
 	s := &j.spec.Steps[step]
@@ -128,7 +125,14 @@
 	if q.best == nil && len(p.ramped) > 0 && p.rampsYield(now, j, step) {
 		p.searchRamped(&q)
 	}
-	if q.best != nil && p.worthWaiting(now, j, step, q.best.expectedRunTime(s)) {
+	if q.best == nil {
+		return nil
+	}
+	runTime := q.best.expectedRunTime(s)
+	if avoid != nil && p.onlyFasterInTime(now, j, step, runTime) {
+		return nil // the caller then looks among all endpoints
+	}
+	if avoid == nil && p.worthWaiting(now, j, step, runTime) {
 		return nil
 	}
 	return q.best
--- a/core/placement/interference_test.go
+++ b/core/placement/interference_test.go
@@ -191,7 +191,7 @@
 	for _, e := range p.order {
 		q.consider(e)
 	}
-	if q.best == nil || p.worthWaiting(now, j, 0, q.best.expectedRunTime(q.step)) {
+	if q.best == nil || p.onlyFasterInTime(now, j, 0, q.best.expectedRunTime(q.step)) {
 		return p.scan(now, j, 0, 0), 0
 	}
 	return q.best, q.expected
--- a/core/placement/queue.go
+++ b/core/placement/queue.go
@@ -14,6 +14,8 @@
 	step       int
 	tasks      []int
 	timeliness timeliness
+	// heldBackSince is when a task of the group first found no endpoint; zero before that.
+	heldBackSince time.Time
 }
 
 // timeliness is whether a group's job can still be in time for its caller.
