placement: a job whose earlier runs have ended may still be given up

A job that a lost leader may have started was handed over as started, so that the next leader never gave it up, however late its result: such jobs took room from others during outages.

PriorState.RunsEnded, an optional field, says that the job may have run and that no run of it goes on.

--- a/api/mesh/golden_test.go
+++ b/api/mesh/golden_test.go
@@ -13,7 +13,7 @@
 
 // addedFields are fields that were added after the first golden files were written.
 // They are absent from messages, commands and snapshots of former code.
-var addedFields = []string{"Waited", "EndpointDraining", "RemoveEnrolment", "Enrolments", "FailedRuns", "ConfigurationVersion", "OwnerSilence", "DataCentre", "Drain", "Drains", "DrainRevision", "ReadDrain", "Relays", "RelayedBy", "Slowdown", "Leaving"}
+var addedFields = []string{"Waited", "EndpointDraining", "RemoveEnrolment", "Enrolments", "FailedRuns", "ConfigurationVersion", "OwnerSilence", "DataCentre", "Drain", "Drains", "DrainRevision", "ReadDrain", "Relays", "RelayedBy", "Slowdown", "Leaving", "RunsEnded"}
 
 // TestGoldenMessages guards against a message that is encoded differently from
 // released code: a renamed field without its former name as a tag, or a kind
@@ -40,7 +40,7 @@
 		"05-waited": &Request{}, "02-draining": &Welcome{}, "04-version": &Pong{}, "07-draining": &Inventory{}, "09-draining": &Report{}, "15-draining": &Enrolled{},
 	}
 	for name, m := range extended {
-		testfill.FillWithout(m, "OwnerSilence", "DataCentre", "Slowdown")
+		testfill.FillWithout(m, "OwnerSilence", "DataCentre", "Slowdown", "RunsEnded")
 		check(name, m)
 	}
 	silence := map[string]Message{"03-silence": &Ping{}, "07-silence": &Inventory{}}
@@ -53,7 +53,7 @@
 		testfill.FillWithout(m, "ReadDrain", "Slowdown")
 		check(name, m)
 	}
-	last := map[string]Message{"18-read-drain": &OperatorRequest{}, "01-relays": &Hello{}, "04-slowdown": &Pong{}, "07-slowdown": &Inventory{}, "12-leaving": &Join{}}
+	last := map[string]Message{"18-read-drain": &OperatorRequest{}, "01-relays": &Hello{}, "04-slowdown": &Pong{}, "07-slowdown": &Inventory{}, "12-leaving": &Join{}, "05-runs-ended": &Request{}}
 	for name, m := range last {
 		testfill.Fill(m)
 		check(name, m)
--- a/core/placement/handover.go
+++ b/core/placement/handover.go
@@ -33,7 +33,10 @@
 	// SentToLeader is set if a leader of an earlier term may have received the job
 	// and started it.
 	SentToLeader bool `cbor:"Offered"`
-	// Started is set if a task of the job may have started, and SentToLeader doesn't say so.
+	// RunsEnded is set if a leader of an earlier term may have started the job, and its runs
+	// have ended.
+	RunsEnded bool `cbor:",omitempty"`
+	// Started is set if a task of the job has started.
 	Started bool `cbor:"Begun"`
 	// Done lists the tasks that have ended Done.
 	Done []work.TaskID
@@ -43,7 +46,7 @@
 }
 
 // MayHaveRun reports whether a task of the job may have started.
-func (s PriorState) MayHaveRun() bool { return s.SentToLeader || s.Started }
+func (s PriorState) MayHaveRun() bool { return s.SentToLeader || s.RunsEnded || s.Started }
 
 // UnconfirmedRuns are runs of a job that may exist on an endpoint. A list of the
 // endpoint's runs from a later session shows which ones do.
@@ -147,9 +150,8 @@
 			prior = h.remaining(now)
 		}
 	}
-	// Runs of an earlier leader may be all that ever started. That they have ended is no
-	// reason to take the job for one that has not run.
-	prior.Started = j.started || j.mayHaveRun && !prior.SentToLeader
+	prior.Started = j.started
+	prior.RunsEnded = j.mayHaveRun && !prior.SentToLeader
 	for s := range j.tasks {
 		for t := range j.tasks[s] {
 			if j.tasks[s][t].phase == ended {
--- a/core/placement/handover_test.go
+++ b/core/placement/handover_test.go
@@ -82,10 +82,15 @@
 	assert.Assert(t, !f.planner.HandOver(f.now, "other", leaseTimeout).MayHaveRun())
 
 	f.planner = NewPlanner(2, f.now, nil)
-	a := f.planner.Admit(f.now, unhurried("job", 1), prior)
-	assert.Assert(t, a.Accepted)
-	f.planner.Add(f.now, unhurried("job", 1), prior)
+	late := oneStep("job", 1)
+	assert.Assert(t, f.planner.Admit(f.now, late, prior).Accepted)
+	f.planner.Add(f.now, late, prior)
 	assert.Assert(t, f.planner.HandOver(f.now, "job", leaseTimeout).MayHaveRun(), "the next leader keeps it")
+	f.join(20, "vm-1", 1, ListedRun{Run: work.Run{Task: work.TaskID{Job: "job of others"}, Number: 1}})
+	f.advance(10 * time.Second)
+	rejected := f.planner.TakeRejected()
+	assert.Equal(t, len(rejected), 1, "a job without runs is given up when its result has no value")
+	assert.Assert(t, rejected[0].MayHaveRun, "and not as one that has not run")
 }
 
 // TestHandOverKeepsEnds guards against tasks that run again, and a job that never
