raft: a leader whose disk stalls transfers the leadership

While the disk of the leader answered nothing, nobody was served, for as long as that lasted: the leader applies only what it has synced itself, the other voters commit without it, reads wait for what is committed, and its heartbeats prevent an election.

A leader now transfers the leadership to the voter with the longest log when the others have been ahead of its outstanding sync for an election timeout. The time begins anew with each completed sync, so that the leadership stays where it is when all disks are slow. leader_lost says how long a sync has been in progress.

--- a/core/raft/driver_test.go
+++ b/core/raft/driver_test.go
@@ -93,6 +93,8 @@
 	proposed map[uint64]uint64
 	// syncMillis is the maximum duration of a sync.
 	syncMillis float64
+	// stalledUntil is the virtual time until which the disk answers nothing.
+	stalledUntil time.Duration
 	// syncing is the Ready that is being synced; a crash may save part of it.
 	syncing *raft.Ready
 }
@@ -135,7 +137,8 @@
 		switch {
 		case rd.MustSync:
 			s.syncing = &rd
-			c.after(c.randomMillis(s.syncMillis), func() { c.finishSync(s, rd, incarnation) })
+			stall := max(s.stalledUntil-c.now, 0)
+			c.after(stall+c.randomMillis(s.syncMillis), func() { c.finishSync(s, rd, incarnation) })
 		default:
 			s.disk.save(c, rd, false)
 			c.send(s, rd.MessagesAfterSync)
--- a/core/raft/leader.go
+++ b/core/raft/leader.go
@@ -16,6 +16,9 @@
 	round         uint64
 	rounds        []heartbeatRound
 	transfer      transfer
+	// syncBehindSince is since when the other voters have committed entries that the
+	// outstanding sync of this server, or a later one, has to cover; zero if they haven't.
+	syncBehindSince time.Time
 }
 
 func newLeaderState(n *Node) *leaderState {
@@ -36,6 +39,7 @@
 	if n.expireTransfer() {
 		return
 	}
+	n.yieldIfSyncStalls()
 	if !n.now.Before(n.leaderState.nextHeartbeat) {
 		n.broadcastHeartbeat()
 	}
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -303,3 +303,32 @@
 	unjoined.node.Step(c.clock(unjoined), raft.Message{Type: raft.MsgTransferVote, From: "s0", To: unjoined.id, Term: 99, Index: 99, LogTerm: 99})
 	assert.Assert(t, !unjoined.node.HasReady(), "a server with a new data folder votes")
 }
+
+// Guards against a leader that serves nobody for as long as its own disk stalls, although the other
+// voters commit its entries, and against a leadership that moves when all disks are slow.
+func TestLeaderWithStalledDiskYields(t *testing.T) {
+	const stall = 20 * electionTimeout
+	for seed := range uint64(20) {
+		c := newCluster(t, seed, 3)
+		leader := c.waitForLeader()
+		leader.stalledUntil = c.now + stall
+		began := c.now
+		other := func() bool { l := c.leader(); return l != nil && l != leader }
+		assert.Assert(t, c.run(5*electionTimeout, other), "seed %d: no other leader while the disk stalls", seed)
+		next := c.leader()
+		applied := next.applied
+		assert.Assert(t, c.run(2*electionTimeout, func() bool { return next.applied > applied }), "seed %d: the next leader serves", seed)
+		assert.Assert(t, c.now < began+stall, "seed %d", seed)
+		c.run(stall, nil)
+		c.requireProgress(5 * time.Second)
+		c.requireConvergence()
+
+		leader = c.waitForLeader()
+		term := leader.node.Status().Term
+		for _, s := range c.servers {
+			s.stalledUntil = c.now + stall
+		}
+		c.run(stall, nil)
+		assert.Equal(t, leader.node.Status().Term, term, "seed %d: the leadership moves although all disks stall", seed)
+	}
+}
--- a/core/raft/random_test.go
+++ b/core/raft/random_test.go
@@ -126,6 +126,20 @@
 	return false
 }
 
+// stallNext stalls the disk of a random server, often the leader's, again and again.
+func (f *faults) stallNext() {
+	if f.stopped {
+		return
+	}
+	c := f.c
+	s := c.servers[c.rng.IntN(len(c.servers))]
+	if l := c.leader(); l != nil && c.rng.IntN(2) == 0 {
+		s = l
+	}
+	s.stalledUntil = c.now + c.randomMillis(1000)
+	c.after(c.randomMillis(600), f.stallNext)
+}
+
 // heal ends all faults and restarts crashed servers.
 func (f *faults) heal() {
 	f.stopped = true
@@ -133,12 +147,40 @@
 	c.loss, c.duplicate, c.slow = 0, 0, 0
 	clear(c.cutLinks)
 	for _, s := range c.servers {
+		s.stalledUntil = 0
 		if !s.up() {
 			c.start(s)
 		}
 	}
 }
 
+// playRandomFaults injects random faults for 8 s, with stalled disks among them if stalls is set,
+// and requires that the group recovers.
+func playRandomFaults(t *testing.T, seed uint64, size int, stalls bool) *cluster {
+	c := newCluster(t, seed, size)
+	c.loss, c.duplicate, c.slow = c.rng.Float64()*0.1, 0.05, 0.02
+	c.compactEvery = 30
+	f := &faults{c: c, voters: size}
+	c.after(0, f.injectNext)
+	if stalls {
+		c.after(0, f.stallNext)
+	}
+	c.run(8*time.Second, nil)
+	f.heal()
+	c.requireProgress(5 * time.Second)
+	c.requireConvergence()
+	return c
+}
+
+// Guards against the same violations while disks stall and leaders yield because of that.
+func TestRandomFaultsWithStalledDisks(t *testing.T) {
+	for _, size := range []int{3, 5} {
+		for _, seed := range seedsUpTo(*seeds) {
+			t.Run(fmt.Sprintf("size=%d/seed=%d", size, seed), func(t *testing.T) { playRandomFaults(t, seed, size, true) })
+		}
+	}
+}
+
 // Guards against any violation of consensus safety under lost, duplicated, late and
 // reordered messages, crashes during a sync, network cuts, clock drift, transfers
 // and replaced servers, and against a group that makes no progress afterwards.
@@ -147,15 +189,7 @@
 	for _, size := range []int{3, 5} {
 		for _, seed := range append(regressionSeeds, seedsUpTo(*seeds)...) {
 			t.Run(fmt.Sprintf("size=%d/seed=%d", size, seed), func(t *testing.T) {
-				c := newCluster(t, seed, size)
-				c.loss, c.duplicate, c.slow = c.rng.Float64()*0.1, 0.05, 0.02
-				c.compactEvery = 30
-				f := &faults{c: c, voters: size}
-				c.after(0, f.injectNext)
-				c.run(8*time.Second, nil)
-				f.heal()
-				c.requireProgress(5 * time.Second)
-				c.requireConvergence()
+				c := playRandomFaults(t, seed, size, false)
 				acked, reads, installs = acked+c.acked, reads+c.reads, installs+c.snapshotInstalls
 				servers += len(c.servers) - size
 			})
--- a/core/raft/ready.go
+++ b/core/raft/ready.go
@@ -1,6 +1,10 @@
 package raft
 
-import "github.com/cicadapulley/cicadapulley/core/invariant"
+import (
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/core/invariant"
+)
 
 // Ready is the work for the driver, in this order: send Messages; save Snapshot
 // (which replaces the whole saved log), then Entries and HardState, with one sync
@@ -103,6 +107,9 @@
 		n.savedHardState = *rd.HardState
 	}
 	n.log.markSynced(rd.Entries)
+	if n.leaderState != nil {
+		n.leaderState.syncBehindSince = time.Time{}
+	}
 	n.countOwnSync()
 }
 
--- a/core/raft/transfer.go
+++ b/core/raft/transfer.go
@@ -34,6 +34,39 @@
 	return nil
 }
 
+// yieldIfSyncStalls transfers the leadership when the other voters have been ahead of this server's
+// own sync for an election timeout. The leader applies only what it has synced itself, so it
+// serves nobody until its disk answers, while its heartbeats prevent an election. If all
+// disks are slow, no majority is ahead.
+func (n *Node) yieldIfSyncStalls() {
+	l := n.leaderState
+	switch {
+	case !n.syncing || n.log.commit <= n.log.stable:
+		l.syncBehindSince = time.Time{}
+		return
+	case l.syncBehindSince.IsZero():
+		l.syncBehindSince = n.now
+		return
+	case n.now.Sub(l.syncBehindSince) < n.settings.electionTimeout || l.transfer.to != "":
+		return
+	}
+	if to := n.mostAdvancedVoter(); n.caughtUp(to) {
+		l.transfer = transfer{to: to, deadline: n.now.Add(n.settings.electionTimeout)}
+		n.continueTransfer()
+	}
+}
+
+// mostAdvancedVoter returns the other voter with the longest matching log, empty if there is none.
+func (n *Node) mostAdvancedVoter() (id ServerID) {
+	var match uint64
+	for _, s := range n.group().Servers {
+		if p := n.leaderState.peers[s.ID]; s.Voter && p != nil && p.match > match {
+			id, match = s.ID, p.match
+		}
+	}
+	return id
+}
+
 // continueTransfer sends MsgTimeoutNow once the target has the whole log.
 func (n *Node) continueTransfer() {
 	t := &n.leaderState.transfer
--- a/daemon/control/consensus/driver.go
+++ b/daemon/control/consensus/driver.go
@@ -118,6 +118,8 @@
 	peers   map[raft.ServerID]*peer
 	// senderAddresses holds the addresses of senders, for VMs outside the group.
 	senderAddresses map[raft.ServerID]string
+	// savingSince is since when a save is in progress; zero if none is.
+	savingSince time.Time
 	// deferredState is a hard state that is saved with the next sync.
 	deferredState *raft.HardState
 	snapshots     snapshots
@@ -292,6 +294,7 @@
 			d.advance(rd)
 			continue
 		}
+		d.savingSince = d.opts.Now()
 		d.saves <- d.withDeferred(rd) // doesn't block: the node returns the next part to save only after Advance
 	}
 	d.updateLeadership()
@@ -348,6 +351,7 @@
 
 // finishSave sends the messages that had to wait for the sync. The caller holds mu.
 func (d *Driver) finishSave(rd raft.Ready) {
+	d.savingSince = time.Time{}
 	d.send(rd.MessagesAfterSync)
 	d.advance(rd)
 }
@@ -376,12 +380,15 @@
 		return
 	}
 	d.leading = leading
-	id := events.LeaderElected
+	event := events.Event{ID: events.LeaderElected}
 	if !leading {
-		id = events.LeaderLost
+		event.ID = events.LeaderLost
+		if since := d.savingSince; !since.IsZero() {
+			event.Text = "own sync in progress for " + d.opts.Now().Sub(since).Round(time.Millisecond).String()
+		}
 		d.failPending()
 	}
-	d.opts.Log.Emit(events.Event{ID: id})
+	d.opts.Log.Emit(event)
 	d.notifyWatchers()
 }
 
--- a/daemon/coordinator/cluster_test.go
+++ b/daemon/coordinator/cluster_test.go
@@ -25,6 +25,8 @@
 type fullableFS struct {
 	storage.FS
 	full atomic.Bool
+	// stalled makes syncs wait until it is unset.
+	stalled atomic.Bool
 }
 
 func newFullableFS() *fullableFS { return &fullableFS{FS: storage.OS()} }
@@ -65,7 +67,12 @@
 	return f.File.Write(data)
 }
 
-func (f *fullableFile) Sync() error { return nil }
+func (f *fullableFile) Sync() error {
+	for f.fs.stalled.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	return nil
+}
 
 // maxClusterSize is the number of control VMs that a cluster may have, later ones included.
 const maxClusterSize = 8
--- a/daemon/coordinator/term_test.go
+++ b/daemon/coordinator/term_test.go
@@ -84,3 +84,18 @@
 	}
 	assert.Assert(t, exported)
 }
+
+// TestLeaderWithStalledDiskIsReplaced guards against a group that serves nobody for as long as the disk of its
+// leader stalls: the leader keeps its lease, and can't apply what the others have committed.
+func TestLeaderWithStalledDiskIsReplaced(t *testing.T) {
+	c := newCluster(t, 3)
+	leader := c.leader()
+	c.configure(leader, 1)
+	c.disks[leader].stalled.Store(true)
+	t.Cleanup(func() { c.disks[leader].stalled.Store(false) })
+	c.configure((leader+1)%3, 2)
+	next := c.nextLeader(leader)
+	c.assertDocument(next, 2)
+	c.disks[leader].stalled.Store(false)
+	c.assertDocument(leader, 2)
+}
