coordinator: left jobs are abandoned also while the leader can't serve

Cause: the report that a caller has left was dropped while the leader could not serve, although it kept its planner and went on leading.

The report is now applied in the current term in any case; what follows from it is sent once the leader may place again.

Evidence: TestLeftJobsAreAbandonedWithoutLease fails with the former condition.

--- a/daemon/coordinator/entries.go
+++ b/daemon/coordinator/entries.go
@@ -199,13 +199,20 @@
 
 // abandon records that a request no longer waits for a best-effort job.
 func (s *Service) abandon(c *link.Conn, sequence uint64, id work.JobID) {
-	if id == "" {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.abandonIn(s.term, c, sequence, id)
+}
+
+// abandonIn abandons a request in a term, nil for none, also while this VM can't serve: it may
+// lead on afterwards, and must not start the job then. The caller holds mu.
+func (s *Service) abandonIn(t *term, c *link.Conn, sequence uint64, id work.JobID) {
+	if t == nil || id == "" {
 		return
 	}
-	s.whileLeading(func(t *term, now time.Time) {
-		t.Abandon(now, c, sequence, id)
-		s.place(t, now)
-	})
+	now := boottime.Now()
+	t.Abandon(now, c, sequence, id)
+	s.place(t, now)
 }
 
 // prepare sets the properties of a job that its queue determines. If the job is not
--- a/daemon/coordinator/term_test.go
+++ b/daemon/coordinator/term_test.go
@@ -99,3 +99,25 @@
 	c.disks[leader].stalled.Store(false)
 	c.assertDocument(leader, 2)
 }
+
+// TestLeftJobsAreAbandonedWithoutLease guards against a job that a leader keeps, and starts later, because its
+// caller left while the leader could not serve, as during a stall of its disk.
+func TestLeftJobsAreAbandonedWithoutLease(t *testing.T) {
+	c := newCluster(t, 1)
+	s := c.managers[c.leader()].service.Load()
+	c.configure(0, 1)
+	agent, _ := c.joinAgent(0)
+	defer agent.Close()
+	q := submission("00000000000000b1", true)
+	q.Sequence = 7
+	found, outcome := s.resolve(q)
+	assert.Equal(t, outcome, mesh.Outcome(0))
+	assert.Assert(t, prepare(q.Job, found, &mesh.Response{}))
+	assert.Assert(t, s.placeBestEffort(nil, found, q) == nil)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.term.number-- // another VM may lead
+	assert.Assert(t, !s.leads(s.term) && s.term.Planner.Has(q.Job.ID))
+	s.abandonIn(s.term, nil, q.Sequence, q.Job.ID)
+	assert.Assert(t, !s.term.Planner.Has(q.Job.ID))
+}
