--- a/core/placement/faster_test.go
+++ b/core/placement/faster_test.go
@@ -28,8 +28,7 @@
 								Capacity: work.Resources{CPU: 2000, MemoryMB: 4096}, Slowdown: slowdown,
 							}, nil, nil)
 						}
-						fastCount := (endpoints + 1) / 3
-						fastCount = max(fastCount, 1)
+						fastCount := max((endpoints+1)/3, 1)
 						for i := range fastCount {
 							join(SessionID(1+i), fast, "rack")
 						}
--- a/core/raft/random_test.go
+++ b/core/raft/random_test.go
@@ -40,10 +40,7 @@
 		return
 	}
 	c := f.c
-	s := c.servers[c.rng.IntN(len(c.servers))]
-	if l := c.leader(); l != nil && c.rng.IntN(2) == 0 {
-		s = l
-	}
+	s := c.chooseServer()
 	switch c.rng.IntN(6) {
 	case 0, 1:
 		f.restart(s)
@@ -126,16 +123,22 @@
 	return false
 }
 
+// chooseServer returns a random server, the leader in half of the cases.
+func (c *cluster) chooseServer() *server {
+	s := c.servers[c.rng.IntN(len(c.servers))]
+	if l := c.leader(); l != nil && c.rng.IntN(2) == 0 {
+		s = l
+	}
+	return s
+}
+
 // stallNext stalls the disk of a random server, often the leader's, again and again.
 func (f *faults) stallNext() {
 	if f.stopped {
 		return
 	}
 	c := f.c
-	s := c.servers[c.rng.IntN(len(c.servers))]
-	if l := c.leader(); l != nil && c.rng.IntN(2) == 0 {
-		s = l
-	}
+	s := c.chooseServer()
 	s.stalledUntil = c.now + c.randomMillis(1000)
 	c.after(c.randomMillis(600), f.stallNext)
 }
