gateway, scheduler: the log tells what happened to a job before it was refused

A refusal that was replaced by an uncertain answer had no line at all, and the scheduler logged work_refused, "none of its tasks ran", for jobs that may have run.

request_refused and work_refused have these details now; refusal_withheld and work_given_up are events of their own, so that their lines aren't limited together with those of plain refusals; job_handed_over tells a job that never started from one whose runs have ended. cicadapulley_refusals_withheld_total counts the replaced refusals.

No decision changes.

--- a/core/placement/admit.go
+++ b/core/placement/admit.go
@@ -33,8 +33,9 @@
 	// RetryAfter is the time after which a refused caller may retry.
 	RetryAfter time.Duration
 	// Expected is the estimated time to completion since the caller's request, Limit
-	// the longest that is accepted, and Wait the part of it in the queue.
-	Expected, Limit, Wait time.Duration
+	// the longest that is accepted, Wait the part of it in the queue, and Waited the part
+	// that has passed.
+	Expected, Limit, Wait, Waited time.Duration
 }
 
 // Admit estimates when a job would complete after the work queued ahead of it,
@@ -64,10 +65,12 @@
 	expected := prior.Waited + wait + j.CriticalPath() + overhead
 	factor := p.admitFactor(now, j, wait)
 	limit := time.Duration(factor * float64(j.Objective()))
+	a := Admission{Accepted: expected <= limit, Expected: expected, Limit: limit, Wait: wait, Waited: prior.Waited}
 	if len(p.drains.DataCentres) > 0 && allDrained(j, p.drainsLeaveNone) && !p.awaitingEndpoints(now) {
-		return Admission{Expected: expected, Limit: limit, Wait: wait, RetryAfter: drainedRetryAfter}
+		a.Accepted = false
+		a.RetryAfter = drainedRetryAfter
 	}
-	return Admission{Accepted: expected <= limit, Expected: expected, Limit: limit, Wait: wait}
+	return a
 }
 
 // admitFactor returns the multiple of a job's objective within which it must be expected
--- a/core/placement/drain.go
+++ b/core/placement/drain.go
@@ -77,7 +77,7 @@
 	for _, j := range refused {
 		waited := now.Sub(j.arrived)
 		rejected = append(rejected, newRejectedJob(j, Admission{
-			Expected: waited + drainedRetryAfter + j.criticalPath + overhead, Limit: j.due.Sub(j.arrived), Wait: drainedRetryAfter, RetryAfter: drainedRetryAfter,
+			Expected: waited + drainedRetryAfter + j.criticalPath + overhead, Limit: j.due.Sub(j.arrived), Wait: drainedRetryAfter, Waited: waited, RetryAfter: drainedRetryAfter,
 		}))
 	}
 	p.reject(now, rejected)
--- a/core/placement/shed.go
+++ b/core/placement/shed.go
@@ -97,11 +97,12 @@
 // hopeless reports whether a job's result would come too late after a wait for the work ahead of it.
 func hopeless(now time.Time, j *job, wait time.Duration) (Admission, bool) {
 	limit := j.expiresAt.Sub(j.arrived)
-	expected := now.Sub(j.arrived) + wait + j.criticalPath
+	waited := now.Sub(j.arrived)
+	expected := waited + wait + j.criticalPath
 	if expected <= limit {
 		return Admission{}, false
 	}
-	return Admission{Expected: expected, Limit: limit, Wait: wait, RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter)}, true
+	return Admission{Expected: expected, Limit: limit, Wait: wait, Waited: waited, RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter)}, true
 }
 
 // TakeRejected returns the jobs that were refused since the last call.
--- a/daemon/events/catalogue.go
+++ b/daemon/events/catalogue.go
@@ -96,6 +96,7 @@
 	// Pairs of queues whose tasks slow each other down, and no longer do.
 	InterferenceFound   ID = 371
 	InterferenceDropped ID = 372
+	WorkGivenUp         ID = 373
 	// Drains of data centres.
 	DataCentreDrained ID = 380
 	DrainWithdrawn    ID = 381
@@ -135,6 +136,7 @@
 	JobHandedOver         ID = 446
 	ConfigurationReceived ID = 447
 	RelayEnded            ID = 448
+	RefusalWithheld       ID = 449
 )
 
 // Events of agents.
@@ -248,6 +250,7 @@
 	{MemoryAvailable, "memory_available", zapcore.InfoLevel, "the leader has memory for new jobs again"},
 	{InterferenceFound, "interference_found", zapcore.InfoLevel, "tasks of a queue take longer beside tasks of another queue on one endpoint, and are placed elsewhere where there is room; the detail has both queues, the factor, the confidence and the number of runs"},
 	{InterferenceDropped, "interference_dropped", zapcore.InfoLevel, "there is no longer enough evidence that tasks of a queue take longer beside tasks of another queue; they are placed without regard to each other"},
+	{WorkGivenUp, "work_given_up", zapcore.InfoLevel, "a job that may have run was given up because it would complete too late; its caller was told that the outcome is uncertain"},
 	{DataCentreDrained, "data_centre_drained", zapcore.InfoLevel, "this control VM has applied an operator's order: no more tasks start on the endpoints of the data centre in the detail; it is repeated when a restarted VM reads its log"},
 	{DrainWithdrawn, "drain_withdrawn", zapcore.InfoLevel, "this control VM has applied the withdrawal of the drain of the data centre in the detail; it is repeated when a restarted VM reads its log"},
 	{NoDataCentreLeft, "no_data_centre_left", zapcore.WarnLevel, "all data centres of the settings are drained, the one in the detail last, and no task starts anywhere; withdraw the drain of one if that is not intended"},
@@ -274,12 +277,13 @@
 	{LeaderFound, "leader_found", zapcore.InfoLevel, "this process is connected to the leading control VM"},
 	{LeaderGone, "leader_gone", zapcore.WarnLevel, "the connection to the leading control VM ended; the process looks for the leader again"},
 	{RequestFailed, "request_failed", zapcore.WarnLevel, "a caller got no definite answer because no leader answered in time"},
-	{RequestRefused, "request_refused", zapcore.InfoLevel, "a request was refused because the system is overloaded or not ready; the detail says when the caller may retry"},
+	{RequestRefused, "request_refused", zapcore.InfoLevel, "a request was refused because the system is overloaded or not ready; the detail says when the caller may retry, who refused it, how long it had waited, and how often it was passed to a leader or placed here"},
 	{LocalPlacementBegan, "local_placement_began", zapcore.WarnLevel, "this entry has found no leader and places best-effort jobs itself; check that control has a leader"},
 	{LocalPlacementEnded, "local_placement_ended", zapcore.InfoLevel, "this entry has found a leader and hands its jobs over; the detail counts them"},
 	{JobHandedOver, "job_handed_over", zapcore.InfoLevel, "a job that this entry placed continues with the leader; the detail counts its completed tasks and the endpoints with runs"},
 	{ConfigurationReceived, "configuration_received", zapcore.InfoLevel, "this entry received another version of the configuration; the detail says from whom"},
 	{RelayEnded, "relay_ended", zapcore.InfoLevel, "this entry no longer relays the agent, or as many agents, to the leader; the detail counts the causes within a second"},
+	{RefusalWithheld, "refusal_withheld", zapcore.InfoLevel, "a job was refused as one that has not run, but an earlier leader or this entry may have started it; its caller was told that the outcome is uncertain; the detail has the refusal, who gave it, and what happened to the request before"},
 	{TaskStarted, "task_started", zapcore.DebugLevel, "a task started at the endpoint"},
 	{TaskEnded, "task_ended", zapcore.DebugLevel, "a task ended at the endpoint"},
 	{TaskRefused, "task_refused", zapcore.DebugLevel, "a task was refused; it did not run here"},
--- a/daemon/fallback/fallback.go
+++ b/daemon/fallback/fallback.go
@@ -188,10 +188,15 @@
 // handOverText describes a job that is handed over, for the log.
 func handOverText(prior placement.PriorState) string {
 	text := scheduler.CountText("tasks done", len(prior.Done)) + " " + scheduler.CountText("endpoints with runs", len(prior.Unconfirmed))
-	if !prior.MayHaveRun() {
-		text += " never started"
+	switch {
+	case prior.Started:
+		return text + " started"
+	case prior.SentToLeader:
+		return text + " a former leader may run it"
+	case prior.RunsEnded:
+		return text + " a former leader may have run it"
 	}
-	return text
+	return text + " never started"
 }
 
 // SetRoutes replaces the queues by those of a newer configuration. Jobs that have been
--- /dev/null
+++ b/daemon/gateway/forwarding.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cicadapulley/cicadapulley/api/mesh"
+	"github.com/cicadapulley/cicadapulley/daemon/boottime"
+	"github.com/cicadapulley/cicadapulley/daemon/events"
+)
+
+// forwarding is a request on its way to a leader, or to the local placer, until it is answered.
+type forwarding struct {
+	mesh.Request
+	arrived time.Time
+	// sent counts the leaders, and placed the local placers, to which the request was passed.
+	sent, placed int
+	// destination describes the last of them.
+	destination string
+}
+
+// waited returns how long the request has waited.
+func (f *forwarding) waited() time.Duration { return boottime.Now().Sub(f.arrived) }
+
+// describe tells who answered the request, when, and what happened to it before.
+func (f *forwarding) describe() string {
+	return "by " + f.destination + " after " + f.waited().Round(time.Millisecond).String() +
+		", sent to leaders " + strconv.Itoa(f.sent) + ", placed here " + strconv.Itoa(f.placed)
+}
+
+// logRefusal emits the event of a refusal that says that the job has not run. answer is what the
+// caller gets.
+func (s *Service) logRefusal(f *forwarding, refusal, answer *mesh.Response) {
+	switch {
+	case answer != refusal:
+		s.withheld.Inc()
+		s.opts.Log.Emit(events.Event{ID: events.RefusalWithheld, Job: jobKey(&f.Request), Text: outcomeNames[refusal.Outcome] + " " + f.describe()})
+	case refusal.Outcome == mesh.Overloaded || refusal.Outcome == mesh.NotReady:
+		s.opts.Log.Emit(events.Event{
+			ID: events.RequestRefused, Job: jobKey(&f.Request), Text: "come back in " + strconv.Itoa(refusal.RetryAfterMS) + "ms, " + f.describe(),
+		})
+	}
+}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -77,7 +77,9 @@
 	changed chan struct{}
 	pending map[uint64]chan *mesh.Response
 	latency *prometheus.HistogramVec
-	metrics *scheduler.Metrics
+	// withheld counts refusals that the caller was not given, since the job may have run.
+	withheld prometheus.Counter
+	metrics  *scheduler.Metrics
 	// shares are used by one local placer at a time.
 	shares *scheduler.Shares
 }
@@ -93,7 +95,7 @@
 func New(o Options) *Service {
 	return &Service{
 		opts: o, changed: make(chan struct{}), pending: map[uint64]chan *mesh.Response{},
-		latency: newLatency(), metrics: scheduler.NewMetrics(),
+		latency: newLatency(), withheld: newWithheld(), metrics: scheduler.NewMetrics(),
 		shares: scheduler.NewShares(o.QueueShares, o.Log),
 	}
 }
@@ -246,15 +248,15 @@
 }
 
 func (s *Service) forward(ctx context.Context, q *mesh.Request) *mesh.Response {
-	forwarded := *q
-	wait := leaderless.Wait{Arrived: boottime.Now()}
+	f := &forwarding{Request: *q, arrived: boottime.Now()}
+	wait := leaderless.Wait{Arrived: f.arrived}
 	wait.Objective, _ = s.objective(q)
 	for ctx.Err() == nil && !s.pendingFull() {
 		waitCtx, cancel := context.WithTimeout(ctx, wait.Until().Sub(boottime.Now()))
-		r := s.forwardOnce(ctx, waitCtx, &forwarded, wait.Arrived)
+		r := s.forwardOnce(ctx, waitCtx, f)
 		cancel()
 		if r == nil {
-			if wait.LeaderLostAt.IsZero() && forwarded.PriorState.MayHaveRun() {
+			if wait.LeaderLostAt.IsZero() && f.PriorState.MayHaveRun() {
 				wait.LeaderLostAt = boottime.Now()
 			}
 			continue
@@ -262,42 +264,44 @@
 		if r.Outcome == mesh.NoLeader || r.Outcome == mesh.Uncertain {
 			break
 		}
-		r = replaceNotRun(r, forwarded.PriorState.MayHaveRun() && q.Operation == mesh.Submit)
-		if r.Outcome == mesh.Overloaded || r.Outcome == mesh.NotReady {
-			s.opts.Log.Emit(events.Event{ID: events.RequestRefused, Job: jobKey(q), Text: "come back in " + strconv.Itoa(r.RetryAfterMS) + "ms"})
-		}
-		return r
+		answer := replaceNotRun(r, f.PriorState.MayHaveRun() && q.Operation == mesh.Submit)
+		s.logRefusal(f, r, answer)
+		return answer
 	}
-	return s.unansweredResponse(q, forwarded.PriorState.MayHaveRun())
+	return s.unansweredResponse(q, f.PriorState.MayHaveRun())
 }
 
 // forwardOnce forwards a request to the leader, or to the local placer. The answer is
 // nil if the request has to be forwarded again; its PriorState is then updated for the
-// next leader. start is when the request arrived.
-func (s *Service) forwardOnce(ctx, waitCtx context.Context, q *mesh.Request, start time.Time) *mesh.Response {
-	if q.Operation == mesh.Cancel {
-		if r := s.cancelLocally(q); r != nil {
+// next leader.
+func (s *Service) forwardOnce(ctx, waitCtx context.Context, f *forwarding) *mesh.Response {
+	if f.Operation == mesh.Cancel {
+		if r := s.cancelLocally(&f.Request); r != nil {
 			return r
 		}
 	}
-	l, local := s.awaitDestination(waitCtx, q)
+	l, local := s.awaitDestination(waitCtx, &f.Request)
 	if l == nil && local == nil {
 		return &mesh.Response{Outcome: mesh.NoLeader}
 	}
-	q.PriorState.Waited = boottime.Now().Sub(start).Truncate(time.Millisecond)
+	f.PriorState.Waited = f.waited().Truncate(time.Millisecond)
 	if l == nil {
-		r, prior := local.Submit(ctx, waitCtx, q)
-		q.PriorState = prior
+		f.placed++
+		f.destination = "this entry"
+		r, prior := local.Submit(ctx, waitCtx, &f.Request)
+		f.PriorState = prior
 		return r
 	}
-	r := s.sendToLeader(ctx, l, *q)
+	f.sent++
+	f.destination = "the leader of term " + strconv.FormatUint(l.Welcome.Term, 10)
+	r := s.sendToLeader(ctx, l, f.Request)
 	if r != nil && r.Outcome != mesh.Uncertain {
 		return r
 	}
 	if r != nil {
 		supervisor.Sleep(waitCtx, retryDelay)
 	}
-	q.PriorState.SentToLeader = true
+	f.PriorState.SentToLeader = true
 	return nil
 }
 
--- a/daemon/gateway/metrics.go
+++ b/daemon/gateway/metrics.go
@@ -22,6 +22,13 @@
 	}, []string{"outcome"})
 }
 
+func newWithheld() prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "cicadapulley_refusals_withheld_total",
+		Help: "Refusals of jobs as not run that were answered as uncertain, since an earlier leader or this entry may have started the job.",
+	})
+}
+
 // recordLatency records the time from a request to its answer, and returns the answer.
 func (s *Service) recordLatency(start time.Time, r *mesh.Response) *mesh.Response {
 	s.latency.WithLabelValues(outcomeNames[r.Outcome]).Observe(time.Since(start).Seconds())
@@ -30,7 +37,7 @@
 
 // Collectors returns the entry's metrics.
 func (s *Service) Collectors() []prometheus.Collector {
-	return append(s.metrics.Collectors(), s.latency,
+	return append(s.metrics.Collectors(), s.latency, s.withheld,
 		scheduler.NewInterferenceCollector(s.readPlanner),
 		scheduler.NewShareCollector(s.readPlanner),
 		s.gauge("cicadapulley_requests_pending", "Requests that wait for the leader's answer.", func() float64 { return float64(len(s.pending)) }),
--- a/daemon/scheduler/events.go
+++ b/daemon/scheduler/events.go
@@ -76,7 +76,7 @@
 
 // refusalText returns the figures on which a refusal is based.
 func refusalText(job *work.Job, a placement.Admission) string {
-	return "queue " + job.Queue + " expected " + millis(a.Expected) + " limit " + millis(a.Limit) + " of it waiting " + millis(a.Wait) +
+	return "queue " + job.Queue + " expected " + millis(a.Expected) + " limit " + millis(a.Limit) + " of it waiting " + millis(a.Wait) + " so far " + millis(a.Waited) +
 		" tasks " + strconv.Itoa(job.Tasks())
 }
 
--- a/daemon/scheduler/scheduler.go
+++ b/daemon/scheduler/scheduler.go
@@ -258,9 +258,11 @@
 // ended or are refused.
 func (s *Scheduler) AnswerFinished(now time.Time) {
 	for _, rejected := range s.Planner.TakeRejected() {
-		refusal := s.Refuse(rejected.Job, rejected.Admission)
+		var refusal *mesh.Response
 		if rejected.MayHaveRun {
-			refusal = &mesh.Response{Outcome: mesh.Uncertain, Detail: "the job would complete too late"}
+			refusal = s.giveUp(rejected.Job, rejected.Admission)
+		} else {
+			refusal = s.Refuse(rejected.Job, rejected.Admission)
 		}
 		for _, w := range s.waiters[rejected.Job.ID] {
 			answer := *refusal
@@ -282,3 +284,10 @@
 	s.log.Emit(events.Event{ID: events.WorkRefused, Job: JobKey(j.ID), Text: refusalText(j, a)})
 	return &mesh.Response{Outcome: mesh.Overloaded, RetryAfterMS: int(a.RetryAfter.Milliseconds())}
 }
+
+// giveUp returns the answer to a job that would complete too late and may have run.
+func (s *Scheduler) giveUp(j *work.Job, a placement.Admission) *mesh.Response {
+	s.metrics.refused.Inc()
+	s.log.Emit(events.Event{ID: events.WorkGivenUp, Job: JobKey(j.ID), Text: refusalText(j, a)})
+	return &mesh.Response{Outcome: mesh.Uncertain, Detail: "the job would complete too late"}
+}
