gateway: an entry itself keeps that a job may have run

The truth of an answer depended on every planner that had the job. The entry that answers knows by itself to whom it passed the job, so it keeps that until it answers, whatever the planners report. The prior state stays what the next planner needs.

TestMayHaveRunOutlastsPriorState guards it alone.

--- a/daemon/gateway/forwarding.go
+++ b/daemon/gateway/forwarding.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
+	"github.com/cicadapulley/cicadapulley/core/placement"
 	"github.com/cicadapulley/cicadapulley/daemon/boottime"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 )
@@ -17,6 +18,15 @@
 	sent, placed int
 	// destination describes the last of them.
 	destination string
+	// mayHaveRun is set once any of them may have started the job. It is kept apart from the prior
+	// state, which the next planner needs and in which what no longer matters to it is left out.
+	mayHaveRun bool
+}
+
+// returned sets the state in which a job came back from a leader or a local placer.
+func (f *forwarding) returned(prior placement.PriorState) {
+	f.PriorState = prior
+	f.mayHaveRun = f.mayHaveRun || prior.MayHaveRun()
 }
 
 // waited returns how long the request has waited.
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -256,7 +256,7 @@
 		r := s.forwardOnce(ctx, waitCtx, f)
 		cancel()
 		if r == nil {
-			if wait.LeaderLostAt.IsZero() && f.PriorState.MayHaveRun() {
+			if wait.LeaderLostAt.IsZero() && f.mayHaveRun {
 				wait.LeaderLostAt = boottime.Now()
 			}
 			continue
@@ -264,11 +264,11 @@
 		if r.Outcome == mesh.NoLeader || r.Outcome == mesh.Uncertain {
 			break
 		}
-		answer := replaceNotRun(r, f.PriorState.MayHaveRun() && q.Operation == mesh.Submit)
+		answer := replaceNotRun(r, f.mayHaveRun && q.Operation == mesh.Submit)
 		s.logRefusal(f, r, answer)
 		return answer
 	}
-	return s.unansweredResponse(q, f.PriorState.MayHaveRun())
+	return s.unansweredResponse(q, f.mayHaveRun)
 }
 
 // forwardOnce forwards a request to the leader, or to the local placer. The answer is
@@ -289,7 +289,7 @@
 		f.placed++
 		f.destination = "this entry"
 		r, prior := local.Submit(ctx, waitCtx, &f.Request)
-		f.PriorState = prior
+		f.returned(prior)
 		return r
 	}
 	f.sent++
@@ -302,6 +302,7 @@
 		supervisor.Sleep(waitCtx, retryDelay)
 	}
 	f.PriorState.SentToLeader = true
+	f.mayHaveRun = true
 	return nil
 }
 
--- a/daemon/gateway/gateway_test.go
+++ b/daemon/gateway/gateway_test.go
@@ -6,6 +6,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
+	"github.com/cicadapulley/cicadapulley/core/placement"
 )
 
 // TestNotRunIsReplacedIfJobMayHaveRun guards against an answer that says that a job
@@ -19,3 +20,17 @@
 		assert.Equal(t, replaceNotRun(&mesh.Response{Outcome: outcome}, true).Outcome, outcome)
 	}
 }
+
+// TestMayHaveRunOutlastsPriorState guards against a refusal that says that a job has not run, because the planner that
+// had it last reports nothing of what an earlier leader may have started.
+func TestMayHaveRunOutlastsPriorState(t *testing.T) {
+	for _, prior := range []placement.PriorState{{SentToLeader: true}, {Started: true}, {RunsEnded: true}} {
+		f := &forwarding{}
+		f.returned(prior)
+		f.returned(placement.PriorState{})
+		assert.Assert(t, f.mayHaveRun, "%+v", prior)
+	}
+	f := &forwarding{}
+	f.returned(placement.PriorState{})
+	assert.Assert(t, !f.mayHaveRun)
+}
