work, configjson: refuse configurations with more than 131,072 services or routes

Operators could bring a configuration into force that no control VM could decode afterwards: 8 MiB hold some 640,000 services, and the CBOR decoder of commands accepts 131,072 elements of a list. The command was committed, each control VM ended when it applied it ("log index 4: cbor: exceeded max number of elements 131072 for CBOR array"), and would have ended again whenever it replayed its log. Another control VM than the leader could not pass it on either, as the leader closed the connection.

Configuration.Problems names lists that are too long. The operators' door, the leader and `cicadapulley config check` all use it, so PUT is answered with 400 "services: 131073, must be at most 131072", and the check reports the same text with the path `services` and the code `too_many`.

Before: TestLongestConfigurationIsKept "a control VM has ended"; TestLongestConfigurationRoundTrips with lists of 131,073 "command of the log"; TestTooManyServicesAreRefused and TestListsOfConfigurationsAreBounded "expected an error, got nil".

--- a/api/mesh/mesh_test.go
+++ b/api/mesh/mesh_test.go
@@ -116,3 +116,33 @@
 	assert.Equal(t, len(got.Jobs), len(s.Jobs))
 	assert.Equal(t, got.Jobs[199_999].Job.ID, s.Jobs[199_999].Job.ID)
 }
+
+// TestLongestConfigurationRoundTrips guards against a permitted configuration that can be encoded and
+// not decoded, wherever one is stored or sent.
+func TestLongestConfigurationRoundTrips(t *testing.T) {
+	c := &work.Configuration{Version: 7, Queues: make([]work.Queue, work.MaxQueues), Pools: make([]string, work.MaxPools)}
+	for i := range c.Pools {
+		c.Pools[i] = strconv.Itoa(i)
+	}
+	for i := range c.Queues {
+		c.Queues[i] = work.Queue{Host: "h", Prefix: strconv.Itoa(i), Pool: "0", Timeout: time.Second}
+	}
+	assert.NilError(t, c.Validate())
+	data, err := EncodeCommand(ledger.Command{Configure: c})
+	assert.NilError(t, err)
+	command, err := DecodeCommand(data)
+	assert.NilError(t, err, "command of the log")
+	assert.DeepEqual(t, command.Configure, c)
+	data, err = EncodeSnapshot(ledger.Snapshot{Configuration: c})
+	assert.NilError(t, err)
+	snapshot, err := DecodeSnapshot(data)
+	assert.NilError(t, err, "snapshot")
+	assert.DeepEqual(t, snapshot.Configuration, c)
+	for _, m := range []Message{&OperatorRequest{Configure: c}, &Welcome{Queues: c.Queues}} {
+		data, err := encoded(m)
+		assert.NilError(t, err)
+		got, err := Read(bytes.NewReader(data), MaxMessageBytes, nil)
+		assert.NilError(t, err, "%T", m)
+		assert.DeepEqual(t, got, m)
+	}
+}
--- a/core/configcheck/check.go
+++ b/core/configcheck/check.go
@@ -28,6 +28,7 @@
 	UnknownService        Code = "unknown_service"
 	TimeoutNotPositive    Code = "timeout_not_positive"
 	DuplicateRoute        Code = "duplicate_route"
+	TooMany               Code = "too_many"
 	DuplicateName         Code = "duplicate_name"
 	NeverMatches          Code = "never_matches"
 	JobIDsShadowed        Code = "job_ids_shadowed"
@@ -49,6 +50,8 @@
 	Timeout
 	MaxAttempts
 	Stretch
+	// WholeList is the list itself; the index has no meaning.
+	WholeList
 )
 
 // Finding is an error or warning about one field. Index counts the queues or, if InPools is
@@ -88,6 +91,8 @@
 		f.Code, f.Field = TimeoutNotPositive, Timeout
 	case work.RouteTaken:
 		f.Code, f.Field = DuplicateRoute, Prefix
+	case work.TooManyQueues, work.TooManyPools:
+		f.Code, f.Field, f.InPools = TooMany, WholeList, p.Kind == work.TooManyPools
 	}
 	return f
 }
--- a/core/work/queues.go
+++ b/core/work/queues.go
@@ -34,6 +34,13 @@
 	Document []byte
 }
 
+// MaxQueues and MaxPools bound the lists of a configuration. The decoder of what control VMs record and send accepts
+// no longer list, so a control VM that applied one would end, and end again whenever it read its log.
+const (
+	MaxQueues = 128 << 10
+	MaxPools  = 128 << 10
+)
+
 // ProblemKind is what makes a configuration invalid.
 type ProblemKind uint8
 
@@ -42,19 +49,27 @@
 	UnknownPool ProblemKind = iota + 1
 	NoTimeout
 	RouteTaken
+	TooManyQueues
+	TooManyPools
 )
 
-// Problem is one reason for which a configuration is invalid. Its text names the queue.
+// Problem is one reason for which a configuration is invalid. Its text names the queue, or the list that is too long.
 type Problem struct {
 	Kind ProblemKind
-	// Queue is an index of Configuration.Queues.
+	// Queue is an index of Configuration.Queues, 0 for TooManyQueues and TooManyPools.
 	Queue int
 	Text  string
 }
 
-// Problems returns all problems, in the order of the queues.
+// Problems returns all problems: lists that are too long, and then those of the queues in their order.
 func (c *Configuration) Problems() iter.Seq[Problem] {
 	return func(yield func(Problem) bool) {
+		tooLong := func(kind ProblemKind, field string, length, limit int) bool {
+			return length <= limit || yield(Problem{Kind: kind, Text: fmt.Sprintf("%s: %d, must be at most %d", field, length, limit)})
+		}
+		if !tooLong(TooManyPools, "services", len(c.Pools), MaxPools) || !tooLong(TooManyQueues, "routes", len(c.Queues), MaxQueues) {
+			return
+		}
 		pools := map[string]bool{}
 		for _, p := range c.Pools {
 			pools[p] = true
--- a/core/work/work_test.go
+++ b/core/work/work_test.go
@@ -1,6 +1,7 @@
 package work
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -84,3 +85,17 @@
 		assert.Assert(t, c.Validate() != nil, name)
 	}
 }
+
+// TestListsOfConfigurationsAreBounded guards against a configuration that can be recorded and not decoded.
+func TestListsOfConfigurationsAreBounded(t *testing.T) {
+	c := &Configuration{Pools: make([]string, MaxPools), Queues: make([]Queue, MaxQueues)}
+	for i := range c.Queues {
+		c.Queues[i] = Queue{Prefix: strconv.Itoa(i), Timeout: time.Second}
+	}
+	assert.NilError(t, c.Validate())
+	c.Pools = append(c.Pools, "")
+	assert.Error(t, c.Validate(), "services: 131073, must be at most 131072")
+	c.Pools = c.Pools[:1]
+	c.Queues = append(c.Queues, Queue{Prefix: "/", Timeout: time.Second})
+	assert.Error(t, c.Validate(), "routes: 131073, must be at most 131072")
+}
--- a/daemon/coordinator/configuration_test.go
+++ b/daemon/coordinator/configuration_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
+	"github.com/cicadapulley/cicadapulley/core/work"
 	"github.com/cicadapulley/cicadapulley/daemon/link"
 )
 
@@ -86,3 +89,32 @@
 		}
 	})
 }
+
+// TestLongestConfigurationIsKept guards against a configuration that is recorded and that no control VM can
+// decode afterwards: each ended when it applied the command, and again whenever it replayed its log. The longest
+// permitted lists must reach the leader from another control VM, every replica and the entries; longer ones must
+// not reach the log.
+func TestLongestConfigurationIsKept(t *testing.T) {
+	c := newCluster(t, 3)
+	leader := c.leader()
+	follower := (leader + 1) % len(c.managers)
+	longest := configuration(1)
+	for n := range work.MaxPools - 1 {
+		longest.Pools = append(longest.Pools, strconv.FormatInt(int64(n), 36))
+	}
+	tooLong := *longest
+	tooLong.Version, tooLong.Pools = 2, append(slices.Clone(longest.Pools), "one more")
+	c.eventually("a control VM that doesn't lead confirms the longest list", func() bool {
+		return c.managers[follower].Configure(t.Context(), longest) == nil
+	})
+	entry := c.dialEntry(c.leader())
+	defer entry.Close()
+	assert.Assert(t, entry.awaitVersion(1, 5*time.Second))
+	refusal := c.managers[leader].Configure(t.Context(), &tooLong)
+	time.Sleep(100 * time.Millisecond) // what is committed is applied
+	for range len(c.exits) {
+		assert.NilError(t, <-c.exits, "a control VM has ended")
+	}
+	assert.ErrorContains(t, refusal, "services: 131073, must be at most 131072")
+	c.assertServing(c.leader(), 3)
+}
