gateway: a path that is not valid UTF-8 no longer closes the entry's connection to the leader

A caller who sent GET /quote/%ff, to any queue, cut the entry off: it forwarded the path as CBOR text, the leader could not decode the message and closed the connection, and the gateway sent the request again over the next one. All callers of that entry lost their answers some twenty times a second until the request timed out with 503; a host with such bytes, in a request line with a full URL, did the same.

Names in configurations come from JSON, so they are valid UTF-8 and no queue can match such a request. Service.Do answers NoQueue at once, which callers get as 404, and nothing is forwarded.

Before: TestOddPathsCloseNoConnection "503 != 404: GET /quote/%ff", with leader_gone in the entry's log every 50 ms and client_lost "decode *mesh.Request: cbor: invalid UTF-8 string" in the leader's; with the host unchecked "503 != 404: GET http://quote%ff.example/quote/".

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"sync"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -240,7 +241,13 @@
 // A request that has no answer when ctx ends, finds no leader within the time of leaderless.Wait, or
 // finds too many requests waiting, ends with NoLeader if no leader can have received
 // it, and with Uncertain otherwise.
+//
+// A request whose host or path is not valid UTF-8 ends with NoQueue: no queue has such a place, and a leader
+// can't decode it and would close the connection, with the requests of all callers.
 func (s *Service) Do(ctx context.Context, q *mesh.Request) *mesh.Response {
+	if !utf8.ValidString(q.Host) || !utf8.ValidString(q.Path) {
+		return &mesh.Response{Outcome: mesh.NoQueue}
+	}
 	if !s.accepts(ctx, q) {
 		return s.stoppingResponse(q)
 	}
