runner: ends are reported in the order of their numbers

A task could run again after its end had been recorded nowhere: two holds wait at the endpoint at the same time, and both may be answered with new ends. The agent compared each list under its lock and sent the report after it had released the lock, so the report of the later end could leave first. The leader records it and acknowledges its number, which covers all ends before it, and the agent's next hold lets the endpoint drop these, although the earlier report is still on its way. A leader that is lost right then has not recorded that end, and the next one finds the run neither running nor ended.

A list is now compared and its report queued under one hold of the lock (Send only queues). A connection keeps the order, and the leader acknowledges a number only when all reports before it are recorded.

--- a/daemon/runner/hold.go
+++ b/daemon/runner/hold.go
@@ -104,23 +104,26 @@
 	}
 	if missed.BecameSilent {
 		s.service.opts.Log.Emit(events.Event{ID: events.EndpointSilent, Peer: s.registration.Instance, Err: err})
-		s.reportToOwner(runtable.Owner{}, &mesh.Report{Reachability: mesh.Unreachable})
+		s.reportReachability(mesh.Unreachable)
 	}
 	if missed.Expired {
 		s.service.opts.Log.Emit(events.Event{ID: events.EndpointLapsed, Peer: s.registration.Instance})
-		s.reportToOwner(runtable.Owner{}, &mesh.Report{Reachability: mesh.LeaseExpired})
+		s.reportReachability(mesh.LeaseExpired)
 		s.endIncarnation(errLeaseExpired)
 		return
 	}
 	supervisor.Sleep(ctx, holdRetryDelay)
 }
 
+func (s *session) reportReachability(r mesh.Reachability) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reportToOwner(runtable.Owner{}, &mesh.Report{Reachability: r})
+}
+
 // applyListing reports the changes in a listing and stops runs where necessary.
 func (s *session) applyListing(ctx context.Context, number uint64, l runtable.Listing) {
-	s.mu.Lock()
-	c := s.table.ApplyListing(now(), number, l)
-	busy := s.table.Busy()
-	s.mu.Unlock()
+	c, busy := s.reportListing(number, l)
 	s.service.setBusy(busy)
 	if c.NewEnds {
 		s.holds.cancelOvertaken(s.service.calls.latency.LateAfter())
@@ -128,6 +131,14 @@
 	for _, r := range c.Stops {
 		s.spawn(func() { s.stopRun(ctx, r) })
 	}
+}
+
+// reportListing compares a listing with the known runs, and reports the changes before another listing is compared: an
+// acknowledgement covers all ends up to its number, so the leader must receive them in the order of their numbers.
+func (s *session) reportListing(number uint64, l runtable.Listing) (c runtable.Changes, busy bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c = s.table.ApplyListing(now(), number, l)
 	if c.Answered {
 		s.service.opts.Log.Emit(events.Event{ID: events.EndpointAnswers, Peer: s.registration.Instance})
 		s.reportToOwner(runtable.Owner{}, &mesh.Report{Reachability: mesh.Reachable})
@@ -135,6 +146,7 @@
 	for o, r := range c.Reports {
 		s.reportToOwner(o, meshReport(r))
 	}
+	return c, s.table.Busy()
 }
 
 // meshReport returns the message for a report.
--- a/daemon/runner/orders.go
+++ b/daemon/runner/orders.go
@@ -69,6 +69,8 @@
 }
 
 func (s *session) reportRefusal(p *participant, r work.Run, reason placement.Refusal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.sendReport(p, &mesh.Report{Refused: []mesh.RefusedStart{{Run: r, Reason: reason}}})
 }
 
--- a/daemon/runner/watch.go
+++ b/daemon/runner/watch.go
@@ -105,31 +105,29 @@
 // because the endpoint does.
 func (s *session) startDraining(endpoint bool) {
 	s.mu.Lock()
-	changed := s.table.StartDraining(endpoint)
-	s.mu.Unlock()
-	if !changed {
+	defer s.mu.Unlock()
+	if !s.table.StartDraining(endpoint) {
 		return
 	}
-	for _, p := range s.participantList() {
+	for _, p := range s.participants {
 		s.sendReport(p, &mesh.Report{Draining: true, EndpointDraining: endpoint})
 	}
 }
 
-// sendReport sends a report to a participant.
+// sendReport sends a report to a participant. The caller holds mu, since the change of the table: a report of a later
+// change must not overtake it. Send doesn't block.
 func (s *session) sendReport(p *participant, r *mesh.Report) {
 	report := *r
 	report.Session = p.ID
-	s.mu.Lock()
 	report.UsedByOthers = s.table.UsedByOthers(p.Scheduler)
-	s.mu.Unlock()
 	p.conn.Send(&report)
 }
 
 // reportToOwner sends a report on runs to their owner, and to the leader if there is
 // one. Reports on the last leader's runs go to all entries, since each may have taken
-// over some of its jobs.
+// over some of its jobs. The caller holds mu, as for sendReport.
 func (s *session) reportToOwner(o runtable.Owner, r *mesh.Report) {
-	for _, p := range s.participantList() {
+	for _, p := range s.participants {
 		if o.VisibleTo(p.VM) {
 			s.sendReport(p, r)
 		}
