runner: the report that an endpoint answers again is the last

An endpoint that answers could get no more tasks until its next silence or session. The agent counted the hold after which the endpoint is silent under its lock, and sent the report "unreachable" after it had released the lock. An answer to another hold in between sent "reachable" first, and only these reports change what the planner takes the endpoint for. Both steps are now one hold of the lock, as for lists.

--- a/daemon/runner/hold.go
+++ b/daemon/runner/hold.go
@@ -96,29 +96,31 @@
 // handleMissedHold handles a hold without an answer. Once the latest deadline has
 // passed on the endpoint's clock, nothing runs there any more.
 func (s *session) handleMissedHold(ctx context.Context, err error) {
+	missed := s.reportMissedHold(err)
+	switch {
+	case missed.Retry:
+	case missed.Expired:
+		s.endIncarnation(errLeaseExpired)
+	default:
+		supervisor.Sleep(ctx, holdRetryDelay)
+	}
+}
+
+// reportMissedHold counts a hold without an answer, and reports what follows before a listing is compared: the report
+// that the endpoint answers again must be the last.
+func (s *session) reportMissedHold(err error) runtable.MissedHold {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	missed := s.table.MissHold(now())
-	s.mu.Unlock()
-	if missed.Retry {
-		return
-	}
 	if missed.BecameSilent {
 		s.service.opts.Log.Emit(events.Event{ID: events.EndpointSilent, Peer: s.registration.Instance, Err: err})
-		s.reportReachability(mesh.Unreachable)
+		s.reportToOwner(runtable.Owner{}, &mesh.Report{Reachability: mesh.Unreachable})
 	}
-	if missed.Expired {
+	if missed.Expired && !missed.Retry {
 		s.service.opts.Log.Emit(events.Event{ID: events.EndpointLapsed, Peer: s.registration.Instance})
-		s.reportReachability(mesh.LeaseExpired)
-		s.endIncarnation(errLeaseExpired)
-		return
+		s.reportToOwner(runtable.Owner{}, &mesh.Report{Reachability: mesh.LeaseExpired})
 	}
-	supervisor.Sleep(ctx, holdRetryDelay)
-}
-
-func (s *session) reportReachability(r mesh.Reachability) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.reportToOwner(runtable.Owner{}, &mesh.Report{Reachability: r})
+	return missed
 }
 
 // applyListing reports the changes in a listing and stops runs where necessary.
--- a/daemon/runner/order_test.go
+++ b/daemon/runner/order_test.go
@@ -163,3 +163,21 @@
 	}
 	assert.DeepEqual(t, reported, []uint64{1, 2})
 }
+
+// TestReachabilityIsReportedInOrder guards against an endpoint that gets no more tasks although it answers: the report
+// that it was unreachable left after the report that it answered again.
+func TestReachabilityIsReportedInOrder(t *testing.T) {
+	b := newBareSession(t, runtable.Owner{})
+	b.miss(missesUntilSilent - 1)
+	b.overtake(
+		func() { b.miss(1) }, events.EndpointSilent,
+		func() { b.applyListing(b.ctx, 1, b.listing(0, nil)) },
+	)
+	var reported []mesh.Reachability
+	for _, m := range b.sent() {
+		if r, ok := m.(*mesh.Report); ok {
+			reported = append(reported, r.Reachability)
+		}
+	}
+	assert.DeepEqual(t, reported, []mesh.Reachability{mesh.Unreachable, mesh.Reachable})
+}
