runner: an entry's inventory precedes the reports of later ends

An entry that joined a session could take a run to go on that had ended: the agent made the inventory under its lock, and added the entry and sent the inventory after it had released the lock. A run whose end was listed in between was still in the inventory, and the report of its end was sent before it, or not at all, if the entry was not yet among those who get reports.

The entry joins the table, gets its inventory and receives reports from one hold of the lock on; the same holds for the leader, whose session has no concurrent holds at that time.

--- a/daemon/runner/order_test.go
+++ b/daemon/runner/order_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -181,3 +182,60 @@
 	}
 	assert.DeepEqual(t, reported, []mesh.Reachability{mesh.Unreachable, mesh.Reachable})
 }
+
+// TestInventoryPrecedesReports guards against a run that an entry takes to go on after its end: the end was listed
+// while the entry joined the session, after its inventory had been made and before it was sent, and the report of
+// the end reached the entry before the inventory, or was not sent to it.
+func TestInventoryPrecedesReports(t *testing.T) {
+	runs := storedRuns(1)
+	b := newBareSession(t, runtable.Owner{VM: "entry-1", Period: 1}, runs...)
+	b.scheduler.setOffer(1)
+	joined, applied := make(chan struct{}), make(chan struct{})
+	b.scheduler.mu.Lock() // the entry joins up to the use of its offer
+	go func() {
+		defer close(joined)
+		b.updateParticipants(serviceState{entries: []*schedulerConn{b.scheduler}})
+	}()
+	time.Sleep(200 * time.Millisecond)
+	b.session.mu.Lock() // from there no further than to the making of its inventory
+	b.scheduler.mu.Unlock()
+	for deadline := time.Now().Add(5 * time.Second); ; {
+		b.scheduler.mu.Lock()
+		if b.scheduler.offeredSession == 0 {
+			break
+		}
+		b.scheduler.mu.Unlock()
+		assert.Assert(t, time.Now().Before(deadline), "the offer is not used")
+	}
+	b.session.mu.Unlock() // and then until it takes messages from the entry
+	for deadline := time.Now().Add(200 * time.Millisecond); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if b.session.mu.TryLock() {
+			takesPart := len(b.participants) > 0
+			b.session.mu.Unlock()
+			if takesPart {
+				break
+			}
+		}
+	}
+	go func() {
+		defer close(applied)
+		b.applyListing(b.ctx, 1, b.listing(1, runs))
+	}()
+	select {
+	case <-applied:
+	case <-time.After(200 * time.Millisecond):
+	}
+	b.scheduler.mu.Unlock()
+	<-joined
+	<-applied
+	goesOn := false
+	for _, m := range b.sent() {
+		switch m := m.(type) {
+		case *mesh.Inventory:
+			goesOn = slices.ContainsFunc(m.Running, func(r placement.ListedRun) bool { return r.Run == runs[0] })
+		case *mesh.Report:
+			goesOn = goesOn && !slices.ContainsFunc(m.Ends, func(e mesh.NumberedEnd) bool { return e.End.Run == runs[0] })
+		}
+	}
+	assert.Assert(t, !goesOn, "the inventory has the run, and no report of its end follows")
+}
--- a/daemon/runner/session.go
+++ b/daemon/runner/session.go
@@ -156,8 +156,8 @@
 		return err
 	}
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	inventory := s.table.Begin(now(), listing)
-	s.mu.Unlock()
 	peer := "no leader"
 	if s.leader != nil {
 		peer = s.leader.conn.Remote()
@@ -168,11 +168,10 @@
 }
 
 // addParticipant lets a scheduler that has joined the table order runs, and sends it the
-// endpoint's lists.
+// endpoint's lists. The caller holds mu, since the scheduler joined: the report of a run that ends
+// in between would reach the scheduler before the inventory, or not at all.
 func (s *session) addParticipant(p *participant, i runtable.Inventory) {
-	s.mu.Lock()
 	s.participants[p.VM] = p
-	s.mu.Unlock()
 	p.schedulerConn.setParticipant(p)
 	// The answer to this ping arrives before the scheduler's first orders.
 	s.sendPing(p)
@@ -214,10 +213,10 @@
 			return
 		case <-ticker.C:
 		}
-		for _, p := range s.participantList() {
+		s.mu.Lock()
+		for _, p := range s.participants {
 			s.sendPing(p)
 		}
-		s.mu.Lock()
 		stale := s.table.StaleRuns(now())
 		s.mu.Unlock()
 		for _, r := range stale {
@@ -236,10 +235,9 @@
 	return list
 }
 
+// sendPing pings a participant. The caller holds mu.
 func (s *session) sendPing(p *participant) {
-	s.mu.Lock()
 	ping := s.table.Ping(now(), p.Scheduler)
-	s.mu.Unlock()
 	p.conn.Send(&mesh.Ping{
 		Sequence: ping.Sequence, Session: p.ID, UsedByOthers: ping.UsedByOthers, Running: ping.Running, AgeMS: ping.Age.Milliseconds(),
 	})
--- a/daemon/runner/watch.go
+++ b/daemon/runner/watch.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
+	"github.com/cicadapulley/cicadapulley/core/placement"
 	"github.com/cicadapulley/cicadapulley/core/runtable"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 )
@@ -59,16 +60,20 @@
 	s.removeDisconnected(state.entries)
 	for _, entry := range state.entries {
 		if id := entry.takeOffer(); id != 0 {
-			p := newParticipant(s, entry, id)
-			s.mu.Lock()
-			inventory := s.table.Join(now(), p.Scheduler)
-			s.mu.Unlock()
-			s.addParticipant(p, inventory)
+			s.joinEntry(entry, id)
 			s.service.opts.Log.Emit(events.Event{ID: events.EntryJoined, Peer: entry.owner.VM, Ticket: uint64(id)})
 		}
 	}
 }
 
+// joinEntry lets an entry take part in the session that it has offered.
+func (s *session) joinEntry(entry *schedulerConn, id placement.SessionID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := newParticipant(s, entry, id)
+	s.addParticipant(p, s.table.Join(now(), p.Scheduler))
+}
+
 // removeDisconnected removes the entries whose connection has ended.
 func (s *session) removeDisconnected(connected []*schedulerConn) {
 	s.mu.Lock()
