coordinator: orders may name at most 1,024 data centres where the settings list none

Without data_centres in the settings an operator may drain any name, and the record of each name stays. The Drains message begins every connection of an entry or agent and has all drained names; above 131,072 of them it can't be decoded, so that no entry or agent would keep a connection to any control VM.

An order for a further name is refused with 400 that names the limit, as an unknown data centre is. Known names can be drained and withdrawn as before: a control VM whose copy is at the limit asks the leader.

--- a/core/ledger/drains.go
+++ b/core/ledger/drains.go
@@ -41,6 +41,9 @@
 // DrainsRevision returns the revision of Drains.
 func (m *Machine) DrainsRevision() uint64 { return m.drainsRevision }
 
+// DrainRecordCount returns the number of data centres with a record, whether they are drained or not.
+func (m *Machine) DrainRecordCount() int { return len(m.drains) }
+
 // DrainRevision returns the revision of a data centre, 0 before the first command.
 func (m *Machine) DrainRevision(dataCentre string) uint64 { return m.drains[dataCentre].Revision }
 
--- a/daemon/coordinator/cluster_test.go
+++ b/daemon/coordinator/cluster_test.go
@@ -83,16 +83,21 @@
 	addresses []string
 	// founders are the addresses of the initial group.
 	founders []string
-	managers []*Manager
-	disks    []*fullableFS
-	cancels  []context.CancelFunc
-	running  sync.WaitGroup
+	// dataCentres are those in the settings.
+	dataCentres []string
+	managers    []*Manager
+	disks       []*fullableFS
+	cancels     []context.CancelFunc
+	running     sync.WaitGroup
 	// exits receives the results of managers that have returned.
 	exits chan error
 }
 
-func newCluster(t *testing.T, size int) *cluster {
-	c := &cluster{TB: t, exits: make(chan error, maxClusterSize)}
+func newCluster(t *testing.T, size int) *cluster { return newClusterOf(t, size, dataCentres) }
+
+// newClusterOf starts a group whose settings have the given data centres.
+func newClusterOf(t *testing.T, size int, dataCentres []string) *cluster {
+	c := &cluster{TB: t, dataCentres: dataCentres, exits: make(chan error, maxClusterSize)}
 	var listeners []net.Listener
 	for range size {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -135,7 +140,7 @@
 			}
 			return net.Listen("tcp", c.addresses[i])
 		},
-		Bootstrap: i < len(c.founders), Founders: c.founders, Voters: len(c.founders), KeepFinal: time.Minute, DataCentres: dataCentres,
+		Bootstrap: i < len(c.founders), Founders: c.founders, Voters: len(c.founders), KeepFinal: time.Minute, DataCentres: c.dataCentres,
 		Log: events.NewLog(fmt.Sprintf("control-%d", i), testLogger(), events.NewClock()),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/daemon/coordinator/drains.go
+++ b/daemon/coordinator/drains.go
@@ -14,8 +14,12 @@
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 )
 
+// maxDrainRecords bounds the data centres that orders may name if the settings list none. The records of withdrawn
+// drains stay, and every entry and agent decodes the list of drained ones, which has a limit of 131,072 names.
+const maxDrainRecords = 1024
+
 // ErrUnknownDataCentre is returned for an order that names a data centre which is neither
-// in the settings nor drained.
+// in the settings nor drained, or one too many.
 var ErrUnknownDataCentre = errors.New("the data centre is not known")
 
 var (
@@ -62,24 +66,35 @@
 }
 
 // checkDataCentre returns an error for a data centre that the settings lack, unless the
-// order has been given before they changed: it is drained, or its withdrawal is repeated.
+// order has been given before they changed: it is drained, or its withdrawal is repeated. Settings
+// without data centres permit up to maxDrainRecords names.
 func (s *Service) checkDataCentre(ctx context.Context, dataCentre string, drained bool) error {
 	if !work.ValidName(dataCentre) {
 		return errors.Wrapf(ErrUnknownDataCentre, "name of %d bytes is not valid", len(dataCentre))
 	}
-	if len(s.opts.DataCentres) == 0 || slices.Contains(s.opts.DataCentres, dataCentre) {
+	anyName := len(s.opts.DataCentres) == 0
+	if anyName && s.drainRecordCount() < maxDrainRecords || slices.Contains(s.opts.DataCentres, dataCentre) {
 		return nil
 	}
 	r, err := s.operate(ctx, &mesh.OperatorRequest{ReadDrain: dataCentre})
 	if err != nil {
 		return err
 	}
-	if r.Drains.Contains(dataCentre) || !drained && r.DrainRevision > 0 {
+	switch {
+	case r.Drains.Contains(dataCentre) || (anyName || !drained) && r.DrainRevision > 0:
 		return nil
+	case anyName:
+		return errors.Wrapf(ErrUnknownDataCentre, "%d data centres have been named, the most that are recorded", maxDrainRecords)
 	}
 	return errors.Wrapf(ErrUnknownDataCentre, "%q is none of %s", dataCentre, strings.Join(knownDataCentres(s.opts.DataCentres, *r.Drains), ", "))
 }
 
+// drainRecordCount returns the number of data centres that the orders which this VM has applied have named.
+func (s *Service) drainRecordCount() (count int) {
+	s.driver.Local(func() { count = s.machine.DrainRecordCount() })
+	return count
+}
+
 // setDrains sets the drains that this VM has applied. The caller holds the driver's lock.
 func (s *Service) setDrains(dataCentre string, r *mesh.OperatorResponse) {
 	d := s.machine.Drains()
--- a/daemon/coordinator/drains_test.go
+++ b/daemon/coordinator/drains_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -184,3 +185,23 @@
 	assert.Assert(t, !r.Done)
 	assert.Equal(t, r.Detail, errFormerLeader.Error())
 }
+
+// TestDrainsAreBounded guards against orders for ever new names, which the settings allow without data_centres: all
+// records stay, and above 131,072 of them no entry or agent could decode the Drains that begin each connection.
+func TestDrainsAreBounded(t *testing.T) {
+	c := newClusterOf(t, 1, nil)
+	leader := c.managers[c.leader()]
+	order := func(n int, drained bool) error {
+		_, err := leader.Drain(t.Context(), "dc-"+strconv.Itoa(n), drained)
+		return err
+	}
+	for n := range maxDrainRecords {
+		c.eventually("the order is confirmed", func() bool { return order(n, true) == nil })
+	}
+	err := order(maxDrainRecords, true)
+	assert.Assert(t, errors.Is(err, ErrUnknownDataCentre), "%v", err)
+	assert.ErrorContains(t, err, "1024 data centres have been named, the most that are recorded")
+	assert.NilError(t, order(7, true), "a repeated order")
+	assert.NilError(t, order(7, false), "a withdrawal")
+	assert.NilError(t, order(7, true), "an order for a known name")
+}
