ledger, coordinator: a cancelled job doesn't start again under the next leader

The job's entry was cut off, the leader answered the DELETE and was lost, and the entry handed the job over to the next leader. The leader kept cancellations of jobs that aren't in the ledger in its memory only.

The ledger keeps a Cancel of a job that it doesn't have, the DELETE is answered after that commit, and a new leader gives the kept cancellations to its scheduler before it accepts submissions. Each control VM dates them by its own steady clock when it applies them, so that no clocks are compared. The leader drops those older than 15 s by a command that names a log index, so that Apply reads no clock; of more than 4,096 the oldest goes first. The rule for submissions is as before: received before the DELETE, or up to 1 s after it.

Every DELETE of an unrecorded job is recorded, also if the planner has the job: the answer to its POST may be lost with the leader. Without a leader or a commit the DELETE gets 503. Golden files of earlier versions are read and written as before.

--- a/api/mesh/golden_test.go
+++ b/api/mesh/golden_test.go
@@ -13,7 +13,7 @@
 
 // addedFields are fields that were added after the first golden files were written.
 // They are absent from messages, commands and snapshots of former code.
-var addedFields = []string{"Waited", "EndpointDraining", "RemoveEnrolment", "Enrolments", "FailedRuns", "ConfigurationVersion", "OwnerSilence", "DataCentre", "Drain", "Drains", "DrainRevision", "ReadDrain", "Relays", "RelayedBy", "Slowdown", "Leaving", "RunsEnded"}
+var addedFields = []string{"Waited", "EndpointDraining", "RemoveEnrolment", "Enrolments", "FailedRuns", "ConfigurationVersion", "OwnerSilence", "DataCentre", "Drain", "Drains", "DrainRevision", "ReadDrain", "Relays", "RelayedBy", "Slowdown", "Leaving", "RunsEnded", "ForgetCancellations", "Cancellations"}
 
 // TestGoldenMessages guards against a message that is encoded differently from
 // released code: a renamed field without its former name as a tag, or a kind
@@ -76,10 +76,12 @@
 	testfill.CheckGolden(t, "testdata/command-remove-enrolment.cbor", ledger.Command{RemoveEnrolment: &removal}, EncodeCommand, DecodeCommand)
 	drain := testfill.Value[ledger.DrainCommand]()
 	testfill.CheckGolden(t, "testdata/command-drain.cbor", ledger.Command{Drain: &drain}, EncodeCommand, DecodeCommand)
-	testfill.CheckFileCount(t, "testdata/command-*.cbor", 4+len(commands))
+	testfill.CheckGolden(t, "testdata/command-forget-cancellations.cbor", ledger.Command{ForgetCancellations: 1}, EncodeCommand, DecodeCommand)
+	testfill.CheckFileCount(t, "testdata/command-*.cbor", 5+len(commands))
 	testfill.CheckGolden(t, "testdata/snapshot.cbor", testfill.Value[ledger.Snapshot](addedFields...), EncodeSnapshot, DecodeSnapshot)
-	testfill.CheckGolden(t, "testdata/snapshot-draining.cbor", testfill.Value[ledger.Snapshot]("Enrolments", "FailedRuns", "Drains"), EncodeSnapshot, DecodeSnapshot)
-	testfill.CheckGolden(t, "testdata/snapshot-enrolments.cbor", testfill.Value[ledger.Snapshot]("FailedRuns", "Drains"), EncodeSnapshot, DecodeSnapshot)
-	testfill.CheckGolden(t, "testdata/snapshot-failed-runs.cbor", testfill.Value[ledger.Snapshot]("Drains"), EncodeSnapshot, DecodeSnapshot)
-	testfill.CheckGolden(t, "testdata/snapshot-drains.cbor", testfill.Value[ledger.Snapshot](), EncodeSnapshot, DecodeSnapshot)
+	testfill.CheckGolden(t, "testdata/snapshot-draining.cbor", testfill.Value[ledger.Snapshot]("Enrolments", "FailedRuns", "Drains", "Cancellations"), EncodeSnapshot, DecodeSnapshot)
+	testfill.CheckGolden(t, "testdata/snapshot-enrolments.cbor", testfill.Value[ledger.Snapshot]("FailedRuns", "Drains", "Cancellations"), EncodeSnapshot, DecodeSnapshot)
+	testfill.CheckGolden(t, "testdata/snapshot-failed-runs.cbor", testfill.Value[ledger.Snapshot]("Drains", "Cancellations"), EncodeSnapshot, DecodeSnapshot)
+	testfill.CheckGolden(t, "testdata/snapshot-drains.cbor", testfill.Value[ledger.Snapshot]("Cancellations"), EncodeSnapshot, DecodeSnapshot)
+	testfill.CheckGolden(t, "testdata/snapshot-cancellations.cbor", testfill.Value[ledger.Snapshot](), EncodeSnapshot, DecodeSnapshot)
 }
--- a/api/mesh/mesh_test.go
+++ b/api/mesh/mesh_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
 	"github.com/cicadapulley/cicadapulley/core/ledger"
@@ -83,6 +84,19 @@
 	assert.DeepEqual(t, decoded, s)
 }
 
+// TestUnknownFieldsAreIgnored guards against a control VM that ends because a newer one has added a field to
+// a command or to the snapshot.
+func TestUnknownFieldsAreIgnored(t *testing.T) {
+	newer, err := cbor.Marshal(map[string]any{"Cancel": "a", "Applied": 3, "AddedLater": []any{map[string]any{"Job": "a", "Index": 1}}})
+	assert.NilError(t, err)
+	c, err := DecodeCommand(newer)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, c, ledger.Command{Cancel: "a"})
+	s, err := DecodeSnapshot(newer)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, s, ledger.Snapshot{Applied: 3})
+}
+
 // FuzzRead guards against a damaged message that makes Read panic or allocate
 // without bound.
 func FuzzRead(f *testing.F) {
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -13,8 +13,9 @@
 
 // Command is one change; exactly one field is set. The zero value is a no-op.
 type Command struct {
-	Accept    *work.Job
-	Ends      []work.End
+	Accept *work.Job
+	Ends   []work.End
+	// Cancel cancels a job. If it is not recorded, the machine keeps the cancellation.
 	Cancel    work.JobID
 	Configure *work.Configuration
 	// Enrol adds an agent whose endpoint may run tasks. A new leader waits for the
@@ -29,6 +30,8 @@
 	RemoveEnrolment *Enrolment `cbor:",omitempty"`
 	// Drain changes the drain of a data centre.
 	Drain *DrainCommand `cbor:",omitempty"`
+	// ForgetCancellations drops the kept cancellations up to a log index.
+	ForgetCancellations uint64 `cbor:",omitempty"`
 }
 
 // Enrolment identifies one enrolment of a VM's agent.
@@ -62,6 +65,8 @@
 	// Conflict is set for a drain command that was rejected: it would have changed the
 	// drain after a command that its proposer did not know.
 	Conflict bool
+	// Kept is set for the cancellation of a job that is not recorded.
+	Kept bool
 	// Closed lists jobs that became final by this command.
 	Closed []work.JobID
 }
@@ -130,11 +135,16 @@
 	// highest revision among them.
 	drains         map[string]DrainRecord
 	drainsRevision uint64
+	// cancellations holds the log indexes of the kept cancellations.
+	cancellations map[work.JobID]uint64
 }
 
 // New returns an empty machine.
 func New() *Machine {
-	return &Machine{jobs: map[work.JobID]*Record{}, enrolled: map[string]Agent{}, enrolledAt: map[string]uint64{}, drains: map[string]DrainRecord{}}
+	return &Machine{
+		jobs: map[work.JobID]*Record{}, enrolled: map[string]Agent{}, enrolledAt: map[string]uint64{}, drains: map[string]DrainRecord{},
+		cancellations: map[work.JobID]uint64{},
+	}
 }
 
 // Applied returns the log index of the last applied command.
@@ -195,7 +205,7 @@
 	case len(c.Ends) > 0:
 		return m.recordEnds(c.Ends)
 	case c.Cancel != "":
-		return m.cancel(c.Cancel)
+		return m.cancel(index, c.Cancel)
 	case c.Configure != nil:
 		return m.configure(c.Configure)
 	case c.Enrol != nil:
@@ -208,6 +218,8 @@
 		return Result{Changed: true}
 	case c.Drain != nil:
 		return m.drain(index, c.Drain)
+	case c.ForgetCancellations > 0:
+		m.forgetCancellations(c.ForgetCancellations)
 	}
 	for _, id := range c.Forget {
 		if r := m.jobs[id]; r != nil && r.State.Final() {
@@ -280,9 +292,13 @@
 	r.Job.Steps = nil
 }
 
-func (m *Machine) cancel(id work.JobID) Result {
+func (m *Machine) cancel(index uint64, id work.JobID) Result {
 	r := m.jobs[id]
-	if r == nil || r.State.Final() {
+	if r == nil {
+		m.keepCancellation(Cancellation{Job: id, Index: index})
+		return Result{Kept: true}
+	}
+	if r.State.Final() {
 		return Result{}
 	}
 	r.close(work.Cancelled)
@@ -314,11 +330,16 @@
 	Enrolments []Enrolment `cbor:",omitempty"`
 	// Drains are the drains of data centres, withdrawals included.
 	Drains []DrainRecord `cbor:",omitempty"`
+	// Cancellations are those of jobs that were not recorded, in the order of the log.
+	Cancellations []Cancellation `cbor:",omitempty"`
 }
 
 // Snapshot returns a copy of the state that later commands do not change.
 func (m *Machine) Snapshot() Snapshot {
-	s := Snapshot{Applied: m.applied, Configuration: m.config, Jobs: make([]Record, 0, len(m.jobs)), Enrolled: m.Agents(), Drains: m.drainRecords()}
+	s := Snapshot{
+		Applied: m.applied, Configuration: m.config, Jobs: make([]Record, 0, len(m.jobs)), Enrolled: m.Agents(), Drains: m.drainRecords(),
+		Cancellations: m.Cancellations(),
+	}
 	for _, vm := range slices.Sorted(maps.Keys(m.enrolledAt)) {
 		s.Enrolments = append(s.Enrolments, m.Enrolment(vm))
 	}
@@ -350,6 +371,10 @@
 		m.enrolledAt[e.VM] = e.Index
 	}
 	m.restoreDrains(s.Drains)
+	m.cancellations = make(map[work.JobID]uint64, len(s.Cancellations))
+	for _, c := range s.Cancellations {
+		m.cancellations[c.Job] = c.Index
+	}
 	m.jobs = make(map[work.JobID]*Record, len(s.Jobs))
 	for i := range s.Jobs {
 		r := s.Jobs[i]
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -171,6 +171,7 @@
 		for _, name := range dataCentres {
 			assert.Equal(t, a.DrainRevision(name), b.DrainRevision(name))
 		}
+		assert.DeepEqual(t, a.Cancellations(), b.Cancellations())
 	})
 }
 
@@ -178,7 +179,7 @@
 	ids := []string{"a", "b", "c"}
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Command {
 		id := rapid.SampledFrom(ids).Draw(t, "id")
-		switch rapid.IntRange(0, 6).Draw(t, "kind") {
+		switch rapid.IntRange(0, 7).Draw(t, "kind") {
 		case 0:
 			return Command{Accept: job(id, 2)}
 		case 1:
@@ -194,6 +195,8 @@
 				DataCentre: rapid.SampledFrom(dataCentres).Draw(t, "data centre"), Drained: rapid.Bool().Draw(t, "drained"),
 				Revision: rapid.Uint64Range(0, 20).Draw(t, "revision"),
 			}}
+		case 6:
+			return Command{ForgetCancellations: rapid.Uint64Range(1, 20).Draw(t, "up to")}
 		}
 		reason := rapid.SampledFrom([]work.EndReason{work.Done, work.Failed, work.Stopped}).Draw(t, "how")
 		return ends(end(id, rapid.IntRange(0, 2).Draw(t, "index"), rapid.Uint64Range(1, 4).Draw(t, "run"), reason))
--- a/daemon/coordinator/cancel_test.go
+++ b/daemon/coordinator/cancel_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -42,3 +43,35 @@
 		assert.Equal(t, s.submitOrCancel(t.Context(), cancel).Outcome, mesh.NoJob)
 	})
 }
+
+// TestNextLeaderHasCancellations guards against a job that starts after its DELETE was answered with "no such
+// job": the entry that has it was cut off, and hands it over to the next leader (TestPatientSoak, seed 10).
+func TestNextLeaderHasCancellations(t *testing.T) {
+	c := newCluster(t, 3)
+	version := uint64(0)
+	leader, id := -1, ""
+	c.withStableLeader(func(t testing.TB, stable int) {
+		version++
+		leader, id = stable, fmt.Sprintf("%016x", 0xb0+version)
+		c.configure(leader, version)
+		cancel := &mesh.Request{Operation: mesh.Cancel, Host: "h", Path: "/q/" + id}
+		assert.Equal(t, c.managers[leader].service.Load().submitOrCancel(t.Context(), cancel).Outcome, mesh.NoJob)
+	})
+	c.cancels[leader]()
+	c.nextLeader(leader)
+	c.withStableLeader(func(t testing.TB, next int) {
+		agent, _ := c.joinAgent(next)
+		defer agent.Close()
+		entry := c.dialEntry(next)
+		defer entry.Close()
+		const sequence = 7
+		q := submission(id, true)
+		q.Sequence = sequence
+		q.PriorState = placement.PriorState{Waited: 30 * time.Second, SentToLeader: true}
+		entry.Send(q)
+		r := await[*mesh.Response](entry)
+		assert.Equal(t, r.Sequence, uint64(sequence))
+		assert.Equal(t, r.Outcome, mesh.Found, "%s", r.Detail)
+		assert.Equal(t, r.State, work.Cancelled)
+	})
+}
--- a/daemon/coordinator/effects.go
+++ b/daemon/coordinator/effects.go
@@ -77,6 +77,8 @@
 		}
 	case len(c.Ends) > 0:
 		t.Planner.Recorded(c.Ends)
+	case c.Cancel != "" && e.result.Kept:
+		t.Cancel(at, c.Cancel) // also if its submission came after the DELETE or in another term
 	case c.Cancel != "" && e.result.Changed:
 		s.opts.Log.Emit(events.Event{ID: events.WorkCancelled, Job: scheduler.JobKey(c.Cancel)})
 	case c.Configure != nil && e.result.Changed:
--- a/daemon/coordinator/entries.go
+++ b/daemon/coordinator/entries.go
@@ -281,34 +281,41 @@
 	r.Outcome = mesh.Accepted
 }
 
-// cancel records the cancellation of a job and stops its runs. A best-effort job isn't
-// recorded, and is stopped at once.
+// cancel records the cancellation of a job and stops its runs. That of a job that isn't recorded is
+// kept in the log: a later leader may receive the job from an entry that was cut off.
 func (s *Service) cancel(ctx context.Context, found target, r *mesh.Response) {
-	submitting := false
+	var unrecorded unrecordedJob
+	r.Outcome = mesh.Uncertain
 	if !found.known {
-		if submitting, r.Outcome = s.cancelUnrecorded(found.id); !submitting {
+		leads := false
+		if unrecorded, leads = s.stopUnrecorded(found.id); !leads {
 			return
 		}
 	}
 	result, err := s.propose(ctx, ledger.Command{Cancel: found.id})
-	if err != nil || submitting && !result.Changed {
-		r.Outcome = mesh.Uncertain // the job may be recorded right after this
-		return
+	switch {
+	case err != nil || unrecorded.submitting && !result.Changed: // the job may be recorded right after this
+	case found.known || unrecorded.stopped || result.Changed:
+		r.Outcome = mesh.Accepted
+	default:
+		r.Outcome = mesh.NoJob
 	}
-	r.Outcome = mesh.Accepted
 }
 
-// cancelUnrecorded stops a job that is not in the ledger and returns the outcome, unless the
-// job is being recorded.
-func (s *Service) cancelUnrecorded(id work.JobID) (submitting bool, outcome mesh.Outcome) {
-	outcome = mesh.Uncertain
-	s.whileLeading(func(t *term, now time.Time) {
-		outcome = mesh.NoJob
-		if t.Cancel(now, id) {
-			outcome = mesh.Accepted
+// unrecordedJob is what the leader has of a job that is not in the ledger.
+type unrecordedJob struct {
+	// stopped is set if the planner had the job, and submitting if it is being recorded.
+	stopped, submitting bool
+}
+
+// stopUnrecorded stops a job that is not in the ledger, without waiting for the record of its
+// cancellation. It returns false if this VM doesn't lead.
+func (s *Service) stopUnrecorded(id work.JobID) (found unrecordedJob, leads bool) {
+	leads = s.whileLeading(func(t *term, now time.Time) {
+		found = unrecordedJob{stopped: t.Cancel(now, id), submitting: t.submitting[id] > 0}
+		if found.stopped {
 			s.place(t, now)
 		}
-		submitting = t.submitting[id] > 0
 	})
-	return submitting, outcome
+	return found, leads
 }
--- a/daemon/coordinator/machine.go
+++ b/daemon/coordinator/machine.go
@@ -5,6 +5,7 @@
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
 	"github.com/cicadapulley/cicadapulley/core/ledger"
+	"github.com/cicadapulley/cicadapulley/daemon/boottime"
 	"github.com/cicadapulley/cicadapulley/daemon/control/consensus"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 )
@@ -25,6 +26,12 @@
 	if command.Drain != nil && result.Changed {
 		m.logDrain(index, command.Drain)
 	}
+	if result.Kept {
+		m.cancelledAt.add(index, boottime.Now())
+	}
+	if command.ForgetCancellations > 0 {
+		m.cancelledAt.forget(command.ForgetCancellations)
+	}
 	if m.recording && len(data) > 0 {
 		m.effects = append(m.effects, effect{command, result})
 	}
@@ -43,6 +50,7 @@
 	}
 	m.endRecording()
 	m.Machine.Restore(content)
+	m.dateCancellations(boottime.Now())
 	return nil
 }
 
--- a/daemon/coordinator/service.go
+++ b/daemon/coordinator/service.go
@@ -274,6 +274,8 @@
 	// it and await applyEffects. The driver's lock guards both.
 	recording bool
 	effects   []effect
+	// cancelledAt dates the cancellations that the ledger keeps. The driver's lock guards it.
+	cancelledAt cancellationDates
 }
 
 // catchPanic runs fn, and reports and returns a panic, which ends only fn. Its goroutine serves one
--- a/daemon/coordinator/term.go
+++ b/daemon/coordinator/term.go
@@ -123,6 +123,7 @@
 		}
 		s.shares.Apply(planner, s.machine.Routes())
 		t.Scheduler = scheduler.New(planner, s.metrics, s.opts.Log)
+		s.machine.restoreCancellations(t)
 		t.relays = s.beginRelays(now)
 		s.machine.Each(func(r *ledger.Record) {
 			if r.State.Final() {
@@ -171,17 +172,15 @@
 	}
 }
 
-// tick runs the planner's due work, removes absent agents, and forgets final jobs
-// whose retention time has passed.
+// tick runs the planner's due work, removes absent agents, and forgets cancellations and
+// final jobs whose retention time has passed.
 func (s *Service) tick(ctx context.Context, t *term) {
 	s.memory.check(boottime.Now())
 	forget, absent := s.tickTerm(t)
 	s.removeAbsent(ctx, t, absent)
-	if len(forget) == 0 {
-		return
-	}
-	if _, err := s.propose(ctx, ledger.Command{Forget: forget}); err != nil {
-		s.opts.Log.Emit(events.Event{ID: events.ForgetFailed, Err: err})
+	s.forgetCancellations(ctx)
+	if len(forget) > 0 {
+		s.forget(ctx, ledger.Command{Forget: forget})
 	}
 }
 
--- a/daemon/scheduler/cancel_test.go
+++ b/daemon/scheduler/cancel_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cicadapulley/cicadapulley/api/mesh"
+	"github.com/cicadapulley/cicadapulley/core/ledger"
 	"github.com/cicadapulley/cicadapulley/core/placement"
 	"github.com/cicadapulley/cicadapulley/core/work"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
@@ -53,7 +55,20 @@
 	assert.Assert(t, submit("late", time.Second) == nil, "received 2 s after the cancellation")
 	assert.Assert(t, s.Cancel(now, "late"))
 
-	now = now.Add(cancellationTTL + time.Second)
+	now = now.Add(CancellationTTL + time.Second)
 	s.Tick(now)
 	assert.Equal(t, len(s.cancellations)+len(s.results), 0)
 }
+
+// TestLatestCancellationsAreKept guards against a flood of cancellations that fills the memory or keeps out
+// the latest ones, whose jobs would then start again.
+func TestLatestCancellationsAreKept(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := New(placement.NewPlanner(1, now, nil), NewMetrics(), events.NewLog("control-1", zap.NewNop(), events.NewClock()))
+	for i := range ledger.MaxCancellations + 1 {
+		s.Cancel(now.Add(time.Duration(i)), work.JobID(strconv.Itoa(i)))
+	}
+	assert.Equal(t, len(s.cancellations), ledger.MaxCancellations)
+	assert.Assert(t, !s.Cancelled(now, "0", time.Second))
+	assert.Assert(t, s.Cancelled(now, work.JobID(strconv.Itoa(ledger.MaxCancellations)), time.Second))
+}
--- a/daemon/scheduler/scheduler.go
+++ b/daemon/scheduler/scheduler.go
@@ -226,7 +226,7 @@
 			delete(s.results, id)
 		}
 	}
-	maps.DeleteFunc(s.cancellations, func(_ work.JobID, at time.Time) bool { return now.Sub(at) > cancellationTTL })
+	maps.DeleteFunc(s.cancellations, func(_ work.JobID, at time.Time) bool { return now.Sub(at) > CancellationTTL })
 }
 
 // Place answers requests for ended jobs, assigns waiting tasks and sends the orders.
--- a/daemon/storage/golden_test.go
+++ b/daemon/storage/golden_test.go
@@ -34,7 +34,7 @@
 
 // addedFields are fields that were added after the golden folders were written, and are
 // absent from them.
-var addedFields = []string{"EndpointDraining", "RemoveEnrolment", "Enrolments", "FailedRuns", "Drain", "Drains"}
+var addedFields = []string{"EndpointDraining", "RemoveEnrolment", "Enrolments", "FailedRuns", "Drain", "Drains", "ForgetCancellations", "Cancellations"}
 
 // TestGoldenLedgerFolder guards against changes after which a coordinator's data
 // folder of a released version is read differently, so that an upgrade would lose
