gateway: a job that the entry gave up after a start isn't answered as not run

Without a leader an entry places best-effort jobs itself. When it gives up one of which it has ordered a start that no agent has confirmed, its planner answers Uncertain. The gateway derived the caller's answer only from what was known of the job before the placer received it, and answered NoLeader, which says that the job has not run. On the platform the caller gets 504 in both cases, since platform/ answers NoLeader of a submission so; its Retry-After and the line "no leader received it" were untrue, and another front end would have refused the job. It happens when the contact with the agent ends after the order, the lease of the run expires, and the result would come too late by then.

Cause: forward left its loop for both NoLeader and Uncertain, and then looked at the prior state alone.

UnansweredOutcome keeps an uncertain answer of the placer.

TestJobGivenUpAfterAStart (real gateway, placer and connection) fails without the change with outcome 9 (NoLeader), and passes with it.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -269,13 +269,13 @@
 			continue
 		}
 		if r.Outcome == mesh.NoLeader || r.Outcome == mesh.Uncertain {
-			break
+			return s.unansweredResponse(q, r, f.mayHaveRun)
 		}
-		answer := replaceNotRun(r, f.mayHaveRun && q.Operation == mesh.Submit)
+		answer := ReplaceNotRun(r, f.mayHaveRun && q.Operation == mesh.Submit)
 		s.logRefusal(f, r, answer)
 		return answer
 	}
-	return s.unansweredResponse(q, f.mayHaveRun)
+	return s.unansweredResponse(q, nil, f.mayHaveRun)
 }
 
 // forwardOnce forwards a request to the leader, or to the local placer. The answer is
@@ -324,28 +324,43 @@
 	return local.Cancel(q)
 }
 
-// replaceNotRun replaces an answer that says that a job has not run by Uncertain if an
+// ReplaceNotRun replaces an answer that says that a job has not run by Uncertain if an
 // earlier leader or the local placer may have started the job. Every answer of a leader
 // or of the local placer passes through it, except NoLeader and Uncertain, for which
-// unansweredResponse makes the same distinction.
-func replaceNotRun(r *mesh.Response, mayHaveRun bool) *mesh.Response {
+// UnansweredOutcome makes the same distinction.
+func ReplaceNotRun(r *mesh.Response, mayHaveRun bool) *mesh.Response {
 	if mayHaveRun && r.Outcome.NotRun() {
 		return &mesh.Response{Outcome: mesh.Uncertain, Detail: r.Detail}
 	}
 	return r
 }
 
-// unansweredResponse returns the answer to a request that no leader has answered.
-func (s *Service) unansweredResponse(q *mesh.Request, mayHaveRun bool) *mesh.Response {
-	text := "no leader received it; last contact with a leader: " + s.sinceContact()
-	if mayHaveRun {
-		text = "no answer from the leader that received it; last contact with a leader: " + s.sinceContact()
+// unansweredResponse returns the answer to a request that no leader has answered. r is the answer of
+// the local placer, nil if there is none.
+func (s *Service) unansweredResponse(q *mesh.Request, r *mesh.Response, mayHaveRun bool) *mesh.Response {
+	contact := "last contact with a leader: " + s.sinceContact()
+	answer := &mesh.Response{Outcome: UnansweredOutcome(r, mayHaveRun)}
+	text := "no answer from the leader that received it; " + contact
+	switch {
+	case answer.Outcome == mesh.NoLeader:
+		answer.RetryAfterMS = int(noLeaderRetryAfter.Milliseconds())
+		text = "no leader received it; " + contact
+	case r != nil && r.Detail != "":
+		answer.Detail = r.Detail
+		text = "this entry gave it up: " + r.Detail + "; " + contact
 	}
 	s.opts.Log.Emit(events.Event{ID: events.RequestFailed, Job: jobKey(q), Text: text})
-	if mayHaveRun {
-		return &mesh.Response{Outcome: mesh.Uncertain}
+	return answer
+}
+
+// UnansweredOutcome returns the outcome of a request that no leader has answered, by the answer r of
+// the local placer, nil if there is none, and by whether an earlier leader or placer may have started
+// the job. The placer answers Uncertain if it gives up a job of which it has started a task itself.
+func UnansweredOutcome(r *mesh.Response, mayHaveRun bool) mesh.Outcome {
+	if mayHaveRun || r != nil && r.Outcome == mesh.Uncertain {
+		return mesh.Uncertain
 	}
-	return &mesh.Response{Outcome: mesh.NoLeader, RetryAfterMS: int(noLeaderRetryAfter.Milliseconds())}
+	return mesh.NoLeader
 }
 
 // sinceContact describes how long ago a leader's last message arrived.
--- a/daemon/gateway/gateway_test.go
+++ b/daemon/gateway/gateway_test.go
@@ -13,11 +13,11 @@
 // has not run although an earlier leader received it and may have started it.
 func TestNotRunIsReplacedIfJobMayHaveRun(t *testing.T) {
 	for _, outcome := range []mesh.Outcome{mesh.Overloaded, mesh.NotReady, mesh.NoQueue, mesh.NoLeader} {
-		assert.Equal(t, replaceNotRun(&mesh.Response{Outcome: outcome}, true).Outcome, mesh.Uncertain)
-		assert.Equal(t, replaceNotRun(&mesh.Response{Outcome: outcome}, false).Outcome, outcome)
+		assert.Equal(t, ReplaceNotRun(&mesh.Response{Outcome: outcome}, true).Outcome, mesh.Uncertain)
+		assert.Equal(t, ReplaceNotRun(&mesh.Response{Outcome: outcome}, false).Outcome, outcome)
 	}
 	for _, outcome := range []mesh.Outcome{mesh.Accepted, mesh.Found, mesh.NoJob} {
-		assert.Equal(t, replaceNotRun(&mesh.Response{Outcome: outcome}, true).Outcome, outcome)
+		assert.Equal(t, ReplaceNotRun(&mesh.Response{Outcome: outcome}, true).Outcome, outcome)
 	}
 }
 
--- a/daemon/gateway/local_test.go
+++ b/daemon/gateway/local_test.go
@@ -12,6 +12,7 @@
 	"github.com/cicadapulley/cicadapulley/api/mesh"
 	"github.com/cicadapulley/cicadapulley/core/leaderless"
 	"github.com/cicadapulley/cicadapulley/core/ledger"
+	"github.com/cicadapulley/cicadapulley/core/placement"
 	"github.com/cicadapulley/cicadapulley/core/work"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 	"github.com/cicadapulley/cicadapulley/daemon/fallback"
@@ -108,3 +109,58 @@
 	s.applyWelcome(first, welcome(1, 5, "/a/"))
 	assert.Equal(t, len(s.view.Agents()), 1)
 }
+
+// TestJobGivenUpAfterAStart guards against a caller who is told that a job has not run although this
+// entry has ordered the start of a task: the agent is lost before it has answered, and the job is given
+// up once the run's lease has expired, since its result would come too late.
+func TestJobGivenUpAfterAStart(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	serveCtx, cutOff := context.WithCancel(context.Background())
+	served := make(chan struct{})
+	ordered := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = link.Serve(serveCtx, listener, link.ServeOptions{Name: "agent", MaxConnections: 4, Log: newService().opts.Log}, func(_ context.Context, c *link.Conn, _ *mesh.Hello) error {
+			for {
+				m, err := c.Receive(5 * time.Second)
+				if err != nil {
+					return err
+				}
+				switch m := m.(type) {
+				case *mesh.Welcome:
+					c.Send(&mesh.Inventory{Endpoint: placement.Endpoint{Session: m.Session, Pool: "pool", Capacity: work.Resources{CPU: 1}}})
+				case *mesh.Orders:
+					close(ordered)
+					return nil
+				}
+			}
+		})
+	}()
+	s := newService()
+	lost := &leader{}
+	s.setLeader(lost, nil)
+	w := welcome(1, 5, "/q/", ledger.Agent{VM: "side-1", Address: listener.Addr().String()})
+	w.Queues[0].Pool, w.Queues[0].MaxAttempts, w.Queues[0].Stretch = "pool", 2, 2
+	s.applyWelcome(lost, w)
+	s.setLeader(nil, lost)
+	runCtx, stop := context.WithCancel(context.Background())
+	ran := make(chan error)
+	go func() { ran <- s.Run(runCtx) }()
+	t.Cleanup(func() {
+		cutOff()
+		stop()
+		<-served
+		<-ran
+	})
+	answered := make(chan *mesh.Response, 1)
+	go func() {
+		answered <- s.Do(t.Context(), &mesh.Request{Operation: mesh.Submit, Host: "h", Path: "/q/00000000000000a1", Job: &work.Job{
+			BestEffort: true, Steps: []work.Step{{Tasks: 1, Need: work.Resources{CPU: 1}, Estimate: 300 * time.Millisecond}},
+		}})
+	}()
+	<-ordered
+	cutOff()
+	r := <-answered
+	assert.Equal(t, r.Outcome, mesh.Uncertain, "%+v", r)
+}
