runsearch: callers are told "not run" only of jobs of which no task starts

The search of the orders of events checked no refusals (docs/incidents/refused-after-cuts.md): its jobs had objectives of hours, so that nothing was ever refused, and it took any answer for the end of a request.

The entry of the model forwards a request as daemon/gateway does: the prior state over lost leaders and the local placer, the time that a request waits (leaderless.Wait), and the answers (gateway.ReplaceNotRun, UnansweredOutcome). A request that a cut holds up arrives when the cut ends; the leader abandons requests by connection, as daemon/coordinator does; the caller of a refused job may return. The placer receives a job once: before, one that had just ended was submitted to it again. Four scenarios have a job with an objective of 1.5 s, which the real planner refuses or gives up. The judge breaks with REFUSED if the caller is told "not run" after a task has started since the request, or if one starts after such an answer.

MODEL_SECONDS is shared out among 18 scenarios in place of 14. The mutations of the earlier known traces were not searched again.

--- a/daemon/internal/runsearch/endpoint_test.go
+++ b/daemon/internal/runsearch/endpoint_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/cicadapulley/cicadapulley/api/mesh"
 	"github.com/cicadapulley/cicadapulley/core/placement"
 	"github.com/cicadapulley/cicadapulley/core/runtable"
 	"github.com/cicadapulley/cicadapulley/core/work"
@@ -240,6 +241,10 @@
 		return
 	}
 	if job.spec.BestEffort {
+		job.started = true
+		if job.notRun {
+			j.breakf("REFUSED: run %d of %s starts on %s after its caller was told that it has not run", c.run.Number, c.run.Task.Job, e.name)
+		}
 		return
 	}
 	var failures []int
@@ -263,6 +268,15 @@
 	}
 }
 
+// answered checks what the caller of a best-effort job is told.
+func (j *judge) answered(job *jobState, outcome mesh.Outcome) {
+	j.w.tracef("entry: the caller of %s gets outcome %d", job.spec.ID, outcome)
+	job.notRun = outcome.NotRun()
+	if job.notRun && job.started {
+		j.breakf("REFUSED: the caller of %s is told that it has not run after a task has started", job.spec.ID)
+	}
+}
+
 func (j *judge) checkBudget() {
 	for _, failures := range j.overBudget {
 		noted := 0
--- a/daemon/internal/runsearch/events_test.go
+++ b/daemon/internal/runsearch/events_test.go
@@ -17,6 +17,8 @@
 	wait
 	submit
 	submitBestEffort
+	// resubmit lets the caller of a refused job return.
+	resubmit
 	cancel
 	// done and failed end a run.
 	done
@@ -61,7 +63,7 @@
 )
 
 var kindNames = [kinds]string{
-	"0.2 s pass", "1.4 s pass", "a stored job is submitted", "a best-effort job is submitted", "a stored job is cancelled", "a run ends done", "a run ends failed",
+	"0.2 s pass", "1.4 s pass", "a stored job is submitted", "a best-effort job is submitted", "the refused caller returns", "a stored job is cancelled", "a run ends done", "a run ends failed",
 	"leader and agent are in contact again", "entry and agent are in contact again", "leader and entry are in contact again", "a leader is elected",
 	"held up calls are carried out", "the endpoint answers again",
 	"its data centre is drained", "the drain of its data centre is withdrawn", "another control VM sends the agent drains", "another control VM sends the entry drains",
@@ -83,7 +85,7 @@
 func (e event) String() string {
 	text := kindNames[e.kind]
 	switch e.kind {
-	case tick, wait, submit, submitBestEffort, healControl, elect, cutControl, loseLeader, replaceLeader, keepUncommitted:
+	case tick, wait, submit, submitBestEffort, resubmit, healControl, elect, cutControl, loseLeader, replaceLeader, keepUncommitted:
 		return text
 	case agentDrains, entryDrains:
 		return fmt.Sprintf("%d: %s, %s", e.agent+1, text, [...]string{"the newest", "older ones"}[e.detail])
@@ -116,6 +118,7 @@
 	stored := len(w.storedJobs())
 	add(w.leader != nil && stored < len(w.scenario.storedTasks), submit, 0, 0)
 	add(w.bestEffort == nil && w.scenario.bestEffortTasks > 0, submitBestEffort, 0, 0)
+	add(w.bestEffort != nil && w.bestEffort.answered && w.bestEffort.notRun, resubmit, 0, 0)
 	for i, id := range w.storedJobs() {
 		add(w.leader != nil && w.jobs[id].accepted && !w.jobs[id].cancelling, cancel, 0, i)
 	}
@@ -193,8 +196,14 @@
 		w.leader.proposals = append(w.leader.proposals, proposal{command: ledger.Command{Accept: &spec}})
 	case submitBestEffort:
 		j := &jobState{spec: newJob("best-effort", w.scenario.bestEffortTasks, true)}
+		if w.scenario.short {
+			j.spec = newShortJob("best-effort", w.scenario.bestEffortTasks)
+		}
 		w.jobs[j.spec.ID] = j
 		w.bestEffort = j
+		w.entry.accept(j)
+	case resubmit:
+		w.entry.accept(w.bestEffort)
 	case cancel:
 		id := w.storedJobs()[ev.detail]
 		w.jobs[id].cancelling = true
--- a/daemon/internal/runsearch/schedulers_test.go
+++ b/daemon/internal/runsearch/schedulers_test.go
@@ -10,6 +10,7 @@
 	"github.com/cicadapulley/cicadapulley/core/ledger"
 	"github.com/cicadapulley/cicadapulley/core/placement"
 	"github.com/cicadapulley/cicadapulley/core/work"
+	"github.com/cicadapulley/cicadapulley/daemon/gateway"
 	"github.com/cicadapulley/cicadapulley/daemon/scheduler"
 )
 
@@ -71,8 +72,10 @@
 	// sessionCounts are the sessions of each agent so far.
 	sessionCounts [agents]uint64
 	removed       map[string]bool
-	// entryQuiet counts the ticks without contact with the entry.
+	// entryQuiet counts the ticks without contact with the entry, and requests are those that it
+	// has sent.
 	entryQuiet int
+	requests   []entryRequest
 	// proposals await their commit. They are lost with the leader.
 	proposals []proposal
 }
@@ -246,19 +249,77 @@
 	}
 }
 
+// entryRequest is a request of the entry at the leader. abandonIn is the number of ticks until it is
+// abandoned after the end of its connection, 0 while that is open.
+type entryRequest struct {
+	sequence  uint64
+	abandonIn int
+}
+
+// reconnectTicks is the time that an entry has to come back after its connection has ended.
+const reconnectTicks = 2
+
+// submit handles a submission of the entry.
+func (l *leader) submit(q *submission) {
+	e := l.w.entry
+	spec := l.w.bestEffort.spec
+	answer := func(r *mesh.Response) {
+		if e.connected && e.sent && e.sequence == q.sequence {
+			e.answer = r
+		}
+	}
+	r := entryRequest{sequence: q.sequence}
+	if !e.connected || e.sequence != q.sequence {
+		r.abandonIn = reconnectTicks
+	}
+	if refusal := l.Submit(l.w.now, scheduler.Waiter{Sequence: q.sequence, Answer: answer}, &spec, q.prior); refusal != nil {
+		answer(refusal)
+		return
+	}
+	l.requests = append(l.requests, r)
+	l.place()
+}
+
+// closeEntry records that the connection on which the entry sent its requests has ended.
+func (l *leader) closeEntry() {
+	for i := range l.requests {
+		if r := &l.requests[i]; r.abandonIn == 0 {
+			r.abandonIn = reconnectTicks
+		}
+	}
+}
+
+// abandonRequests abandons the requests for which nobody waits any more.
+func (l *leader) abandonRequests() {
+	l.entryQuiet++
+	e := l.w.entry
+	if e.connected && e.up {
+		l.entryQuiet = 0
+	}
+	if l.entryQuiet == clientTimeout {
+		e.inFlight = nil
+	}
+	l.requests = slices.DeleteFunc(l.requests, func(r entryRequest) bool {
+		if l.entryQuiet != abandonTicks && r.abandonIn != 1 {
+			return false
+		}
+		l.Abandon(l.w.now, nil, r.sequence, l.w.bestEffort.spec.ID)
+		return true
+	})
+	for i := range l.requests {
+		if r := &l.requests[i]; r.abandonIn > 0 {
+			r.abandonIn--
+		}
+	}
+}
+
 // abandonTicks is the number of ticks without contact after which nobody waits for the jobs of an
 // entry: it is noticed to be silent after 0.8 s, and has 0.3 s to come back.
 const abandonTicks = 6
 
 // tick runs the periodic work.
 func (l *leader) tick() {
-	l.entryQuiet++
-	if e := l.w.entry; e.connected && e.up {
-		l.entryQuiet = 0
-	}
-	if l.entryQuiet == abandonTicks && l.w.bestEffort != nil {
-		l.Abandon(l.w.now, nil, 0, l.w.bestEffort.spec.ID)
-	}
+	l.abandonRequests()
 	l.Tick(l.w.now)
 	for _, vm := range l.Planner.Absent(l.w.now, l.w.ledger.EnrolledVMs()) {
 		connected := false
@@ -285,14 +346,19 @@
 	// have enrolled since.
 	known  []string
 	lostAt time.Time
-	// sent is set once the job was sent to the present leader, and prior is what the next
-	// scheduler is told of it.
-	sent bool
-	// answer is set while the leader's answer is on its way, and enrolled has the agents whose
+	// sent is set once the job was sent to the present leader, and sequence is the number of that
+	// request. prior is what the next scheduler is told of the job, and wait how long it waits for one.
+	sent     bool
+	sequence uint64
+	prior    placement.PriorState
+	wait     leaderless.Wait
+	// inFlight is a request that a cut holds up. It arrives when the cut ends, also after the entry
+	// has closed the connection, unless the leader has closed it too.
+	inFlight *submission
+	// answer is the leader's answer while it is on its way, and enrolled has the agents whose
 	// enrolment is.
-	answer   bool
+	answer   *mesh.Response
 	enrolled []string
-	prior    placement.PriorState
 	// placer places the job while there is no leader.
 	placer *placer
 	// view has the drains that the entry goes by, and received those of the model's record.
@@ -300,14 +366,75 @@
 	received work.DataCentreDrains
 }
 
+// submission is a request of the entry to the leader of a term.
+type submission struct {
+	term, sequence uint64
+	prior          placement.PriorState
+}
+
 type placer struct {
 	scheduling
 	period        uint64
 	sessionCounts [agents]uint64
+	// submitted is set once the placer has received the present request.
+	submitted bool
+}
+
+// accept receives a caller's request.
+func (e *entry) accept(j *jobState) {
+	j.answered, j.notRun, j.started = false, false, false
+	e.sent, e.prior = false, placement.PriorState{}
+	e.wait = leaderless.Wait{Arrived: e.w.now, Objective: j.spec.Objective()}
+	if e.placer != nil {
+		e.placer.submitted = false
+	}
+}
+
+// waiting returns the job whose caller waits for an answer, nil if there is none.
+func (e *entry) waiting() *jobState {
+	if j := e.w.bestEffort; j != nil && !j.answered {
+		return j
+	}
+	return nil
+}
+
+// answerCaller gives the caller an answer of the leader or the placer.
+func (e *entry) answerCaller(r *mesh.Response) {
+	outcome := gateway.ReplaceNotRun(r, e.prior.MayHaveRun()).Outcome
+	if r.Outcome == mesh.NoLeader || r.Outcome == mesh.Uncertain {
+		outcome = gateway.UnansweredOutcome(r, e.prior.MayHaveRun())
+	}
+	j := e.w.bestEffort
+	j.answered = true
+	e.w.judge.answered(j, outcome)
+}
+
+// forwardAgain records that the request has to be forwarded again.
+func (e *entry) forwardAgain() {
+	if e.wait.LeaderLostAt.IsZero() && e.prior.MayHaveRun() {
+		e.wait.LeaderLostAt = e.w.now
+	}
+}
+
+// giveUp answers a caller who has waited for too long, unless a task has started here.
+func (e *entry) giveUp() {
+	j := e.waiting()
+	if j == nil || e.w.now.Before(e.wait.Until()) {
+		return
+	}
+	if p := e.placer; p != nil {
+		p.AnswerFinished(e.w.now)
+		if j.answered || p.Planner.Started(j.spec.ID) {
+			return
+		}
+		p.Abandon(e.w.now, nil, 0, j.spec.ID)
+	}
+	e.answerCaller(&mesh.Response{Outcome: mesh.NoLeader})
 }
 
 // update connects the entry to the leader or, after a time without one, places its job.
 func (e *entry) update() {
+	e.deliverHeldUp()
 	if e.connected {
 		if e.up {
 			e.quiet = 0
@@ -317,18 +444,20 @@
 	}
 	if !e.connected && e.up && e.w.leader != nil {
 		e.connected, e.quiet, e.term, e.known = true, 0, e.w.leader.term, e.w.ledger.EnrolledVMs()
+		e.w.leader.closeEntry()
 		e.handOver()
 	}
 	if e.connected {
 		if e.up {
 			e.receive()
-			e.sendToLeader()
 		}
+		e.sendToLeader()
 		return
 	}
 	if e.placer == nil && e.w.now.Sub(e.lostAt) >= 150*time.Millisecond {
 		e.placeLocally()
 	}
+	e.giveUp()
 }
 
 func (e *entry) loseLeader() {
@@ -339,8 +468,9 @@
 	e.lostAt = e.w.now
 	if e.sent {
 		e.prior.SentToLeader = true
+		e.forwardAgain()
 	}
-	e.sent, e.answer, e.enrolled = false, false, nil
+	e.sent, e.answer, e.enrolled = false, nil, nil
 }
 
 // receive takes what the leader has sent.
@@ -354,24 +484,41 @@
 		}
 	}
 	e.enrolled = nil
-	if e.answer {
-		e.answer = false
-		e.w.bestEffort.answered = true
+	r := e.answer
+	if r == nil {
+		return
+	}
+	e.answer, e.sent = nil, false
+	if r.Outcome == mesh.Uncertain {
+		e.prior.SentToLeader = true
+		e.forwardAgain()
+		return
 	}
+	e.answerCaller(r)
 }
 
+// sendToLeader sends the job to the leader. While the connection is cut and the entry hasn't noticed
+// it, the request is held up.
 func (e *entry) sendToLeader() {
-	j := e.w.bestEffort
-	if j == nil || j.answered || e.sent {
+	if e.waiting() == nil || e.sent {
 		return
 	}
 	e.sent = true
-	waiter := scheduler.Waiter{Answer: func(r *mesh.Response) {
-		e.answer = e.connected
-	}}
-	spec := j.spec
-	if r := e.w.leader.Submit(e.w.now, waiter, &spec, e.prior); r != nil {
-		j.answered = true
+	e.sequence++
+	e.prior.Waited = e.w.now.Sub(e.wait.Arrived)
+	e.inFlight = &submission{term: e.term, sequence: e.sequence, prior: e.prior}
+	e.deliverHeldUp()
+}
+
+// deliverHeldUp delivers a request to the leader unless the connection is cut.
+func (e *entry) deliverHeldUp() {
+	q := e.inFlight
+	if q == nil || !e.up {
+		return
+	}
+	e.inFlight = nil
+	if l := e.w.leader; l != nil && l.term == q.term {
+		l.submit(q)
 	}
 }
 
@@ -386,13 +533,15 @@
 
 // submitLocally submits the job to the placer.
 func (e *entry) submitLocally() {
-	j := e.w.bestEffort
-	if e.placer == nil || j == nil || j.answered || e.placer.Planner.Has(j.spec.ID) {
+	j := e.waiting()
+	if e.placer == nil || j == nil || e.placer.submitted {
 		return
 	}
+	e.placer.submitted = true
 	spec := j.spec
-	if r := e.placer.Submit(e.w.now, scheduler.Waiter{Answer: func(*mesh.Response) { j.answered = true }}, &spec, e.prior); r != nil {
-		j.answered = true
+	e.prior.Waited = e.w.now.Sub(e.wait.Arrived)
+	if r := e.placer.Submit(e.w.now, scheduler.Waiter{Answer: e.answerCaller}, &spec, e.prior); r != nil {
+		e.answerCaller(r)
 	}
 }
 
@@ -404,8 +553,9 @@
 	}
 	p.AnswerFinished(e.w.now)
 	e.placer = nil
-	if j := e.w.bestEffort; j != nil && !j.answered {
+	if j := e.waiting(); j != nil {
 		e.prior = p.Planner.HandOver(e.w.now, j.spec.ID, lease.ExpiresAfter)
+		e.forwardAgain()
 	}
 	for _, l := range e.w.entryLinks {
 		l.close(schedulerSide)
--- a/daemon/internal/runsearch/search_test.go
+++ b/daemon/internal/runsearch/search_test.go
@@ -263,13 +263,36 @@
 			allowed: []kind{loseLeader, cutEntry, restartAgent},
 			limits:  map[kind]int{wait: 1, done: 0, failed: 1, healControl: 0, elect: 0, drain: 2, withdraw: 1, agentDrains: 2, entryDrains: 2, cutEntry: 1},
 		},
+		{
+			name: "refusals for want of room", slowPercent: 2, capacity: one, storedTasks: []int{3}, bestEffortTasks: 1, short: true, faults: 3, cutDirections: 1,
+			prefix:  []kind{submitBestEffort, tick, submit, tick},
+			allowed: []kind{cutControl, cutLeader, loseLeader, replaceLeader},
+			limits:  map[kind]int{wait: 3, done: 1, failed: 0, cancel: 0, cutLeader: 1},
+		},
+		{
+			name: "refusals for drains", slowPercent: 2, capacity: two, bestEffortTasks: 1, short: true, faults: 3, cutDirections: 1, drains: true,
+			prefix:  []kind{submitBestEffort},
+			allowed: []kind{cutControl, cutLeader, loseLeader, restartAgent},
+			limits:  map[kind]int{wait: 3, done: 0, failed: 1, drain: 2, withdraw: 1, agentDrains: 0, entryDrains: 1, cutLeader: 1},
+		},
+		{
+			name: "short objectives", slowPercent: 2, capacity: two, bestEffortTasks: 1, short: true, faults: 3, cutDirections: 1,
+			allowed: []kind{loseLeader, cutControl, cutEntry, cutLeader, startLate},
+			limits:  map[kind]int{wait: 3, failed: 1},
+		},
+		{
+			name: "given up without a leader", slowPercent: 2, capacity: one, bestEffortTasks: 1, short: true, faults: 3, cutDirections: 3,
+			prefix:  []kind{loseLeader, wait},
+			allowed: []kind{cutEntry, startUnanswered},
+			limits:  map[kind]int{wait: 3, done: 0, failed: 1, elect: 0, cutEntry: 2},
+		},
 		{name: "everything", slowPercent: 2, capacity: two, storedTasks: []int{1}, submitted: 1, bestEffortTasks: 1, faults: 4, cutDirections: 3},
 	}
 }
 
 // commonLimits bound the events that only repeat what one or two of them do.
 var commonLimits = map[kind]int{
-	wait: 2, submit: 2, cancel: 1, done: 2, failed: 2, loseLeader: 1, replaceLeader: 1, restartAgent: 1, restartEndpoint: 1, keepUncommitted: 1, silence: 1,
+	wait: 2, submit: 2, resubmit: 1, cancel: 1, done: 2, failed: 2, loseLeader: 1, replaceLeader: 1, restartAgent: 1, restartEndpoint: 1, keepUncommitted: 1, silence: 1,
 	startUnanswered: 1, startLate: 1, stopUnanswered: 1, stopLate: 1, overtakenHold: 1, lateHold: 1, cutControl: 1,
 }
 
@@ -282,8 +305,9 @@
 
 // TestNoOrderOfEventsBreaksARule guards against every fault that an order of messages, losses, late
 // calls, cuts and restarts can show up to the depth reached: a task that runs twice, too often, unasked
-// or over an endpoint's capacity, and a job that never ends. Without MODEL_SECONDS it looks
-// three events deep only, since other tests run beside it; make model sets it.
+// or over an endpoint's capacity, a caller who is told that a job has not run whose task starts, and a job
+// that never ends. Without MODEL_SECONDS it looks three events deep only, since other tests run beside it;
+// make model sets it.
 func TestNoOrderOfEventsBreaksARule(t *testing.T) {
 	seconds := setting("MODEL_SECONDS", 0)
 	maxDepth := setting("MODEL_DEPTH", 100)
@@ -341,6 +365,12 @@
 			{kind: cutLeader}, {kind: wait}, {kind: healLeader}, {kind: keepUncommitted}, {kind: tick}, {kind: restartAgent}, {kind: keepUncommitted},
 			{kind: tick}, {kind: submit}, {kind: tick}, {kind: tick},
 		}},
+		"a job whose runs have ended is refused as one that never ran (review/13)": {"refusals for want of room", []event{
+			{kind: cutControl}, {kind: wait}, {kind: wait}, {kind: tick}, {kind: healControl}, {kind: tick}, {kind: tick},
+		}},
+		"a job whose start was not confirmed is given up as one that never ran": {"given up without a leader", []event{
+			{kind: submitBestEffort}, {kind: cutEntry, detail: 2}, {kind: cutEntry, agent: 1}, {kind: wait}, {kind: wait}, {kind: wait},
+		}},
 		"a refusal for a drain lasts for the session": {"drains", []event{
 			{kind: drain}, {kind: drain, agent: 1}, {kind: agentDrains}, {kind: agentDrains, agent: 1}, {kind: failed}, {kind: keepUncommitted},
 			{kind: tick}, {kind: tick}, {kind: withdraw}, {kind: withdraw, agent: 1}, {kind: tick},
--- a/daemon/internal/runsearch/world_test.go
+++ b/daemon/internal/runsearch/world_test.go
@@ -100,9 +100,13 @@
 // jobState is a job that a caller has handed in, and what the caller knows of it.
 type jobState struct {
 	spec work.Job
-	// accepted is set for a stored job that is recorded, answered for a best-effort job that has ended,
-	// and cancelling once the caller has asked to cancel the job.
-	accepted, answered, cancelling bool
+	// accepted is set for a stored job that is recorded, and cancelling once the caller has asked to
+	// cancel the job.
+	accepted, cancelling bool
+	// answered is set for a best-effort job whose latest request has its answer, and notRun if that
+	// answer says that the job has not run. started is set once a task has started since that
+	// request.
+	answered, notRun, started bool
 }
 
 // scenario is what a search starts from.
@@ -113,6 +117,8 @@
 	// storedTasks are the tasks of each stored job, and bestEffortTasks those of the best-effort job.
 	storedTasks     []int
 	bestEffortTasks int
+	// short is set if the best-effort job has a short objective, so that it can be refused.
+	short bool
 	// submitted stored jobs run at the start, and prefix are events that have happened then.
 	submitted int
 	prefix    []kind
@@ -216,6 +222,15 @@
 	}
 }
 
+// newShortJob returns a best-effort job that is refused or given up within a few seconds. It is done
+// in time if the leader is lost once, but not after a wait for the end of that leader's runs.
+func newShortJob(id work.JobID, tasks int) work.Job {
+	j := newJob(id, tasks, true)
+	j.Stretch, j.Target = 1, 500*time.Millisecond
+	j.Steps[0].Estimate = time.Second
+	return j
+}
+
 // connect opens and closes the connections of a scheduler, nil for none, at the start of a tick.
 // The side that dials opens a new one once its own has ended.
 func (w *world) connect(s peer, links [agents]*link, dialer int, lost func(a *agent)) {
