entry: a repeated call keeps that an earlier try may have run

A caller of a repeatable call got "not_run" although the call had started: its first try lost the connection after it was sent, and the second was refused, or found no free endpoint before the deadline. Only the last try's verdict was answered.

A result that says not_run becomes may_have_run if any earlier try may have run.

--- a/daemon/entry/calls.go
+++ b/daemon/entry/calls.go
@@ -95,20 +95,31 @@
 		Enqueued:   time.Now(),
 		Deadline:   c.deadline,
 	}}, replies)
+	mayHaveRun := false
 	for try := 1; ; try++ {
 		reply := <-replies
 		if reply.err != nil {
-			return refusedResult(reply.err)
+			return afterTries(refusedResult(reply.err), mayHaveRun)
 		}
-		result := m.sender.send(c.attempt(try), reply.assignment)
+		result := afterTries(m.sender.send(c.attempt(try), reply.assignment), mayHaveRun)
 		retry := result.Verdict != verdict.Ran && time.Now().Before(c.deadline)
 		if !retry || !m.service.dispatcher.requeue(reply.assignment.Item, reply.assignment.Endpoint, replies) {
 			return result
 		}
+		mayHaveRun = result.Verdict != verdict.NotRun
 		m.log.Emit(events.Event{ID: events.TaskRetried, Job: c.key, Peer: reply.assignment.Endpoint, Text: string(result.Code)})
 	}
 }
 
+// afterTries returns the result of a call's last try. That this one has not run says nothing about
+// earlier tries, any of which may have run.
+func afterTries(r job.TaskResult, mayHaveRun bool) job.TaskResult {
+	if mayHaveRun && r.Verdict == verdict.NotRun {
+		r.Verdict = verdict.MayHaveRun
+	}
+	return r
+}
+
 // attempt uses a separate task number for each try, since a repeatable call may
 // start again at an endpoint that started it before. Epoch zero, which no record
 // has, tells the agent that no lease protects the start.
