placement: a job isn't refused as not run while the planner knows of its runs

A caller whose first submission had no answer, because its connection or entry was lost, and who came back while the leader was busy, got 429 "it has not run" although the leader itself had started tasks of the job, or had runs of it in an agent's list. Rule REFUSED allows that, since the first submission was not rejected, but the sentence was untrue.

Admit asks for open jobs only, and runs of an abandoned job that a new submission inherits didn't mark the job as one that may have run. Both ask now for the runs and ends that the planner knows of the job.

--- a/core/placement/admit.go
+++ b/core/placement/admit.go
@@ -58,7 +58,7 @@
 
 // admission decides whether to accept a job. The RetryAfter of a refusal is a lower bound.
 func (p *Planner) admission(now time.Time, j *work.Job, prior PriorState) Admission {
-	if prior.MayHaveRun() {
+	if prior.MayHaveRun() || p.knowsRunsOf(j.ID) {
 		return Admission{Accepted: true}
 	}
 	wait := p.queueWait(now, j)
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -154,7 +154,7 @@
 		return
 	}
 	j := p.newJob(now.Add(-prior.Waited), spec)
-	j.mayHaveRun = prior.MayHaveRun()
+	j.mayHaveRun = prior.MayHaveRun() || p.knowsRunsOf(spec.ID)
 	p.hold(now, j, prior)
 	p.claim(now, j)
 	if p.jobs[spec.ID] != j {
@@ -333,6 +333,12 @@
 	}
 }
 
+// knowsRunsOf reports whether a run of the job may exist or has ended lately, as one of an earlier
+// submission that no request waits for any more.
+func (p *Planner) knowsRunsOf(id work.JobID) bool {
+	return len(p.runs[id]) > 0 || len(p.unknown[id]) > 0 || p.unclaimedEnds[id] != nil
+}
+
 // runsOf returns the runs of a job that may exist, in the order of their numbers.
 func (p *Planner) runsOf(id work.JobID) []*run {
 	if len(p.runs[id]) == 0 {
