placement: a second request of a queued job adds what it knows of the job's runs

A task of a best-effort job could start while a run of it went on: the caller came back through another entry, whose request came first, and the first entry handed its request over with runs that a lost leader, or the entry itself, had started. The planner had the job already, and took from the second request only that it may have run, not where.

If nothing has started here, the job is added again with what both requests know, and is held until the runs have ended or are listed. A job that has started is as before.

--- a/core/placement/handover.go
+++ b/core/placement/handover.go
@@ -48,6 +48,16 @@
 // MayHaveRun reports whether a task of the job may have started.
 func (s PriorState) MayHaveRun() bool { return s.SentToLeader || s.RunsEnded || s.Started }
 
+// with adds what another request for the same job knows of it.
+func (s PriorState) with(other PriorState) PriorState {
+	s.SentToLeader = s.SentToLeader || other.SentToLeader
+	s.RunsEnded = s.RunsEnded || other.RunsEnded
+	s.Started = s.Started || other.Started
+	s.Done = slices.Concat(s.Done, other.Done)
+	s.Unconfirmed = slices.Concat(s.Unconfirmed, other.Unconfirmed)
+	return s
+}
+
 // UnconfirmedRuns are runs of a job that may exist on an endpoint. A list of the
 // endpoint's runs from a later session shows which ones do.
 type UnconfirmedRuns struct {
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -150,8 +150,14 @@
 // A job that another planner had is held while it may have unconfirmed runs.
 func (p *Planner) Add(now time.Time, spec *work.Job, prior PriorState) {
 	if j := p.jobs[spec.ID]; j != nil {
-		j.mayHaveRun = j.mayHaveRun || prior.MayHaveRun()
-		return
+		if j.started || !j.spec.BestEffort || !prior.MayHaveRun() {
+			j.mayHaveRun = j.mayHaveRun || prior.MayHaveRun()
+			return
+		}
+		// Nothing has started here, so the job is added again with what either request knows.
+		prior.Waited = max(prior.Waited, now.Sub(j.arrived))
+		prior = prior.with(p.HandOver(now, spec.ID, 0))
+		p.Close(spec.ID)
 	}
 	j := p.newJob(now.Add(-prior.Waited), spec)
 	j.mayHaveRun = prior.MayHaveRun() || p.knowsRunsOf(spec.ID)
--- a/core/placement/resubmission_test.go
+++ b/core/placement/resubmission_test.go
@@ -50,3 +50,14 @@
 	assert.Equal(t, len(rejected), 1)
 	assert.Assert(t, rejected[0].MayHaveRun, "this planner started the run itself")
 }
+
+// TestAddKeepsUnconfirmedRuns guards against two concurrent runs of a task, because a second request of a queued job
+// carries that a lost leader may run it.
+func TestAddKeepsUnconfirmedRuns(t *testing.T) {
+	f := newFixture(t, "vm-1", "vm-2")
+	f.planner.Add(f.now, oneStep("job", 1), PriorState{})
+	f.planner.Add(f.now, oneStep("job", 1), PriorState{SentToLeader: true})
+	f.join(1, "vm-1", 1)
+	starts, _ := f.assign()
+	assert.Equal(t, len(starts), 0, "vm-2 may run the task")
+}
