coordinator: a submission isn't refused if its job was recorded meanwhile

A caller who submitted a stored job twice could get 429, "it has not run", for a job that is recorded and runs. The leader looked the job up first, and asked for submissions in progress later, at admission; the first submission was recorded in between.

A refusal is given only if the job still isn't recorded after it was decided. A submission in progress counts until its record is applied, so one of the two checks sees it.

--- a/daemon/coordinator/entries.go
+++ b/daemon/coordinator/entries.go
@@ -138,6 +138,17 @@
 	if !prepare(q.Job, found, r) {
 		return
 	}
+	s.admitAndRecord(ctx, q, r)
+	if !r.Outcome.NotRun() {
+		return
+	}
+	// Another submission may have been recorded since the job was looked up.
+	if again, _ := s.resolve(q); again.known {
+		*r = mesh.Response{Sequence: r.Sequence, Version: r.Version, Outcome: mesh.Accepted}
+	}
+}
+
+func (s *Service) admitAndRecord(ctx context.Context, q *mesh.Request, r *mesh.Response) {
 	if s.memory.isShort() && !q.PriorState.MayHaveRun() && !s.isSubmitting(q.Job.ID) {
 		s.memory.refuse(r)
 		return
