--- a/client/internal/timeline/explain.go
+++ b/client/internal/timeline/explain.go
@@ -30,9 +30,9 @@
 // effects maps an event to events about the same job or ticket that another process
 // can only have after it. Clocks that contradict this order are corrected.
 var effects = map[string][]string{
-	"work_refused":    {"request_refused"},
+	"work_refused":    {"request_refused", "refusal_withheld"},
 	"run_ordered":     {"start_unanswered"},
-	"job_handed_over": {"work_closed", "work_late", "work_failed"},
+	"job_handed_over": {"work_closed", "work_late", "work_failed", "work_given_up"},
 	"term_began":      {"leader_found"},
 }
 
--- a/daemon/events/catalogue.go
+++ b/daemon/events/catalogue.go
@@ -228,7 +228,7 @@
 	{RouteUnknown, "route_unknown", zapcore.InfoLevel, "a request names no queue of the configuration in force"},
 	{GroupLeft, "group_left", zapcore.InfoLevel, "this control VM stops as planned; the detail says whether its successor has replaced it"},
 	{WorkAccepted, "work_accepted", zapcore.InfoLevel, "a job with steps is recorded; its tasks may start"},
-	{WorkRefused, "work_refused", zapcore.InfoLevel, "a job was refused because it would complete too late; none of its tasks ran"},
+	{WorkRefused, "work_refused", zapcore.InfoLevel, "a job was refused because it would complete too late; this process has started none of its tasks"},
 	{WorkUncertain, "work_uncertain", zapcore.WarnLevel, "a job was being recorded when the leadership was lost or the write failed; whether it is recorded is unknown, and its entry is told so"},
 	{WorkCancelled, "work_cancelled", zapcore.InfoLevel, "a caller cancelled a job; its runs are stopped"},
 	{WorkClosed, "work_closed", zapcore.InfoLevel, "a job is final: it completed, failed or was cancelled"},
--- a/daemon/gateway/forwarding.go
+++ b/daemon/gateway/forwarding.go
@@ -16,8 +16,8 @@
 	arrived time.Time
 	// sent counts the leaders, and placed the local placers, to which the request was passed.
 	sent, placed int
-	// destination describes the last of them.
-	destination string
+	// leaderTerm is that of the last leader, 0 if the last of them was a local placer.
+	leaderTerm uint64
 	// mayHaveRun is set once any of them may have started the job. It is kept apart from the prior
 	// state, which the next planner needs and in which what no longer matters to it is left out.
 	mayHaveRun bool
@@ -34,7 +34,11 @@
 
 // describe tells who answered the request, when, and what happened to it before.
 func (f *forwarding) describe() string {
-	return "by " + f.destination + " after " + f.waited().Round(time.Millisecond).String() +
+	by := "this entry"
+	if f.leaderTerm > 0 {
+		by = "the leader of term " + strconv.FormatUint(f.leaderTerm, 10)
+	}
+	return "by " + by + " after " + f.waited().Round(time.Millisecond).String() +
 		", sent to leaders " + strconv.Itoa(f.sent) + ", placed here " + strconv.Itoa(f.placed)
 }
 
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -294,13 +293,13 @@
 	f.PriorState.Waited = f.waited().Truncate(time.Millisecond)
 	if l == nil {
 		f.placed++
-		f.destination = "this entry"
+		f.leaderTerm = 0
 		r, prior := local.Submit(ctx, waitCtx, &f.Request)
 		f.returned(prior)
 		return r
 	}
 	f.sent++
-	f.destination = "the leader of term " + strconv.FormatUint(l.Welcome.Term, 10)
+	f.leaderTerm = l.Welcome.Term
 	r := s.sendToLeader(ctx, l, f.Request)
 	if r != nil && r.Outcome != mesh.Uncertain {
 		return r
--- a/daemon/gateway/local_test.go
+++ b/daemon/gateway/local_test.go
@@ -16,6 +16,7 @@
 	"github.com/cicadapulley/cicadapulley/core/work"
 	"github.com/cicadapulley/cicadapulley/daemon/events"
 	"github.com/cicadapulley/cicadapulley/daemon/fallback"
+	"github.com/cicadapulley/cicadapulley/daemon/follow"
 	"github.com/cicadapulley/cicadapulley/daemon/link"
 )
 
@@ -164,3 +165,48 @@
 	r := <-answered
 	assert.Equal(t, r.Outcome, mesh.Uncertain, "%+v", r)
 }
+
+// TestRefusalAfterALostLeader guards against a caller who is told that a job has not run although an earlier
+// leader may have started it: that leader is lost, or loses its term, before it has answered, and the next one
+// refuses the job.
+func TestRefusalAfterALostLeader(t *testing.T) {
+	for name, answerFirst := range map[string]func(c *link.Conn, q *mesh.Request){
+		"connection lost": func(c *link.Conn, _ *mesh.Request) { c.Close() },
+		"uncertain": func(c *link.Conn, q *mesh.Request) {
+			c.Send(&mesh.Response{Sequence: q.Sequence, Outcome: mesh.Uncertain})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newService()
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan error, 2)
+			serve := func(term uint64) *link.Conn {
+				entry, control := newConn(t)
+				go func() { ended <- s.Serve(ctx, &follow.Leader{Conn: entry, Welcome: welcome(term, 5, "/q/")}) }()
+				return control
+			}
+			receive := func(c *link.Conn) *mesh.Request {
+				m, err := c.Receive(5 * time.Second)
+				assert.NilError(t, err)
+				return m.(*mesh.Request)
+			}
+			first := serve(1)
+			answered := make(chan *mesh.Response, 1)
+			go func() {
+				answered <- s.Do(t.Context(), &mesh.Request{Operation: mesh.Submit, Host: "h", Path: "/q/00000000000000a1", Job: &work.Job{
+					BestEffort: true, Steps: []work.Step{{Tasks: 1, Need: work.Resources{CPU: 1}, Estimate: time.Second}},
+				}})
+			}()
+			answerFirst(first, receive(first))
+			second := serve(2)
+			q := receive(second)
+			assert.Assert(t, q.PriorState.SentToLeader)
+			second.Send(&mesh.Response{Sequence: q.Sequence, Outcome: mesh.Overloaded, RetryAfterMS: 1000})
+			assert.Equal(t, (<-answered).Outcome, mesh.Uncertain)
+			assert.Equal(t, s.opts.Log.Count(events.RefusalWithheld), uint64(1))
+			cancel()
+			<-ended
+			<-ended
+		})
+	}
+}
