--- a/Makefile
+++ b/Makefile
@@ -49,13 +49,14 @@
 
 # SEEDS runs of the platform path as real processes under random signals, SEEDS runs
 # with stored jobs of many kinds, SEEDS runs of planned stops alone, SEEDS runs of lost disks
-# of control VMs, and SEEDS runs of callers that wait for long.
+# of control VMs, SEEDS runs of callers that wait for long, and SEEDS runs of entries that are cut off in turn.
 platform-soak:
 	cd platform && SOAK_SEED=$(SEED) SOAK_SEEDS=$(SEEDS) $(GO) test . -run 'TestSoak$$' -count=1 -timeout 60m
 	cd platform && SOAK_SEED=$(SEED) SOAK_SEEDS=$(SEEDS) $(GO) test . -run 'TestMixedSoak$$' -parallel 4 -count=1 -timeout 60m
 	cd platform && SOAK_SEED=$(SEED) SOAK_SEEDS=$(SEEDS) $(GO) test . -run 'TestPlannedStopSoak$$' -parallel 4 -count=1 -timeout 60m
 	cd platform && SOAK_SEED=$(SEED) SOAK_SEEDS=$(SEEDS) $(GO) test . -run 'TestDiskSoak$$' -parallel 4 -count=1 -timeout 60m
 	cd platform && SOAK_SEED=$(SEED) SOAK_SEEDS=$(SEEDS) $(GO) test . -run 'TestPatientSoak$$' -parallel 4 -count=1 -timeout 60m
+	cd platform && SOAK_SEED=$(SEED) SOAK_SEEDS=$(SEEDS) $(GO) test . -run 'TestEntryCutsInSeriesSoak$$' -parallel 4 -count=1 -timeout 60m
 
 # SEEDS runs of a larger fleet, of which groups of processes fail together.
 fleet-soak:
