mesh, scheduler, gateway: a job that was given up is answered at once

A caller whose job may have run waited until its own time limit once the leader had given the job up: the leader answered Uncertain, which the entry takes for the answer of a VM that doesn't lead. It sent the request again, the leader accepted it as one that may have run, and gave it up again with its next tick, and so on; meanwhile the job took its place in the queue. It concerns jobs that were sent to two leaders, and since also those of callers who come back while the planner knows of former runs.

--- a/api/mesh/mesh.go
+++ b/api/mesh/mesh.go
@@ -182,6 +182,9 @@
 	Invalid
 	// NoLeader: no leader has received the request; it is set by entries.
 	NoLeader
+	// GivenUp: the job may have run, and won't be completed, since its result would come too
+	// late; Detail is set. The entry must not send the request again.
+	GivenUp
 )
 
 // NotRun reports whether the outcome states that the job has not run and will not
--- a/daemon/events/catalogue.go
+++ b/daemon/events/catalogue.go
@@ -276,7 +276,7 @@
 	{PeerLost, "peer_lost", zapcore.WarnLevel, "an agent ended or its connection broke; if it repeats, check the agent and the link"},
 	{LeaderFound, "leader_found", zapcore.InfoLevel, "this process is connected to the leading control VM"},
 	{LeaderGone, "leader_gone", zapcore.WarnLevel, "the connection to the leading control VM ended; the process looks for the leader again"},
-	{RequestFailed, "request_failed", zapcore.WarnLevel, "a caller got no definite answer because no leader answered in time"},
+	{RequestFailed, "request_failed", zapcore.WarnLevel, "a caller got no definite answer because no leader answered in time, or because its job, which may have run, was given up"},
 	{RequestRefused, "request_refused", zapcore.InfoLevel, "a request was refused because the system is overloaded or not ready; the detail says when the caller may retry, who refused it, how long it had waited, and how often it was passed to a leader or placed here"},
 	{LocalPlacementBegan, "local_placement_began", zapcore.WarnLevel, "this entry has found no leader and places best-effort jobs itself; check that control has a leader"},
 	{LocalPlacementEnded, "local_placement_ended", zapcore.InfoLevel, "this entry has found a leader and hands its jobs over; the detail counts them"},
--- a/daemon/gateway/forwarding.go
+++ b/daemon/gateway/forwarding.go
@@ -42,10 +42,11 @@
 		", sent to leaders " + strconv.Itoa(f.sent) + ", placed here " + strconv.Itoa(f.placed)
 }
 
-// logRefusal emits the event of a refusal that says that the job has not run. answer is what the
-// caller gets.
+// logRefusal emits the event of a refusal, or of a job that was given up. answer is what the caller gets.
 func (s *Service) logRefusal(f *forwarding, refusal, answer *mesh.Response) {
 	switch {
+	case refusal.Outcome == mesh.GivenUp:
+		s.opts.Log.Emit(events.Event{ID: events.RequestFailed, Job: jobKey(&f.Request), Text: refusal.Detail + ", given up " + f.describe()})
 	case answer != refusal:
 		s.withheld.Inc()
 		s.opts.Log.Emit(events.Event{ID: events.RefusalWithheld, Job: jobKey(&f.Request), Text: outcomeNames[refusal.Outcome] + " " + f.describe()})
--- a/daemon/gateway/local_test.go
+++ b/daemon/gateway/local_test.go
@@ -163,7 +163,31 @@
 	<-ordered
 	cutOff()
 	r := <-answered
-	assert.Equal(t, r.Outcome, mesh.Uncertain, "%+v", r)
+	assert.Equal(t, r.Outcome, mesh.GivenUp, "%+v", r)
+}
+
+// TestGivenUpJobIsAnsweredAtOnce guards against a caller who waits until its own time limit for a job that the leader has
+// given up: the entry took the answer for that of a VM that doesn't lead and sent the request again, the leader
+// accepted it as one that may have run and gave it up again, and so on.
+func TestGivenUpJobIsAnsweredAtOnce(t *testing.T) {
+	s := newService()
+	ctx, cancel := context.WithCancel(t.Context())
+	entry, control := newConn(t)
+	ended := make(chan error)
+	go func() { ended <- s.Serve(ctx, &follow.Leader{Conn: entry, Welcome: welcome(1, 5, "/q/")}) }()
+	answered := make(chan *mesh.Response, 1)
+	go func() {
+		answered <- s.Do(t.Context(), &mesh.Request{Operation: mesh.Submit, Host: "h", Path: "/q/00000000000000a1", Job: &work.Job{BestEffort: true}})
+	}()
+	m, err := control.Receive(5 * time.Second)
+	assert.NilError(t, err)
+	control.Send(&mesh.Response{Sequence: m.(*mesh.Request).Sequence, Outcome: mesh.GivenUp, Detail: "the job would complete too late"})
+	r := <-answered
+	assert.Equal(t, r.Outcome, mesh.GivenUp)
+	assert.Assert(t, !r.Outcome.NotRun())
+	assert.Equal(t, r.Detail, "the job would complete too late")
+	cancel()
+	<-ended
 }
 
 // TestRefusalAfterALostLeader guards against a caller who is told that a job has not run although an earlier
--- a/daemon/gateway/metrics.go
+++ b/daemon/gateway/metrics.go
@@ -12,7 +12,7 @@
 
 var outcomeNames = map[mesh.Outcome]string{
 	mesh.Accepted: "accepted", mesh.Found: "found", mesh.NoQueue: "no_queue", mesh.NoJob: "no_job", mesh.NotReady: "not_ready",
-	mesh.Overloaded: "overloaded", mesh.Uncertain: "uncertain", mesh.Invalid: "invalid", mesh.NoLeader: "no_leader",
+	mesh.Overloaded: "overloaded", mesh.Uncertain: "uncertain", mesh.Invalid: "invalid", mesh.NoLeader: "no_leader", mesh.GivenUp: "given_up",
 }
 
 func newLatency() *prometheus.HistogramVec {
--- a/daemon/scheduler/cancel_test.go
+++ b/daemon/scheduler/cancel_test.go
@@ -72,3 +72,21 @@
 	assert.Assert(t, !s.Cancelled(now, "0", time.Second))
 	assert.Assert(t, s.Cancelled(now, work.JobID(strconv.Itoa(ledger.MaxCancellations)), time.Second))
 }
+
+// TestJobThatMayHaveRunIsGivenUp guards against a job that may have run and is refused as one that has not, and
+// against an answer after which its entry sends it again.
+func TestJobThatMayHaveRunIsGivenUp(t *testing.T) {
+	for prior, want := range map[*placement.PriorState]mesh.Outcome{{}: mesh.Overloaded, {RunsEnded: true}: mesh.GivenUp} {
+		now := time.Unix(1000, 0)
+		s := New(placement.NewPlanner(1, now.Add(time.Minute), []string{"vm-1"}), NewMetrics(), events.NewLog("control-1", zap.NewNop(), events.NewClock()))
+		var answer *mesh.Response
+		w := Waiter{Answer: func(r *mesh.Response) { answer = r }}
+		job := &work.Job{ID: "job", BestEffort: true, MaxAttempts: 2, Stretch: 2, Steps: []work.Step{{Tasks: 1, Estimate: time.Second}}}
+		assert.Assert(t, s.Submit(now, w, job, *prior) == nil)
+		now = now.Add(10 * time.Second)
+		s.Tick(now)
+		s.AnswerFinished(now)
+		assert.Assert(t, answer != nil)
+		assert.Equal(t, answer.Outcome, want)
+	}
+}
--- a/daemon/scheduler/scheduler.go
+++ b/daemon/scheduler/scheduler.go
@@ -289,5 +289,5 @@
 func (s *Scheduler) giveUp(j *work.Job, a placement.Admission) *mesh.Response {
 	s.metrics.refused.Inc()
 	s.log.Emit(events.Event{ID: events.WorkGivenUp, Job: JobKey(j.ID), Text: refusalText(j, a)})
-	return &mesh.Response{Outcome: mesh.Uncertain, Detail: "the job would complete too late"}
+	return &mesh.Response{Outcome: mesh.GivenUp, Detail: "the job would complete too late"}
 }
